LibLimits: Add the limits that instances keep together

Targets have budgets that hold over all instances (probes, connections, requests while cold), and an instance must refuse what it cannot finish.

Divisible budgets are divided by the declared maximum of instances. A slower rate for budgets below that maximum was ruled out: all instances may use their slow unit in the same second. Slots with a rendezvous order per target give the remainder to named slots, so that the sum is the budget exactly. A unit is taken from before the send until 1.1 s after it, so that a process that is stopped between the two cannot burst when it resumes.

--- /dev/null
+++ b/Libraries/LibLimits/Admission.cpp
@@ -0,0 +1,159 @@
+#include <LibLimits/Admission.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Briarbend::Limits
+{
+
+namespace
+{
+
+using Configuration::TrafficClass;
+using Seconds = std::chrono::duration<double>;
+
+/// Drain rate below which there is too little evidence to foretell a wait.
+constexpr double LEAST_RATE_PER_SECOND = 1;
+constexpr std::chrono::milliseconds SHORTEST_RETRY_AFTER{100};
+/// Weight of a new sample in the usual time at targets, as a divisor.
+constexpr int USUAL_TIME_DIVISOR = 16;
+
+AdmissionClass &classOf(Admission &admission, TrafficClass trafficClass)
+{
+    return admission.classes[static_cast<std::size_t>(trafficClass)];
+}
+
+const AdmissionClass &classOf(const Admission &admission, TrafficClass trafficClass)
+{
+    return admission.classes[static_cast<std::size_t>(trafficClass)];
+}
+
+std::uint32_t limitOf(const Admission &admission, TrafficClass trafficClass)
+{
+    const auto &parameters = admission.parameters;
+    if (trafficClass == TrafficClass::Interactive) {
+        return parameters.inFlight;
+    }
+    return std::max(1U, static_cast<std::uint32_t>(parameters.bulkShare * parameters.inFlight));
+}
+
+bool hasRoom(const Admission &admission, TrafficClass trafficClass)
+{
+    const auto total = admission.classes[0].inFlight + admission.classes[1].inFlight;
+    return total < admission.parameters.inFlight && classOf(admission, trafficClass).inFlight < limitOf(admission, trafficClass);
+}
+
+/// Time until a request with so many before it is sent.
+Core::Duration waitBehind(const AdmissionClass &queue, std::size_t before, Core::TimePoint now)
+{
+    const auto rate = eventsPerSecond(queue.drained, now);
+    if (rate < LEAST_RATE_PER_SECOND) {
+        return Core::Duration{0};
+    }
+    return std::chrono::duration_cast<Core::Duration>(Seconds(static_cast<double>(before) / rate));
+}
+
+std::size_t waitingBefore(const AdmissionClass &queue, Core::TimePoint deadline)
+{
+    return static_cast<std::size_t>(std::distance(queue.waiting.begin(), queue.waiting.upper_bound({deadline, ~0ULL})));
+}
+
+AdmissionDecision
+refusal(const Admission &admission, TrafficClass trafficClass, RefusalReason reason, Core::TimePoint now, Core::Random &random)
+{
+    return {.kind = AdmissionKind::Refuse,
+            .ticket = std::nullopt,
+            .reason = reason,
+            .retryAfter = retryAfter(admission, trafficClass, now, random)};
+}
+
+Ticket enqueue(Admission &admission, AdmissionClass &queue, Core::TimePoint deadline)
+{
+    const Ticket ticket{deadline, admission.nextNumber++};
+    queue.waiting.insert(ticket);
+    return ticket;
+}
+
+} // namespace
+
+AdmissionDecision
+admit(Admission &admission, TrafficClass trafficClass, Core::TimePoint deadline, Core::TimePoint now, Core::Random &random)
+{
+    auto &queue = classOf(admission, trafficClass);
+    if (deadline <= now) {
+        return refusal(admission, trafficClass, RefusalReason::DeadlinePassed, now, random);
+    }
+    if (queue.waiting.empty() && hasRoom(admission, trafficClass)) {
+        ++queue.inFlight;
+        return {.kind = AdmissionKind::Run, .ticket = std::nullopt, .reason = std::nullopt};
+    }
+    if (queue.waiting.size() >= admission.parameters.waitingPerClass) {
+        return refusal(admission, trafficClass, RefusalReason::QueueFull, now, random);
+    }
+    const auto wait = waitBehind(queue, waitingBefore(queue, deadline) + 1, now);
+    if (now + wait + queue.usualTime > deadline) {
+        return refusal(admission, trafficClass, RefusalReason::DeadlineTooShort, now, random);
+    }
+    return {.kind = AdmissionKind::Wait, .ticket = enqueue(admission, queue, deadline), .reason = std::nullopt};
+}
+
+Ticket putBack(Admission &admission, TrafficClass trafficClass, Core::TimePoint deadline)
+{
+    auto &queue = classOf(admission, trafficClass);
+    queue.inFlight -= queue.inFlight > 0 ? 1 : 0;
+    return enqueue(admission, queue, deadline);
+}
+
+std::optional<QueuedRequest> takeRunnable(Admission &admission, Core::TimePoint now)
+{
+    for (const auto trafficClass : {TrafficClass::Interactive, TrafficClass::Bulk}) {
+        auto &queue = classOf(admission, trafficClass);
+        const auto next = queue.waiting.upper_bound({now, ~0ULL});
+        if (next == queue.waiting.end() || !hasRoom(admission, trafficClass)) {
+            continue;
+        }
+        const auto ticket = *next;
+        queue.waiting.erase(next);
+        ++queue.inFlight;
+        return QueuedRequest{.ticket = ticket, .trafficClass = trafficClass};
+    }
+    return std::nullopt;
+}
+
+std::vector<QueuedRequest> takeExpired(Admission &admission, Core::TimePoint now)
+{
+    std::vector<QueuedRequest> expired;
+    for (const auto trafficClass : {TrafficClass::Interactive, TrafficClass::Bulk}) {
+        auto &queue = classOf(admission, trafficClass);
+        const auto last = queue.waiting.upper_bound({now + queue.usualTime, ~0ULL});
+        std::for_each(queue.waiting.begin(), last, [&](const Ticket &ticket) {
+            expired.push_back({.ticket = ticket, .trafficClass = trafficClass});
+        });
+        queue.waiting.erase(queue.waiting.begin(), last);
+    }
+    return expired;
+}
+
+void withdraw(Admission &admission, const QueuedRequest &request)
+{
+    classOf(admission, request.trafficClass).waiting.erase(request.ticket);
+}
+
+void recordDrained(Admission &admission, TrafficClass trafficClass, Core::Duration timeToHead, Core::TimePoint now)
+{
+    auto &queue = classOf(admission, trafficClass);
+    queue.inFlight -= queue.inFlight > 0 ? 1 : 0;
+    addEvents(queue.drained, 1, now);
+    queue.usualTime += queue.usualTime.count() > 0 ? (timeToHead - queue.usualTime) / USUAL_TIME_DIVISOR : timeToHead;
+}
+
+std::chrono::milliseconds retryAfter(const Admission &admission, TrafficClass trafficClass, Core::TimePoint now, Core::Random &random)
+{
+    const auto &queue = classOf(admission, trafficClass);
+    const auto wait = waitBehind(queue, queue.waiting.size() + queue.inFlight, now) + queue.usualTime;
+    const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(wait);
+    const auto base = std::clamp(milliseconds, SHORTEST_RETRY_AFTER, admission.parameters.longestRetryAfter);
+    return base + std::chrono::milliseconds{random.below(static_cast<std::size_t>(base.count()) + 1)};
+}
+
+} // namespace Briarbend::Limits
--- /dev/null
+++ b/Libraries/LibLimits/Admission.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <LibConfiguration/Model.h>
+#include <LibCore/Random.h>
+#include <LibLimits/DecayingRate.h>
+#include <LibLimits/RefusalReason.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace Briarbend::Limits
+{
+
+struct AdmissionParameters {
+    /// Requests of this instance that may be at targets at once, all classes together.
+    std::uint32_t inFlight{64};
+    /// Largest share of `inFlight` that bulk requests take, so that interactive ones always find room.
+    double bulkShare{0.5};
+    /// Requests of one class that may wait.
+    std::uint32_t waitingPerClass{256};
+    /// Largest time that a refused caller is told to wait, before jitter.
+    std::chrono::milliseconds longestRetryAfter{30'000};
+};
+
+/// Names one waiting request.
+struct Ticket {
+    Core::TimePoint deadline;
+    std::uint64_t number{0};
+
+    auto operator<=>(const Ticket &) const = default;
+};
+
+struct AdmissionClass {
+    std::uint32_t inFlight{0};
+    /// Waiting requests, earliest deadline first.
+    std::set<Ticket> waiting;
+    /// Requests that finished.
+    DecayingRate drained;
+    /// Exponentially weighted time from a send to the head of its answer.
+    Core::Duration usualTime{0};
+};
+
+/// The queue of one service at one instance.
+struct Admission {
+    AdmissionParameters parameters;
+    std::array<AdmissionClass, 2> classes;
+    std::uint64_t nextNumber{1};
+};
+
+enum class AdmissionKind {
+    /// Send now; the request counts as in flight from here.
+    Run,
+    /// Wait until takeRunnable returns the ticket or takeExpired does.
+    Wait,
+    /// Refuse at once.
+    Refuse,
+};
+
+struct AdmissionDecision {
+    AdmissionKind kind{AdmissionKind::Refuse};
+    /// Set with Wait.
+    std::optional<Ticket> ticket{};
+    /// Set with Refuse.
+    std::optional<RefusalReason> reason{};
+    /// Set with Refuse: when the caller may come back, jittered.
+    std::chrono::milliseconds retryAfter{0};
+};
+
+/// A waiting request and its class.
+struct QueuedRequest {
+    Ticket ticket;
+    Configuration::TrafficClass trafficClass{Configuration::TrafficClass::Interactive};
+};
+
+/// Decides on a request that arrives now. One that cannot finish by its deadline at the measured drain rate is refused at once.
+AdmissionDecision
+admit(Admission &admission, Configuration::TrafficClass trafficClass, Core::TimePoint deadline, Core::TimePoint now, Core::Random &random);
+
+/// Puts a request that was let run, but found no target that could take it, back into the queue. It no longer counts as in flight.
+Ticket putBack(Admission &admission, Configuration::TrafficClass trafficClass, Core::TimePoint deadline);
+
+/// Takes the next request to run, interactive ones first, then by deadline. It counts as in flight from here.
+std::optional<QueuedRequest> takeRunnable(Admission &admission, Core::TimePoint now);
+
+/// Takes the requests that can no longer finish in time; each is to be refused now.
+std::vector<QueuedRequest> takeExpired(Admission &admission, Core::TimePoint now);
+
+/// Removes a waiting request whose caller went away.
+void withdraw(Admission &admission, const QueuedRequest &request);
+
+/// Notes that a request no longer occupies a target, and how long the head of its answer took.
+void recordDrained(Admission &admission, Configuration::TrafficClass trafficClass, Core::Duration timeToHead, Core::TimePoint now);
+
+/// When a caller refused now may come back: the time to drain the queue at the measured rate, jittered to up to twice that.
+std::chrono::milliseconds
+retryAfter(const Admission &admission, Configuration::TrafficClass trafficClass, Core::TimePoint now, Core::Random &random);
+
+} // namespace Briarbend::Limits
--- /dev/null
+++ b/Libraries/LibLimits/ColdGate.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/Time.h>
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+/// Keeps the requests that all instances together send to a cold target within what the target bears.
+///
+/// A cold target's senders are the first `coldRequests` members by rendezvous hash, with one request in flight each. The bound holds
+/// as long as: (1) `MembershipView::expected` is the same number at all instances and at least the number of instances that run, so
+/// that any two majorities share one; (2) a contact is a completed exchange in which both sides told the members they knew;
+/// (3) a member stays listed for at least twice `hearingWindow` after the last exchange that any peer had with it; (4) a request
+/// to a cold target ends within `longestRequest`, by an answer or by closing its connection; (5) clocks run at the same rate.
+namespace Briarbend::Limits
+{
+
+struct ColdGateParameters {
+    /// A peer counts as heard for this long after a completed exchange.
+    std::chrono::milliseconds hearingWindow{1500};
+    /// Longest time that a request occupies a cold target.
+    std::chrono::milliseconds longestRequest{2000};
+    /// A longer time between two calls of updateMembership counts as a freeze of the process.
+    std::chrono::milliseconds longestPause{500};
+    /// Answers in a row that are slow with few requests in flight, after which a target counts as cold.
+    std::uint32_t slowAnswersToSuspect{3};
+    /// A time above this multiple of the target's usual time is slow.
+    double slowFactor{8};
+    /// Largest share of the targets that slowness alone may make cold.
+    double suspectedShare{0.3};
+};
+
+/// Time that an instance holds a sender's place before it uses it: two hearing windows until every other holder knows of this
+/// instance, then the end of the other's last request, then the pauses of both that go unnoticed.
+Core::Duration settlingTime(const ColdGateParameters &parameters);
+
+/// The last completed exchange with a peer.
+struct PeerContact {
+    Core::InstanceId peer;
+    Core::TimePoint lastExchange;
+};
+
+/// The instances, in this instance's opinion.
+struct MembershipView {
+    Core::InstanceId self;
+    /// Running instances, this one included.
+    std::vector<Core::InstanceId> members;
+    /// Number of instances over which a majority is counted, this one included.
+    std::size_t expected{1};
+    std::vector<PeerContact> contacts;
+};
+
+/// What an instance tells its peers about one target. Statements about one start merge: the higher episode wins, and within an
+/// episode warm wins. Each time a start turns cold begins a new episode.
+struct WarmthStatement {
+    Core::TargetId target;
+    Core::TargetStartId start;
+    std::uint32_t episode{0};
+    bool isWarm{false};
+    /// The target turned cold by slowness alone.
+    bool isSuspected{false};
+
+    bool operator==(const WarmthStatement &) const = default;
+};
+
+enum class Warmth {
+    /// Known from the first instance list, nothing heard of it yet.
+    Unknown,
+    Cold,
+    Warm,
+};
+
+enum class ColdVerdict {
+    Warm,
+    /// Cold, and this instance may send one request now.
+    MayTry,
+    /// Cold or unknown, and this instance may not send.
+    Refuse,
+};
+
+/// What one instance knows of one target's warmth.
+struct ColdTarget {
+    Warmth warmth{Warmth::Unknown};
+    std::optional<Core::TargetStartId> start;
+    std::uint32_t episode{0};
+    /// Limits of the target's service.
+    std::uint32_t coldRequests{1};
+    std::uint32_t warmAfterRequests{50};
+    /// Successful requests since the target turned cold.
+    std::uint32_t completed{0};
+    /// Requests of this instance in flight, those sent while the target was warm included.
+    std::uint32_t inFlight{0};
+    /// A report has shown the start since the last lost connection.
+    bool isConfirmed{false};
+    /// Since when the members have given this instance a sender's place without a break.
+    std::optional<Core::TimePoint> placeSince;
+    /// Exponentially weighted time of a request with few in flight, in microseconds.
+    double usualTime{0};
+    std::uint32_t slowInRow{0};
+    bool isSuspected{false};
+    /// Starts that have been replaced, oldest first; statements about them are void.
+    std::vector<Core::TargetStartId> replacedStarts;
+    /// The merged statements of peers about a start that no report has shown yet.
+    std::optional<WarmthStatement> heard;
+};
+
+struct ColdGate {
+    ColdGateParameters parameters;
+    std::unordered_map<Core::TargetId, ColdTarget> targets;
+    MembershipView view;
+    /// Since when a majority has been heard without a break.
+    std::optional<Core::TimePoint> majoritySince;
+    std::optional<Core::TimePoint> lastUpdate;
+    /// The first instance list has been taken over; targets that come later are new.
+    bool hasFirstTargets{false};
+};
+
+/// Limits of one target, from its service.
+struct ColdTargetLimits {
+    Core::TargetId target;
+    std::uint32_t coldRequests{1};
+    std::uint32_t warmAfterRequests{50};
+};
+
+/// Takes over the list of all targets that this instance may send to. Targets of the first list are unknown, later ones cold.
+void updateColdTargets(ColdGate &gate, const std::vector<ColdTargetLimits> &targets, Core::TimePoint now);
+
+/// Takes over the membership and contacts; call it several times within each `longestPause`, also when nothing changed.
+void updateMembership(ColdGate &gate, MembershipView view, Core::TimePoint now);
+
+/// Whether a request may go to the target now.
+ColdVerdict coldVerdict(const ColdGate &gate, const Core::TargetId &target, Core::TimePoint now);
+
+/// Notes a request that is about to be written, whatever the verdict was.
+void recordColdSent(ColdGate &gate, const Core::TargetId &target);
+
+/// Notes that a request noted with recordColdSent no longer occupies the target.
+void recordColdFinished(ColdGate &gate, const Core::TargetId &target);
+
+/// Notes a successful answer. Enough of them make a cold target warm; slow ones with few requests in flight make it cold.
+void recordCompleted(ColdGate &gate, const Core::TargetId &target, std::chrono::microseconds elapsed, bool hadFewInFlight);
+
+/// Notes a load report, of an answer or a probe: its start and whether it says cold.
+void recordReport(ColdGate &gate, const Core::TargetId &target, const std::optional<Core::TargetStartId> &start, bool isCold);
+
+/// Notes that the target refused, broke or closed a connection, also an idle one: it may have restarted. Its warmth is lost until a report
+/// shows the same start.
+void recordConnectionLost(ColdGate &gate, const Core::TargetId &target);
+
+/// Takes over what a peer states.
+void learnWarmth(ColdGate &gate, const WarmthStatement &statement);
+
+/// What this instance tells its peers: one statement for each target with a known start.
+std::vector<WarmthStatement> warmthStatements(const ColdGate &gate);
+
+} // namespace Briarbend::Limits
--- /dev/null
+++ b/Tests/LibLimits/TestShareBudget.cpp
@@ -0,0 +1,112 @@
+#include <LibLimits/ShareBudget.h>
+
+#include <LibCore/Random.h>
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <numeric>
+#include <rapidcheck/gtest.h>
+
+namespace Briarbend::Limits
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto WINDOW = 1s;
+
+/// Sends that left processes which were stopped at random moments, between the reservation and the send too.
+std::vector<Core::TimePoint> sendsOfSlot(std::uint32_t units, Core::Random &random)
+{
+    std::vector<Core::TimePoint> sends;
+    Core::TimePoint now{100s};
+    const auto pass = [&] {
+        const auto stopped = random.below(20) == 0 ? 3000 : 15;
+        now += std::chrono::milliseconds{random.below(static_cast<std::size_t>(stopped))};
+    };
+    auto budget = startShareBudget(units, now);
+    for (int step = 0; step < 600; ++step) {
+        pass();
+        if (random.below(100) == 0) {
+            budget = startShareBudget(units, now);
+        }
+        if (!reserveUnit(budget, now)) {
+            continue;
+        }
+        pass();
+        sends.push_back(now);
+        pass();
+        confirmUnit(budget, now);
+    }
+    return sends;
+}
+
+std::size_t mostWithinWindow(std::vector<Core::TimePoint> sends)
+{
+    std::ranges::sort(sends);
+    std::size_t most = 0;
+    for (auto first = sends.begin(); first != sends.end(); ++first) {
+        const auto end = std::upper_bound(first, sends.end(), *first + WINDOW);
+        most = std::max(most, static_cast<std::size_t>(std::distance(first, end)));
+    }
+    return most;
+}
+
+} // namespace
+
+RC_GTEST_PROP(ShareBudget, sharesOfAllSlotsAddUpToTheBudget, (const std::string &target))
+{
+    const auto budget = *rc::gen::inRange(0U, 300U);
+    const auto instances = *rc::gen::inRange(1U, 64U);
+    std::uint32_t sum = 0;
+    for (std::uint32_t slot = 0; slot < instances; ++slot) {
+        sum += shareOf(budget, {.maximumInstances = instances, .instanceSlot = slot}, {target});
+    }
+    RC_ASSERT(sum == budget);
+    RC_ASSERT(shareOf(budget, {.maximumInstances = instances, .instanceSlot = std::nullopt}, {target}) * instances <= budget);
+}
+
+RC_GTEST_PROP(ShareBudget, noWindowHoldsMoreThanTheBudgetThroughFreezesAndRestarts, (std::uint64_t seed))
+{
+    Core::Random random{seed};
+    const auto budget = *rc::gen::inRange(1U, 30U);
+    const auto instances = *rc::gen::inRange(1U, 20U);
+    std::vector<Core::TimePoint> all;
+    for (std::uint32_t slot = 0; slot < instances; ++slot) {
+        const auto units = shareOf(budget, {.maximumInstances = instances, .instanceSlot = slot}, {"10.0.0.1:80"});
+        const auto sends = sendsOfSlot(units, random);
+        all.insert(all.end(), sends.begin(), sends.end());
+    }
+    RC_ASSERT(mostWithinWindow(all) <= budget);
+}
+
+TEST(ShareBudget, spendsItsWholeShareOverTime)
+{
+    auto budget = startShareBudget(3, Core::TimePoint{0s});
+    int sent = 0;
+    for (Core::TimePoint now{0s}; now < Core::TimePoint{12s}; now += 1ms) {
+        if (reserveUnit(budget, now)) {
+            confirmUnit(budget, now);
+            ++sent;
+        }
+    }
+    // Three units, each once every 1.1 seconds, closed for the first 1.1 seconds.
+    EXPECT_GE(sent, 27);
+    EXPECT_LE(sent, 30);
+}
+
+TEST(ShareBudget, namesTheTimeOfTheNextFreeUnit)
+{
+    auto budget = startShareBudget(1, Core::TimePoint{0s});
+    const Core::TimePoint now{2s};
+    ASSERT_TRUE(reserveUnit(budget, now));
+    EXPECT_FALSE(nextFreeUnit(budget));
+    confirmUnit(budget, now + 5ms);
+    ASSERT_TRUE(nextFreeUnit(budget));
+    EXPECT_FALSE(reserveUnit(budget, *nextFreeUnit(budget) - 1ns));
+    EXPECT_TRUE(reserveUnit(budget, *nextFreeUnit(budget)));
+}
+
+} // namespace Briarbend::Limits
