LibRouting: Add the target table, the policies and load reports

The daemon needs to choose targets, learn from answers and spend probes.

State is a plain table per service; a choice looks at the instance's subset of targets only. Service time is estimated with queueing and distance taken out, so that one number per target serves at any load. The time to a failure never enters it: a target that fails fast would look fast.

--- /dev/null
+++ b/Libraries/LibRouting/Probing.cpp
@@ -0,0 +1,86 @@
+#include <LibRouting/Probing.h>
+
+#include <algorithm>
+
+namespace Briarbend::Routing
+{
+
+namespace
+{
+
+bool needsProbe(const TargetTable &table, const TargetState &target, Core::TimePoint now)
+{
+    if (target.probe.outstandingSince) {
+        return false;
+    }
+    return !target.evidence || now - target.evidence->receivedAt >= table.parameters.probeAfter;
+}
+
+void expireProbes(TargetTable &table, Core::TimePoint now)
+{
+    for (auto &target : table.targets) {
+        const auto &since = target.probe.outstandingSince;
+        if (since && now - *since >= table.parameters.probeTimeout) {
+            recordProbeLost(table, target.description.id);
+        }
+    }
+}
+
+} // namespace
+
+std::vector<Core::TargetId>
+chooseProbes(TargetTable &table, const ProbePermission &permission, std::size_t most, Core::TimePoint now, Core::Random &random)
+{
+    expireProbes(table, now);
+    struct Wish {
+        Core::TimePoint lastReport;
+        std::uint64_t tieBreak;
+        const TargetState *target;
+    };
+    std::vector<Wish> wishes;
+    for (const auto &target : table.targets) {
+        if (needsProbe(table, target, now)) {
+            wishes.push_back({target.evidence ? target.evidence->receivedAt : Core::TimePoint::min(), random.bits(), &target});
+        }
+    }
+    std::ranges::sort(wishes, [](const Wish &left, const Wish &right) {
+        return std::tie(left.lastReport, left.tieBreak) < std::tie(right.lastReport, right.tieBreak);
+    });
+    std::vector<Core::TargetId> chosen;
+    for (const auto &wish : wishes) {
+        if (chosen.size() >= most) {
+            break;
+        }
+        if (permission(*wish.target)) {
+            chosen.push_back(wish.target->description.id);
+        }
+    }
+    return chosen;
+}
+
+void recordProbeSent(TargetTable &table, const Core::TargetId &id, Core::TimePoint now)
+{
+    if (auto *target = findTarget(table, id)) {
+        target->probe.outstandingSince = now;
+    }
+}
+
+void recordProbeAnswer(TargetTable &table, const Core::TargetId &id, const LoadReport &report, Core::TimePoint now)
+{
+    auto *target = findTarget(table, id);
+    if (!target) {
+        return;
+    }
+    target->probe = {};
+    target->evidence = LoadEvidence{.report = report, .receivedAt = now};
+}
+
+void recordProbeLost(TargetTable &table, const Core::TargetId &id)
+{
+    if (auto *target = findTarget(table, id)) {
+        target->probe.outstandingSince.reset();
+        ++target->probe.lostInRow;
+    }
+}
+
+} // namespace Briarbend::Routing
--- /dev/null
+++ b/Libraries/LibRouting/TargetTable.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <LibConfiguration/Model.h>
+#include <LibCore/Identifiers.h>
+#include <LibCore/Time.h>
+#include <LibRouting/LoadReport.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+/// Choice of a target for each request, from what this instance has seen itself.
+namespace Briarbend::Routing
+{
+
+/// One target as the instance list describes it.
+struct TargetDescription {
+    Core::TargetId id;
+    Core::DataCentreName dataCentre;
+    Core::VersionName version;
+    /// The target receives no new work; requests in flight finish.
+    bool isLeaving{false};
+
+    bool operator==(const TargetDescription &) const = default;
+};
+
+/// The share, zero or more, of a service's requests that a version receives. Shares are relative to their sum.
+struct VersionShare {
+    Core::VersionName version;
+    double share{0};
+};
+
+struct RoutingParameters {
+    Configuration::RoutingPolicy policy{Configuration::RoutingPolicy::ProbePool};
+    Core::DataCentreName ownDataCentre;
+    /// Round trip to a target of another data centre, over that to one of the own.
+    std::chrono::microseconds distance{1500};
+    /// Requests that a target runs at once, where its report does not say.
+    std::uint32_t slots{6};
+    /// Age at which a load report no longer takes part in a choice.
+    std::chrono::milliseconds reportLifetime{300};
+    /// Choices for which one load report is used before it is dropped.
+    std::uint32_t usesPerReport{64};
+    /// Targets with more requests in flight than this share of the pool count as hot.
+    double hotQuantile{0.75};
+    /// Reports younger than this make a probe needless.
+    std::chrono::milliseconds probeAfter{100};
+    /// Time after which a probe without an answer is taken as lost.
+    std::chrono::milliseconds probeTimeout{50};
+    /// Largest share of the targets that may be ejected at once.
+    double ejectedShare{0.3};
+    /// Failures in a row that eject a target.
+    std::uint32_t failuresToEject{5};
+    /// First ejection; each further one in a row is twice as long, up to 32 times.
+    std::chrono::milliseconds ejectionTime{1000};
+    /// Share of the requests that may go to a cold target while warm ones are free.
+    double coldTrialShare{0.05};
+};
+
+/// What is known of a target's load: the newest report, corrected by what this instance did since.
+struct LoadEvidence {
+    LoadReport report;
+    Core::TimePoint receivedAt;
+    /// Choices made with this report.
+    std::uint32_t uses{0};
+    /// Requests that this instance sent after the report.
+    std::uint32_t sentSince{0};
+    /// Requests of this instance that finished after the report.
+    std::uint32_t finishedSince{0};
+};
+
+struct EjectionState {
+    std::optional<Core::TimePoint> until;
+    /// Ejections in a row without a success between them.
+    std::uint32_t repeats{0};
+    std::uint32_t failuresInRow{0};
+};
+
+struct ProbeState {
+    std::optional<Core::TimePoint> outstandingSince;
+    /// Probes in a row without an answer.
+    std::uint32_t lostInRow{0};
+};
+
+/// Everything that one instance knows of one target.
+struct TargetState {
+    TargetDescription description;
+    /// Requests of this instance that have not finished.
+    std::uint32_t ownInFlight{0};
+    /// Send times of the requests that have no answer yet, oldest first.
+    std::vector<Core::TimePoint> waiting;
+    /// Exponentially weighted time that one request takes in a slot, network distance and queueing taken out, in microseconds.
+    double serviceTime{0};
+    /// Exponentially weighted share of requests that failed, in [0, 1].
+    double failureShare{0};
+    std::optional<LoadEvidence> evidence;
+    EjectionState ejection;
+    ProbeState probe;
+    /// The permission last asked for said that the target is cold.
+    bool wasCold{false};
+};
+
+/// The targets of one service, as one instance sees them.
+struct TargetTable {
+    RoutingParameters parameters;
+    std::vector<TargetState> targets;
+    std::unordered_map<Core::TargetId, std::size_t> indexById;
+    /// Exponentially weighted service time over all targets, in microseconds; zero before the first answer.
+    double typicalServiceTime{0};
+    /// Position of the round robin policy.
+    std::size_t nextInTurn{0};
+};
+
+/// A request on its way, as recordSent returned it.
+struct SentRequest {
+    Core::TargetId target;
+    Core::TimePoint sentAt;
+    /// Requests that were estimated to be at the target, this one included.
+    double positionAtSend{1};
+};
+
+enum class OutcomeKind {
+    Success,
+    /// An answer that shows a fault of the target, a broken connection, or none in time.
+    Failure,
+    /// The target shed the request unrun.
+    Refused,
+    /// The caller went away; says nothing about the target.
+    Cancelled,
+};
+
+/// What came back for a request.
+struct Outcome {
+    OutcomeKind kind{OutcomeKind::Success};
+    std::optional<LoadReport> report;
+};
+
+/// The size of the subset that each instance covers, so that about `sendersPerTarget` instances cover each target and no subset
+/// is smaller than `smallest`. All targets where instances are few.
+std::size_t subsetSize(std::size_t targets, std::size_t instances, std::size_t sendersPerTarget, std::size_t smallest);
+
+/// The targets that an instance covers: of each data centre its proportional part, heaviest by rendezvous hash first.
+std::vector<TargetDescription> subsetOf(const std::vector<TargetDescription> &all, const Core::InstanceId &instance, std::size_t size);
+
+/// Takes over a new instance list. Known targets keep their state; requests in flight to removed ones are forgotten.
+void updateTargets(TargetTable &table, const std::vector<TargetDescription> &descriptions);
+
+/// The state of a target, or null where it is not in the table.
+TargetState *findTarget(TargetTable &table, const Core::TargetId &id);
+const TargetState *findTarget(const TargetTable &table, const Core::TargetId &id);
+
+/// Estimated requests at the target, those of other instances included.
+double estimatedInFlight(const TargetTable &table, const TargetState &target, Core::TimePoint now);
+
+/// Estimated time, in microseconds, until a request sent now has succeeded: queueing, service, distance and failures.
+double expectedLatency(const TargetTable &table, const TargetState &target, Core::TimePoint now);
+
+/// Notes that a request has been written to the target.
+SentRequest recordSent(TargetTable &table, const Core::TargetId &id, Core::TimePoint now);
+
+/// Notes the head of the answer, or the failure. Call once for each sent request, before recordFinished.
+void recordAnswer(TargetTable &table, const SentRequest &request, const Outcome &outcome, Core::TimePoint now);
+
+/// Notes that the request no longer occupies the target: the last byte has come or the connection is closed.
+void recordFinished(TargetTable &table, const SentRequest &request);
+
+/// True where the target is ejected now.
+bool isEjected(const TargetState &target, Core::TimePoint now);
+
+} // namespace Briarbend::Routing
