LibRelay: Relay requests to targets and stream the answers back

One coroutine a caller's connection, one exchange a target. The exchange keeps how far the request got, so that only what surely was not sent, or was refused by the target as not run, may be called not run. A target connection is reused only after a clean end; a cut answer closes the caller's connection before the message's end.

Not measured yet.

--- /dev/null
+++ b/Libraries/LibRelay/AdmissionTurn.cpp
@@ -0,0 +1,86 @@
+#include <LibRelay/AdmissionTurn.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Briarbend::Relay
+{
+
+namespace
+{
+
+namespace Asio = boost::asio;
+
+}
+
+AdmissionTurn::AdmissionTurn(RelayState &relayState,
+                             std::shared_ptr<ServiceState> serviceState,
+                             Configuration::TrafficClass requestClass,
+                             Core::TimePoint requestDeadline)
+    : relay(relayState)
+    , service(std::move(serviceState))
+    , trafficClass(requestClass)
+    , deadline(requestDeadline)
+{
+}
+
+AdmissionTurn::~AdmissionTurn()
+{
+    if (!this->isRunning) {
+        return;
+    }
+    const auto now = Core::Clock::now();
+    Limits::recordDrained(this->service->admission, this->trafficClass, this->timeToHead, now);
+    wakeWaiting(*this->service, now);
+}
+
+Asio::awaitable<bool> AdmissionTurn::enter()
+{
+    const auto decision
+        = Limits::admit(this->service->admission, this->trafficClass, this->deadline, Core::Clock::now(), this->relay.random);
+    if (decision.kind == Limits::AdmissionKind::Wait) {
+        co_return co_await this->wait(*decision.ticket);
+    }
+    this->isRunning = decision.kind == Limits::AdmissionKind::Run;
+    this->comeBack = decision.retryAfter;
+    co_return this->isRunning;
+}
+
+Asio::awaitable<bool> AdmissionTurn::enterAgain()
+{
+    this->isRunning = false;
+    const auto ticket = Limits::putBack(this->service->admission, this->trafficClass, this->deadline);
+    co_return co_await this->wait(ticket);
+}
+
+Asio::awaitable<bool> AdmissionTurn::wait(Limits::Ticket ticket)
+{
+    const auto waiting = std::make_shared<WaitingRequest>(co_await Asio::this_coro::executor);
+    this->service->waiting.emplace(ticket.number, waiting);
+    waiting->timer.expires_at(this->deadline);
+    boost::system::error_code ignored;
+    co_await waiting->timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+    this->isRunning = waiting->verdict == WaitingRequest::Verdict::Run;
+    if (this->isRunning) {
+        co_return true;
+    }
+    if (waiting->verdict == WaitingRequest::Verdict::Waiting) {
+        this->service->waiting.erase(ticket.number);
+        Limits::withdraw(this->service->admission, {ticket, this->trafficClass});
+    }
+    this->comeBack = Limits::retryAfter(this->service->admission, this->trafficClass, Core::Clock::now(), this->relay.random);
+    co_return false;
+}
+
+void AdmissionTurn::headArrived(Core::Duration elapsed)
+{
+    this->timeToHead = elapsed;
+}
+
+std::chrono::milliseconds AdmissionTurn::retryAfter() const
+{
+    return this->comeBack;
+}
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/AdmissionTurn.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <LibRelay/RelayState.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+
+namespace Briarbend::Relay
+{
+
+/// One request's place in its service's admission. Holds the place from the moment it may run until it is destroyed.
+class AdmissionTurn
+{
+public:
+    AdmissionTurn(RelayState &relay,
+                  std::shared_ptr<ServiceState> service,
+                  Configuration::TrafficClass trafficClass,
+                  Core::TimePoint deadline);
+    AdmissionTurn(const AdmissionTurn &) = delete;
+    AdmissionTurn &operator=(const AdmissionTurn &) = delete;
+    ~AdmissionTurn();
+
+    /// Waits until the request may run. False where it is refused; retryAfter() then says when the caller may come back.
+    boost::asio::awaitable<bool> enter();
+    /// Gives the place back and waits for another one, since no target could take the request now.
+    boost::asio::awaitable<bool> enterAgain();
+    /// Notes how long the head of the answer took, for the measured drain rate.
+    void headArrived(Core::Duration timeToHead);
+    std::chrono::milliseconds retryAfter() const;
+
+private:
+    boost::asio::awaitable<bool> wait(Limits::Ticket ticket);
+
+    RelayState &relay;
+    std::shared_ptr<ServiceState> service;
+    Configuration::TrafficClass trafficClass;
+    Core::TimePoint deadline;
+    std::chrono::milliseconds comeBack{0};
+    Core::Duration timeToHead{0};
+    bool isRunning{false};
+};
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/Answers.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <LibNetwork/Http.h>
+#include <LibRejection/Refusal.h>
+
+namespace Briarbend::Relay
+{
+
+/// A refusal in HTTP, with the request's id.
+Network::Response makeRefusal(const Rejection::Refusal &refusal, const std::string &instanceName, const std::string &requestId);
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/AttemptRecord.cpp
@@ -0,0 +1,57 @@
+#include <LibRelay/AttemptRecord.h>
+
+namespace Briarbend::Relay
+{
+
+AttemptRecord::AttemptRecord(RelayState &relayState, ServiceState &serviceState, const Core::TargetId &target, Core::TimePoint now)
+    : relay(relayState)
+    , service(serviceState)
+    , sent(Routing::recordSent(serviceState.table, target, now))
+{
+    Limits::recordColdSent(this->relay.coldGate, target);
+    this->hadFewInFlight = this->sent.positionAtSend <= this->service.service.limits.slots;
+    const auto known = this->relay.coldGate.targets.find(target);
+    if (known != this->relay.coldGate.targets.end()) {
+        this->start = known->second.start;
+    }
+}
+
+AttemptRecord::~AttemptRecord()
+{
+    if (!this->isAnswered) {
+        this->answered({.kind = Routing::OutcomeKind::Cancelled, .report = {}}, Core::Clock::now());
+    }
+    Routing::recordFinished(this->service.table, this->sent);
+    Limits::recordColdFinished(this->relay.coldGate, this->sent.target);
+}
+
+void AttemptRecord::answered(const Routing::Outcome &outcome, Core::TimePoint now)
+{
+    if (this->isAnswered) {
+        return;
+    }
+    this->isAnswered = true;
+    Routing::recordAnswer(this->service.table, this->sent, outcome, now);
+    if (outcome.report) {
+        Limits::recordReport(this->relay.coldGate, this->sent.target, outcome.report->start, outcome.report->isCold);
+    }
+    if (outcome.kind == Routing::OutcomeKind::Success) {
+        const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - this->sent.sentAt);
+        Limits::recordCompleted(this->relay.coldGate, this->sent.target, elapsed, this->hadFewInFlight);
+    }
+}
+
+void AttemptRecord::connectionLost(Core::TimePoint now)
+{
+    this->answered({.kind = Routing::OutcomeKind::Failure, .report = {}}, now);
+    Limits::recordConnectionLost(this->relay.coldGate, this->sent.target);
+    // The target may have restarted: connections to its former start would only fail the next requests.
+    this->relay.pool.closeIdle(this->sent.target);
+}
+
+const std::optional<Core::TargetStartId> &AttemptRecord::startAtSend() const
+{
+    return this->start;
+}
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/AttemptRecord.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibRelay/RelayState.h>
+
+namespace Briarbend::Relay
+{
+
+/// Keeps the books of one request at one target: what was sent, what came back, and that it no longer occupies the target, also when the
+/// coroutine that runs it ends early.
+class AttemptRecord
+{
+public:
+    AttemptRecord(RelayState &relay, ServiceState &service, const Core::TargetId &target, Core::TimePoint now);
+    AttemptRecord(const AttemptRecord &) = delete;
+    AttemptRecord &operator=(const AttemptRecord &) = delete;
+    ~AttemptRecord();
+
+    /// Notes the head of an answer, or with OutcomeKind::Failure that none came. Only the first call counts.
+    void answered(const Routing::Outcome &outcome, Core::TimePoint now);
+    /// Notes that the connection to the target could not be opened or broke.
+    void connectionLost(Core::TimePoint now);
+    /// The start of the target that was known when the request was sent.
+    const std::optional<Core::TargetStartId> &startAtSend() const;
+
+private:
+    RelayState &relay;
+    ServiceState &service;
+    Routing::SentRequest sent;
+    std::optional<Core::TargetStartId> start;
+    bool hadFewInFlight{false};
+    bool isAnswered{false};
+};
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/CallerListener.cpp
@@ -0,0 +1,142 @@
+#include <LibNetwork/HttpServer.h>
+#include <LibRelay/Answers.h>
+#include <LibRelay/CallerListener.h>
+#include <LibRelay/HeaderRules.h>
+#include <LibRelay/RequestHandler.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace Briarbend::Relay
+{
+
+namespace
+{
+
+namespace Asio = boost::asio;
+
+/// Pause after accept fails for want of descriptors, so that the loop does not spin.
+constexpr std::chrono::milliseconds ACCEPT_PAUSE{20};
+/// Time that a caller has for a request's head once its first byte has come.
+constexpr std::chrono::seconds HEAD_TIMEOUT{10};
+constexpr unsigned HTTP_1_1 = 11;
+
+/// Counts something as present for as long as it lives.
+class Presence
+{
+public:
+    explicit Presence(std::uint32_t &countedBy)
+        : count(countedBy)
+    {
+        ++this->count;
+    }
+
+    Presence(const Presence &) = delete;
+    Presence &operator=(const Presence &) = delete;
+
+    ~Presence()
+    {
+        --this->count;
+    }
+
+private:
+    std::uint32_t &count;
+};
+
+Asio::awaitable<void> refuseBrokenRequest(RelayState &relay, boost::beast::tcp_stream &stream, boost::system::error_code problem)
+{
+    ++relay.counters.requests;
+    ++relay.counters.refused;
+    auto response = makeRefusal({.reason = Rejection::Reason::BadRequest, .detail = problem.message()}, relay.instanceName, {});
+    response.keep_alive(false);
+    stream.expires_after(HEAD_TIMEOUT);
+    boost::system::error_code ignored;
+    co_await Http::async_write(stream, response, Asio::redirect_error(Asio::use_awaitable, ignored));
+    stream.socket().shutdown(Asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+/// Waits for the first byte of a request. False where the connection ended or stayed idle too long.
+Asio::awaitable<bool> waitForRequest(RelayState &relay, boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer)
+{
+    if (buffer.size() > 0) {
+        co_return true;
+    }
+    boost::system::error_code error;
+    stream.expires_after(relay.limits.idleTimeout);
+    const auto length
+        = co_await stream.async_read_some(buffer.prepare(relay.limits.headerBytes), Asio::redirect_error(Asio::use_awaitable, error));
+    buffer.commit(length);
+    co_return !error;
+}
+
+} // namespace
+
+CallerListener::CallerListener(Asio::io_context &context, const Network::Endpoint &endpoint, RelayState &relayState)
+    : relay(relayState)
+    , acceptor(Network::openAcceptor(context, endpoint))
+{
+    Asio::co_spawn(context, this->acceptLoop(), Asio::detached);
+}
+
+Network::Endpoint CallerListener::endpoint() const
+{
+    const auto local = this->acceptor.local_endpoint();
+    return {local.address().to_string(), local.port()};
+}
+
+void CallerListener::stop()
+{
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+}
+
+Asio::awaitable<void> CallerListener::acceptLoop()
+{
+    while (this->acceptor.is_open()) {
+        boost::system::error_code error;
+        auto socket = co_await this->acceptor.async_accept(Asio::redirect_error(Asio::use_awaitable, error));
+        if (!error && this->relay.callerConnections < this->relay.limits.callerConnections) {
+            Asio::co_spawn(this->acceptor.get_executor(), serve(this->relay, std::move(socket)), Asio::detached);
+            continue;
+        }
+        if (error && this->acceptor.is_open()) {
+            Asio::steady_timer pause(this->acceptor.get_executor(), ACCEPT_PAUSE);
+            co_await pause.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
+        }
+    }
+}
+
+Asio::awaitable<void> CallerListener::serve(RelayState &relay, Asio::ip::tcp::socket socket)
+{
+    const Presence connection(relay.callerConnections);
+    boost::beast::tcp_stream stream(std::move(socket));
+    boost::beast::flat_buffer buffer;
+    boost::system::error_code error;
+    stream.socket().set_option(Asio::ip::tcp::no_delay(true), error);
+    bool isUsable = true;
+    while (isUsable && co_await waitForRequest(relay, stream, buffer)) {
+        const Presence request(relay.requestsInFlight);
+        Http::request_parser<Http::buffer_body> parser;
+        parser.header_limit(relay.limits.headerBytes);
+        parser.body_limit(boost::none);
+        stream.expires_after(HEAD_TIMEOUT);
+        co_await Http::async_read_header(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        if (isProtocolError(error)) {
+            co_await refuseBrokenRequest(relay, stream, error);
+            co_return;
+        }
+        if (error) {
+            co_return;
+        }
+        const auto version = parser.get().version();
+        RequestHandler handler(relay, {stream, buffer, parser, version, parser.keep_alive() && version >= HTTP_1_1});
+        isUsable = co_await handler.handle();
+    }
+}
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/CallerListener.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <LibNetwork/Endpoint.h>
+#include <LibRelay/RelayState.h>
+
+#include <boost/asio/io_context.hpp>
+
+namespace Briarbend::Relay
+{
+
+/// Accepts callers' connections and serves their requests one after another on each.
+class CallerListener
+{
+public:
+    /// Listens at once. Throws boost::system::system_error where the endpoint is taken.
+    CallerListener(boost::asio::io_context &context, const Network::Endpoint &endpoint, RelayState &relay);
+
+    Network::Endpoint endpoint() const;
+    /// Accepts no more connections. Requests in flight go on.
+    void stop();
+
+private:
+    boost::asio::awaitable<void> acceptLoop();
+    static boost::asio::awaitable<void> serve(RelayState &relay, boost::asio::ip::tcp::socket socket);
+
+    RelayState &relay;
+    boost::asio::ip::tcp::acceptor acceptor;
+};
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/CallerWatch.cpp
@@ -0,0 +1,56 @@
+#include <LibRelay/CallerWatch.h>
+
+#include <utility>
+
+namespace Briarbend::Relay
+{
+
+struct CallerWatch::State {
+    std::function<void()> onGone;
+    bool isActive{true};
+    bool isGone{false};
+};
+
+namespace
+{
+
+bool isClosedByPeer(boost::asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    char byte = 0;
+    socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
+    // Bytes that are readable belong to the caller's next request: the caller is still there.
+    return error && error != boost::asio::error::would_block;
+}
+
+} // namespace
+
+CallerWatch::CallerWatch(boost::asio::ip::tcp::socket &socket, std::function<void()> onGone)
+    : callerSocket(socket)
+    , state(std::make_shared<State>())
+{
+    this->state->onGone = std::move(onGone);
+    this->callerSocket.async_wait(boost::asio::socket_base::wait_read,
+                                  [watched = this->state, &socket](const boost::system::error_code &error) {
+                                      if (error || !watched->isActive || !isClosedByPeer(socket)) {
+                                          return;
+                                      }
+                                      watched->isGone = true;
+                                      watched->onGone();
+                                  });
+}
+
+CallerWatch::~CallerWatch()
+{
+    this->state->isActive = false;
+    boost::system::error_code ignored;
+    this->callerSocket.cancel(ignored);
+}
+
+bool CallerWatch::isGone() const
+{
+    return this->state->isGone;
+}
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/CallerWatch.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+
+namespace Briarbend::Relay
+{
+
+/// Notices, while a request waits for its answer, that the caller closed its connection.
+class CallerWatch
+{
+public:
+    /// Calls back at most once, never after the watch has been destroyed. Nothing else may read from the socket meanwhile.
+    CallerWatch(boost::asio::ip::tcp::socket &socket, std::function<void()> onGone);
+    CallerWatch(const CallerWatch &) = delete;
+    CallerWatch &operator=(const CallerWatch &) = delete;
+    ~CallerWatch();
+
+    bool isGone() const;
+
+private:
+    struct State;
+
+    boost::asio::ip::tcp::socket &callerSocket;
+    std::shared_ptr<State> state;
+};
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/RelayState.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <LibCore/Random.h>
+#include <LibLimits/ColdGate.h>
+#include <LibRelay/ServiceState.h>
+#include <LibRelay/TargetConnection.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace Briarbend::Relay
+{
+
+/// Counters of one instance since its start.
+struct RelayCounters {
+    std::uint64_t requests{0};
+    std::uint64_t answered{0};
+    std::uint64_t refused{0};
+    std::uint64_t retries{0};
+    std::uint64_t callersGone{0};
+    std::uint64_t brokenOff{0};
+};
+
+/// What operators set for the traffic of callers.
+struct RelayLimits {
+    std::uint32_t callerConnections{10'000};
+    std::uint32_t headerBytes{16 * 1024};
+    std::uint64_t claimedBodyBytes{256 * 1024};
+    std::chrono::milliseconds idleTimeout{60'000};
+};
+
+/// The state that all callers' requests of one instance share. One thread owns it.
+struct RelayState {
+    RelayState(boost::asio::any_io_executor executor, std::uint64_t seed)
+        : random(seed)
+        , pool(std::move(executor))
+    {
+    }
+
+    /// Name in Proxy-Status and log lines.
+    std::string instanceName;
+    RelayLimits limits;
+    /// Null until a configuration has come.
+    std::shared_ptr<const Configuration::RouteTable> routes;
+    std::unordered_map<Core::ServiceName, std::shared_ptr<ServiceState>> services;
+    Limits::ColdGate coldGate;
+    Core::Random random;
+    TargetConnectionPool pool;
+    RelayCounters counters;
+    /// Requests that callers are still waiting for.
+    std::uint32_t requestsInFlight{0};
+    std::uint32_t callerConnections{0};
+    /// True once a planned stop began: answers carry Connection: close.
+    bool isStopping{false};
+    /// False while this instance may be behind: it woke from a freeze and has not confirmed its versions yet.
+    bool isCurrent{true};
+};
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/RequestHandler.cpp
@@ -0,0 +1,254 @@
+#include <LibRelay/Answers.h>
+#include <LibRelay/HeaderRules.h>
+#include <LibRelay/RequestHandler.h>
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+
+namespace Briarbend::Relay
+{
+
+namespace
+{
+
+namespace Asio = boost::asio;
+using Rejection::Progress;
+using Rejection::Reason;
+
+/// Bodies up to this length are read before sending, so that the request can be sent again.
+constexpr std::uint64_t BUFFERED_BODY_BYTES = 64ULL * 1024;
+constexpr std::size_t READ_BYTES = 16UL * 1024;
+constexpr std::size_t REQUEST_ID_DIGITS = 16;
+constexpr std::size_t MAXIMUM_REQUEST_ID_BYTES = 128;
+/// Wait before no target is asked for again while targets are cold or at their connection limit.
+constexpr std::chrono::milliseconds NO_TARGET_RETRY_AFTER{1000};
+
+std::string hexadecimal(std::uint64_t value)
+{
+    std::string text(REQUEST_ID_DIGITS, '0');
+    std::array<char, REQUEST_ID_DIGITS> digits{};
+    const auto written = std::to_chars(digits.data(), digits.data() + digits.size(), value, 16);
+    const auto length = static_cast<std::size_t>(written.ptr - digits.data());
+    std::copy(digits.data(), written.ptr, text.end() - static_cast<std::ptrdiff_t>(length));
+    return text;
+}
+
+} // namespace
+
+RequestHandler::RequestHandler(RelayState &relayState, CallerSide callerSide)
+    : relay(relayState)
+    , caller(callerSide)
+    , routes(relayState.routes)
+    , arrivedAt(Core::Clock::now())
+{
+    ++this->relay.counters.requests;
+}
+
+Asio::awaitable<bool> RequestHandler::handle()
+{
+    this->takeRequestId();
+    const auto &head = this->caller.parser.get();
+    if (auto problem = findHeadProblem(head)) {
+        // Where the request ends is in doubt, so nothing after it may be read as another request.
+        this->caller.keepsAlive = false;
+        co_return co_await this->refuse({.reason = Reason::BadRequest, .detail = *problem});
+    }
+    if (!this->routes || !this->relay.isCurrent) {
+        co_return co_await this->refuse({.reason = Reason::NotConfigured});
+    }
+    this->matched = this->routes->match(std::string_view(head.target().data(), head.target().size()));
+    if (this->matched.route == nullptr) {
+        co_return co_await this->refuse({.reason = Reason::NoRoute});
+    }
+    const auto found = this->relay.services.find(this->matched.service->name);
+    if (found == this->relay.services.end()) {
+        co_return co_await this->refuse({.reason = Reason::NoTarget});
+    }
+    this->service = found->second;
+    this->forwarded.deadline = this->deadlineOf(*this->matched.route);
+    co_return co_await this->serve();
+}
+
+Asio::awaitable<bool> RequestHandler::serve()
+{
+    if (this->matched.route->kind == Configuration::RouteKind::Once) {
+        co_return co_await this->refuse({.reason = Reason::StoreUnavailableForClaims});
+    }
+    if (expectsContinue(this->caller.parser.get())) {
+        co_await this->sendContinue();
+    }
+    const auto length = this->caller.parser.content_length();
+    this->forwarded.isStreamed = !this->caller.parser.is_done() && (!length || *length > BUFFERED_BODY_BYTES);
+    if (!this->forwarded.isStreamed && !co_await this->readWholeBody(BUFFERED_BODY_BYTES)) {
+        co_return false;
+    }
+    this->prepareForwardedHead();
+    AdmissionTurn turn(this->relay, this->service, this->matched.route->trafficClass, this->forwarded.deadline);
+    if (!co_await turn.enter()) {
+        co_return co_await this->refuse({.reason = Reason::Overloaded, .retryAfter = turn.retryAfter()});
+    }
+    Limits::recordRequest(this->service->retryBudget, Core::Clock::now());
+    auto next = Next::TryAgain;
+    while (next == Next::TryAgain) {
+        next = co_await this->attemptOnce(turn);
+    }
+    if (next == Next::Refuse) {
+        co_return co_await this->refuse(this->refusal);
+    }
+    co_return this->lastResult.isCallerUsable;
+}
+
+Asio::awaitable<RequestHandler::Next> RequestHandler::attemptOnce(AdmissionTurn &turn)
+{
+    auto choice = this->choose();
+    while (!choice.target) {
+        const bool canWait = choice.obstacle == Routing::ChoiceObstacle::Cold || choice.obstacle == Routing::ChoiceObstacle::Connections;
+        if (!canWait || !co_await turn.enterAgain()) {
+            this->refusal = {.reason = canWait ? Reason::Overloaded : Reason::NoTarget,
+                             .progress = this->refusal.progress,
+                             .retryAfter = canWait ? turn.retryAfter() : Rejection::withJitter(NO_TARGET_RETRY_AFTER, this->relay.random)};
+            co_return Next::Refuse;
+        }
+        choice = this->choose();
+    }
+    this->tried.push_back(*choice.target);
+    const auto sentAt = Core::Clock::now();
+    Exchange exchange(this->relay, *this->service, this->caller, this->forwarded, nullptr);
+    this->lastResult = co_await exchange.run(*choice.target);
+    turn.headArrived(Core::Clock::now() - sentAt);
+    co_return this->judge(this->lastResult);
+}
+
+RequestHandler::Next RequestHandler::judge(const ExchangeResult &result)
+{
+    if (result.isCallerGone) {
+        ++this->relay.counters.callersGone;
+        return Next::Done;
+    }
+    if (!result.failure || result.isHeadForwarded) {
+        ++this->relay.counters.answered;
+        return Next::Done;
+    }
+    const auto now = Core::Clock::now();
+    const bool mayBeSentAgain = Rejection::mayRetry(this->matched.route->kind, result.progress)
+        && (!this->forwarded.isStreamed || result.progress == Progress::NotSent);
+    // An earlier attempt whose outcome is unknown stays unknown, whatever a later one says.
+    if (this->refusal.progress != Progress::SentOutcomeUnknown) {
+        this->refusal.progress = result.progress;
+    }
+    if (mayBeSentAgain && now < this->forwarded.deadline && Limits::takeExtraSend(this->service->retryBudget, now)) {
+        ++this->relay.counters.retries;
+        return Next::TryAgain;
+    }
+    this->refusal.reason = *result.failure;
+    this->refusal.retryAfter = result.retryAfter ? *result.retryAfter : Rejection::withJitter(NO_TARGET_RETRY_AFTER, this->relay.random);
+    return Next::Refuse;
+}
+
+Routing::Choice RequestHandler::choose()
+{
+    const Routing::ChoiceInput input{
+        .excluded = this->tried,
+        .versions = this->service->versionShares,
+        .dataCentresOut = this->service->dataCentresOut,
+        .permission =
+            [this](const Routing::TargetState &target) {
+                return this->permissionFor(target);
+            },
+    };
+    return Routing::chooseTarget(this->service->table, input, Core::Clock::now(), this->relay.random);
+}
+
+Routing::Permission RequestHandler::permissionFor(const Routing::TargetState &target)
+{
+    const auto &id = target.description.id;
+    const auto verdict = Limits::coldVerdict(this->relay.coldGate, id, Core::Clock::now());
+    if (verdict == Limits::ColdVerdict::Refuse) {
+        return Routing::Permission::RefusedCold;
+    }
+    const auto shares = this->service->shares.find(id);
+    const bool hasRoom = shares != this->service->shares.end() && this->relay.pool.open(id) < shares->second.connections;
+    if (!hasRoom && this->relay.pool.idle(id) == 0) {
+        return Routing::Permission::RefusedConnections;
+    }
+    return verdict == Limits::ColdVerdict::MayTry ? Routing::Permission::PermittedCold : Routing::Permission::Permitted;
+}
+
+Asio::awaitable<bool> RequestHandler::refuse(Rejection::Refusal answer)
+{
+    ++this->relay.counters.refused;
+    // The rest of a body that nobody wants is not read: the connection ends with the answer.
+    const bool keepsAlive = this->caller.keepsAlive && this->caller.parser.is_done() && !this->relay.isStopping;
+    auto response = makeRefusal(answer, this->relay.instanceName, this->forwarded.requestId);
+    response.keep_alive(keepsAlive);
+    this->caller.stream.expires_after(this->relay.limits.idleTimeout);
+    boost::system::error_code error;
+    co_await Http::async_write(this->caller.stream, response, Asio::redirect_error(Asio::use_awaitable, error));
+    co_return keepsAlive && !error;
+}
+
+Asio::awaitable<void> RequestHandler::sendContinue()
+{
+    Http::response<Http::empty_body> response{Http::status::continue_, 11};
+    boost::system::error_code ignored;
+    co_await Http::async_write(this->caller.stream, response, Asio::redirect_error(Asio::use_awaitable, ignored));
+}
+
+Asio::awaitable<bool> RequestHandler::readWholeBody(std::uint64_t maximumBytes)
+{
+    auto &parser = this->caller.parser;
+    auto &whole = this->forwarded.body;
+    std::vector<char> chunk(parser.is_done() ? 0 : READ_BYTES);
+    while (!parser.is_done()) {
+        parser.get().body().data = chunk.data();
+        parser.get().body().size = chunk.size();
+        this->caller.stream.expires_after(this->relay.limits.idleTimeout);
+        boost::system::error_code error;
+        co_await Http::async_read_some(this->caller.stream, this->caller.buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        if (error && error != Http::error::need_buffer) {
+            co_return false;
+        }
+        whole.append(chunk.data(), chunk.size() - parser.get().body().size);
+        if (whole.size() > maximumBytes) {
+            co_await this->refuse({.reason = Reason::BodyTooLarge});
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+void RequestHandler::prepareForwardedHead()
+{
+    auto &head = this->forwarded.head;
+    static_cast<Http::request_header<> &>(head) = this->caller.parser.get().base();
+    removeConnectionFields(head);
+    head.version(11);
+    head.set(std::string(REQUEST_ID_FIELD), this->forwarded.requestId);
+    if (!this->forwarded.isStreamed && head.count(Http::field::transfer_encoding) > 0) {
+        head.erase(Http::field::transfer_encoding);
+        head.content_length(this->forwarded.body.size());
+    }
+}
+
+void RequestHandler::takeRequestId()
+{
+    const auto given = this->caller.parser.get()[std::string(REQUEST_ID_FIELD)];
+    const bool isUsable = !given.empty() && given.size() <= MAXIMUM_REQUEST_ID_BYTES;
+    this->forwarded.requestId = isUsable ? std::string(given) : hexadecimal(this->relay.random.bits());
+}
+
+Core::TimePoint RequestHandler::deadlineOf(const Configuration::Route &route) const
+{
+    const auto text = this->caller.parser.get()[std::string(DEADLINE_FIELD)];
+    std::uint32_t milliseconds = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    const bool isGiven = !text.empty() && parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
+    const auto allowed = isGiven ? std::min(route.deadline, std::chrono::milliseconds(milliseconds)) : route.deadline;
+    return this->arrivedAt + allowed;
+}
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/RequestHandler.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <LibRelay/AdmissionTurn.h>
+#include <LibRelay/Exchange.h>
+#include <LibRouting/Choice.h>
+
+namespace Briarbend::Relay
+{
+
+/// Carries one request of a caller to its final answer.
+class RequestHandler
+{
+public:
+    RequestHandler(RelayState &relay, CallerSide caller);
+
+    /// Answers the request. Returns true where the caller's connection may carry another request.
+    boost::asio::awaitable<bool> handle();
+
+private:
+    /// The next step after one exchange.
+    enum class Next {
+        Done,
+        TryAgain,
+        Refuse,
+    };
+
+    boost::asio::awaitable<bool> refuse(Rejection::Refusal refusal);
+    boost::asio::awaitable<bool> readWholeBody(std::uint64_t maximumBytes);
+    boost::asio::awaitable<void> sendContinue();
+    boost::asio::awaitable<bool> serve();
+    boost::asio::awaitable<Next> attemptOnce(AdmissionTurn &turn);
+    Next judge(const ExchangeResult &result);
+    Routing::Choice choose();
+    Routing::Permission permissionFor(const Routing::TargetState &target);
+    void prepareForwardedHead();
+    void takeRequestId();
+    Core::TimePoint deadlineOf(const Configuration::Route &route) const;
+
+    RelayState &relay;
+    CallerSide caller;
+    std::shared_ptr<const Configuration::RouteTable> routes;
+    Configuration::MatchedRoute matched;
+    std::shared_ptr<ServiceState> service;
+    ForwardedRequest forwarded;
+    Core::TimePoint arrivedAt;
+    std::vector<Core::TargetId> tried;
+    Rejection::Refusal refusal;
+    ExchangeResult lastResult;
+};
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/ServiceState.cpp
@@ -0,0 +1,82 @@
+#include <LibRelay/ServiceState.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Briarbend::Relay
+{
+
+namespace
+{
+
+/// Instances that cover each target once the fleet is too large for each instance to cover every target.
+constexpr std::size_t SENDERS_PER_TARGET = 8;
+/// Targets that an instance covers at the least, so that its choice stays a choice.
+constexpr std::size_t SMALLEST_SUBSET = 24;
+/// Requests queued at an instance beyond the targets' slots, as a multiple of them.
+constexpr std::uint32_t IN_FLIGHT_PER_SLOT = 2;
+constexpr std::uint32_t MINIMUM_IN_FLIGHT = 16;
+
+void updateShares(ServiceState &state, const InstancePlace &place)
+{
+    const auto &limits = state.service.limits;
+    std::set<Core::TargetId> present;
+    for (const auto &target : state.table.targets) {
+        const auto &id = target.description.id;
+        present.insert(id);
+        const auto probes = Limits::shareOf(limits.probesPerSecond, place.shares, id);
+        const auto [entry, isNew] = state.shares.try_emplace(id);
+        entry->second.connections = std::max(1U, Limits::shareOf(limits.connections, place.shares, id));
+        if (isNew) {
+            entry->second.probes = Limits::startShareBudget(probes, place.startedAt);
+        } else {
+            Limits::resizeShareBudget(entry->second.probes, probes);
+        }
+    }
+    std::erase_if(state.shares, [&present](const auto &entry) {
+        return !present.contains(entry.first);
+    });
+}
+
+void wake(ServiceState &state, std::uint64_t number, WaitingRequest::Verdict verdict)
+{
+    const auto found = state.waiting.find(number);
+    if (found == state.waiting.end()) {
+        return;
+    }
+    found->second->verdict = verdict;
+    found->second->timer.cancel();
+    state.waiting.erase(found);
+}
+
+} // namespace
+
+void updateService(ServiceState &state,
+                   const Configuration::Service &service,
+                   const std::vector<Routing::TargetDescription> &targets,
+                   const InstancePlace &place)
+{
+    state.service = service;
+    auto &parameters = state.table.parameters;
+    parameters.policy = service.policy;
+    parameters.ownDataCentre = place.dataCentre;
+    parameters.distance = place.distance;
+    parameters.slots = service.limits.slots;
+    const auto size = Routing::subsetSize(targets.size(), place.members, SENDERS_PER_TARGET, SMALLEST_SUBSET);
+    Routing::updateTargets(state.table, Routing::subsetOf(targets, place.instance, size));
+    const auto slots = static_cast<std::uint32_t>(state.table.targets.size()) * service.limits.slots;
+    state.admission.parameters.inFlight = std::max(MINIMUM_IN_FLIGHT, slots * IN_FLIGHT_PER_SLOT);
+    updateShares(state, place);
+}
+
+void wakeWaiting(ServiceState &state, Core::TimePoint now)
+{
+    for (const auto &request : Limits::takeExpired(state.admission, now)) {
+        wake(state, request.ticket.number, WaitingRequest::Verdict::Expired);
+    }
+    while (const auto request = Limits::takeRunnable(state.admission, now)) {
+        wake(state, request->ticket.number, WaitingRequest::Verdict::Run);
+    }
+}
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/ServiceState.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <LibConfiguration/RouteTable.h>
+#include <LibLimits/Admission.h>
+#include <LibLimits/RetryBudget.h>
+#include <LibLimits/ShareBudget.h>
+#include <LibRouting/TargetTable.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <unordered_map>
+
+namespace Briarbend::Relay
+{
+
+/// A request that waits in the admission queue. Its coroutine waits on the timer, which the queue cancels when a turn comes.
+struct WaitingRequest {
+    explicit WaitingRequest(const boost::asio::any_io_executor &executor)
+        : timer(executor)
+    {
+    }
+
+    enum class Verdict {
+        Waiting,
+        Run,
+        Expired,
+    };
+
+    boost::asio::steady_timer timer;
+    Verdict verdict{Verdict::Waiting};
+};
+
+/// The instance's share of one target's divisible budgets.
+struct TargetShares {
+    std::uint32_t connections{0};
+    Limits::ShareBudget probes;
+};
+
+/// Everything that one instance decides from for one service. One thread owns it.
+struct ServiceState {
+    Configuration::Service service;
+    Routing::TargetTable table;
+    Limits::Admission admission;
+    Limits::RetryBudget retryBudget;
+    std::unordered_map<Core::TargetId, TargetShares> shares;
+    std::unordered_map<std::uint64_t, std::shared_ptr<WaitingRequest>> waiting;
+    /// Shares of the versions while a rollout moves traffic; empty where every version is equal.
+    std::vector<Routing::VersionShare> versionShares;
+    /// Data centres that are out by any team's section.
+    std::vector<Core::DataCentreName> dataCentresOut;
+};
+
+/// What the settings say of this instance's place among all.
+struct InstancePlace {
+    Core::InstanceId instance;
+    Core::DataCentreName dataCentre;
+    Limits::ShareDeclaration shares;
+    /// Round trip to another data centre, over that within the own one.
+    std::chrono::microseconds distance{1500};
+    Core::TimePoint startedAt;
+    /// Members that run now, at least one; decides how many targets each covers.
+    std::size_t members{1};
+};
+
+/// Takes over the service's configuration and its targets. Requests in flight and what was learnt of known targets stay.
+void updateService(ServiceState &state,
+                   const Configuration::Service &service,
+                   const std::vector<Routing::TargetDescription> &targets,
+                   const InstancePlace &place);
+
+/// Lets waiting requests run or expire. Called when a request leaves a target and on each tick.
+void wakeWaiting(ServiceState &state, Core::TimePoint now);
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/TargetConnection.cpp
@@ -0,0 +1,121 @@
+#include <LibNetwork/Endpoint.h>
+#include <LibRelay/TargetConnection.h>
+
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
+#include <utility>
+
+namespace Briarbend::Relay
+{
+
+TargetConnection::TargetConnection(TargetConnectionPool &connectionPool, Core::TargetId target)
+    : stream(connectionPool.executor)
+    , pool(connectionPool)
+    , targetId(std::move(target))
+{
+    ++this->pool.connections[this->targetId].open;
+}
+
+TargetConnection::~TargetConnection()
+{
+    --this->pool.connections[this->targetId].open;
+}
+
+const Core::TargetId &TargetConnection::target() const
+{
+    return this->targetId;
+}
+
+bool TargetConnection::isQuiet()
+{
+    if (this->buffer.size() > 0) {
+        return false;
+    }
+    auto &socket = this->stream.socket();
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    char byte = 0;
+    socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
+    return error == boost::asio::error::would_block;
+}
+
+TargetConnectionPool::TargetConnectionPool(boost::asio::any_io_executor ioExecutor)
+    : executor(std::move(ioExecutor))
+{
+}
+
+std::unique_ptr<TargetConnection> TargetConnectionPool::takeIdle(const Core::TargetId &target)
+{
+    const auto found = this->connections.find(target);
+    if (found == this->connections.end()) {
+        return nullptr;
+    }
+    auto &idle = found->second.idle;
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->isQuiet()) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+boost::asio::awaitable<std::unique_ptr<TargetConnection>> TargetConnectionPool::connect(const Core::TargetId &target,
+                                                                                        Core::TimePoint deadline)
+{
+    const auto endpoint = Network::parseEndpoint(target.value);
+    if (!endpoint) {
+        throw boost::system::system_error(boost::asio::error::invalid_argument);
+    }
+    auto connection = std::make_unique<TargetConnection>(*this, target);
+    connection->stream.expires_at(deadline);
+    co_await connection->stream.async_connect(endpoint->tcp(), boost::asio::use_awaitable);
+    connection->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true));
+    co_return connection;
+}
+
+void TargetConnectionPool::giveBack(std::unique_ptr<TargetConnection> connection, Core::TimePoint now)
+{
+    connection->isReused = true;
+    connection->idleSince = now;
+    connection->stream.expires_never();
+    this->connections[connection->target()].idle.push_back(std::move(connection));
+}
+
+void TargetConnectionPool::closeIdle(Core::TimePoint now, Core::Duration unusedFor)
+{
+    for (auto &[target, entry] : this->connections) {
+        // The front is the longest unused one.
+        while (!entry.idle.empty() && now - entry.idle.front()->idleSince >= unusedFor) {
+            const auto closing = std::move(entry.idle.front());
+            entry.idle.pop_front();
+        }
+    }
+    std::erase_if(this->connections, [](const auto &entry) {
+        return entry.second.open == 0;
+    });
+}
+
+void TargetConnectionPool::closeIdle(const Core::TargetId &target)
+{
+    const auto found = this->connections.find(target);
+    if (found == this->connections.end()) {
+        return;
+    }
+    const auto closing = std::exchange(found->second.idle, {});
+}
+
+std::uint32_t TargetConnectionPool::open(const Core::TargetId &target) const
+{
+    const auto found = this->connections.find(target);
+    return found == this->connections.end() ? 0 : found->second.open;
+}
+
+std::uint32_t TargetConnectionPool::idle(const Core::TargetId &target) const
+{
+    const auto found = this->connections.find(target);
+    return found == this->connections.end() ? 0 : static_cast<std::uint32_t>(found->second.idle.size());
+}
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/TargetConnection.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/Time.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace Briarbend::Relay
+{
+
+class TargetConnectionPool;
+
+/// One connection to a target, owned by one exchange at a time. Destroying it closes the connection, which is the only right end after
+/// anything but a clean exchange: bytes that still arrive belong to the old request and must never be read as an answer to a new one.
+class TargetConnection
+{
+public:
+    TargetConnection(TargetConnectionPool &pool, Core::TargetId target);
+    TargetConnection(const TargetConnection &) = delete;
+    TargetConnection &operator=(const TargetConnection &) = delete;
+    ~TargetConnection();
+
+    const Core::TargetId &target() const;
+    /// True where the peer has neither closed the connection nor sent bytes that nobody asked for.
+    bool isQuiet();
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    /// True once an exchange ended cleanly on this connection.
+    bool isReused{false};
+    Core::TimePoint idleSince{};
+
+private:
+    TargetConnectionPool &pool;
+    Core::TargetId targetId;
+};
+
+/// All connections of this instance to targets, at most a given number for each target.
+class TargetConnectionPool
+{
+public:
+    explicit TargetConnectionPool(boost::asio::any_io_executor executor);
+
+    /// The most recently used idle connection that is still quiet; null where there is none.
+    std::unique_ptr<TargetConnection> takeIdle(const Core::TargetId &target);
+    /// Opens a connection before the deadline. Throws boost::system::system_error; the request has then certainly not been sent.
+    boost::asio::awaitable<std::unique_ptr<TargetConnection>> connect(const Core::TargetId &target, Core::TimePoint deadline);
+    /// Keeps a connection whose exchange ended cleanly.
+    void giveBack(std::unique_ptr<TargetConnection> connection, Core::TimePoint now);
+    /// Closes idle connections that have been unused for the duration.
+    void closeIdle(Core::TimePoint now, Core::Duration unusedFor);
+    /// Closes every idle connection to one target.
+    void closeIdle(const Core::TargetId &target);
+    /// Connections to the target that are open or being opened, idle ones among them.
+    std::uint32_t open(const Core::TargetId &target) const;
+    std::uint32_t idle(const Core::TargetId &target) const;
+
+private:
+    friend class TargetConnection;
+
+    struct TargetConnections {
+        std::deque<std::unique_ptr<TargetConnection>> idle;
+        std::uint32_t open{0};
+    };
+
+    boost::asio::any_io_executor executor;
+    std::unordered_map<Core::TargetId, TargetConnections> connections;
+};
+
+} // namespace Briarbend::Relay
