LibClaims: Add the bucket, its committer and the request's machine

A request that runs at most once needs its key claimed durably before the first byte goes to a target. The bucket is the decoded value of one store object; the committer puts many operations into one conditional update and resolves conflicts and lost answers by reading again and recognizing its own attempts; the request's machine turns the results into send, replay, wait or refuse.

The rule that makes frozen instances harmless: a key passes from one attempt to another only where the first attempt itself gave it back. No timeout, lease or membership takes part.

Weighed: erasing a released claim. Ruled out, because a delayed duplicate of the same attempt's claim would then take the key for a request that has ended; the released attempts are remembered for a while instead. Weighed: answering from the committer's memory. Kept only for results that cannot change; all others need a look at the store after the submission, since "no room" says that the key did not run.

--- /dev/null
+++ b/Libraries/LibClaims/BucketCommitter.cpp
@@ -0,0 +1,260 @@
+#include <LibClaims/BucketCodec.h>
+#include <LibClaims/BucketCommitter.h>
+
+#include <algorithm>
+
+namespace Briarbend::Claims
+{
+
+namespace
+{
+
+constexpr std::uint32_t FAILURES_BEFORE_FAILING_FAST = 2;
+constexpr std::uint32_t LARGEST_BACKOFF_SHIFT = 10;
+
+bool isClaim(const PendingOperation &pending)
+{
+    return std::holds_alternative<ClaimOperation>(pending.operation);
+}
+
+std::chrono::milliseconds backoff(const BucketCommitter &committer)
+{
+    const auto shift = std::min(committer.failures, LARGEST_BACKOFF_SHIFT);
+    return std::min(committer.settings.longestBackoff, committer.settings.shortestBackoff * (1U << shift));
+}
+
+bool isFailingFast(const BucketCommitter &committer, Core::TimePoint now)
+{
+    return committer.failures >= FAILURES_BEFORE_FAILING_FAST && now < committer.notBefore;
+}
+
+void turnAway(const BucketCommitter &committer, const PendingOperation &pending, CommitterStep &step)
+{
+    const StoreUnavailable result{.retryAfter = backoff(committer), .mayBeStored = pending.wasWritten};
+    step.finished.push_back({pending.id, ClaimResult{result}});
+}
+
+template<typename Predicate>
+void turnAwayClaims(BucketCommitter &committer, CommitterStep &step, Predicate isTurnedAway)
+{
+    std::erase_if(committer.queue, [&](const PendingOperation &pending) {
+        if (!isClaim(pending) || !isTurnedAway(pending)) {
+            return false;
+        }
+        turnAway(committer, pending, step);
+        return true;
+    });
+}
+
+void noteFailure(BucketCommitter &committer, CommitterStep &step, Core::TimePoint now)
+{
+    committer.bucket.reset();
+    committer.notBefore = now + backoff(committer);
+    ++committer.failures;
+    turnAwayClaims(committer, step, [](const PendingOperation &) {
+        return true;
+    });
+}
+
+/// Results that stay true whatever other committers do later. The others hold only where the bucket was seen after the submission:
+/// an older state may lack the very claim that a record or a release is about.
+bool isFinal(const OperationResult &result)
+{
+    const auto *claim = std::get_if<ClaimResult>(&result);
+    return claim != nullptr
+        && (std::holds_alternative<Granted>(*claim) || std::holds_alternative<AlreadyAnswered>(*claim)
+            || std::holds_alternative<AnswerLost>(*claim) || std::holds_alternative<AttemptEnded>(*claim));
+}
+
+/// Time at which the first waiting operation wants to be committed.
+Core::TimePoint dueAt(const BucketCommitter &committer)
+{
+    const auto claimWaits = std::ranges::any_of(committer.queue, isClaim);
+    const auto linger = claimWaits ? std::chrono::milliseconds{0} : committer.settings.outcomeLinger;
+    const auto wanted = committer.queue.front().submittedAt + linger;
+    return std::max({wanted, committer.notBefore, committer.nextUpdateAt});
+}
+
+void startRead(BucketCommitter &committer, CommitterStep &step, Core::TimePoint now)
+{
+    committer.phase = CommitterPhase::Reading;
+    committer.callStartedAt = now;
+    step.request = ReadBucket{};
+}
+
+void startWrite(BucketCommitter &committer, CommitterStep &step, Core::TimePoint now)
+{
+    committer.phase = CommitterPhase::Writing;
+    committer.callStartedAt = now;
+    committer.nextUpdateAt = now + committer.settings.updateInterval;
+    std::ranges::for_each(committer.batch, [](PendingOperation &pending) {
+        pending.wasWritten = true;
+    });
+    step.request = ConditionalWrite{committer.version, encodeBucket(*committer.bucket)};
+}
+
+void returnBatchToQueue(BucketCommitter &committer)
+{
+    committer.queue.insert(
+        committer.queue.begin(), std::make_move_iterator(committer.batch.begin()), std::make_move_iterator(committer.batch.end()));
+    committer.batch.clear();
+    committer.batchResults.clear();
+}
+
+void deliverBatch(BucketCommitter &committer, CommitterStep &step)
+{
+    for (std::size_t index = 0; index < committer.batch.size(); ++index) {
+        step.finished.push_back({committer.batch[index].id, std::move(committer.batchResults[index])});
+    }
+    committer.batch.clear();
+    committer.batchResults.clear();
+}
+
+void takeBatch(BucketCommitter &committer)
+{
+    const auto count = std::min(committer.settings.batchLimit, committer.queue.size());
+    const auto end = committer.queue.begin() + static_cast<std::ptrdiff_t>(count);
+    committer.batch.assign(std::make_move_iterator(committer.queue.begin()), std::make_move_iterator(end));
+    committer.queue.erase(committer.queue.begin(), end);
+}
+
+/// Applies the batch to the known bucket. Returns true where the bucket has to be written.
+bool applyBatch(BucketCommitter &committer, Core::WallTime wall)
+{
+    evictExpired(*committer.bucket, committer.self, wall, committer.settings);
+    auto sizeBound = encodedSizeBound(*committer.bucket);
+    auto isChanged = false;
+    for (const auto &pending : committer.batch) {
+        auto applied = apply(*committer.bucket, pending.operation, sizeBound, committer.settings);
+        isChanged = isChanged || applied.isChanged;
+        committer.batchResults.push_back(std::move(applied.result));
+    }
+    return isChanged;
+}
+
+/// True where each result of an unchanged batch may be told without another look at the store.
+bool isBatchCertain(const BucketCommitter &committer)
+{
+    for (std::size_t index = 0; index < committer.batch.size(); ++index) {
+        if (!isFinal(committer.batchResults[index]) && committer.batch[index].submittedAt > committer.knownSince) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Starts the next call, if there is work and its time has come.
+void advance(BucketCommitter &committer, CommitterStep &step, Core::TimePoint now, Core::WallTime wall)
+{
+    while (committer.phase == CommitterPhase::Idle) {
+        turnAwayClaims(committer, step, [&](const PendingOperation &pending) {
+            return pending.giveUpAt <= now || isFailingFast(committer, now);
+        });
+        if (committer.queue.empty()) {
+            return;
+        }
+        if (const auto due = dueAt(committer); due > now) {
+            step.wakeAt = due;
+            return;
+        }
+        if (!committer.bucket) {
+            startRead(committer, step, now);
+            return;
+        }
+        takeBatch(committer);
+        if (applyBatch(committer, wall)) {
+            startWrite(committer, step, now);
+            return;
+        }
+        if (!isBatchCertain(committer)) {
+            returnBatchToQueue(committer);
+            startRead(committer, step, now);
+            return;
+        }
+        deliverBatch(committer, step);
+    }
+}
+
+} // namespace
+
+BucketCommitter::BucketCommitter(Core::InstanceId instance, Settings committerSettings)
+    : self(std::move(instance))
+    , settings(committerSettings)
+{
+}
+
+CommitterStep
+submit(BucketCommitter &committer, OperationId id, Operation operation, Core::TimePoint giveUpAt, Core::TimePoint now, Core::WallTime wall)
+{
+    CommitterStep step;
+    PendingOperation pending{.id = id, .operation = std::move(operation), .submittedAt = now, .giveUpAt = giveUpAt, .wasWritten = false};
+    if (isClaim(pending) && committer.queue.size() >= committer.settings.queueLimit) {
+        turnAway(committer, pending, step);
+    } else {
+        committer.queue.push_back(std::move(pending));
+    }
+    advance(committer, step, now, wall);
+    return step;
+}
+
+CommitterStep onRead(BucketCommitter &committer, const ReadAnswer &answer, Core::TimePoint now, Core::WallTime wall)
+{
+    CommitterStep step;
+    committer.phase = CommitterPhase::Idle;
+    if (answer.status != StoreStatus::Ok) {
+        noteFailure(committer, step, now);
+        advance(committer, step, now, wall);
+        return step;
+    }
+    try {
+        committer.bucket = decodeBucket(answer.value);
+        committer.version = answer.version;
+        committer.knownSince = committer.callStartedAt;
+        committer.failures = 0;
+    } catch (const CodecError &) {
+        // A value of an unknown format may hold claims, so that it must neither be overwritten nor taken for empty.
+        noteFailure(committer, step, now);
+    }
+    advance(committer, step, now, wall);
+    return step;
+}
+
+CommitterStep onWritten(BucketCommitter &committer, const WriteAnswer &answer, Core::TimePoint now, Core::WallTime wall)
+{
+    CommitterStep step;
+    committer.phase = CommitterPhase::Idle;
+    switch (answer.status) {
+    case StoreStatus::Ok:
+        committer.version = answer.version;
+        committer.knownSince = committer.callStartedAt;
+        committer.failures = 0;
+        deliverBatch(committer, step);
+        break;
+    case StoreStatus::Conflict:
+    case StoreStatus::Unknown:
+        // Read again and apply again: an operation that was stored after all is recognized by its attempt.
+        committer.bucket.reset();
+        returnBatchToQueue(committer);
+        break;
+    case StoreStatus::Unavailable:
+        returnBatchToQueue(committer);
+        noteFailure(committer, step, now);
+        break;
+    }
+    advance(committer, step, now, wall);
+    return step;
+}
+
+CommitterStep onTimer(BucketCommitter &committer, Core::TimePoint now, Core::WallTime wall)
+{
+    CommitterStep step;
+    advance(committer, step, now, wall);
+    return step;
+}
+
+bool isIdle(const BucketCommitter &committer)
+{
+    return committer.queue.empty() && committer.batch.empty() && committer.phase == CommitterPhase::Idle;
+}
+
+} // namespace Briarbend::Claims
--- /dev/null
+++ b/Tests/LibClaims/TestIdempotencyKey.cpp
@@ -0,0 +1,33 @@
+#include <LibClaims/Digest.h>
+#include <LibClaims/IdempotencyKey.h>
+
+#include <gtest/gtest.h>
+
+namespace Briarbend::Claims
+{
+
+TEST(IdempotencyKey, quotedAndBareFormsNameTheSameKey)
+{
+    EXPECT_EQ(parseIdempotencyKey({"\"lot-7\""}), "lot-7");
+    EXPECT_EQ(parseIdempotencyKey({" lot-7 "}), "lot-7");
+    EXPECT_EQ(parseIdempotencyKey({R"("a\"b")"}), "a\"b");
+}
+
+TEST(IdempotencyKey, refusesWhatNamesNoSingleKey)
+{
+    EXPECT_FALSE(parseIdempotencyKey({}));
+    EXPECT_FALSE(parseIdempotencyKey({"a", "a"}));
+    for (const auto *value : {"", "  ", "\"\"", "\"open", "\"a\"b", "\"a\\", "tab\tinside"}) {
+        EXPECT_FALSE(parseIdempotencyKey({value})) << value;
+    }
+    EXPECT_FALSE(parseIdempotencyKey({std::string(LONGEST_IDEMPOTENCY_KEY + 1, 'k')}));
+}
+
+TEST(Digest, partsDoNotRunIntoEachOther)
+{
+    EXPECT_NE(requestDigest("POST", "/a", "b"), requestDigest("POST", "/ab", ""));
+    EXPECT_EQ(toHexadecimal(requestDigest("POST", "/a", "b")), toHexadecimal(requestDigest("POST", "/a", "b")));
+    EXPECT_NE(keyDigest("ledger", "/dispatch", "k"), keyDigest("ledger", "/dispatc", "hk"));
+}
+
+} // namespace Briarbend::Claims
