LibNetwork: Let a client connect apart from its exchange

A writer of the store has to tell a failure to connect, after which nothing was sent, from a failed exchange, after which the write may have been done. HttpClient::exchange did both and reported both alike. connect() opens the connection alone, and isConnected() finds a keep-alive connection that the server closed while it was idle: a write on such a connection would end as "may have been written" although nothing was wrong.

Weighed and ruled out: an enum beside the error code that says how far the exchange got. It would change every caller of exchange() for the one that needs it.

Test: knowsThatItsServerClosedTheIdleConnection.

--- a/Libraries/LibNetwork/HttpClient.cpp
+++ b/Libraries/LibNetwork/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include <LibNetwork/HttpClient.h>
 
+#include <array>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -24,12 +25,7 @@
 {
     request.prepare_payload();
     try {
-        if (!this->stream) {
-            this->stream.emplace(this->executor);
-            this->stream->expires_after(timeout);
-            co_await this->stream->async_connect(this->remote.tcp(), boost::asio::use_awaitable);
-            this->stream->socket().set_option(boost::asio::ip::tcp::no_delay(true));
-        }
+        co_await this->connect(timeout);
         this->stream->expires_after(timeout);
         auto response = co_await this->exchangeOnce(request);
         if (!response.keep_alive()) {
@@ -42,6 +38,35 @@
     }
 }
 
+boost::asio::awaitable<void> HttpClient::connect(Core::Duration timeout)
+{
+    if (this->stream) {
+        co_return;
+    }
+    try {
+        this->stream.emplace(this->executor);
+        this->stream->expires_after(timeout);
+        co_await this->stream->async_connect(this->remote.tcp(), boost::asio::use_awaitable);
+        this->stream->socket().set_option(boost::asio::ip::tcp::no_delay(true));
+    } catch (const boost::system::system_error &) {
+        this->close();
+        throw;
+    }
+}
+
+bool HttpClient::isConnected()
+{
+    if (!this->stream) {
+        return false;
+    }
+    std::array<char, 1> byte{};
+    boost::system::error_code error;
+    auto &socket = this->stream->socket();
+    socket.non_blocking(true, error);
+    socket.receive(boost::asio::buffer(byte), boost::asio::socket_base::message_peek, error);
+    return error == boost::asio::error::would_block;
+}
+
 boost::asio::awaitable<Response> HttpClient::exchangeOnce(Request &request)
 {
     co_await Http::async_write(*this->stream, request, boost::asio::use_awaitable);
--- a/Libraries/LibNetwork/HttpClient.h
+++ b/Libraries/LibNetwork/HttpClient.h
@@ -21,6 +21,11 @@
     /// any failure, among them boost::beast::error::timeout when the exchange takes longer than the time-out; the connection is then closed
     /// and whether the request ran is unknown.
     boost::asio::awaitable<Response> exchange(Request request, Core::Duration timeout);
+    /// Opens the connection where there is none, so that a caller can tell a failure to connect, after which nothing was sent, from a
+    /// failed exchange. Throws boost::system::system_error.
+    boost::asio::awaitable<void> connect(Core::Duration timeout);
+    /// True where the connection is open and the server has neither closed it nor sent anything unasked. Only between exchanges.
+    bool isConnected();
     /// Closes the connection; a pending exchange fails with operation_aborted.
     void close();
     const Endpoint &endpoint() const;
--- a/Tests/LibNetwork/TestHttp.cpp
+++ b/Tests/LibNetwork/TestHttp.cpp
@@ -52,6 +52,23 @@
     EXPECT_TRUE(isDone);
 }
 
+TEST(HttpClient, knowsThatItsServerClosedTheIdleConnection)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    HttpClient client(context.get_executor(), {"127.0.0.1", acceptor.local_endpoint().port()});
+    EXPECT_FALSE(client.isConnected());
+    const auto run = [&]() -> boost::asio::awaitable<void> {
+        co_await client.connect(std::chrono::seconds(5));
+        EXPECT_TRUE(client.isConnected());
+        auto peer = co_await acceptor.async_accept(boost::asio::use_awaitable);
+        peer.close();
+        EXPECT_FALSE(client.isConnected());
+    };
+    boost::asio::co_spawn(context, run(), boost::asio::detached);
+    context.run();
+}
+
 TEST(QueryParameter, findsAParameterByItsWholeName)
 {
     EXPECT_EQ(queryParameter("/objects?prefix=a&wait=20", "wait"), "20");
