LibMembership, LibGossip, LibPeers: Declare the interfaces

The daemon needs the types and the entry points of membership, of the records that instances spread, and of the peer transport before the parts are whole.

Weighed: one library for members and records against two. Two, because the failure detector is of use alone and knows nothing of bytes, while budgets and CBOR belong to the layer that builds whole messages.

--- /dev/null
+++ b/Libraries/LibGossip/ByteBudget.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace Briarbend::Gossip
+{
+
+/// In any window of one second at most rate and burst together: 3,000 bytes.
+constexpr std::size_t CONTROL_BYTES_PER_SECOND = 2000;
+constexpr std::size_t CONTROL_BURST_BYTES = 1000;
+/// Part of the burst that only heartbeats may use.
+constexpr std::size_t HEARTBEAT_RESERVE_BYTES = 400;
+constexpr std::size_t BULK_BYTES_PER_SECOND = 2'000'000;
+constexpr std::size_t BULK_BURST_BYTES = 4'000'000;
+/// Charged for every message besides its payload: WebSocket frame (RFC 6455), TCP and IP headers.
+constexpr std::size_t MESSAGE_OVERHEAD_BYTES = 60;
+
+/// A token bucket over sent bytes that also counts them.
+class ByteBudget
+{
+public:
+    ByteBudget(std::size_t bytesPerSecond, std::size_t burstBytes);
+
+    /// Takes the bytes where that leaves at least `reserve`; otherwise takes nothing, counts a refusal and returns false.
+    bool tryTake(std::size_t bytes, std::size_t reserve, Core::TimePoint now);
+    /// Bytes that tryTake would grant.
+    std::size_t available(std::size_t reserve, Core::TimePoint now) const;
+
+    std::uint64_t takenBytes() const;
+    std::uint64_t refusals() const;
+
+private:
+    double tokens(Core::TimePoint now) const;
+
+    double bytesPerSecond;
+    double burstBytes;
+    double level;
+    Core::TimePoint levelAt;
+    std::uint64_t taken{0};
+    std::uint64_t refused{0};
+};
+
+} // namespace Briarbend::Gossip
--- /dev/null
+++ b/Libraries/LibGossip/Gossip.cpp
@@ -0,0 +1,1 @@
+#include <LibGossip/Gossip.h>
--- /dev/null
+++ b/Libraries/LibGossip/State.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibGossip/ByteBudget.h>
+#include <LibGossip/Table.h>
+#include <LibMembership/State.h>
+
+#include <deque>
+#include <vector>
+
+namespace Briarbend::Gossip
+{
+
+/// A newer version of a section that a peer announced and this instance does not hold yet.
+struct WantedSection {
+    std::uint64_t storeVersion{0};
+    /// Peers that hold it, the latest last.
+    std::deque<Membership::PeerAddress> holders;
+    Core::TimePoint askedAt;
+    bool isAsked{false};
+};
+
+/// A section that this instance holds.
+struct HeldSection {
+    SectionText section;
+    /// The text that this one replaced, for sending only the difference.
+    SectionText previous;
+    std::uint32_t transmissions{0};
+};
+
+struct SectionTable {
+    std::map<Core::TeamName, HeldSection> held;
+    std::map<Core::TeamName, WantedSection> wanted;
+    BucketDigests digests{};
+};
+
+/// Everything that one instance knows through gossip.
+struct State {
+    Membership::State members;
+    SectionTable sections;
+    Table<VerdictRecord> verdicts;
+    Table<QuarantineRecord> quarantine;
+    Table<WarmMark> warmMarks;
+    Table<WarmthRecord> warmth;
+    Table<EvidenceRecord> evidence;
+    /// For heartbeats, news and digests.
+    ByteBudget control{CONTROL_BYTES_PER_SECOND, CONTROL_BURST_BYTES};
+    /// For whole section texts and the tables that a new instance starts from.
+    ByteBudget bulk{BULK_BYTES_PER_SECOND, BULK_BURST_BYTES};
+    /// Something urgent waits for the next tick to go to further peers.
+    std::uint32_t urgentRounds{0};
+    bool hasSnapshot{false};
+    Core::TimePoint nextExpiry;
+};
+
+} // namespace Briarbend::Gossip
--- /dev/null
+++ b/Libraries/LibMembership/Member.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/Time.h>
+
+#include <cstdint>
+#include <optional>
+
+/// Which instances take part, judged by gossip and failure detection. A hint that saves work: nothing that must be unique rests on it.
+namespace Briarbend::Membership
+{
+
+/// Where an instance listens for its peers, "address:port".
+using PeerAddress = Core::Identifier<struct PeerAddressTag>;
+
+/// Ordered: of two reports about one incarnation, the later enumerator wins.
+enum class MemberState : std::uint8_t {
+    Alive,
+    /// Did not answer a probe; becomes gone unless it refutes the suspicion in time.
+    Suspect,
+    /// Said goodbye. Final for this instance identifier.
+    Leaving,
+    Gone,
+};
+
+/// What instances tell one another about a member. A higher incarnation wins; at the same incarnation the later state wins.
+struct MemberNews {
+    Core::InstanceId id;
+    PeerAddress address;
+    Core::DataCentreName dataCentre;
+    /// Raised only by the member itself, to refute a false report about it.
+    std::uint64_t incarnation{0};
+    MemberState state{MemberState::Alive};
+
+    bool operator==(const MemberNews &) const = default;
+};
+
+/// One row of the member table.
+struct Member {
+    MemberNews news;
+    /// A moment at which the member certainly ran: the sending time of a probe that it answered, here or at a peer.
+    std::optional<Core::TimePoint> lastHeard;
+    Core::TimePoint stateSince;
+    /// Messages that have carried the latest news of this member.
+    std::uint32_t transmissions{0};
+    /// Another process answers at the member's address, or the platform no longer lists it: it cannot come back.
+    bool isReplaced{false};
+};
+
+/// A member whose state this instance sees differently from before.
+struct MemberChange {
+    MemberNews news;
+
+    bool operator==(const MemberChange &) const = default;
+};
+
+} // namespace Briarbend::Membership
--- /dev/null
+++ b/Libraries/LibMembership/Membership.cpp
@@ -0,0 +1,1 @@
+#include <LibMembership/Membership.h>
--- /dev/null
+++ b/Libraries/LibMembership/Message.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <LibMembership/Member.h>
+
+#include <chrono>
+#include <variant>
+#include <vector>
+
+namespace Briarbend::Membership
+{
+
+/// A direct probe, answered at once by an Acknowledgement with the same sequence.
+struct Ping {
+    std::uint64_t sequence{0};
+    /// Asks for the whole member table: the sender has just started.
+    bool wantsMembers{false};
+
+    bool operator==(const Ping &) const = default;
+};
+
+/// How long ago a member was certainly running, measured when the acknowledgement left.
+struct HeardAge {
+    std::uint32_t memberHash{0};
+    /// Rounded up to HEARD_AGE_UNIT.
+    std::chrono::milliseconds age{0};
+
+    bool operator==(const HeardAge &) const = default;
+};
+
+struct Acknowledgement {
+    std::uint64_t sequence{0};
+    std::vector<HeardAge> heard;
+
+    bool operator==(const Acknowledgement &) const = default;
+};
+
+/// Asks the receiver to probe a member that did not answer the sender. Source: Das, Gupta, Motivala, "SWIM", section 3.
+struct PingRequest {
+    std::uint64_t sequence{0};
+    PeerAddress target;
+
+    bool operator==(const PingRequest &) const = default;
+};
+
+/// Answers a PingRequest once the target has acknowledged the indirect probe.
+struct IndirectAcknowledgement {
+    std::uint64_t sequence{0};
+    Core::InstanceId target;
+
+    bool operator==(const IndirectAcknowledgement &) const = default;
+};
+
+/// std::monostate carries news alone.
+using Body = std::variant<std::monostate, Ping, Acknowledgement, PingRequest, IndirectAcknowledgement>;
+
+struct Message {
+    /// The sender about itself.
+    MemberNews sender;
+    /// False while the sender may hold stale state after a start or a freeze.
+    bool isConfirmed{false};
+    Body body;
+    std::vector<MemberNews> news;
+
+    bool operator==(const Message &) const = default;
+};
+
+struct Outgoing {
+    PeerAddress to;
+    Message message;
+};
+
+} // namespace Briarbend::Membership
--- /dev/null
+++ b/Libraries/LibMembership/State.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <LibMembership/Member.h>
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace Briarbend::Membership
+{
+
+/// The longest pause between two calls of tick. Callers tick every TICK_INTERVAL.
+constexpr std::chrono::milliseconds TICK_INTERVAL{100};
+/// Between two routine probes, each to one member.
+constexpr std::chrono::milliseconds PROBE_INTERVAL{500};
+/// Between two probes while this instance is not confirmed.
+constexpr std::chrono::milliseconds UNCONFIRMED_PROBE_INTERVAL{200};
+/// Silence after which peers are asked to probe as well.
+constexpr std::chrono::milliseconds PING_TIMEOUT{250};
+/// Silence after which a probed member is suspected.
+constexpr std::chrono::milliseconds PROBE_TIMEOUT{750};
+/// Time that a suspected member has to refute.
+constexpr std::chrono::milliseconds SUSPICION_TIMEOUT{2000};
+/// A member not heard for this long, here or through peers, is probed out of turn.
+constexpr std::chrono::milliseconds QUIET_LIMIT{3000};
+/// Out-of-turn probes that may wait for an answer at once.
+constexpr std::size_t MAX_QUIET_PROBES = 4;
+/// A pause of the process above this makes its soft state suspect.
+constexpr std::chrono::milliseconds FREEZE_LIMIT{1000};
+/// Between two probes of a seed or a gone member's address, which let two halves find each other after a cut.
+constexpr std::chrono::milliseconds SEED_INTERVAL{2000};
+/// How long a member that said goodbye is remembered as leaving.
+constexpr std::chrono::seconds LEAVING_RETENTION{10};
+/// How long a silent member stays in the count that a majority is taken of.
+constexpr std::chrono::minutes GONE_RETENTION{10};
+
+/// The longest time from a member's stop without goodbye to its being gone at every instance that can reach a peer, apart from the spread
+/// of the news. Further simultaneous failures queue for the MAX_QUIET_PROBES.
+constexpr std::chrono::milliseconds detectionBound(std::size_t simultaneousFailures)
+{
+    const auto rounds = static_cast<std::int64_t>((simultaneousFailures + MAX_QUIET_PROBES - 1) / MAX_QUIET_PROBES);
+    return QUIET_LIMIT + TICK_INTERVAL + (PROBE_TIMEOUT + TICK_INTERVAL) * rounds + SUSPICION_TIMEOUT + TICK_INTERVAL;
+}
+
+struct PendingPing {
+    PeerAddress to;
+    /// Unknown when a seed is probed.
+    std::optional<Core::InstanceId> expected;
+    Core::TimePoint sentAt;
+    bool isIndirectSent{false};
+    /// Set when the probe is made for a peer: where and under which sequence to report.
+    std::optional<PeerAddress> requester;
+    std::uint64_t requesterSequence{0};
+};
+
+struct State {
+    Core::InstanceId self;
+    /// Includes this instance.
+    std::map<Core::InstanceId, Member> members;
+    std::set<PeerAddress> seeds;
+    std::map<std::uint64_t, PendingPing> pendingPings;
+    std::vector<Core::InstanceId> probeOrder;
+    std::uint64_t nextSequence{1};
+    Core::TimePoint nextProbe;
+    Core::TimePoint nextSeedProbe;
+    /// Last moment at which this process certainly ran.
+    Core::TimePoint lastActive;
+    bool isConfirmed{false};
+    /// Pings sent before this moment confirm nothing.
+    Core::TimePoint unconfirmedSince;
+};
+
+} // namespace Briarbend::Membership
--- /dev/null
+++ b/Libraries/LibPeers/WebSocketTransport.cpp
@@ -0,0 +1,1 @@
+#include <LibPeers/Transport.h>
