LibMembership: Probe members and tell the gone from the slow

Every instance probes one random member per interval and asks two others before it suspects (SWIM). Acknowledgements tell how long ago their sender certainly heard each member, so that every instance hears of a majority within seconds without all-to-all traffic. Ages count from the sending of the probe, which keeps them sound when messages lie in buffers.

Heartbeat counters for every member in every message were ruled out: they prove nothing about delay, and cost as much as the ages do.

--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -20,7 +20,7 @@
 /// Probes members, suspects the silent ones and drops those that do not refute. Call every TICK_INTERVAL.
 Decision tick(State &state, Core::TimePoint now, Core::Random &random);
 
-Decision receive(State &state, const Message &message, Core::TimePoint now, Core::Random &random);
+Decision receive(State &state, const Message &message, Core::TimePoint now);
 
 /// Marks this instance as leaving. The returned goodbyes go to every known member, so that its work moves away at once.
 Decision leave(State &state, Core::TimePoint now);
--- a/Libraries/LibMembership/Message.h
+++ b/Libraries/LibMembership/Message.h
@@ -9,6 +9,9 @@
 namespace Briarbend::Membership
 {
 
+/// Ages are told in this unit, rounded up.
+constexpr std::chrono::milliseconds HEARD_AGE_UNIT{50};
+
 /// A direct probe, answered at once by an Acknowledgement with the same sequence.
 struct Ping {
     std::uint64_t sequence{0};
--- /dev/null
+++ b/Libraries/LibMembership/Probing.cpp
@@ -0,0 +1,170 @@
+#include <LibMembership/Probing.h>
+
+#include <LibMembership/Table.h>
+
+#include <algorithm>
+
+namespace Briarbend::Membership
+{
+
+namespace
+{
+
+/// Peers that are asked to probe a silent member.
+constexpr std::size_t INDIRECT_PROBES = 2;
+
+template<typename Value>
+void shuffle(std::vector<Value> &values, Core::Random &random)
+{
+    for (auto left = values.size(); left > 1; --left) {
+        std::swap(values[left - 1], values[random.below(left)]);
+    }
+}
+
+bool isPinged(const State &state, const Core::InstanceId &id)
+{
+    return std::ranges::any_of(state.pendingPings, [&id](const auto &item) {
+        return item.second.expected == id;
+    });
+}
+
+bool hasHeardAnyone(const State &state)
+{
+    return std::ranges::any_of(state.members, [&state](const auto &item) {
+        return item.first != state.self && isPresent(item.second) && item.second.lastHeard;
+    });
+}
+
+void ping(State &state, const PeerAddress &to, std::optional<Core::InstanceId> expected, Core::TimePoint now, Decision &decision)
+{
+    const auto sequence = state.nextSequence++;
+    state.pendingPings[sequence] = {to, std::move(expected), now, false, std::nullopt, 0};
+    decision.messages.push_back({to, makeMessage(state, Ping{sequence, !hasHeardAnyone(state)})});
+}
+
+/// The next member in a random order in which every member comes once. Source: SWIM, section 4.3.
+std::optional<Core::InstanceId> nextRoutineProbe(State &state, Core::Random &random)
+{
+    for (int round = 0; round < 2; ++round) {
+        while (!state.probeOrder.empty()) {
+            auto id = std::move(state.probeOrder.back());
+            state.probeOrder.pop_back();
+            const auto found = state.members.find(id);
+            if (found != state.members.end() && isPresent(found->second) && !isPinged(state, id)) {
+                return id;
+            }
+        }
+        for (const auto &[id, member] : state.members) {
+            if (id != state.self && isPresent(member)) {
+                state.probeOrder.push_back(id);
+            }
+        }
+        shuffle(state.probeOrder, random);
+    }
+    return std::nullopt;
+}
+
+void pingRoutine(State &state, Core::TimePoint now, Core::Random &random, Decision &decision)
+{
+    if (now < state.nextProbe && !state.isProbeDue) {
+        return;
+    }
+    state.isProbeDue = false;
+    const auto interval = state.isConfirmed ? PROBE_INTERVAL : UNCONFIRMED_PROBE_INTERVAL;
+    // Jitter keeps instances that started together from probing together.
+    state.nextProbe = now + std::chrono::duration_cast<Core::Duration>(interval * (0.8 + 0.4 * random.unit()));
+    if (const auto id = nextRoutineProbe(state, random)) {
+        ping(state, state.members.at(*id).news.address, *id, now, decision);
+    }
+}
+
+void pingQuiet(State &state, Core::TimePoint now, Decision &decision)
+{
+    const auto isQuiet = [now](const Member &member) {
+        return isPresent(member) && (!member.lastHeard || now - *member.lastHeard > QUIET_LIMIT);
+    };
+    auto waiting = static_cast<std::size_t>(std::ranges::count_if(state.pendingPings, [&](const auto &item) {
+        const auto *member = item.second.expected ? find(state, *item.second.expected) : nullptr;
+        return member != nullptr && isQuiet(*member);
+    }));
+    for (const auto &[id, member] : state.members) {
+        if (waiting < MAX_QUIET_PROBES && id != state.self && isQuiet(member) && !isPinged(state, id)) {
+            ping(state, member.news.address, id, now, decision);
+            ++waiting;
+        }
+    }
+}
+
+void pingSeed(State &state, Core::TimePoint now, Core::Random &random, Decision &decision)
+{
+    if (now < state.nextSeedProbe) {
+        return;
+    }
+    // Until anybody answers, seeds are asked as often as unconfirmed members are.
+    state.nextSeedProbe = now + (hasHeardAnyone(state) ? SEED_INTERVAL : UNCONFIRMED_PROBE_INTERVAL);
+    auto candidates = state.seeds;
+    for (const auto &[id, member] : state.members) {
+        if (member.news.state == MemberState::Gone && !member.isReplaced) {
+            candidates.insert(member.news.address);
+        }
+    }
+    for (const auto &[id, member] : state.members) {
+        if (member.news.state != MemberState::Gone) {
+            candidates.erase(member.news.address);
+        }
+    }
+    if (!candidates.empty()) {
+        const auto chosen = std::next(candidates.begin(), static_cast<std::ptrdiff_t>(random.below(candidates.size())));
+        ping(state, *chosen, std::nullopt, now, decision);
+    }
+}
+
+} // namespace
+
+void followUpPings(State &state, Core::TimePoint now, Core::Random &random, Decision &decision)
+{
+    for (auto &[sequence, pending] : state.pendingPings) {
+        if (pending.isIndirectSent || !pending.expected || now - pending.sentAt < PING_TIMEOUT) {
+            continue;
+        }
+        pending.isIndirectSent = true;
+        auto helpers = randomPeers(state, INDIRECT_PROBES + 1, random);
+        std::erase(helpers, pending.to);
+        helpers.resize(std::min(helpers.size(), INDIRECT_PROBES));
+        for (auto &helper : helpers) {
+            decision.messages.push_back({std::move(helper), makeMessage(state, PingRequest{sequence, pending.to})});
+        }
+    }
+    std::erase_if(state.pendingPings, [&](const auto &item) {
+        const auto &pending = item.second;
+        if (now - pending.sentAt < PROBE_TIMEOUT) {
+            return false;
+        }
+        if (pending.expected) {
+            suspect(state, *pending.expected, now, decision.changes);
+        }
+        return true;
+    });
+}
+
+void startPings(State &state, Core::TimePoint now, Core::Random &random, Decision &decision)
+{
+    pingRoutine(state, now, random, decision);
+    pingQuiet(state, now, decision);
+    pingSeed(state, now, random, decision);
+}
+
+std::vector<PeerAddress> randomPeers(const State &state, std::size_t count, Core::Random &random)
+{
+    std::vector<PeerAddress> peers;
+    for (const auto &[id, member] : state.members) {
+        if (id != state.self && member.news.state == MemberState::Alive && member.lastHeard) {
+            peers.push_back(member.news.address);
+        }
+    }
+    shuffle(peers, random);
+    peers.resize(std::min(count, peers.size()));
+    return peers;
+}
+
+} // namespace Briarbend::Membership
--- a/Libraries/LibMembership/State.h
+++ b/Libraries/LibMembership/State.h
@@ -62,6 +62,8 @@
     std::vector<Core::InstanceId> probeOrder;
     std::uint64_t nextSequence{1};
     Core::TimePoint nextProbe;
+    /// A member has to be probed without waiting for the next routine probe.
+    bool isProbeDue{false};
     Core::TimePoint nextSeedProbe;
     /// Last moment at which this process certainly ran.
     Core::TimePoint lastActive;
--- /dev/null
+++ b/Libraries/LibMembership/Table.cpp
@@ -0,0 +1,159 @@
+#include <LibMembership/Table.h>
+
+#include <LibMembership/Membership.h>
+
+#include <algorithm>
+#include <bit>
+#include <tuple>
+#include <xxhash.h>
+
+namespace Briarbend::Membership
+{
+
+namespace
+{
+
+bool supersedes(const MemberNews &incoming, const MemberNews &held)
+{
+    return std::tie(incoming.incarnation, incoming.state) > std::tie(held.incarnation, held.state);
+}
+
+void setState(Member &member, MemberState next, Core::TimePoint now, std::vector<MemberChange> &changes)
+{
+    member.news.state = next;
+    member.stateSince = now;
+    member.transmissions = 0;
+    changes.push_back({member.news});
+}
+
+void refute(State &state, const MemberNews &news)
+{
+    auto &self = state.members.at(state.self);
+    const bool isFalse = news.state != MemberState::Alive && self.news.state != MemberState::Leaving;
+    if (isFalse && news.incarnation >= self.news.incarnation) {
+        self.news.incarnation = news.incarnation + 1;
+        self.transmissions = 0;
+    }
+}
+
+} // namespace
+
+bool isPresent(const Member &member)
+{
+    return member.news.state == MemberState::Alive || member.news.state == MemberState::Suspect;
+}
+
+void applyNews(State &state, const MemberNews &news, Core::TimePoint now, std::vector<MemberChange> &changes)
+{
+    if (news.id == state.self) {
+        refute(state, news);
+        return;
+    }
+    const auto found = state.members.find(news.id);
+    if (found == state.members.end()) {
+        // Being told that an unknown member is gone changes nothing, and remembering it would only keep the news going round.
+        if (news.state != MemberState::Gone) {
+            state.members[news.id] = Member{news, std::nullopt, now, 0, false};
+            changes.push_back({news});
+        }
+        return;
+    }
+    auto &member = found->second;
+    if (!supersedes(news, member.news)) {
+        return;
+    }
+    const bool isChanged = news.state != member.news.state;
+    member.news = news;
+    member.transmissions = 0;
+    if (isChanged) {
+        member.isReplaced = false;
+        setState(member, news.state, now, changes);
+    }
+}
+
+void markReplaced(State &state, const Core::InstanceId &id, Core::TimePoint now, std::vector<MemberChange> &changes)
+{
+    const auto found = state.members.find(id);
+    if (found == state.members.end()) {
+        return;
+    }
+    if (found->second.news.state != MemberState::Gone) {
+        setState(found->second, MemberState::Gone, now, changes);
+    }
+    found->second.isReplaced = true;
+}
+
+void suspect(State &state, const Core::InstanceId &id, Core::TimePoint now, std::vector<MemberChange> &changes)
+{
+    const auto found = state.members.find(id);
+    if (found != state.members.end() && found->second.news.state == MemberState::Alive) {
+        setState(found->second, MemberState::Suspect, now, changes);
+    }
+}
+
+void advanceStates(State &state, Core::TimePoint now, std::vector<MemberChange> &changes)
+{
+    for (auto &[id, member] : state.members) {
+        const auto age = now - member.stateSince;
+        const bool isUnrefuted = member.news.state == MemberState::Suspect && age >= SUSPICION_TIMEOUT;
+        const bool hasLeft = member.news.state == MemberState::Leaving && age >= LEAVING_RETENTION && id != state.self;
+        if (isUnrefuted || hasLeft) {
+            member.isReplaced = hasLeft;
+            setState(member, MemberState::Gone, now, changes);
+        }
+    }
+    std::erase_if(state.members, [now](const auto &item) {
+        return item.second.news.state == MemberState::Gone && now - item.second.stateSince >= GONE_RETENTION;
+    });
+}
+
+std::vector<MemberNews> allNews(const State &state, std::size_t count)
+{
+    std::vector<MemberNews> news;
+    for (const auto &[id, member] : state.members) {
+        if (member.news.state != MemberState::Gone && id != state.self && news.size() < count) {
+            news.push_back(member.news);
+        }
+    }
+    return news;
+}
+
+Message makeMessage(const State &state, Body body)
+{
+    return {state.members.at(state.self).news, state.isConfirmed, std::move(body), {}};
+}
+
+std::vector<MemberNews> takeNews(State &state, std::size_t count)
+{
+    const auto limit = transmissionLimit(state.members.size());
+    std::vector<Member *> fresh;
+    for (auto &[id, member] : state.members) {
+        if (member.transmissions < limit && id != state.self) {
+            fresh.push_back(&member);
+        }
+    }
+    // Rarely sent news first; among those a change for the worse, which others wait for.
+    std::ranges::stable_sort(fresh, [](const Member *left, const Member *right) {
+        return std::tuple{left->transmissions, right->news.state} < std::tuple{right->transmissions, left->news.state};
+    });
+    fresh.resize(std::min(count, fresh.size()));
+    std::vector<MemberNews> news;
+    for (auto *member : fresh) {
+        ++member->transmissions;
+        news.push_back(member->news);
+    }
+    return news;
+}
+
+std::uint32_t transmissionLimit(std::size_t members)
+{
+    constexpr std::uint32_t ROUNDS_PER_DOUBLING = 2;
+    return ROUNDS_PER_DOUBLING * static_cast<std::uint32_t>(std::bit_width(members));
+}
+
+std::uint32_t memberHash(const Core::InstanceId &id)
+{
+    return static_cast<std::uint32_t>(XXH3_64bits(id.value.data(), id.value.size()));
+}
+
+} // namespace Briarbend::Membership
