LibGossip: Spread sections and records within a byte budget

Typed records with merge rules travel on the probes; urgent ones go to a few peers at once. Sections travel as a difference to the version before, or are announced and fetched once. Digests per kind ride on every message and start a comparison in three steps where they differ. Every message is charged to a token bucket before it is sent; heartbeats have a reserve.

Messages are nested CBOR arrays. The shape is checked by a SAX pass before the document is built, because the library parses nested arrays by recursion and hostile bytes could exhaust the stack.

Whole section texts and the tables for a new instance are charged to a second budget, as they are not part of the steady traffic.

--- a/Libraries/LibGossip/ByteBudget.h
+++ b/Libraries/LibGossip/ByteBudget.h
@@ -22,7 +22,8 @@
 class ByteBudget
 {
 public:
-    ByteBudget(std::size_t bytesPerSecond, std::size_t burstBytes);
+    /// The rate is in bytes a second, the burst in bytes.
+    ByteBudget(std::size_t rate, std::size_t burst);
 
     /// Takes the bytes where that leaves at least `reserve`; otherwise takes nothing, counts a refusal and returns false.
     bool tryTake(std::size_t bytes, std::size_t reserve, Core::TimePoint now);
--- /dev/null
+++ b/Libraries/LibGossip/Compare.cpp
@@ -0,0 +1,229 @@
+#include <LibGossip/Compare.h>
+
+#include <LibGossip/Outbox.h>
+#include <LibGossip/Sections.h>
+#include <LibGossip/Tables.h>
+#include <LibGossip/Wire.h>
+#include <LibMembership/Table.h>
+
+#include <algorithm>
+#include <limits>
+#include <unordered_set>
+
+namespace Briarbend::Gossip
+{
+
+namespace
+{
+
+/// Records compared in one step; the rest follows in later comparisons.
+constexpr std::size_t MAX_COMPARED_RECORDS = 24;
+/// Bytes of records that one step may carry.
+constexpr std::size_t MAX_REPAIR_BYTES = 300;
+constexpr std::size_t SNAPSHOT_MESSAGE_BYTES = 100'000;
+
+/// Calls the visitor with the digest of every item of the kind and the item's holder: a HeldSection or an Entry.
+template<typename Visitor>
+void forEachItem(const State &state, DigestKind kind, const Visitor &visitor)
+{
+    const auto visitTable = [&visitor](const auto &table) {
+        for (const auto &[key, entry] : table.entries) {
+            visitor(digestOf(entry.record), entry);
+        }
+    };
+    switch (kind) {
+    case DigestKind::Sections:
+        for (const auto &[team, held] : state.sections.held) {
+            visitor(digestOf(held.section), held);
+        }
+        return;
+    case DigestKind::Verdicts:
+        return visitTable(state.verdicts);
+    case DigestKind::Quarantine:
+        return visitTable(state.quarantine);
+    case DigestKind::WarmMarks:
+        return visitTable(state.warmMarks);
+    }
+}
+
+const BucketDigests &digestsOf(const State &state, DigestKind kind)
+{
+    switch (kind) {
+    case DigestKind::Sections:
+        break;
+    case DigestKind::Verdicts:
+        return state.verdicts.digests;
+    case DigestKind::Quarantine:
+        return state.quarantine.digests;
+    case DigestKind::WarmMarks:
+        return state.warmMarks.digests;
+    }
+    return state.sections.digests;
+}
+
+bool isInBuckets(const RecordDigest &digest, std::uint32_t buckets)
+{
+    return ((buckets >> bucketOf(digest)) & 1U) != 0;
+}
+
+/// The digests in the buckets, sorted by key hash.
+std::vector<RecordDigest> digestsIn(const State &state, DigestKind kind, std::uint32_t buckets)
+{
+    std::vector<RecordDigest> digests;
+    forEachItem(state, kind, [&](const RecordDigest &digest, const auto & /*holder*/) {
+        if (isInBuckets(digest, buckets)) {
+            digests.push_back(digest);
+        }
+    });
+    std::ranges::sort(digests);
+    return digests;
+}
+
+/// Adds the item to the message. Announces a section without its text: the receiver asks for what it lacks.
+void append(Envelope &envelope, const HeldSection &held, Core::TimePoint /*now*/)
+{
+    envelope.sections.push_back(newsOf(held));
+}
+
+template<typename RecordType>
+void append(Envelope &envelope, const Entry<RecordType> &entry, Core::TimePoint now)
+{
+    const auto remaining = remainingTime(entry.expires, now);
+    if (remaining.count() > 0) {
+        envelope.records.push_back({entry.record, remaining});
+    }
+}
+
+std::size_t sizeOfLast(const Envelope &envelope)
+{
+    const auto records = envelope.records.empty() ? 0 : encodedSize(envelope.records.back());
+    const auto sections = envelope.sections.empty() ? 0 : encodedSize(envelope.sections.back());
+    return std::max(records, sections);
+}
+
+/// Adds as many of the items as fit.
+void appendItems(
+    const State &state, DigestKind kind, const std::unordered_set<std::uint32_t> &keyHashes, Core::TimePoint now, Envelope &envelope)
+{
+    std::size_t bytes = 0;
+    forEachItem(state, kind, [&](const RecordDigest &digest, const auto &holder) {
+        if (bytes < MAX_REPAIR_BYTES && keyHashes.contains(digest.keyHash)) {
+            append(envelope, holder, now);
+            bytes += sizeOfLast(envelope);
+        }
+    });
+}
+
+Envelope makeEnvelope(const State &state)
+{
+    Envelope envelope;
+    envelope.membership = Membership::makeMessage(state.members, std::monostate{});
+    return envelope;
+}
+
+bool contains(const std::vector<RecordDigest> &digests, const RecordDigest &digest)
+{
+    return std::ranges::find(digests, digest) != digests.end();
+}
+
+} // namespace
+
+void startComparison(State &state,
+                     const Summaries &theirs,
+                     const Membership::PeerAddress &peer,
+                     Core::TimePoint now,
+                     Core::Random &random,
+                     Decision &decision)
+{
+    const auto mine = summariesOf(state);
+    std::vector<DigestKind> different;
+    for (std::size_t index = 0; index < mine.size(); ++index) {
+        if (mine.at(index) != theirs.at(index)) {
+            different.push_back(static_cast<DigestKind>(index));
+        }
+    }
+    if (!different.empty()) {
+        const auto kind = different[random.below(different.size())];
+        dispatchExchange(state, peer, CompareBuckets{kind, digestsOf(state, kind)}, MessageClass::Comparison, now, decision);
+    }
+}
+
+void answer(State &state,
+            const CompareBuckets &theirs,
+            const Membership::PeerAddress &peer,
+            Core::TimePoint now,
+            Core::Random &random,
+            Decision &decision)
+{
+    const auto &mine = digestsOf(state, theirs.kind);
+    CompareRecords reply{theirs.kind, 0, 0, std::numeric_limits<std::uint32_t>::max(), {}};
+    for (std::size_t bucket = 0; bucket < DIGEST_BUCKETS; ++bucket) {
+        reply.buckets |= std::uint32_t{mine.at(bucket) != theirs.digests.at(bucket)} << bucket;
+    }
+    if (reply.buckets == 0) {
+        return;
+    }
+    auto digests = digestsIn(state, theirs.kind, reply.buckets);
+    if (digests.size() > MAX_COMPARED_RECORDS) {
+        const auto start = digests.begin() + static_cast<std::ptrdiff_t>(random.below(digests.size() - MAX_COMPARED_RECORDS + 1));
+        reply.records.assign(start, start + MAX_COMPARED_RECORDS);
+        reply.firstKeyHash = start == digests.begin() ? 0 : reply.records.front().keyHash;
+        reply.lastKeyHash = start + MAX_COMPARED_RECORDS == digests.end() ? reply.lastKeyHash : reply.records.back().keyHash;
+    } else {
+        reply.records = std::move(digests);
+    }
+    dispatchExchange(state, peer, std::move(reply), MessageClass::Comparison, now, decision);
+}
+
+void answer(State &state, const CompareRecords &theirs, const Membership::PeerAddress &peer, Core::TimePoint now, Decision &decision)
+{
+    const auto mine = digestsIn(state, theirs.kind, theirs.buckets);
+    std::unordered_set<std::uint32_t> offered;
+    for (const auto &digest : mine) {
+        const bool isInRange = digest.keyHash >= theirs.firstKeyHash && digest.keyHash <= theirs.lastKeyHash;
+        if (isInRange && !contains(theirs.records, digest)) {
+            offered.insert(digest.keyHash);
+        }
+    }
+    RequestRecords request{theirs.kind, {}};
+    for (const auto &digest : theirs.records) {
+        if (!contains(mine, digest)) {
+            request.keyHashes.push_back(digest.keyHash);
+        }
+    }
+    auto envelope = makeEnvelope(state);
+    appendItems(state, theirs.kind, offered, now, envelope);
+    if (!request.keyHashes.empty()) {
+        envelope.exchange = std::move(request);
+    }
+    dispatch(state, {peer, std::move(envelope), MessageClass::Comparison}, now, decision);
+}
+
+void answer(State &state, const RequestRecords &request, const Membership::PeerAddress &peer, Core::TimePoint now, Decision &decision)
+{
+    auto envelope = makeEnvelope(state);
+    appendItems(state, request.kind, {request.keyHashes.begin(), request.keyHashes.end()}, now, envelope);
+    dispatch(state, {peer, std::move(envelope), MessageClass::Comparison}, now, decision);
+}
+
+void sendSnapshot(State &state, const Membership::PeerAddress &peer, Core::TimePoint now, Decision &decision)
+{
+    auto envelope = makeEnvelope(state);
+    for (const auto &[team, held] : state.sections.held) {
+        envelope.sections.push_back({team, held.section.storeVersion, 0, 0, 0, {}, 0});
+    }
+    std::size_t bytes = 0;
+    forEachTable(state, [&](auto &table) {
+        for (const auto &[key, entry] : table.entries) {
+            append(envelope, entry, now);
+            bytes += sizeOfLast(envelope);
+            if (bytes > SNAPSHOT_MESSAGE_BYTES) {
+                dispatch(state, {peer, std::exchange(envelope, makeEnvelope(state)), MessageClass::Bulk}, now, decision);
+                bytes = 0;
+            }
+        }
+    });
+    dispatch(state, {peer, std::move(envelope), MessageClass::Bulk}, now, decision);
+}
+
+} // namespace Briarbend::Gossip
--- /dev/null
+++ b/Libraries/LibGossip/Decode.cpp
@@ -0,0 +1,259 @@
+#include <LibGossip/Codec.h>
+
+#include <LibGossip/DecodeRecords.h>
+#include <LibGossip/Wire.h>
+
+#include <algorithm>
+
+namespace Briarbend::Gossip
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+/// Arrays within arrays in the deepest message.
+constexpr int MAX_DEPTH = 6;
+constexpr std::size_t AGE_BYTES = 5;
+
+/// Stops the parser before the nesting of hostile bytes exhausts the stack. Only the types that messages use are let through.
+struct ShapeCheck : nlohmann::json_sax<Json> {
+    int depth{0};
+
+    bool null() override
+    {
+        return false;
+    }
+    bool boolean(bool /*value*/) override
+    {
+        return true;
+    }
+    bool number_integer(number_integer_t /*value*/) override
+    {
+        return true;
+    }
+    bool number_unsigned(number_unsigned_t /*value*/) override
+    {
+        return true;
+    }
+    bool number_float(number_float_t /*value*/, const string_t & /*text*/) override
+    {
+        return false;
+    }
+    bool string(string_t & /*value*/) override
+    {
+        return true;
+    }
+    bool binary(binary_t & /*value*/) override
+    {
+        return true;
+    }
+    bool start_object(std::size_t /*elements*/) override
+    {
+        return false;
+    }
+    bool key(string_t & /*value*/) override
+    {
+        return false;
+    }
+    bool end_object() override
+    {
+        return false;
+    }
+    bool start_array(std::size_t /*elements*/) override
+    {
+        return ++this->depth <= MAX_DEPTH;
+    }
+    bool end_array() override
+    {
+        --this->depth;
+        return true;
+    }
+    bool parse_error(std::size_t /*position*/, const std::string & /*token*/, const nlohmann::detail::exception & /*error*/) override
+    {
+        return false;
+    }
+};
+
+std::vector<std::uint32_t> unpack(const std::vector<std::uint8_t> &bytes)
+{
+    constexpr std::size_t WIDTH = sizeof(std::uint32_t);
+    if (bytes.size() % WIDTH != 0) {
+        throw MalformedMessage("byte string does not hold whole numbers");
+    }
+    std::vector<std::uint32_t> values(bytes.size() / WIDTH, 0);
+    for (std::size_t index = 0; index < bytes.size(); ++index) {
+        values[index / WIDTH] |= std::uint32_t{bytes[index]} << (8 * (index % WIDTH));
+    }
+    return values;
+}
+
+template<std::size_t SIZE>
+std::array<std::uint32_t, SIZE> exactly(const std::vector<std::uint32_t> &values)
+{
+    if (values.size() != SIZE) {
+        throw MalformedMessage("unexpected number of values");
+    }
+    std::array<std::uint32_t, SIZE> exact{};
+    std::ranges::copy(values, exact.begin());
+    return exact;
+}
+
+Membership::MemberNews decodeNews(const Json &value)
+{
+    Fields fields{value};
+    Membership::MemberNews news;
+    news.id.value = fields.text();
+    news.address.value = fields.text();
+    news.dataCentre.value = fields.text();
+    news.incarnation = fields.unsignedNumber<std::uint64_t>();
+    news.state = fields.enumerator(Membership::MemberState::Gone);
+    fields.finish();
+    return news;
+}
+
+std::vector<Membership::HeardAge> decodeAges(const std::vector<std::uint8_t> &bytes)
+{
+    if (bytes.size() % AGE_BYTES != 0) {
+        throw MalformedMessage("byte string does not hold whole ages");
+    }
+    std::vector<Membership::HeardAge> ages;
+    for (auto at = bytes.begin(); at != bytes.end(); at += AGE_BYTES) {
+        const auto hash = unpack({at, at + sizeof(std::uint32_t)}).front();
+        ages.push_back({hash, Membership::HEARD_AGE_UNIT * at[AGE_BYTES - 1]});
+    }
+    return ages;
+}
+
+Membership::Body decodeBody(const Json &value)
+{
+    Fields tagged{value};
+    const auto tag = tagged.unsignedNumber<std::uint8_t>();
+    Fields fields{tagged.next()};
+    tagged.finish();
+    Membership::Body body;
+    switch (tag) {
+    case 0:
+        break;
+    case 1: {
+        const auto sequence = fields.unsignedNumber<std::uint64_t>();
+        body = Membership::Ping{sequence, fields.flag()};
+        break;
+    }
+    case 2: {
+        const auto sequence = fields.unsignedNumber<std::uint64_t>();
+        body = Membership::Acknowledgement{sequence, decodeAges(fields.bytes())};
+        break;
+    }
+    case 3: {
+        const auto sequence = fields.unsignedNumber<std::uint64_t>();
+        body = Membership::PingRequest{sequence, {fields.text()}};
+        break;
+    }
+    case 4: {
+        const auto sequence = fields.unsignedNumber<std::uint64_t>();
+        body = Membership::IndirectAcknowledgement{sequence, {fields.text()}};
+        break;
+    }
+    default:
+        throw MalformedMessage("unknown body");
+    }
+    fields.finish();
+    return body;
+}
+
+CompareRecords decodeCompareRecords(Fields &fields)
+{
+    CompareRecords compare;
+    compare.kind = fields.enumerator(DigestKind::WarmMarks);
+    compare.buckets = fields.unsignedNumber<std::uint32_t>();
+    compare.firstKeyHash = fields.unsignedNumber<std::uint32_t>();
+    compare.lastKeyHash = fields.unsignedNumber<std::uint32_t>();
+    const auto hashes = unpack(fields.bytes());
+    if (hashes.size() % 2 != 0) {
+        throw MalformedMessage("digest without its second half");
+    }
+    for (std::size_t index = 0; index < hashes.size(); index += 2) {
+        compare.records.push_back({hashes[index], hashes[index + 1]});
+    }
+    return compare;
+}
+
+Exchange decodeExchangeFields(std::uint8_t tag, Fields &fields)
+{
+    switch (tag) {
+    case 0:
+        return std::monostate{};
+    case 1: {
+        const auto kind = fields.enumerator(DigestKind::WarmMarks);
+        return CompareBuckets{kind, exactly<DIGEST_BUCKETS>(unpack(fields.bytes()))};
+    }
+    case 2:
+        return decodeCompareRecords(fields);
+    case 3: {
+        const auto kind = fields.enumerator(DigestKind::WarmMarks);
+        return RequestRecords{kind, unpack(fields.bytes())};
+    }
+    case 4: {
+        const Core::TeamName team{fields.text()};
+        return RequestSection{team, fields.unsignedNumber<std::uint64_t>()};
+    }
+    case 5: {
+        SectionText section{{fields.text()}, fields.unsignedNumber<std::uint64_t>(), {}};
+        section.text = fields.text();
+        return DeliverSection{std::move(section)};
+    }
+    case 6:
+        return RequestSnapshot{};
+    default:
+        throw MalformedMessage("unknown exchange");
+    }
+}
+
+Exchange decodeExchange(const Json &value)
+{
+    Fields tagged{value};
+    const auto tag = tagged.unsignedNumber<std::uint8_t>();
+    Fields fields{tagged.next()};
+    tagged.finish();
+    auto exchange = decodeExchangeFields(tag, fields);
+    fields.finish();
+    return exchange;
+}
+
+Envelope decodeEnvelope(const Json &document)
+{
+    Fields fields{document};
+    if (fields.unsignedNumber<std::uint32_t>() != PROTOCOL_VERSION) {
+        throw MalformedMessage("another protocol version");
+    }
+    Envelope envelope;
+    envelope.membership.sender = decodeNews(fields.next());
+    envelope.membership.isConfirmed = fields.flag();
+    envelope.membership.body = decodeBody(fields.next());
+    envelope.membership.news = fields.list(decodeNews);
+    envelope.summaries = exactly<DIGEST_KINDS>(unpack(fields.bytes()));
+    envelope.sections = fields.list(decodeSectionNews);
+    envelope.records = fields.list(decodeRecord);
+    envelope.exchange = decodeExchange(fields.next());
+    fields.finish();
+    return envelope;
+}
+
+} // namespace
+
+Envelope decode(std::string_view bytes)
+{
+    ShapeCheck check;
+    if (!Json::sax_parse(bytes, &check, Json::input_format_t::cbor)) {
+        throw MalformedMessage("not a CBOR message of the expected shape");
+    }
+    try {
+        return decodeEnvelope(Json::from_cbor(bytes));
+    } catch (const Json::exception &error) {
+        throw MalformedMessage(error.what());
+    }
+}
+
+} // namespace Briarbend::Gossip
--- /dev/null
+++ b/Libraries/LibGossip/Digest.cpp
@@ -0,0 +1,126 @@
+#include <LibGossip/Digest.h>
+
+#include <xxhash.h>
+
+namespace Briarbend::Gossip
+{
+
+namespace
+{
+
+/// Collects fields into bytes that differ where any field differs.
+struct Bytes {
+    std::string bytes;
+
+    Bytes &add(std::string_view text)
+    {
+        this->add(static_cast<std::uint64_t>(text.size()));
+        this->bytes += text;
+        return *this;
+    }
+
+    Bytes &add(std::uint64_t number)
+    {
+        constexpr int BYTE_BITS = 8;
+        for (int shift = 0; shift < 64; shift += BYTE_BITS) {
+            this->bytes += static_cast<char>(number >> shift);
+        }
+        return *this;
+    }
+
+    std::uint32_t hash() const
+    {
+        return static_cast<std::uint32_t>(XXH3_64bits(this->bytes.data(), this->bytes.size()));
+    }
+};
+
+std::uint64_t number(const auto &value)
+{
+    return static_cast<std::uint64_t>(value);
+}
+
+/// The key's fields first, then, in a second step, the rest.
+struct Hasher {
+    Bytes key;
+
+    RecordDigest finish(const auto &addContent) const
+    {
+        auto content = this->key;
+        addContent(content);
+        return {this->key.hash(), content.hash()};
+    }
+
+    RecordDigest operator()(const VerdictRecord &record)
+    {
+        const auto &rollout = record.rollout;
+        this->key.add(rollout.service.value).add(rollout.from.value).add(rollout.to.value);
+        this->key.add(number(rollout.start.time_since_epoch().count()));
+        return this->finish([&record](Bytes &content) {
+            content.add(number(record.outcome)).add(record.step);
+        });
+    }
+
+    RecordDigest operator()(const QuarantineRecord &record)
+    {
+        this->key.add(record.fingerprint).add(record.brokenTarget.value);
+        return this->finish([](Bytes &) {});
+    }
+
+    RecordDigest operator()(const WarmMark &record)
+    {
+        this->key.add(record.start.value);
+        return this->finish([&record](Bytes &content) {
+            content.add(record.epoch).add(number(record.isWarm));
+        });
+    }
+
+    RecordDigest operator()(const WarmthRecord &record)
+    {
+        this->key.add(record.start.value).add(record.member.value);
+        return this->finish([&record](Bytes &content) {
+            content.add(record.epoch).add(record.completedRequests);
+        });
+    }
+
+    RecordDigest operator()(const EvidenceRecord &record)
+    {
+        this->key.add(record.key.member.value).add(record.key.service.value).add(record.key.version.value);
+        this->key.add(record.key.routePrefix).add(number(record.key.loadBucket));
+        return this->finish([&record](Bytes &content) {
+            content.add(record.sequence);
+        });
+    }
+};
+
+} // namespace
+
+RecordDigest digestOf(const Record &record)
+{
+    return std::visit(Hasher{}, record);
+}
+
+RecordDigest digestOf(const SectionText &section)
+{
+    Hasher hasher;
+    hasher.key.add(section.team.value);
+    return hasher.finish([&section](Bytes &content) {
+        content.add(section.storeVersion);
+    });
+}
+
+std::size_t bucketOf(const RecordDigest &digest)
+{
+    return digest.keyHash % DIGEST_BUCKETS;
+}
+
+void toggle(BucketDigests &digests, const RecordDigest &digest)
+{
+    digests.at(bucketOf(digest)) ^= digest.contentHash;
+}
+
+std::uint32_t summaryOf(const BucketDigests &digests)
+{
+    return static_cast<std::uint32_t>(XXH3_64bits(digests.data(), digests.size() * sizeof(digests.front())));
+}
+
+} // namespace Briarbend::Gossip
--- /dev/null
+++ b/Libraries/LibGossip/Encode.cpp
@@ -0,0 +1,202 @@
+#include <LibGossip/Codec.h>
+
+#include <LibGossip/Wire.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Briarbend::Gossip
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+template<typename Range, typename Encoder>
+Json listOf(const Range &range, const Encoder &encoder)
+{
+    auto list = Json::array();
+    std::ranges::transform(range, std::back_inserter(list), encoder);
+    return list;
+}
+
+void appendLittleEndian(std::vector<std::uint8_t> &bytes, std::uint32_t value)
+{
+    for (std::size_t index = 0; index < sizeof value; ++index) {
+        bytes.push_back(static_cast<std::uint8_t>(value >> (8 * index)));
+    }
+}
+
+template<typename Range>
+Json packed(const Range &values)
+{
+    std::vector<std::uint8_t> bytes;
+    std::ranges::for_each(values, [&bytes](std::uint32_t value) {
+        appendLittleEndian(bytes, value);
+    });
+    return Json::binary(std::move(bytes));
+}
+
+Json encodeNews(const Membership::MemberNews &news)
+{
+    return {news.id.value, news.address.value, news.dataCentre.value, news.incarnation, static_cast<int>(news.state)};
+}
+
+Json encodeAges(const std::vector<Membership::HeardAge> &ages)
+{
+    std::vector<std::uint8_t> bytes;
+    for (const auto &age : ages) {
+        appendLittleEndian(bytes, age.memberHash);
+        bytes.push_back(static_cast<std::uint8_t>(std::clamp<std::int64_t>(age.age / Membership::HEARD_AGE_UNIT, 0, MAX_AGE_UNITS)));
+    }
+    return Json::binary(std::move(bytes));
+}
+
+struct BodyEncoder {
+    Json operator()(std::monostate) const
+    {
+        return Json::array();
+    }
+    Json operator()(const Membership::Ping &ping) const
+    {
+        return {ping.sequence, ping.wantsMembers};
+    }
+    Json operator()(const Membership::Acknowledgement &acknowledgement) const
+    {
+        return {acknowledgement.sequence, encodeAges(acknowledgement.heard)};
+    }
+    Json operator()(const Membership::PingRequest &request) const
+    {
+        return {request.sequence, request.target.value};
+    }
+    Json operator()(const Membership::IndirectAcknowledgement &acknowledgement) const
+    {
+        return {acknowledgement.sequence, acknowledgement.target.value};
+    }
+};
+
+struct RecordEncoder {
+    Json operator()(const VerdictRecord &record) const
+    {
+        const auto &rollout = record.rollout;
+        return {rollout.service.value,
+                rollout.from.value,
+                rollout.to.value,
+                rollout.start.time_since_epoch().count(),
+                static_cast<int>(record.outcome),
+                record.step};
+    }
+    Json operator()(const QuarantineRecord &record) const
+    {
+        return {record.fingerprint, record.brokenTarget.value};
+    }
+    Json operator()(const WarmMark &record) const
+    {
+        return {record.start.value, record.epoch, record.isWarm};
+    }
+    Json operator()(const WarmthRecord &record) const
+    {
+        return {record.start.value, record.member.value, record.epoch, record.completedRequests};
+    }
+    Json operator()(const EvidenceRecord &record) const
+    {
+        const auto &key = record.key;
+        return {key.member.value,
+                key.service.value,
+                key.version.value,
+                key.routePrefix,
+                key.loadBucket,
+                record.sequence,
+                record.requests,
+                record.failures,
+                Json(record.latencyCounts)};
+    }
+};
+
+Json encodeRecord(const CarriedRecord &carried)
+{
+    return {carried.record.index(), carried.remaining.count(), std::visit(RecordEncoder{}, carried.record)};
+}
+
+Json encodeSectionNews(const SectionNews &news)
+{
+    auto fields = Json::array({news.team.value, news.storeVersion, news.baseVersion});
+    if (news.baseVersion != 0) {
+        fields.insert(fields.end(), {news.prefixLength, news.suffixLength, news.middle, news.textHash});
+    }
+    return fields;
+}
+
+struct ExchangeEncoder {
+    Json operator()(std::monostate) const
+    {
+        return Json::array();
+    }
+    Json operator()(const CompareBuckets &compare) const
+    {
+        return {static_cast<int>(compare.kind), packed(compare.digests)};
+    }
+    Json operator()(const CompareRecords &compare) const
+    {
+        std::vector<std::uint32_t> hashes;
+        for (const auto &digest : compare.records) {
+            hashes.push_back(digest.keyHash);
+            hashes.push_back(digest.contentHash);
+        }
+        return {static_cast<int>(compare.kind), compare.buckets, compare.firstKeyHash, compare.lastKeyHash, packed(hashes)};
+    }
+    Json operator()(const RequestRecords &request) const
+    {
+        return {static_cast<int>(request.kind), packed(request.keyHashes)};
+    }
+    Json operator()(const RequestSection &request) const
+    {
+        return {request.team.value, request.storeVersion};
+    }
+    Json operator()(const DeliverSection &delivery) const
+    {
+        return {delivery.section.team.value, delivery.section.storeVersion, delivery.section.text};
+    }
+    Json operator()(const RequestSnapshot &) const
+    {
+        return Json::array();
+    }
+};
+
+template<typename Variant, typename Encoder>
+Json tagged(const Variant &variant, const Encoder &encoder)
+{
+    return Json::array({variant.index(), std::visit(encoder, variant)});
+}
+
+} // namespace
+
+std::string encode(const Envelope &envelope)
+{
+    const auto &membership = envelope.membership;
+    const auto document = Json::array({PROTOCOL_VERSION,
+                                       encodeNews(membership.sender),
+                                       membership.isConfirmed,
+                                       tagged(membership.body, BodyEncoder{}),
+                                       listOf(membership.news, encodeNews),
+                                       packed(envelope.summaries),
+                                       listOf(envelope.sections, encodeSectionNews),
+                                       listOf(envelope.records, encodeRecord),
+                                       tagged(envelope.exchange, ExchangeEncoder{})});
+    std::string bytes;
+    Json::to_cbor(document, bytes);
+    return bytes;
+}
+
+std::size_t encodedSize(const CarriedRecord &record)
+{
+    return Json::to_cbor(encodeRecord(record)).size();
+}
+
+std::size_t encodedSize(const SectionNews &news)
+{
+    return Json::to_cbor(encodeSectionNews(news)).size();
+}
+
+} // namespace Briarbend::Gossip
--- a/Libraries/LibGossip/Envelope.h
+++ b/Libraries/LibGossip/Envelope.h
@@ -50,11 +50,14 @@
     bool operator==(const CompareBuckets &) const = default;
 };
 
-/// Second step: the records in buckets that differ.
+/// Second step: the records in buckets that differ, or a part of them where they are many.
 struct CompareRecords {
     DigestKind kind{};
     /// Bit n stands for bucket n.
     std::uint32_t buckets{0};
+    /// Only key hashes from the first to the last are compared.
+    std::uint32_t firstKeyHash{0};
+    std::uint32_t lastKeyHash{0};
     std::vector<RecordDigest> records;
 
     bool operator==(const CompareRecords &) const = default;
--- a/Libraries/LibGossip/Gossip.cpp
+++ b/Libraries/LibGossip/Gossip.cpp
@@ -1,1 +1,265 @@
 #include <LibGossip/Gossip.h>
+
+#include <LibGossip/Compare.h>
+#include <LibGossip/Outbox.h>
+#include <LibGossip/Sections.h>
+#include <LibGossip/Tables.h>
+#include <LibMembership/Table.h>
+
+#include <algorithm>
+
+namespace Briarbend::Gossip
+{
+
+namespace
+{
+
+/// Peers that urgent news goes to at once, and in each of the next ticks.
+constexpr std::size_t PUSH_FANOUT = 3;
+constexpr std::size_t REPEATED_PUSH_FANOUT = 1;
+constexpr std::uint32_t REPEATED_PUSHES = 2;
+constexpr std::chrono::seconds EXPIRY_INTERVAL{1};
+
+/// Records that change count once in the changes.
+bool mergeRecord(State &state, const Record &record, Core::TimePoint expires, Core::TimePoint now, Changes &changes)
+{
+    const bool isChanged = std::visit(
+        [&](const auto &typed) {
+            return merge(tableFor(state, typed), typed, expires, now);
+        },
+        record);
+    if (isChanged) {
+        changes.records.push_back(record);
+    }
+    return isChanged;
+}
+
+void pushUrgent(State &state, Core::TimePoint now, Core::Random &random, Decision &decision)
+{
+    state.urgentRounds = REPEATED_PUSHES;
+    push(state, PUSH_FANOUT, now, random, decision);
+}
+
+void sendHeartbeats(State &state, std::vector<Membership::Outgoing> messages, Core::TimePoint now, Decision &decision)
+{
+    for (auto &outgoing : messages) {
+        const auto to = outgoing.to;
+        const bool isPing = std::holds_alternative<Membership::Ping>(outgoing.message.body);
+        Envelope envelope;
+        envelope.membership = std::move(outgoing.message);
+        if (!dispatch(state, {to, std::move(envelope), MessageClass::Heartbeat}, now, decision) && isPing) {
+            Membership::cancelPing(state.members, to);
+        }
+    }
+}
+
+void resetAgreement(State &state)
+{
+    if (state.agreeingSince != state.members.unconfirmedSince) {
+        state.agreeingSince = state.members.unconfirmedSince;
+        state.agreeing.clear();
+    }
+}
+
+/// Compares with a peer that has just answered a ping of this instance.
+void compareWith(State &state, const Envelope &envelope, Core::TimePoint now, Core::Random &random, Decision &decision)
+{
+    const auto &sender = envelope.membership.sender;
+    constexpr auto SECTIONS = static_cast<std::size_t>(DigestKind::Sections);
+    const bool isSame = envelope.summaries.at(SECTIONS) == summaryOf(state.sections.digests);
+    if (!state.members.isConfirmed && isSame) {
+        state.agreeing.insert(sender.id);
+        const auto members = Membership::aliveMembers(state.members).size();
+        if (envelope.membership.isConfirmed || (state.agreeing.size() + 1) * 2 > members) {
+            Membership::confirm(state.members, now);
+        }
+    }
+    if (!state.hasAskedSnapshot && envelope.membership.isConfirmed) {
+        state.hasAskedSnapshot = dispatchExchange(state, sender.address, RequestSnapshot{}, MessageClass::Heartbeat, now, decision);
+    }
+    startComparison(state, envelope.summaries, sender.address, now, random, decision);
+}
+
+/// Answers the exchange step of one message.
+struct ExchangeReceiver {
+    State &state;
+    const Membership::PeerAddress &peer;
+    Core::TimePoint now;
+    Core::Random &random;
+    Decision &decision;
+    bool &hasUrgentNews;
+
+    void operator()(std::monostate) const
+    {
+    }
+    void operator()(const CompareBuckets &compare) const
+    {
+        answer(this->state, compare, this->peer, this->now, this->random, this->decision);
+    }
+    void operator()(const CompareRecords &compare) const
+    {
+        answer(this->state, compare, this->peer, this->now, this->decision);
+    }
+    void operator()(const RequestRecords &request) const
+    {
+        answer(this->state, request, this->peer, this->now, this->decision);
+    }
+    void operator()(const RequestSection &request) const
+    {
+        deliverSection(this->state, request, this->peer, this->now, this->decision);
+    }
+    void operator()(const DeliverSection &delivery) const
+    {
+        this->hasUrgentNews |= acceptSection(this->state, delivery.section, this->decision.changes);
+    }
+    void operator()(const RequestSnapshot &) const
+    {
+        sendSnapshot(this->state, this->peer, this->now, this->decision);
+    }
+};
+
+/// Takes in sections and records. True where something urgent was new.
+bool applyNews(State &state, const Envelope &envelope, Core::TimePoint now, Decision &decision)
+{
+    bool hasUrgentNews = false;
+    for (const auto &news : envelope.sections) {
+        hasUrgentNews |= applySectionNews(state, news, envelope.membership.sender.address, now, decision);
+    }
+    for (const auto &carried : envelope.records) {
+        const auto remaining = std::min<std::chrono::seconds>(carried.remaining, MAX_RETENTION);
+        hasUrgentNews |= mergeRecord(state, carried.record, now + remaining, now, decision.changes) && isUrgent(carried.record);
+    }
+    return hasUrgentNews;
+}
+
+} // namespace
+
+State makeState(Membership::MemberNews self, std::set<Membership::PeerAddress> seeds, Core::TimePoint now)
+{
+    State state;
+    state.members = Membership::makeState(std::move(self), std::move(seeds), now);
+    state.nextExpiry = now;
+    return state;
+}
+
+Decision tick(State &state, Core::TimePoint now, Core::Random &random)
+{
+    Decision decision;
+    auto members = Membership::tick(state.members, now, random);
+    resetAgreement(state);
+    decision.changes.members = std::move(members.changes);
+    if (now >= state.nextExpiry) {
+        state.nextExpiry = now + EXPIRY_INTERVAL;
+        forEachTable(state, [now](auto &table) {
+            expire(table, now);
+        });
+    }
+    sendHeartbeats(state, std::move(members.messages), now, decision);
+    requestWanted(state, now, decision);
+    if (state.urgentRounds > 0) {
+        --state.urgentRounds;
+        push(state, REPEATED_PUSH_FANOUT, now, random, decision);
+    }
+    return decision;
+}
+
+Decision receive(State &state, std::string_view bytes, Core::TimePoint now, Core::Random &random)
+{
+    const auto envelope = decode(bytes);
+    Decision decision;
+    const auto &sender = envelope.membership.sender;
+    if (sender.id == state.members.self) {
+        return decision;
+    }
+    auto members = Membership::receive(state.members, envelope.membership, now);
+    resetAgreement(state);
+    decision.changes.members = std::move(members.changes);
+    bool hasUrgentNews = applyNews(state, envelope, now, decision);
+    std::visit(ExchangeReceiver{state, sender.address, now, random, decision, hasUrgentNews}, envelope.exchange);
+    sendHeartbeats(state, std::move(members.messages), now, decision);
+    if (members.freshlyHeard) {
+        compareWith(state, envelope, now, random, decision);
+    }
+    if (hasUrgentNews) {
+        pushUrgent(state, now, random, decision);
+    }
+    return decision;
+}
+
+Decision publishSection(State &state, const SectionText &section, Core::TimePoint now, Core::Random &random)
+{
+    Membership::observeTime(state.members, now);
+    Decision decision;
+    if (acceptSection(state, section, decision.changes)) {
+        pushUrgent(state, now, random, decision);
+    }
+    return decision;
+}
+
+Decision publish(State &state, const Record &record, Core::TimePoint now, Core::Random &random, Core::Duration retention)
+{
+    Membership::observeTime(state.members, now);
+    Decision decision;
+    const auto kept = retention > Core::Duration{0} ? retention : retentionOf(record);
+    const bool isChanged = mergeRecord(state, record, now + kept, now, decision.changes);
+    if (isChanged && isUrgent(record)) {
+        pushUrgent(state, now, random, decision);
+    }
+    return decision;
+}
+
+Decision leave(State &state, Core::TimePoint now)
+{
+    Decision decision;
+    for (auto &outgoing : Membership::leave(state.members, now).messages) {
+        Envelope envelope;
+        envelope.membership = std::move(outgoing.message);
+        dispatch(state, {std::move(outgoing.to), std::move(envelope), MessageClass::Bulk}, now, decision);
+    }
+    return decision;
+}
+
+bool isConfirmed(const State &state, Core::TimePoint now)
+{
+    return Membership::isConfirmed(state.members, now);
+}
+
+void confirmWithStore(State &state, Core::TimePoint now)
+{
+    Membership::confirm(state.members, now);
+}
+
+std::uint64_t warmthEpoch(const State &state, const Core::TargetStartId &start)
+{
+    const auto *mark = state.warmMarks.find(start);
+    auto newest = mark == nullptr ? 0 : mark->epoch;
+    const auto &entries = state.warmth.entries;
+    for (auto at = entries.lower_bound({start, {}}); at != entries.end() && at->first.start == start; ++at) {
+        newest = std::max(newest, at->second.record.epoch);
+    }
+    return newest;
+}
+
+std::uint64_t completedRequests(const State &state, const Core::TargetStartId &start)
+{
+    const auto newest = warmthEpoch(state, start);
+    const auto &entries = state.warmth.entries;
+    std::uint64_t sum = 0;
+    for (auto at = entries.lower_bound({start, {}}); at != entries.end() && at->first.start == start; ++at) {
+        sum += at->second.record.epoch == newest ? at->second.record.completedRequests : 0;
+    }
+    return sum;
+}
+
+std::size_t brokenTargets(const State &state, std::uint64_t fingerprint)
+{
+    const auto &entries = state.quarantine.entries;
+    auto at = entries.lower_bound({fingerprint, {}});
+    std::size_t count = 0;
+    for (; at != entries.end() && at->first.fingerprint == fingerprint; ++at) {
+        ++count;
+    }
+    return count;
+}
+
+} // namespace Briarbend::Gossip
--- a/Libraries/LibGossip/Merge.h
+++ b/Libraries/LibGossip/Merge.h
@@ -42,6 +42,9 @@
 constexpr std::chrono::minutes WARM_MARK_RETENTION{30};
 constexpr std::chrono::minutes QUARANTINE_RETENTION{10};
 
+/// Longest time left that is believed of a peer.
+constexpr std::chrono::minutes MAX_RETENTION{2 * 24 * 60};
+
 Core::Duration retentionOf(const Record &record);
 
 } // namespace Briarbend::Gossip
--- a/Libraries/LibGossip/State.h
+++ b/Libraries/LibGossip/State.h
@@ -5,6 +5,7 @@
 #include <LibMembership/State.h>
 
 #include <deque>
+#include <set>
 #include <vector>
 
 namespace Briarbend::Gossip
@@ -46,10 +47,14 @@
     ByteBudget control{CONTROL_BYTES_PER_SECOND, CONTROL_BURST_BYTES};
     /// For whole section texts and the tables that a new instance starts from.
     ByteBudget bulk{BULK_BYTES_PER_SECOND, BULK_BURST_BYTES};
-    /// Something urgent waits for the next tick to go to further peers.
+    /// Ticks in which urgent news still goes to further peers out of turn.
     std::uint32_t urgentRounds{0};
-    bool hasSnapshot{false};
+    /// Whether a peer's tables have been asked for since the start.
+    bool hasAskedSnapshot{false};
     Core::TimePoint nextExpiry;
+    /// Unconfirmed peers that hold the same sections, counted since `agreeingSince`.
+    std::set<Core::InstanceId> agreeing;
+    Core::TimePoint agreeingSince;
 };
 
 } // namespace Briarbend::Gossip
