LibRelay: Claim requests that run at most once before sending them

The claim's pure machine decides; OnceSubmission drives it and lives on for late results, so that a grant that comes after the caller's answer is given back. Admission comes before the claim: a refused request then costs the store nothing, at the price that repeats which wait for a running one hold a place until their deadline. Such requests are not cancelled when their caller goes, since their answer is to be recorded.

--- /dev/null
+++ b/Libraries/LibRelay/ClaimSubmitter.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <LibClaims/RequestClaim.h>
+
+#include <functional>
+
+namespace Briarbend::Relay
+{
+
+/// Takes operations on claims to the bucket that keeps them. The I/O behind it begins here.
+class ClaimSubmitter
+{
+public:
+    /// The result of a claim. `isHolderGone` tells, where another attempt holds the key, that its instance is known to have ended.
+    using ResultCallback = std::function<void(const Claims::ClaimResult &result, bool isHolderGone)>;
+
+    virtual ~ClaimSubmitter() = default;
+
+    virtual const Claims::Settings &settings() const = 0;
+    /// Submits without waiting. The callback runs at most once, for claims only, possibly never. Records and releases are repeated until
+    /// they are stored or the process ends.
+    virtual void submit(const Core::ServiceName &service, const Claims::SubmitOperation &operation, ResultCallback callback) = 0;
+};
+
+} // namespace Briarbend::Relay
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -66,15 +66,12 @@
 
 Asio::awaitable<ExchangeResult> Exchange::run(const Core::TargetId &target)
 {
-    AttemptRecord record(this->relay, this->service, target, Core::Clock::now());
+    const auto startedAt = Core::Clock::now();
+    AttemptRecord record(this->relay, this->service, target, startedAt);
     this->result.targetStart = record.startAtSend();
-    if (!co_await this->connect(target, record)) {
-        co_return this->result;
-    }
-    if (!co_await this->send(record)) {
-        co_return this->result;
-    }
-    if (!co_await this->receiveHead(record)) {
+    const bool hasHead = co_await this->connect(target, record) && co_await this->send(record) && co_await this->receiveHead(record);
+    this->result.timeToHead = Core::Clock::now() - startedAt;
+    if (!hasHead) {
         co_return this->result;
     }
     if (this->result.progress == Progress::RefusedByTargetNotRun) {
@@ -173,9 +170,12 @@
 {
     auto &target = this->connection->stream;
     boost::system::error_code error;
-    CallerWatch watch(this->caller.stream.socket(), [&target] {
-        target.cancel();
-    });
+    std::optional<CallerWatch> watch;
+    if (this->copy == nullptr) {
+        watch.emplace(this->caller.stream.socket(), [&target] {
+            target.cancel();
+        });
+    }
     do {
         this->parser.emplace();
         this->parser->header_limit(MAXIMUM_ANSWER_HEAD_BYTES);
@@ -183,7 +183,7 @@
         this->parser->skip(this->request.head.method() == Http::verb::head);
         co_await Http::async_read_header(target, this->connection->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
     } while (!error && this->parser->get().result_int() / 100 == 1);
-    if (watch.isGone()) {
+    if (watch && watch->isGone()) {
         this->result.isCallerGone = true;
         this->result.isCallerUsable = false;
         this->connection.reset();
@@ -303,6 +303,8 @@
     if (error) {
         this->result.isCallerGone = true;
         this->result.isCallerUsable = false;
+    }
+    if (error && !co_await this->readRestForCopy()) {
         co_return;
     }
     if (this->copy != nullptr) {
@@ -311,6 +313,21 @@
     this->finish();
 }
 
+Asio::awaitable<bool> Exchange::readRestForCopy()
+{
+    if (this->copy == nullptr) {
+        co_return false;
+    }
+    std::size_t length = 0;
+    while (!this->parser->is_done() && this->copy->body.size() <= this->copy->maximumBytes) {
+        if (!co_await this->readSome(length)) {
+            co_return false;
+        }
+        this->copyBody(length);
+    }
+    co_return true;
+}
+
 void Exchange::copyHead()
 {
     if (this->copy == nullptr) {
@@ -327,15 +344,10 @@
 
 void Exchange::copyBody(std::size_t length)
 {
-    if (this->copy == nullptr || this->copy->isTooLarge) {
-        return;
-    }
-    if (this->copy->body.size() + length > this->copy->maximumBytes) {
-        this->copy->isTooLarge = true;
-        this->copy->body.clear();
-        return;
+    // One byte above the maximum shows that the answer is too long to be kept; more of it is not needed.
+    if (this->copy != nullptr && this->copy->body.size() <= this->copy->maximumBytes) {
+        this->copy->body.append(this->chunk.data(), length);
     }
-    this->copy->body.append(this->chunk.data(), length);
 }
 
 void Exchange::finish()
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -39,15 +39,14 @@
     std::string requestId;
 };
 
-/// A copy of an answer that is kept for repeats of the request.
+/// A copy of an answer that is kept for repeats of the request. A request whose answer is copied is not cancelled when its caller goes.
 struct AnswerCopy {
-    /// Bodies above this length are not kept.
+    /// Copying ends once the body is longer than this.
     std::size_t maximumBytes{0};
     unsigned status{0};
     std::vector<Rejection::HeaderField> fields;
     std::string body;
     bool isWhole{false};
-    bool isTooLarge{false};
 };
 
 /// How one exchange with a target ended.
@@ -66,6 +65,8 @@
     bool isTargetBroken{false};
     std::optional<Core::TargetStartId> targetStart;
     unsigned status{0};
+    /// From the start of the exchange to the head of the answer, or to its failure.
+    Core::Duration timeToHead{0};
 };
 
 /// Sends one request to one target and streams the answer back. The target connection is reused only after a clean end.
@@ -87,6 +88,7 @@
     boost::asio::awaitable<bool> receiveHead(AttemptRecord &record);
     boost::asio::awaitable<void> discardRefusal();
     boost::asio::awaitable<void> forwardAnswer();
+    boost::asio::awaitable<bool> readRestForCopy();
     boost::asio::awaitable<bool> readSome(std::size_t &length);
     void prepareAnswerHead();
     void noteHead(AttemptRecord &record);
--- /dev/null
+++ b/Libraries/LibRelay/OnceSubmission.cpp
@@ -0,0 +1,145 @@
+#include <LibRelay/HeaderRules.h>
+#include <LibRelay/OnceSubmission.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Briarbend::Relay
+{
+
+namespace
+{
+
+namespace Asio = boost::asio;
+
+Core::WallTime wallNow()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+} // namespace
+
+OnceSubmission::OnceSubmission(const Asio::any_io_executor &executor,
+                               ClaimSubmitter &claimSubmitter,
+                               Core::ServiceName serviceName,
+                               Claims::RequestClaim requestClaim)
+    : submitter(claimSubmitter)
+    , service(std::move(serviceName))
+    , request(std::move(requestClaim))
+    , timer(executor)
+{
+}
+
+Asio::awaitable<OnceSubmission::Verdict> OnceSubmission::claim()
+{
+    this->carryOut(Claims::begin(this->request, this->submitter.settings(), Core::Clock::now(), wallNow()));
+    auto next = co_await this->nextAct();
+    if (auto *replay = std::get_if<Claims::Replay>(&next)) {
+        co_return std::move(replay->answer);
+    }
+    if (auto *refuse = std::get_if<Claims::Refuse>(&next)) {
+        co_return std::move(refuse->refusal);
+    }
+    co_return MaySend{};
+}
+
+Asio::awaitable<OnceSubmission::Act> OnceSubmission::nextAct()
+{
+    while (std::holds_alternative<std::monostate>(this->act)) {
+        this->timer.expires_at(this->wakeAt.value_or(this->request.deadline));
+        boost::system::error_code ignored;
+        co_await this->timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+        const auto now = Core::Clock::now();
+        if (std::holds_alternative<std::monostate>(this->act) && now >= this->wakeAt.value_or(this->request.deadline)) {
+            this->carryOut(Claims::onTimer(this->request, this->submitter.settings(), now, wallNow()));
+        }
+    }
+    co_return std::exchange(this->act, std::monostate{});
+}
+
+std::optional<Rejection::Refusal> OnceSubmission::beginSending()
+{
+    this->carryOut(Claims::beginSending(this->request, Core::Clock::now(), wallNow()));
+    const auto next = std::exchange(this->act, std::monostate{});
+    if (const auto *refuse = std::get_if<Claims::Refuse>(&next)) {
+        return refuse->refusal;
+    }
+    if (std::holds_alternative<Claims::SendNow>(next)) {
+        return std::nullopt;
+    }
+    return Rejection::Refusal{.reason = Rejection::Reason::InternalError, .detail = "the claim did not let the request be sent"};
+}
+
+void OnceSubmission::refusedByTarget()
+{
+    this->carryOut(Claims::onRefusedByTarget(this->request));
+}
+
+void OnceSubmission::answered(const AnswerCopy &copy)
+{
+    this->carryOut(Claims::onAnswered(this->request, {.status = copy.status, .fields = copy.fields, .body = copy.body}));
+}
+
+Rejection::Refusal OnceSubmission::failed(const Rejection::Refusal &refusal)
+{
+    this->carryOut(Claims::onFailed(this->request, refusal, wallNow()));
+    const auto next = std::exchange(this->act, std::monostate{});
+    const auto *refuse = std::get_if<Claims::Refuse>(&next);
+    return refuse == nullptr ? refusal : refuse->refusal;
+}
+
+void OnceSubmission::callerGone()
+{
+    this->carryOut(Claims::onCallerGone(this->request, wallNow()));
+}
+
+void OnceSubmission::carryOut(const Claims::RequestDecision &decision)
+{
+    if (decision.wakeAt) {
+        this->wakeAt = decision.wakeAt;
+    }
+    if (!std::holds_alternative<std::monostate>(decision.act)) {
+        this->act = decision.act;
+    }
+    this->timer.cancel();
+    if (!decision.submit) {
+        return;
+    }
+    this->submitter.submit(
+        this->service, *decision.submit, [self = this->shared_from_this()](const Claims::ClaimResult &result, bool isHolderGone) {
+            self->carryOut(
+                Claims::onClaimResult(self->request, result, isHolderGone, self->submitter.settings(), Core::Clock::now(), wallNow()));
+        });
+}
+
+Claims::RequestClaim makeRequestClaim(const Configuration::MatchedRoute &matched,
+                                      const ForwardedRequest &forwarded,
+                                      const std::string &idempotencyKey,
+                                      const Core::InstanceId &instance,
+                                      Core::Random &random)
+{
+    const auto method = forwarded.head.method_string();
+    const auto target = forwarded.head.target();
+    return {.key = Claims::keyDigest(matched.service->name.value, matched.route->pathPrefix, idempotencyKey),
+            .request = Claims::requestDigest({method.data(), method.size()}, {target.data(), target.size()}, forwarded.body),
+            .attempt = Claims::newAttemptId(random),
+            .instance = instance,
+            .deadline = forwarded.deadline,
+            .wakeAt = {}};
+}
+
+Http::response<Http::string_body> replayedAnswer(const Claims::RecordedAnswer &answer, const std::string &requestId)
+{
+    Http::response<Http::string_body> response;
+    response.version(11);
+    response.result(answer.status);
+    for (const auto &field : answer.fields) {
+        response.insert(field.name, field.value);
+    }
+    response.set(std::string(REQUEST_ID_FIELD), requestId);
+    response.body() = answer.body;
+    response.prepare_payload();
+    return response;
+}
+
+} // namespace Briarbend::Relay
--- /dev/null
+++ b/Libraries/LibRelay/OnceSubmission.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibRelay/ClaimSubmitter.h>
+#include <LibRelay/Exchange.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <variant>
+
+namespace Briarbend::Relay
+{
+
+/// One submission of a request that runs at most once: drives its claim until the request may be sent, and reports how it ended. Lives on
+/// after the request has its answer for as long as a result of its claim may come.
+class OnceSubmission : public std::enable_shared_from_this<OnceSubmission>
+{
+public:
+    /// The key is granted: the request may be sent.
+    struct MaySend {
+    };
+    using Verdict = std::variant<MaySend, Claims::RecordedAnswer, Rejection::Refusal>;
+
+    OnceSubmission(const boost::asio::any_io_executor &executor,
+                   ClaimSubmitter &submitter,
+                   Core::ServiceName service,
+                   Claims::RequestClaim request);
+
+    /// Claims the key and waits until it is granted, answered or refused, at the latest until the deadline.
+    boost::asio::awaitable<Verdict> claim();
+    /// Must be asked directly before each sending. Nothing where the request may be sent now.
+    std::optional<Rejection::Refusal> beginSending();
+    /// The target proved that it did not run the request; it may be sent to another one.
+    void refusedByTarget();
+    void answered(const AnswerCopy &copy);
+    /// Ends without an answer from a target. Returns the refusal with what the claims say of earlier submissions.
+    Rejection::Refusal failed(const Rejection::Refusal &refusal);
+    void callerGone();
+
+private:
+    using Act = decltype(Claims::RequestDecision::act);
+
+    void carryOut(const Claims::RequestDecision &decision);
+    boost::asio::awaitable<Act> nextAct();
+
+    ClaimSubmitter &submitter;
+    Core::ServiceName service;
+    Claims::RequestClaim request;
+    boost::asio::steady_timer timer;
+    std::optional<Core::TimePoint> wakeAt;
+    Act act;
+};
+
+/// The claim of a request as its handler knows it.
+Claims::RequestClaim makeRequestClaim(const Configuration::MatchedRoute &matched,
+                                      const ForwardedRequest &forwarded,
+                                      const std::string &idempotencyKey,
+                                      const Core::InstanceId &instance,
+                                      Core::Random &random);
+
+/// A recorded answer in HTTP, with the id of the request that repeats it.
+Http::response<Http::string_body> replayedAnswer(const Claims::RecordedAnswer &answer, const std::string &requestId);
+
+} // namespace Briarbend::Relay
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -2,9 +2,13 @@
 
 #include <LibCore/Random.h>
 #include <LibLimits/ColdGate.h>
+#include <LibMetrics/LatencySummary.h>
+#include <LibRejection/Reason.h>
+#include <LibRelay/ClaimSubmitter.h>
 #include <LibRelay/ServiceState.h>
 #include <LibRelay/TargetConnection.h>
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,6 +24,15 @@
     std::uint64_t retries{0};
     std::uint64_t callersGone{0};
     std::uint64_t brokenOff{0};
+    std::array<std::uint64_t, Rejection::REASON_COUNT> refusedByReason{};
+};
+
+/// Where the time of answered requests went.
+struct RelayLatencies {
+    /// From the request's head to its sending: admission, claim and choice.
+    Metrics::LatencySummary beforeSending;
+    /// From its last sending to the head of the answer, at the target and on the way.
+    Metrics::LatencySummary atTarget;
 };
 
 /// What operators set for the traffic of callers.
@@ -41,6 +54,9 @@
     /// Name in Proxy-Status and log lines.
     std::string instanceName;
     RelayLimits limits;
+    Core::InstanceId instance;
+    /// Null where the instance serves no requests that run at most once.
+    ClaimSubmitter *claims{nullptr};
     /// Null until a configuration has come.
     std::shared_ptr<const Configuration::RouteTable> routes;
     std::unordered_map<Core::ServiceName, std::shared_ptr<ServiceState>> services;
@@ -48,13 +64,16 @@
     Core::Random random;
     TargetConnectionPool pool;
     RelayCounters counters;
+    RelayLatencies latencies;
     /// Requests that callers are still waiting for.
     std::uint32_t requestsInFlight{0};
     std::uint32_t callerConnections{0};
     /// True once a planned stop began: answers carry Connection: close.
     bool isStopping{false};
     /// False while this instance may be behind: it woke from a freeze and has not confirmed its versions yet.
-    bool isCurrent{true};
+    std::function<bool()> isCurrent = [] {
+        return true;
+    };
 };
 
 } // namespace Briarbend::Relay
--- a/Libraries/LibRelay/RequestHandler.cpp
+++ b/Libraries/LibRelay/RequestHandler.cpp
@@ -1,3 +1,4 @@
+#include <LibClaims/IdempotencyKey.h>
 #include <LibRelay/Answers.h>
 #include <LibRelay/HeaderRules.h>
 #include <LibRelay/RequestHandler.h>
@@ -27,6 +28,16 @@
 /// Wait before no target is asked for again while targets are cold or at their connection limit.
 constexpr std::chrono::milliseconds NO_TARGET_RETRY_AFTER{1000};
 
+std::optional<std::string> idempotencyKeyOf(const Http::request_header<> &head)
+{
+    std::vector<std::string_view> values;
+    const auto range = head.equal_range("Idempotency-Key");
+    std::transform(range.first, range.second, std::back_inserter(values), [](const auto &field) {
+        return std::string_view(field.value().data(), field.value().size());
+    });
+    return Claims::parseIdempotencyKey(values);
+}
+
 std::string hexadecimal(std::uint64_t value)
 {
     std::string text(REQUEST_ID_DIGITS, '0');
@@ -55,18 +66,19 @@
     if (auto problem = findHeadProblem(head)) {
         // Where the request ends is in doubt, so nothing after it may be read as another request.
         this->caller.keepsAlive = false;
-        co_return co_await this->refuse({.reason = Reason::BadRequest, .detail = *problem});
+        this->refusal.detail = *problem;
+        co_return co_await this->refuse(Reason::BadRequest);
     }
-    if (!this->routes || !this->relay.isCurrent) {
-        co_return co_await this->refuse({.reason = Reason::NotConfigured});
+    if (!this->routes || !this->relay.isCurrent()) {
+        co_return co_await this->refuse(Reason::NotConfigured);
     }
     this->matched = this->routes->match(std::string_view(head.target().data(), head.target().size()));
     if (this->matched.route == nullptr) {
-        co_return co_await this->refuse({.reason = Reason::NoRoute});
+        co_return co_await this->refuse(Reason::NoRoute);
     }
     const auto found = this->relay.services.find(this->matched.service->name);
     if (found == this->relay.services.end()) {
-        co_return co_await this->refuse({.reason = Reason::NoTarget});
+        co_return co_await this->refuse(Reason::NoTarget);
     }
     this->service = found->second;
     this->forwarded.deadline = this->deadlineOf(*this->matched.route);
@@ -75,21 +87,27 @@
 
 Asio::awaitable<bool> RequestHandler::serve()
 {
-    if (this->matched.route->kind == Configuration::RouteKind::Once) {
-        co_return co_await this->refuse({.reason = Reason::StoreUnavailableForClaims});
+    const bool isOnce = this->matched.route->kind == Configuration::RouteKind::Once;
+    if (isOnce) {
+        this->refusal.earlier = Rejection::EarlierSubmissions::Unknown;
+        this->copy.emplace();
     }
     if (expectsContinue(this->caller.parser.get())) {
         co_await this->sendContinue();
     }
+    const auto maximumBytes = isOnce ? this->relay.limits.claimedBodyBytes : BUFFERED_BODY_BYTES;
     const auto length = this->caller.parser.content_length();
-    this->forwarded.isStreamed = !this->caller.parser.is_done() && (!length || *length > BUFFERED_BODY_BYTES);
-    if (!this->forwarded.isStreamed && !co_await this->readWholeBody(BUFFERED_BODY_BYTES)) {
+    this->forwarded.isStreamed = !isOnce && !this->caller.parser.is_done() && (!length || *length > maximumBytes);
+    if (!this->forwarded.isStreamed && !co_await this->readWholeBody(maximumBytes)) {
         co_return false;
     }
     this->prepareForwardedHead();
     AdmissionTurn turn(this->relay, this->service, this->matched.route->trafficClass, this->forwarded.deadline);
     if (!co_await turn.enter()) {
-        co_return co_await this->refuse({.reason = Reason::Overloaded, .retryAfter = turn.retryAfter()});
+        co_return co_await this->refuse(Reason::Overloaded, turn.retryAfter());
+    }
+    if (isOnce && !co_await this->claimKey()) {
+        co_return this->isCallerUsable;
     }
     Limits::recordRequest(this->service->retryBudget, Core::Clock::now());
     auto next = Next::TryAgain;
@@ -102,43 +120,80 @@
     co_return this->lastResult.isCallerUsable;
 }
 
+Asio::awaitable<bool> RequestHandler::claimKey()
+{
+    const auto key = idempotencyKeyOf(this->forwarded.head);
+    if (!key) {
+        this->isCallerUsable = co_await this->refuse(Reason::KeyMissing);
+        co_return false;
+    }
+    if (this->relay.claims == nullptr) {
+        this->isCallerUsable = co_await this->refuse(Reason::StoreUnavailableForClaims, NO_TARGET_RETRY_AFTER);
+        co_return false;
+    }
+    this->copy->maximumBytes = this->relay.claims->settings().largestAnswer;
+    auto claiming = std::make_shared<OnceSubmission>(
+        this->caller.stream.get_executor(),
+        *this->relay.claims,
+        this->matched.service->name,
+        makeRequestClaim(this->matched, this->forwarded, *key, this->relay.instance, this->relay.random));
+    const auto verdict = co_await claiming->claim();
+    if (const auto *answer = std::get_if<Claims::RecordedAnswer>(&verdict)) {
+        this->isCallerUsable = co_await this->write(replayedAnswer(*answer, this->forwarded.requestId));
+        co_return false;
+    }
+    if (const auto *refused = std::get_if<Rejection::Refusal>(&verdict)) {
+        this->isCallerUsable = co_await this->refuse(*refused);
+        co_return false;
+    }
+    this->submission = std::move(claiming);
+    co_return true;
+}
+
 Asio::awaitable<RequestHandler::Next> RequestHandler::attemptOnce(AdmissionTurn &turn)
 {
     auto choice = this->choose();
     while (!choice.target) {
         const bool canWait = choice.obstacle == Routing::ChoiceObstacle::Cold || choice.obstacle == Routing::ChoiceObstacle::Connections;
         if (!canWait || !co_await turn.enterAgain()) {
-            this->refusal = {.reason = canWait ? Reason::Overloaded : Reason::NoTarget,
-                             .progress = this->refusal.progress,
-                             .retryAfter = canWait ? turn.retryAfter() : Rejection::withJitter(NO_TARGET_RETRY_AFTER, this->relay.random)};
+            this->refusal.reason = canWait ? Reason::Overloaded : Reason::NoTarget;
+            this->refusal.retryAfter = canWait ? turn.retryAfter() : Rejection::withJitter(NO_TARGET_RETRY_AFTER, this->relay.random);
             co_return Next::Refuse;
         }
         choice = this->choose();
     }
+    if (this->submission) {
+        if (const auto refused = this->submission->beginSending()) {
+            this->submission.reset();
+            this->refusal = *refused;
+            co_return Next::Refuse;
+        }
+    }
     this->tried.push_back(*choice.target);
     const auto sentAt = Core::Clock::now();
-    Exchange exchange(this->relay, *this->service, this->caller, this->forwarded, nullptr);
+    Exchange exchange(this->relay, *this->service, this->caller, this->forwarded, this->copy ? &*this->copy : nullptr);
     this->lastResult = co_await exchange.run(*choice.target);
-    turn.headArrived(Core::Clock::now() - sentAt);
+    turn.headArrived(this->lastResult.timeToHead);
+    this->relay.latencies.beforeSending.add(sentAt - this->arrivedAt);
+    this->relay.latencies.atTarget.add(this->lastResult.timeToHead);
     co_return this->judge(this->lastResult);
 }
 
 RequestHandler::Next RequestHandler::judge(const ExchangeResult &result)
 {
-    if (result.isCallerGone) {
-        ++this->relay.counters.callersGone;
-        return Next::Done;
+    // An earlier attempt whose outcome is unknown stays unknown, whatever a later one says.
+    if (this->refusal.progress != Progress::SentOutcomeUnknown) {
+        this->refusal.progress = result.progress;
     }
-    if (!result.failure || result.isHeadForwarded) {
-        ++this->relay.counters.answered;
+    if (result.isCallerGone || result.isHeadForwarded || !result.failure) {
+        this->endAnswered(result);
         return Next::Done;
     }
     const auto now = Core::Clock::now();
     const bool mayBeSentAgain = Rejection::mayRetry(this->matched.route->kind, result.progress)
         && (!this->forwarded.isStreamed || result.progress == Progress::NotSent);
-    // An earlier attempt whose outcome is unknown stays unknown, whatever a later one says.
-    if (this->refusal.progress != Progress::SentOutcomeUnknown) {
-        this->refusal.progress = result.progress;
+    if (this->submission && Rejection::isCertainlyNotRun(result.progress)) {
+        this->submission->refusedByTarget();
     }
     if (mayBeSentAgain && now < this->forwarded.deadline && Limits::takeExtraSend(this->service->retryBudget, now)) {
         ++this->relay.counters.retries;
@@ -149,6 +204,20 @@
     return Next::Refuse;
 }
 
+void RequestHandler::endAnswered(const ExchangeResult &result)
+{
+    ++(result.isCallerGone ? this->relay.counters.callersGone : this->relay.counters.answered);
+    if (!this->submission) {
+        return;
+    }
+    if (this->copy->isWhole) {
+        this->submission->answered(*this->copy);
+    } else {
+        this->submission->failed({.reason = Reason::TargetConnectionLost, .progress = Progress::SentOutcomeUnknown});
+    }
+    this->submission.reset();
+}
+
 Routing::Choice RequestHandler::choose()
 {
     const Routing::ChoiceInput input{
@@ -178,12 +247,28 @@
     return verdict == Limits::ColdVerdict::MayTry ? Routing::Permission::PermittedCold : Routing::Permission::Permitted;
 }
 
+Asio::awaitable<bool> RequestHandler::refuse(Reason reason, std::optional<std::chrono::milliseconds> retryAfter)
+{
+    this->refusal.reason = reason;
+    this->refusal.retryAfter = retryAfter;
+    co_return co_await this->refuse(this->refusal);
+}
+
 Asio::awaitable<bool> RequestHandler::refuse(Rejection::Refusal answer)
 {
     ++this->relay.counters.refused;
+    ++this->relay.counters.refusedByReason.at(static_cast<std::size_t>(answer.reason));
+    if (this->submission) {
+        answer = this->submission->failed(answer);
+        this->submission.reset();
+    }
+    co_return co_await this->write(makeRefusal(answer, this->relay.instanceName, this->forwarded.requestId));
+}
+
+Asio::awaitable<bool> RequestHandler::write(Network::Response response)
+{
     // The rest of a body that nobody wants is not read: the connection ends with the answer.
     const bool keepsAlive = this->caller.keepsAlive && this->caller.parser.is_done() && !this->relay.isStopping;
-    auto response = makeRefusal(answer, this->relay.instanceName, this->forwarded.requestId);
     response.keep_alive(keepsAlive);
     this->caller.stream.expires_after(this->relay.limits.idleTimeout);
     boost::system::error_code error;
@@ -214,7 +299,7 @@
         }
         whole.append(chunk.data(), chunk.size() - parser.get().body().size);
         if (whole.size() > maximumBytes) {
-            co_await this->refuse({.reason = Reason::BodyTooLarge});
+            co_await this->refuse(Reason::BodyTooLarge);
             co_return false;
         }
     }
--- a/Libraries/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/RequestHandler.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <LibNetwork/Http.h>
 #include <LibRelay/AdmissionTurn.h>
 #include <LibRelay/Exchange.h>
+#include <LibRelay/OnceSubmission.h>
 #include <LibRouting/Choice.h>
 
 namespace Briarbend::Relay
@@ -24,12 +26,17 @@
         Refuse,
     };
 
-    boost::asio::awaitable<bool> refuse(Rejection::Refusal refusal);
+    boost::asio::awaitable<bool> refuse(Rejection::Reason reason, std::optional<std::chrono::milliseconds> retryAfter = {});
+    boost::asio::awaitable<bool> refuse(Rejection::Refusal answer);
+    boost::asio::awaitable<bool> write(Network::Response response);
     boost::asio::awaitable<bool> readWholeBody(std::uint64_t maximumBytes);
     boost::asio::awaitable<void> sendContinue();
     boost::asio::awaitable<bool> serve();
+    /// Claims the key of a request that runs at most once. False where the caller has its answer already.
+    boost::asio::awaitable<bool> claimKey();
     boost::asio::awaitable<Next> attemptOnce(AdmissionTurn &turn);
     Next judge(const ExchangeResult &result);
+    void endAnswered(const ExchangeResult &result);
     Routing::Choice choose();
     Routing::Permission permissionFor(const Routing::TargetState &target);
     void prepareForwardedHead();
@@ -46,6 +53,11 @@
     std::vector<Core::TargetId> tried;
     Rejection::Refusal refusal;
     ExchangeResult lastResult;
+    /// Set while this request holds the claim on its key.
+    std::shared_ptr<OnceSubmission> submission;
+    /// Set for requests that run at most once.
+    std::optional<AnswerCopy> copy;
+    bool isCallerUsable{true};
 };
 
 } // namespace Briarbend::Relay
