LibDocument: Say which name is not allowed, and report at a whole table

A name outside [a-z0-9-] was reported without the name, which its writer would have had to look up by the line.

--- a/Libraries/LibDocument/TableReader.cpp
+++ b/Libraries/LibDocument/TableReader.cpp
@@ -98,7 +98,10 @@
     for (const auto &[key, value] : *this->node) {
         const auto name = key.str();
         if (!isName(name)) {
-            this->problems->add(key.source().begin.line, this->pathOf(name), "the name", "names of 1 to 63 characters from a-z, 0-9 and -");
+            this->problems->add(key.source().begin.line,
+                                this->pathOf(name),
+                                "the name \"" + std::string(name) + "\"",
+                                "names of 1 to 63 characters from a-z, 0-9 and -");
         } else if (const auto table = this->subtable(name)) {
             tables.push_back(*table);
         }
@@ -166,7 +169,10 @@
 
 std::string TableReader::pathOf(std::string_view key) const
 {
-    return this->tablePath.empty() ? std::string(key) : this->tablePath + "." + std::string(key);
+    if (this->tablePath.empty() || key.empty()) {
+        return this->tablePath + std::string(key);
+    }
+    return this->tablePath + "." + std::string(key);
 }
 
 std::uint32_t TableReader::line() const
--- a/Libraries/LibDocument/TableReader.h
+++ b/Libraries/LibDocument/TableReader.h
@@ -40,7 +40,7 @@
 
     /// Reports the value of a key as not allowed.
     void report(const toml::node &node, std::string_view key, std::string allowed) const;
-    /// Reports a problem that the values of several keys make together, at one of them.
+    /// Reports a problem that the values of several keys make together, at one of them; at the table itself where the key is empty.
     void report(std::string_view key, std::string found, std::string allowed) const;
     void reportMissing(std::string_view key, std::string allowed) const;
     void reportUnknownKeys(const std::vector<std::string> &known) const;
