--- a/Libraries/LibRouting/Choice.h
+++ b/Libraries/LibRouting/Choice.h
@@ -24,11 +24,11 @@
 /// What a choice depends on besides the table.
 struct ChoiceInput {
     /// Targets that the request has been sent to already.
-    std::span<const Core::TargetId> excluded;
+    std::span<const Core::TargetId> excluded{};
     /// Versions that may be chosen; every version where empty.
-    std::span<const VersionShare> versions;
-    std::span<const Core::DataCentreName> dataCentresOut;
-    PermissionQuery permission;
+    std::span<const VersionShare> versions{};
+    std::span<const Core::DataCentreName> dataCentresOut{};
+    PermissionQuery permission{};
 };
 
 /// Why no target could be chosen.
