LibRouting: Choose by the cost of a send instead of hot and cold

Causes seen in the comparison: reports are tens of milliseconds old, so the fastest cold target is chosen by all instances at once; and an answer's time tells of a slowdown only when the slow answer has come.

Now each target has a cost: the time to an answer, where requests that still wait count with the time they have waited (censored maximum likelihood), times one plus the load, over the share that succeeds, plus the distance. Evidence fades to what is typical, so no target is starved and none needs dropping. Own requests weigh double, since those of others are known late.

--- a/Libraries/LibRouting/Probing.cpp
+++ b/Libraries/LibRouting/Probing.cpp
@@ -72,7 +72,7 @@
         return;
     }
     target->probe = {};
-    target->evidence = LoadEvidence{.report = report, .receivedAt = now};
+    recordReport(table, id, report, now);
 }
 
 void recordProbeLost(TargetTable &table, const Core::TargetId &id)
--- a/Libraries/LibRouting/TargetTable.cpp
+++ b/Libraries/LibRouting/TargetTable.cpp
@@ -3,7 +3,6 @@
 #include <LibCore/RendezvousHash.h>
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 
 namespace Briarbend::Routing
@@ -14,16 +13,16 @@
 
 using Microseconds = std::chrono::duration<double, std::micro>;
 
-/// Weight of a new sample in a target's service time.
-constexpr double SERVICE_TIME_WEIGHT = 0.3;
-/// Weight of a new sample in the service time over all targets.
+/// Weight of a new sample in the averages over all targets.
 constexpr double TYPICAL_WEIGHT = 0.02;
-/// Weight of a new outcome in the failure share.
-constexpr double FAILURE_WEIGHT = 0.2;
+/// Answers that the typical answer time counts for in a target's estimate.
+constexpr double PRIOR_ANSWERS = 2;
+/// Requests of this instance weigh more than reported ones: they are known at once, those of others only as of the report.
+constexpr double OWN_WEIGHT = 2;
 /// Limit of the failure share in estimates, so that a failing target still has a finite cost.
 constexpr double LARGEST_FAILURE_SHARE = 0.95;
-/// Service time assumed before the first answer.
-constexpr double FIRST_SERVICE_TIME = 1000;
+/// Answer time assumed before the first answer, in microseconds.
+constexpr double FIRST_ANSWER_TIME = 1000;
 /// Limit of the doublings of the ejection time.
 constexpr std::uint32_t MOST_DOUBLINGS = 5;
 
@@ -44,20 +43,35 @@
     return isNear ? 0.0 : Microseconds(table.parameters.distance).count();
 }
 
-/// Slots' worth of requests that must finish before the last of `position` requests does.
-double roundsFor(double position, double slots)
+double typicalAnswerTime(const TargetTable &table)
 {
-    return std::max(1.0, position / slots);
+    return table.typicalAnswerTime > 0 ? table.typicalAnswerTime : FIRST_ANSWER_TIME;
 }
 
-double typicalServiceTime(const TargetTable &table)
+void addTypical(double &average, double sample)
 {
-    return table.typicalServiceTime > 0 ? table.typicalServiceTime : FIRST_SERVICE_TIME;
+    average = average > 0 ? average + TYPICAL_WEIGHT * (sample - average) : sample;
 }
 
-void addSample(double &average, double sample, double weight)
+void noteReport(TargetTable &table, TargetState &target, const LoadReport &report, Core::TimePoint now)
 {
-    average = average > 0 ? average + weight * (sample - average) : sample;
+    const auto others = std::max(0.0, static_cast<double>(report.inFlight) - static_cast<double>(target.ownInFlight));
+    target.evidence = LoadEvidence{.report = report, .receivedAt = now, .others = others};
+    addTypical(table.typicalOthers, others);
+}
+
+double estimatedOthers(const TargetTable &table, const TargetState &target, Core::TimePoint now)
+{
+    if (!target.evidence) {
+        return table.typicalOthers;
+    }
+    const auto weight = remainingWeight(now - target.evidence->receivedAt, table.parameters.reportMemory);
+    return weight * target.evidence->others + (1 - weight) * table.typicalOthers;
+}
+
+void bringEstimateTo(const TargetTable &table, TargetState &target, Core::TimePoint now)
+{
+    target.answerTime = estimateAt(target.answerTime, target.waiting.size(), table.parameters.answerMemory, now);
 }
 
 std::size_t largestEjectedCount(const TargetTable &table)
@@ -84,18 +98,18 @@
 
 void recordSuccess(TargetTable &table, TargetState &target, const SentRequest &request, Core::TimePoint now)
 {
-    const auto elapsed = microsecondsBetween(request.sentAt, now) - distanceTo(table, target);
-    const auto sample = std::max(1.0, elapsed) / roundsFor(request.positionAtSend, slotsOf(table, target));
-    addSample(target.serviceTime, sample, SERVICE_TIME_WEIGHT);
-    addSample(table.typicalServiceTime, sample, TYPICAL_WEIGHT);
-    target.failureShare -= FAILURE_WEIGHT * target.failureShare;
+    const auto elapsed = microsecondsBetween(request.sentAt, now);
+    addTypical(table.typicalAnswerTime, elapsed);
+    addSample(table.lateAnswerTime, elapsed);
+    target.answerTime.answers += 1;
+    addOutcome(target.failures, false, now);
     target.ejection = {};
 }
 
 void recordFailure(TargetTable &table, TargetState &target, Core::TimePoint now)
 {
-    // The time to a failure says nothing about the speed of the target, so it leaves the service time alone.
-    target.failureShare += FAILURE_WEIGHT * (1 - target.failureShare);
+    // A failure is no answer: a target that fails fast must not look fast.
+    addOutcome(target.failures, true, now);
     ++target.ejection.failuresInRow;
     ejectIfFailing(table, target, now);
 }
@@ -164,41 +178,28 @@
 
 double estimatedInFlight(const TargetTable &table, const TargetState &target, Core::TimePoint now)
 {
-    const double own = target.ownInFlight;
-    if (!target.evidence || now - target.evidence->receivedAt > table.parameters.reportLifetime) {
-        return own;
-    }
-    const auto &evidence = *target.evidence;
-    const auto corrected = static_cast<double>(evidence.report.inFlight) + evidence.sentSince - evidence.finishedSince;
-    return std::max(own, corrected);
+    return target.ownInFlight + estimatedOthers(table, target, now);
 }
 
-double expectedLatency(const TargetTable &table, const TargetState &target, Core::TimePoint now)
+double sendCost(const TargetTable &table, const TargetState &target, Core::TimePoint now)
 {
-    const auto slots = slotsOf(table, target);
-    const auto rounds = roundsFor(estimatedInFlight(table, target, now) + 1, slots);
-    auto serviceTime = target.serviceTime > 0 ? target.serviceTime : typicalServiceTime(table);
-    if (!target.waiting.empty()) {
-        // A request that is overdue shows a slowdown before any answer does.
-        serviceTime = std::max(serviceTime, microsecondsBetween(target.waiting.front(), now) / rounds);
-    }
-    const auto successShare = 1 - std::min(target.failureShare, LARGEST_FAILURE_SHARE);
-    return (serviceTime * rounds + distanceTo(table, target)) / successShare;
+    const auto estimate = estimateAt(target.answerTime, target.waiting.size(), table.parameters.answerMemory, now);
+    const auto time = answerTime(estimate, typicalAnswerTime(table), PRIOR_ANSWERS);
+    const auto load = (OWN_WEIGHT * target.ownInFlight + estimatedOthers(table, target, now)) / slotsOf(table, target);
+    const auto successShare = 1 - std::min(failureShareAt(target.failures, now), LARGEST_FAILURE_SHARE);
+    return time * (1 + load) / successShare + distanceTo(table, target);
 }
 
 SentRequest recordSent(TargetTable &table, const Core::TargetId &id, Core::TimePoint now)
 {
     auto *target = findTarget(table, id);
     if (!target) {
-        return {.target = id, .sentAt = now, .positionAtSend = 1};
+        return {.target = id, .sentAt = now};
     }
-    const auto position = estimatedInFlight(table, *target, now) + 1;
+    bringEstimateTo(table, *target, now);
     ++target->ownInFlight;
     target->waiting.push_back(now);
-    if (target->evidence) {
-        ++target->evidence->sentSince;
-    }
-    return {.target = id, .sentAt = now, .positionAtSend = position};
+    return {.target = id, .sentAt = now};
 }
 
 void recordAnswer(TargetTable &table, const SentRequest &request, const Outcome &outcome, Core::TimePoint now)
@@ -207,12 +208,13 @@
     if (!target) {
         return;
     }
+    bringEstimateTo(table, *target, now);
     const auto sent = std::ranges::find(target->waiting, request.sentAt);
     if (sent != target->waiting.end()) {
         target->waiting.erase(sent);
     }
     if (outcome.report) {
-        target->evidence = LoadEvidence{.report = *outcome.report, .receivedAt = now};
+        noteReport(table, *target, *outcome.report, now);
     }
     switch (outcome.kind) {
     case OutcomeKind::Success:
@@ -227,6 +229,13 @@
     }
 }
 
+void recordReport(TargetTable &table, const Core::TargetId &id, const LoadReport &report, Core::TimePoint now)
+{
+    if (auto *target = findTarget(table, id)) {
+        noteReport(table, *target, report, now);
+    }
+}
+
 void recordFinished(TargetTable &table, const SentRequest &request)
 {
     auto *target = findTarget(table, request.target);
@@ -234,9 +243,6 @@
         return;
     }
     --target->ownInFlight;
-    if (target->evidence) {
-        ++target->evidence->finishedSince;
-    }
 }
 
 bool isEjected(const TargetState &target, Core::TimePoint now)
--- a/Libraries/LibRouting/TargetTable.h
+++ b/Libraries/LibRouting/TargetTable.h
@@ -3,6 +3,7 @@
 #include <LibConfiguration/Model.h>
 #include <LibCore/Identifiers.h>
 #include <LibCore/Time.h>
+#include <LibRouting/LoadEstimate.h>
 #include <LibRouting/LoadReport.h>
 
 #include <cstddef>
@@ -39,12 +40,10 @@
     std::chrono::microseconds distance{1500};
     /// Requests that a target runs at once, where its report does not say.
     std::uint32_t slots{6};
-    /// Age at which a load report no longer takes part in a choice.
-    std::chrono::milliseconds reportLifetime{300};
-    /// Choices for which one load report is used before it is dropped.
-    std::uint32_t usesPerReport{64};
-    /// Targets with more requests in flight than this share of the pool count as hot.
-    double hotQuantile{0.75};
+    /// Time constant with which answer times are forgotten; about the time for which a target keeps its speed.
+    std::chrono::microseconds answerMemory{10'000};
+    /// Time constant with which the requests of other instances in a load report are forgotten.
+    std::chrono::microseconds reportMemory{20'000};
     /// Reports younger than this make a probe needless.
     std::chrono::milliseconds probeAfter{100};
     /// Time after which a probe without an answer is taken as lost.
@@ -59,16 +58,12 @@
     double coldTrialShare{0.05};
 };
 
-/// What is known of a target's load: the newest report, corrected by what this instance did since.
+/// What the newest load report of a target tells about other instances.
 struct LoadEvidence {
     LoadReport report;
     Core::TimePoint receivedAt;
-    /// Choices made with this report.
-    std::uint32_t uses{0};
-    /// Requests that this instance sent after the report.
-    std::uint32_t sentSince{0};
-    /// Requests of this instance that finished after the report.
-    std::uint32_t finishedSince{0};
+    /// Requests in the report that are not this instance's.
+    double others{0};
 };
 
 struct EjectionState {
@@ -91,10 +86,8 @@
     std::uint32_t ownInFlight{0};
     /// Send times of the requests that have no answer yet, oldest first.
     std::vector<Core::TimePoint> waiting;
-    /// Exponentially weighted time that one request takes in a slot, network distance and queueing taken out, in microseconds.
-    double serviceTime{0};
-    /// Exponentially weighted share of requests that failed, in [0, 1].
-    double failureShare{0};
+    AnswerTimeEstimate answerTime;
+    FailureEstimate failures;
     std::optional<LoadEvidence> evidence;
     EjectionState ejection;
     ProbeState probe;
@@ -107,8 +100,12 @@
     RoutingParameters parameters;
     std::vector<TargetState> targets;
     std::unordered_map<Core::TargetId, std::size_t> indexById;
-    /// Exponentially weighted service time over all targets, in microseconds; zero before the first answer.
-    double typicalServiceTime{0};
+    /// Exponentially weighted time to an answer over all targets, in microseconds; zero before the first answer.
+    double typicalAnswerTime{0};
+    /// Exponentially weighted requests of other instances in load reports.
+    double typicalOthers{0};
+    /// Time, in microseconds, within which nearly all answers come. A safe request that takes longer is worth a hedge.
+    StreamingQuantile lateAnswerTime;
     /// Position of the round robin policy.
     std::size_t nextInTurn{0};
 };
@@ -117,8 +114,6 @@
 struct SentRequest {
     Core::TargetId target;
     Core::TimePoint sentAt;
-    /// Requests that were estimated to be at the target, this one included.
-    double positionAtSend{1};
 };
 
 enum class OutcomeKind {
@@ -151,11 +146,12 @@
 TargetState *findTarget(TargetTable &table, const Core::TargetId &id);
 const TargetState *findTarget(const TargetTable &table, const Core::TargetId &id);
 
-/// Estimated requests at the target, those of other instances included.
+/// Estimated requests at the target, those of other instances included. Without a recent report the others are taken as typical.
 double estimatedInFlight(const TargetTable &table, const TargetState &target, Core::TimePoint now);
 
-/// Estimated time, in microseconds, until a request sent now has succeeded: queueing, service, distance and failures.
-double expectedLatency(const TargetTable &table, const TargetState &target, Core::TimePoint now);
+/// Cost of sending a request to the target now, in microseconds: the estimated time to an answer, raised by the requests at the
+/// target, the share that fails, and the distance.
+double sendCost(const TargetTable &table, const TargetState &target, Core::TimePoint now);
 
 /// Notes that a request has been written to the target.
 SentRequest recordSent(TargetTable &table, const Core::TargetId &id, Core::TimePoint now);
@@ -163,6 +159,9 @@
 /// Notes the head of the answer, or the failure. Call once for each sent request, before recordFinished.
 void recordAnswer(TargetTable &table, const SentRequest &request, const Outcome &outcome, Core::TimePoint now);
 
+/// Takes over a load report that came outside an answer.
+void recordReport(TargetTable &table, const Core::TargetId &id, const LoadReport &report, Core::TimePoint now);
+
 /// Notes that the request no longer occupies the target: the last byte has come or the connection is closed.
 void recordFinished(TargetTable &table, const SentRequest &request);
 
