LibRouting: Hedge safe requests that are later than 97 in 100

What is left of the tail are requests that were already at a target when it slowed down. No choice made before the send can help them.

A safe request without an answer after the time within which 97 in 100 answers come is sent to a second target, out of the same budget as retries; the first answer counts and the other copy is cancelled. The delay follows the answers by a streaming quantile.

--- a/Libraries/LibLimits/RetryBudget.cpp
+++ b/Libraries/LibLimits/RetryBudget.cpp
@@ -22,7 +22,7 @@
 bool takeHedge(RetryBudget &budget, const HedgeInput &input, Core::TimePoint now)
 {
     const bool isLate = input.elapsed >= input.hedgeDelay;
-    const bool isWorthIt = input.remaining > input.hedgeDelay && input.hasFreeSlot;
+    const bool isWorthIt = input.remaining > input.hedgeDelay && input.hasRoom;
     return input.kind == Configuration::RouteKind::Safe && isLate && isWorthIt && takeExtraSend(budget, now);
 }
 
--- a/Libraries/LibLimits/RetryBudget.h
+++ b/Libraries/LibLimits/RetryBudget.h
@@ -35,11 +35,11 @@
     Core::Duration hedgeDelay{0};
     /// Time left until the request's deadline.
     Core::Duration remaining{0};
-    /// The target that would be chosen has a free slot.
-    bool hasFreeSlot{false};
+    /// The other target is not overloaded.
+    bool hasRoom{false};
 };
 
-/// Takes a hedge from the budget: only for safe requests that are late, with time left and a free slot elsewhere.
+/// Takes a hedge from the budget: only for safe requests that are late, with time left and room elsewhere.
 bool takeHedge(RetryBudget &budget, const HedgeInput &input, Core::TimePoint now);
 
 } // namespace Briarbend::Limits
--- a/Libraries/LibRouting/TargetTable.cpp
+++ b/Libraries/LibRouting/TargetTable.cpp
@@ -19,6 +19,8 @@
 constexpr double PRIOR_ANSWERS = 2;
 /// Requests of this instance weigh more than reported ones: they are known at once, those of others only as of the report.
 constexpr double OWN_WEIGHT = 2;
+/// Requests for each slot at which a target is too busy for hedges.
+constexpr double HEDGED_REQUESTS_PER_SLOT = 4;
 /// Limit of the failure share in estimates, so that a failing target still has a finite cost.
 constexpr double LARGEST_FAILURE_SHARE = 0.95;
 /// Answer time assumed before the first answer, in microseconds.
@@ -245,6 +247,17 @@
     --target->ownInFlight;
 }
 
+std::chrono::microseconds hedgeDelay(const TargetTable &table)
+{
+    return std::chrono::microseconds{static_cast<std::int64_t>(table.lateAnswerTime.estimate)};
+}
+
+bool hasRoomForHedge(const TargetTable &table, const Core::TargetId &id, Core::TimePoint now)
+{
+    const auto *target = findTarget(table, id);
+    return target && estimatedInFlight(table, *target, now) < HEDGED_REQUESTS_PER_SLOT * slotsOf(table, *target);
+}
+
 bool isEjected(const TargetState &target, Core::TimePoint now)
 {
     return target.ejection.until && now < *target.ejection.until;
--- a/Libraries/LibRouting/TargetTable.h
+++ b/Libraries/LibRouting/TargetTable.h
@@ -165,6 +165,12 @@
 /// Notes that the request no longer occupies the target: the last byte has come or the connection is closed.
 void recordFinished(TargetTable &table, const SentRequest &request);
 
+/// Time after which an answer is later than nearly all others: 97 in 100.
+std::chrono::microseconds hedgeDelay(const TargetTable &table);
+
+/// True where the target has few enough requests for a hedge to be faster than the first send: under four for each slot.
+bool hasRoomForHedge(const TargetTable &table, const Core::TargetId &id, Core::TimePoint now);
+
 /// True where the target is ejected now.
 bool isEjected(const TargetState &target, Core::TimePoint now);
 
--- a/Tests/LibRouting/Experiment/Main.cpp
+++ b/Tests/LibRouting/Experiment/Main.cpp
@@ -1,6 +1,7 @@
 /// Compares the routing policies in virtual time: instances with their own state send to targets that have slots and one queue each,
 /// and whose speed shifts within milliseconds. Arguments: seconds of virtual time and number of seeds.
 
+#include <LibLimits/RetryBudget.h>
 #include <LibLimits/ShareBudget.h>
 #include <LibRouting/Choice.h>
 #include <LibRouting/Probing.h>
@@ -23,32 +24,11 @@
 constexpr auto TICK = 50us;
 constexpr std::size_t SLOTS = 6;
 constexpr std::size_t DATA_CENTRES = 3;
-constexpr double MEAN_SERVICE_TICKS = 100;
-constexpr Ticks NEAR_TICKS = 3;
-constexpr Ticks FAR_TICKS = 18;
+constexpr double MEAN_WORK_TICKS = 100;
+constexpr double MEAN_SPEED = 0.7 * 1.0 + 0.2 * 0.5 + 0.1 * 0.1;
 constexpr Ticks PROBE_INTERVAL = 100;
 constexpr std::uint32_t PROBE_UNITS = 2;
-constexpr double MEAN_SPEED = 0.7 * 1.0 + 0.2 * 0.5 + 0.1 * 0.1;
-
-struct Request {
-    std::size_t instance{0};
-    std::size_t target{0};
-    double work{0};
-    Routing::SentRequest sent;
-    bool isProbe{false};
-};
-
-struct Target {
-    std::vector<Request> running;
-    std::deque<Request> queued;
-    double speed{1};
-    Ticks nextShift{0};
-};
-
-struct Instance {
-    Routing::TargetTable table;
-    std::vector<Limits::ShareBudget> probes;
-};
+constexpr std::size_t PROBES_AT_ONCE = 4;
 
 struct Scenario {
     const char *name;
@@ -58,15 +38,55 @@
     bool hasBursts;
 };
 
+struct Variant {
+    const char *name;
+    RoutingPolicy policy;
+    bool hasHedges;
+};
+
 struct Result {
     std::vector<double> milliseconds;
     std::size_t probes{0};
+    std::size_t hedges{0};
 };
 
-Core::TimePoint timeAt(Ticks tick)
-{
-    return Core::TimePoint{10s} + tick * TICK;
-}
+enum class MessageKind {
+    Request,
+    Probe,
+    Answer,
+    ProbeAnswer,
+    Cancellation,
+    LateCheck,
+};
+
+struct Message {
+    MessageKind kind;
+    std::uint64_t call;
+    std::size_t instance;
+    std::size_t target;
+    Routing::SentRequest sent;
+    double work{0};
+    std::uint32_t reportedInFlight{0};
+};
+
+struct Call {
+    Core::TimePoint arrivedAt;
+    double work;
+    std::vector<Message> copies{};
+};
+
+struct Target {
+    std::vector<Message> running;
+    std::deque<Message> queued;
+    double speed{1};
+    Ticks nextShift{0};
+};
+
+struct Instance {
+    Routing::TargetTable table;
+    std::vector<Limits::ShareBudget> probes;
+    Limits::RetryBudget hedges;
+};
 
 Core::DataCentreName dataCentreOf(std::size_t number)
 {
@@ -76,91 +96,121 @@
 class Simulation
 {
 public:
-    Simulation(const Scenario &chosen, RoutingPolicy policy, std::uint64_t seed)
-        : scenario(chosen)
+    Simulation(const Scenario &chosenScenario, const Variant &chosenVariant, std::uint64_t seed)
+        : scenario(chosenScenario)
+        , variant(chosenVariant)
         , speeds(seed)
         , arrivals(seed + 1)
         , choices(seed + 2)
-        , targets(chosen.targets)
-        , instances(chosen.instances)
+        , targets(chosenScenario.targets)
+        , instances(chosenScenario.instances)
     {
         std::vector<Routing::TargetDescription> descriptions;
-        for (std::size_t target = 0; target < chosen.targets; ++target) {
+        for (std::size_t target = 0; target < this->targets.size(); ++target) {
             descriptions.push_back({{std::to_string(target)}, dataCentreOf(target), {"v1"}, false});
         }
         for (std::size_t number = 0; number < this->instances.size(); ++number) {
             auto &instance = this->instances[number];
-            instance.table.parameters.policy = policy;
+            instance.table.parameters.policy = chosenVariant.policy;
             instance.table.parameters.ownDataCentre = dataCentreOf(number);
             updateTargets(instance.table, descriptions);
-            instance.probes.assign(chosen.targets, Limits::startShareBudget(PROBE_UNITS, timeAt(0) - 2s));
+            instance.probes.assign(this->targets.size(), Limits::startShareBudget(PROBE_UNITS, Core::TimePoint{0s}));
         }
     }
 
     Result run(Ticks ticks)
     {
         for (this->tick = 0; this->tick < ticks; ++this->tick) {
+            this->now = Core::TimePoint{10s} + this->tick * TICK;
             this->arrive();
-            this->deliver(this->toTargets, [this](const Request &request) {
-                this->accept(request);
-            });
+            while (!this->messages.empty() && this->messages.begin()->first <= this->tick) {
+                this->receive(this->messages.extract(this->messages.begin()).mapped());
+            }
             std::ranges::for_each(this->targets, [this](Target &target) {
                 this->work(target);
             });
-            this->deliver(this->toInstances, [this](const Request &request) {
-                this->finish(request);
-            });
             if (this->tick % PROBE_INTERVAL == 0) {
-                this->probe();
+                std::ranges::for_each(this->instances, [this](Instance &instance) {
+                    this->probe(instance);
+                });
             }
         }
         return std::move(this->result);
     }
 
 private:
-    using Messages = std::multimap<Ticks, Request>;
-
-    double loadNow() const
+    void arrive()
     {
         const bool isBurst = this->scenario.hasBursts && this->tick % 4000 < 600;
-        return isBurst ? 1.5 : this->scenario.load;
+        const auto load = isBurst ? 1.5 : this->scenario.load;
+        const auto perTick = load * static_cast<double>(this->targets.size() * SLOTS) * MEAN_SPEED / MEAN_WORK_TICKS;
+        for (; this->nextArrival <= static_cast<double>(this->tick); this->nextArrival += this->arrivals.exponential(1 / perTick)) {
+            const auto instance = this->arrivals.below(this->instances.size());
+            const auto call = this->lastCall++;
+            this->calls.emplace(call, Call{this->now, MEAN_WORK_TICKS * (0.5 + this->arrivals.unit())});
+            recordRequest(this->instances[instance].hedges, this->now);
+            const auto sent = this->send(call, instance, {});
+            if (this->variant.hasHedges) {
+                const auto late = hedgeDelay(this->instances[instance].table) / TICK;
+                this->messages.emplace(this->tick + late, Message{MessageKind::LateCheck, call, instance, 0, sent});
+            }
+        }
     }
 
-    void arrive()
+    Routing::SentRequest send(std::uint64_t number, std::size_t instance, std::span<const Core::TargetId> excluded)
     {
-        const auto perTick = static_cast<double>(this->targets.size() * SLOTS) * MEAN_SPEED / MEAN_SERVICE_TICKS;
-        for (; this->nextArrival <= static_cast<double>(this->tick);
-             this->nextArrival += this->arrivals.exponential(1 / (perTick * this->loadNow()))) {
-            const auto number = this->arrivals.below(this->instances.size());
-            const auto work = MEAN_SERVICE_TICKS * (0.5 + this->arrivals.unit());
-            auto &table = this->instances[number].table;
-            const auto choice = chooseTarget(table, {}, timeAt(this->tick), this->choices);
-            const auto target = table.indexById.at(*choice.target);
-            this->toTargets.emplace(this->tick + this->delay(number, target),
-                                    Request{number, target, work, recordSent(table, *choice.target, timeAt(this->tick)), false});
-        }
+        auto &table = this->instances[instance].table;
+        const auto choice = chooseTarget(table, {.excluded = excluded}, this->now, this->choices);
+        auto &call = this->calls.at(number);
+        const Message message{MessageKind::Request,
+                              number,
+                              instance,
+                              table.indexById.at(*choice.target),
+                              recordSent(table, *choice.target, this->now),
+                              call.work};
+        call.copies.push_back(message);
+        this->post(message);
+        return message.sent;
     }
 
-    Ticks delay(std::size_t instance, std::size_t target) const
+    void post(const Message &message)
     {
-        return instance % DATA_CENTRES == target % DATA_CENTRES ? NEAR_TICKS : FAR_TICKS;
+        const bool isNear = message.instance % DATA_CENTRES == message.target % DATA_CENTRES;
+        this->messages.emplace(this->tick + (isNear ? 3 : 18), message);
     }
 
-    void deliver(Messages &messages, const std::function<void(const Request &)> &receive)
+    void receive(Message message)
     {
-        while (!messages.empty() && messages.begin()->first <= this->tick) {
-            receive(messages.extract(messages.begin()).mapped());
+        auto &target = this->targets[message.target];
+        const auto isSame = [&](const Message &other) {
+            return other.call == message.call;
+        };
+        switch (message.kind) {
+        case MessageKind::Request:
+            target.queued.push_back(message);
+            return;
+        case MessageKind::Probe:
+            this->reply(message, MessageKind::ProbeAnswer);
+            return;
+        case MessageKind::Answer:
+            this->finish(message);
+            return;
+        case MessageKind::ProbeAnswer:
+            recordProbeAnswer(this->instances[message.instance].table, message.sent.target, reportOf(message), this->now);
+            return;
+        case MessageKind::Cancellation:
+            std::erase_if(target.queued, isSame);
+            std::erase_if(target.running, isSame);
+            return;
+        case MessageKind::LateCheck:
+            this->hedge(message);
+            return;
         }
     }
 
-    void accept(const Request &request)
+    static Routing::LoadReport reportOf(const Message &message)
     {
-        if (request.isProbe) {
-            this->reply(request);
-            return;
-        }
-        auto &target = this->targets[request.target];
-        target.queued.push_back(request);
+        return {.inFlight = message.reportedInFlight, .slots = SLOTS};
     }
 
     void work(Target &target)
@@ -170,107 +220,151 @@
             target.speed = drawn < 0.7 ? 1.0 : (drawn < 0.9 ? 0.5 : 0.1);
             target.nextShift = this->tick + 100 + static_cast<Ticks>(this->speeds.below(900));
         }
-        while (target.running.size() < SLOTS && !target.queued.empty()) {
+        for (; target.running.size() < SLOTS && !target.queued.empty(); target.queued.pop_front()) {
             target.running.push_back(target.queued.front());
-            target.queued.pop_front();
         }
         for (auto &request : target.running) {
             request.work -= target.speed;
         }
-        const auto done = std::partition(target.running.begin(), target.running.end(), [](const Request &request) {
+        const auto done = std::partition(target.running.begin(), target.running.end(), [](const Message &request) {
             return request.work > 0;
         });
-        const std::vector<Request> finished(done, target.running.end());
+        const std::vector<Message> finished(done, target.running.end());
         target.running.erase(done, target.running.end());
-        std::ranges::for_each(finished, [this](const Request &request) {
-            this->reply(request);
+        std::ranges::for_each(finished, [this](const Message &request) {
+            this->reply(request, MessageKind::Answer);
         });
     }
 
-    /// Sends the answer with the load at this moment; `work` carries the report's requests in flight.
-    void reply(Request request)
+    void reply(Message message, MessageKind kind)
     {
-        const auto &target = this->targets[request.target];
-        request.work = static_cast<double>(target.running.size() + target.queued.size());
-        this->toInstances.emplace(this->tick + this->delay(request.instance, request.target), request);
+        const auto &target = this->targets[message.target];
+        message.kind = kind;
+        message.reportedInFlight = static_cast<std::uint32_t>(target.running.size() + target.queued.size());
+        this->post(message);
     }
 
-    void finish(const Request &request)
+    /// The first answer counts; the other copy, if any, is cancelled.
+    void finish(const Message &answer)
     {
-        auto &table = this->instances[request.instance].table;
-        const Routing::LoadReport report{.inFlight = static_cast<std::uint32_t>(request.work), .slots = SLOTS};
-        const auto now = timeAt(this->tick);
-        if (request.isProbe) {
-            recordProbeAnswer(table, request.sent.target, report, now);
+        const auto call = this->calls.find(answer.call);
+        if (call == this->calls.end()) {
             return;
         }
-        recordAnswer(table, request.sent, {.kind = Routing::OutcomeKind::Success, .report = report}, now);
-        recordFinished(table, request.sent);
-        this->result.milliseconds.push_back(std::chrono::duration<double, std::milli>(now - request.sent.sentAt).count());
+        auto &table = this->instances[answer.instance].table;
+        for (auto copy : call->second.copies) {
+            const bool isAnswered = copy.target == answer.target;
+            recordAnswer(table,
+                         copy.sent,
+                         isAnswered ? Routing::Outcome{Routing::OutcomeKind::Success, reportOf(answer)}
+                                    : Routing::Outcome{Routing::OutcomeKind::Cancelled, std::nullopt},
+                         this->now);
+            recordFinished(table, copy.sent);
+            if (!isAnswered) {
+                copy.kind = MessageKind::Cancellation;
+                this->post(copy);
+            }
+        }
+        this->result.milliseconds.push_back(std::chrono::duration<double, std::milli>(this->now - call->second.arrivedAt).count());
+        this->calls.erase(call);
     }
 
-    void probe()
+    void hedge(const Message &check)
     {
-        const auto now = timeAt(this->tick);
-        for (std::size_t number = 0; number < this->instances.size(); ++number) {
-            auto &instance = this->instances[number];
-            const auto isPermitted = [&](const Routing::TargetState &target) {
-                return hasFreeUnit(instance.probes[instance.table.indexById.at(target.description.id)], now);
-            };
-            for (const auto &id : chooseProbes(instance.table, isPermitted, 4, now, this->choices)) {
-                const auto target = instance.table.indexById.at(id);
-                reserveUnit(instance.probes[target], now);
-                confirmUnit(instance.probes[target], now);
-                recordProbeSent(instance.table, id, now);
-                this->toTargets.emplace(this->tick + this->delay(number, target),
-                                        Request{number, target, 0, {.target = id, .sentAt = now}, true});
-                ++this->result.probes;
-            }
+        auto &instance = this->instances[check.instance];
+        const std::array excluded{check.sent.target};
+        if (!this->calls.contains(check.call)) {
+            return;
+        }
+        const auto other = chooseTarget(instance.table, {.excluded = excluded}, this->now, this->choices);
+        const Limits::HedgeInput input{.kind = Configuration::RouteKind::Safe,
+                                       .elapsed = hedgeDelay(instance.table),
+                                       .hedgeDelay = hedgeDelay(instance.table),
+                                       .remaining = 1s,
+                                       .hasRoom = hasRoomForHedge(instance.table, *other.target, this->now)};
+        if (takeHedge(instance.hedges, input, this->now)) {
+            ++this->result.hedges;
+            this->send(check.call, check.instance, excluded);
+        }
+    }
+
+    void probe(Instance &instance)
+    {
+        const auto isPermitted = [&](const Routing::TargetState &target) {
+            return hasFreeUnit(instance.probes[instance.table.indexById.at(target.description.id)], this->now);
+        };
+        const auto number = static_cast<std::size_t>(&instance - this->instances.data());
+        for (const auto &id : chooseProbes(instance.table, isPermitted, PROBES_AT_ONCE, this->now, this->choices)) {
+            const auto target = instance.table.indexById.at(id);
+            reserveUnit(instance.probes[target], this->now);
+            confirmUnit(instance.probes[target], this->now);
+            recordProbeSent(instance.table, id, this->now);
+            this->post({MessageKind::Probe, 0, number, target, {.target = id, .sentAt = this->now}});
+            ++this->result.probes;
         }
     }
 
     Scenario scenario;
+    Variant variant;
     Core::Random speeds;
     Core::Random arrivals;
     Core::Random choices;
     std::vector<Target> targets;
     std::vector<Instance> instances;
-    Messages toTargets;
-    Messages toInstances;
+    std::multimap<Ticks, Message> messages;
+    std::map<std::uint64_t, Call> calls;
+    std::uint64_t lastCall{0};
     Ticks tick{0};
+    Core::TimePoint now;
     double nextArrival{0};
     Result result;
 };
 
-double percentile(std::vector<double> &sorted, double share)
+constexpr std::array VARIANTS{Variant{"round-robin", RoutingPolicy::RoundRobin, false},
+                              Variant{"two-choices", RoutingPolicy::RandomTwoChoices, false},
+                              Variant{"least-in-flight", RoutingPolicy::LeastInFlight, false},
+                              Variant{"least-in-flight+hedge", RoutingPolicy::LeastInFlight, true},
+                              Variant{"probe-pool", RoutingPolicy::ProbePool, false},
+                              Variant{"probe-pool+hedge", RoutingPolicy::ProbePool, true}};
+
+constexpr std::array SCENARIOS{Scenario{"sfax 13 50%", 13, 20, 0.5, false},
+                               Scenario{"sfax 13 75%", 13, 20, 0.75, false},
+                               Scenario{"sfax 13 90%", 13, 20, 0.9, false},
+                               Scenario{"sfax 13 bursts", 13, 20, 0.5, true},
+                               Scenario{"klang 19 50%", 19, 8, 0.5, false},
+                               Scenario{"klang 19 75%", 19, 8, 0.75, false},
+                               Scenario{"klang 19 90%", 19, 8, 0.9, false},
+                               Scenario{"klang 19 bursts", 19, 8, 0.5, true}};
+
+void print(const Scenario &scenario, const Variant &variant, Result &result, double targetSeconds)
 {
-    return sorted.empty() ? 0 : sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+    auto &sorted = result.milliseconds;
+    std::ranges::sort(sorted);
+    const auto percentile = [&](double share) {
+        return sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+    };
+    std::cout << std::left << std::setw(18) << scenario.name << std::setw(23) << variant.name << std::right << std::fixed
+              << std::setprecision(2) << std::setw(9) << percentile(0.5) << std::setw(9) << percentile(0.99) << std::setw(9)
+              << percentile(0.999) << std::setw(9) << static_cast<double>(result.probes) / targetSeconds << std::setw(9)
+              << 100.0 * static_cast<double>(result.hedges) / static_cast<double>(sorted.size()) << std::endl;
 }
 
-void compare(const Scenario &scenario, Ticks ticks, std::uint64_t seeds)
+/// Runs every variant on the same arrivals and shifts, one seed after the other.
+void compare(const Scenario &scenario, std::int64_t seconds, std::uint64_t seeds)
 {
-    constexpr std::pair<const char *, RoutingPolicy> POLICIES[]{{"round-robin", RoutingPolicy::RoundRobin},
-                                                                {"two-choices", RoutingPolicy::RandomTwoChoices},
-                                                                {"least-in-flight", RoutingPolicy::LeastInFlight},
-                                                                {"probe-pool", RoutingPolicy::ProbePool}};
-    std::map<RoutingPolicy, Result> results;
+    std::array<Result, VARIANTS.size()> sums;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        for (const auto &[name, policy] : POLICIES) {
-            auto result = Simulation(scenario, policy, seed * 1000).run(ticks);
-            auto &sum = results[policy];
+        for (std::size_t number = 0; number < VARIANTS.size(); ++number) {
+            auto result = Simulation(scenario, VARIANTS[number], seed * 1000).run(seconds * (1s / TICK));
+            auto &sum = sums[number];
             sum.milliseconds.insert(sum.milliseconds.end(), result.milliseconds.begin(), result.milliseconds.end());
             sum.probes += result.probes;
+            sum.hedges += result.hedges;
         }
     }
-    for (const auto &[name, policy] : POLICIES) {
-        auto &[milliseconds, probes] = results[policy];
-        std::ranges::sort(milliseconds);
-        const auto targetSeconds
-            = static_cast<double>(ticks) * std::chrono::duration<double>(TICK).count() * static_cast<double>(seeds * scenario.targets);
-        std::cout << std::left << std::setw(20) << scenario.name << std::setw(17) << name << std::right << std::fixed
-                  << std::setprecision(2) << std::setw(9) << percentile(milliseconds, 0.5) << std::setw(9) << percentile(milliseconds, 0.99)
-                  << std::setw(9) << percentile(milliseconds, 0.999) << std::setw(9) << static_cast<double>(probes) / targetSeconds
-                  << std::endl;
+    const auto targetSeconds = static_cast<double>(seconds) * static_cast<double>(seeds * scenario.targets);
+    for (std::size_t number = 0; number < VARIANTS.size(); ++number) {
+        print(scenario, VARIANTS[number], sums[number], targetSeconds);
     }
 }
 
@@ -280,16 +374,9 @@
 {
     const auto seconds = count > 1 ? std::stoll(arguments[1]) : 5;
     const auto seeds = count > 2 ? std::stoull(arguments[2]) : 3;
-    std::cout << "scenario            policy              p50 ms   p99 ms p99.9 ms probes/s per target\n";
-    for (const auto &scenario : {Scenario{"sfax 13 50%", 13, 20, 0.5, false},
-                                 Scenario{"sfax 13 75%", 13, 20, 0.75, false},
-                                 Scenario{"sfax 13 90%", 13, 20, 0.9, false},
-                                 Scenario{"sfax 13 bursts", 13, 20, 0.5, true},
-                                 Scenario{"klang 19 50%", 19, 8, 0.5, false},
-                                 Scenario{"klang 19 75%", 19, 8, 0.75, false},
-                                 Scenario{"klang 19 90%", 19, 8, 0.9, false},
-                                 Scenario{"klang 19 bursts", 19, 8, 0.5, true}}) {
-        compare(scenario, seconds * (1s / TICK), seeds);
-    }
+    std::cout << "scenario          variant                   p50 ms   p99 ms p99.9 ms probes/s hedges %\n";
+    std::ranges::for_each(SCENARIOS, [&](const Scenario &scenario) {
+        compare(scenario, seconds, seeds);
+    });
     return 0;
 }
