--- a/Libraries/LibPeers/Transport.h
+++ b/Libraries/LibPeers/Transport.h
@@ -12,9 +12,9 @@
 {
 
 /// Largest message that is sent or accepted, in bytes.
-constexpr std::size_t MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
+constexpr std::size_t MAX_MESSAGE_BYTES = 2UL * 1024 * 1024;
 /// Most bytes that wait for one peer; further messages to it are dropped.
-constexpr std::size_t MAX_QUEUED_BYTES = 4 * 1024 * 1024;
+constexpr std::size_t MAX_QUEUED_BYTES = 4UL * 1024 * 1024;
 
 /// Totals since the start. Bytes are message payloads.
 struct TransportCounters {
