briarbendd: Serve a request from end to end as separate processes

The daemon wires the relay, gossip, claims, the store and the platform's instance list; decisions stay in the libraries.

--- a/Libraries/LibRelay/AttemptRecord.cpp
+++ b/Libraries/LibRelay/AttemptRecord.cpp
@@ -9,7 +9,9 @@
     , sent(Routing::recordSent(serviceState.table, target, now))
 {
     Limits::recordColdSent(this->relay.coldGate, target);
-    this->hadFewInFlight = this->sent.positionAtSend <= this->service.service.limits.slots;
+    const auto *state = Routing::findTarget(this->service.table, target);
+    this->hadFewInFlight
+        = state != nullptr && Routing::estimatedInFlight(this->service.table, *state, now) <= this->service.service.limits.slots;
     const auto known = this->relay.coldGate.targets.find(target);
     if (known != this->relay.coldGate.targets.end()) {
         this->start = known->second.start;
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <optional>
 #include <string>
 #include <vector>
--- a/Libraries/LibRelay/OnceSubmission.cpp
+++ b/Libraries/LibRelay/OnceSubmission.cpp
@@ -128,9 +128,9 @@
             .wakeAt = {}};
 }
 
-Http::response<Http::string_body> replayedAnswer(const Claims::RecordedAnswer &answer, const std::string &requestId)
+Network::Response replayedAnswer(const Claims::RecordedAnswer &answer, const std::string &requestId)
 {
-    Http::response<Http::string_body> response;
+    Network::Response response;
     response.version(11);
     response.result(answer.status);
     for (const auto &field : answer.fields) {
--- a/Libraries/LibRelay/OnceSubmission.h
+++ b/Libraries/LibRelay/OnceSubmission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibNetwork/Http.h>
 #include <LibRelay/ClaimSubmitter.h>
 #include <LibRelay/Exchange.h>
 
@@ -57,6 +58,6 @@
                                       Core::Random &random);
 
 /// A recorded answer in HTTP, with the id of the request that repeats it.
-Http::response<Http::string_body> replayedAnswer(const Claims::RecordedAnswer &answer, const std::string &requestId);
+Network::Response replayedAnswer(const Claims::RecordedAnswer &answer, const std::string &requestId);
 
 } // namespace Briarbend::Relay
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -35,11 +35,21 @@
     Metrics::LatencySummary atTarget;
 };
 
+/// What became of one request at one target, for whoever judges versions.
+struct ExchangeObservation {
+    Core::ServiceName service;
+    Core::TargetId target;
+    Core::VersionName version;
+    std::string routePrefix;
+    bool isFailure{false};
+    Core::Duration timeToHead{0};
+};
+
 /// What operators set for the traffic of callers.
 struct RelayLimits {
     std::uint32_t callerConnections{10'000};
     std::uint32_t headerBytes{16 * 1024};
-    std::uint64_t claimedBodyBytes{256 * 1024};
+    std::uint64_t claimedBodyBytes{256ULL * 1024};
     std::chrono::milliseconds idleTimeout{60'000};
 };
 
@@ -63,6 +73,8 @@
     Limits::ColdGate coldGate;
     Core::Random random;
     TargetConnectionPool pool;
+    /// Called after each exchange that says something about its target.
+    std::function<void(const ExchangeObservation &)> onObserved;
     RelayCounters counters;
     RelayLatencies latencies;
     /// Requests that callers are still waiting for.
--- a/Libraries/LibRelay/RequestHandler.cpp
+++ b/Libraries/LibRelay/RequestHandler.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
@@ -22,6 +23,7 @@
 
 /// Bodies up to this length are read before sending, so that the request can be sent again.
 constexpr std::uint64_t BUFFERED_BODY_BYTES = 64ULL * 1024;
+constexpr unsigned FIRST_SERVER_ERROR = 500;
 constexpr std::size_t READ_BYTES = 16UL * 1024;
 constexpr std::size_t REQUEST_ID_DIGITS = 16;
 constexpr std::size_t MAXIMUM_REQUEST_ID_BYTES = 128;
@@ -170,15 +172,34 @@
         }
     }
     this->tried.push_back(*choice.target);
+    const auto *target = Routing::findTarget(this->service->table, *choice.target);
+    const auto version = target == nullptr ? Core::VersionName{} : target->description.version;
     const auto sentAt = Core::Clock::now();
     Exchange exchange(this->relay, *this->service, this->caller, this->forwarded, this->copy ? &*this->copy : nullptr);
     this->lastResult = co_await exchange.run(*choice.target);
     turn.headArrived(this->lastResult.timeToHead);
     this->relay.latencies.beforeSending.add(sentAt - this->arrivedAt);
     this->relay.latencies.atTarget.add(this->lastResult.timeToHead);
+    this->observe(*choice.target, version);
     co_return this->judge(this->lastResult);
 }
 
+void RequestHandler::observe(const Core::TargetId &target, const Core::VersionName &version) const
+{
+    const auto &result = this->lastResult;
+    // A caller that went away before the answer, or a target that shed the request, says nothing about the version.
+    const bool saysNothing = (result.isCallerGone && !result.isHeadForwarded) || result.progress == Progress::RefusedByTargetNotRun;
+    if (saysNothing || !this->relay.onObserved) {
+        return;
+    }
+    this->relay.onObserved({.service = this->matched.service->name,
+                            .target = target,
+                            .version = version,
+                            .routePrefix = this->matched.route->pathPrefix,
+                            .isFailure = (result.failure && !result.isCallerGone) || result.status >= FIRST_SERVER_ERROR,
+                            .timeToHead = result.timeToHead});
+}
+
 RequestHandler::Next RequestHandler::judge(const ExchangeResult &result)
 {
     // An earlier attempt whose outcome is unknown stays unknown, whatever a later one says.
--- a/Libraries/LibRelay/ServiceState.cpp
+++ b/Libraries/LibRelay/ServiceState.cpp
@@ -16,6 +16,7 @@
 /// Requests queued at an instance beyond the targets' slots, as a multiple of them.
 constexpr std::uint32_t IN_FLIGHT_PER_SLOT = 2;
 constexpr std::uint32_t MINIMUM_IN_FLIGHT = 16;
+constexpr std::uint32_t PROBER_CONNECTIONS = 1;
 
 void updateShares(ServiceState &state, const InstancePlace &place)
 {
@@ -26,7 +27,9 @@
         present.insert(id);
         const auto probes = Limits::shareOf(limits.probesPerSecond, place.shares, id);
         const auto [entry, isNew] = state.shares.try_emplace(id);
-        entry->second.connections = std::max(1U, Limits::shareOf(limits.connections, place.shares, id));
+        // One connection of the share is the prober's.
+        const auto connections = Limits::shareOf(limits.connections, place.shares, id);
+        entry->second.connections = connections > PROBER_CONNECTIONS ? connections - PROBER_CONNECTIONS : 0;
         if (isNew) {
             entry->second.probes = Limits::startShareBudget(probes, place.startedAt);
         } else {
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -10,5 +10,5 @@
 fi
 # clang-tidy can not read the compiler's precompiled headers, so it gets the commands without them.
 mkdir -p Build/lint
-sed -E 's/-Winvalid-pch -include [^ ]*cmake_pch\.hxx//' Build/release/compile_commands.json >Build/lint/compile_commands.json
-printf '%s\0' "${files[@]}" | xargs -0 -P "$(nproc)" -n 1 clang-tidy-16 --quiet -p Build/lint 2>/dev/null
+sed -E 's/-Winvalid-pch -include [^ ]*cmake_pch\.hxx//; s/ -fcoroutines//' Build/release/compile_commands.json >Build/lint/compile_commands.json
+printf '%s\0' "${files[@]}" | xargs -0 -P "$(nproc)" -n 1 clang-tidy-16 --quiet -p Build/lint --extra-arg=-Wno-unknown-warning-option 2>/dev/null
--- /dev/null
+++ b/Services/briarbendd/InstanceListFeed.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "PeerLink.h"
+
+#include <LibStore/ObjectStore.h>
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <vector>
+
+namespace Briarbend::Daemon
+{
+
+/// Keeps the platform's lagging list of instances. While the store is down the last list stays; an instance that starts meanwhile takes
+/// it from a peer.
+class InstanceListFeed
+{
+public:
+    using ListCallback = std::function<void(const std::vector<Store::ListedInstance> &)>;
+
+    InstanceListFeed(boost::asio::io_context &context,
+                     Store::ObjectStore &store,
+                     PeerLink &peers,
+                     std::chrono::milliseconds interval,
+                     ListCallback callback);
+    /// Starts polling; goes on until the io_context stops.
+    void start();
+
+    const std::vector<Store::ListedInstance> &list() const;
+
+private:
+    boost::asio::awaitable<void> poll();
+    void take(std::vector<Store::ListedInstance> newList);
+    void receive(const std::string &peer, std::string_view bytes);
+    void askPeers();
+
+    boost::asio::io_context &context;
+    Store::ObjectStore &store;
+    PeerLink &peers;
+    std::chrono::milliseconds interval;
+    ListCallback callback;
+    std::vector<Store::ListedInstance> current;
+    bool hasList{false};
+};
+
+} // namespace Briarbend::Daemon
--- /dev/null
+++ b/Services/briarbendd/PeerLink.cpp
@@ -0,0 +1,131 @@
+#include "PeerLink.h"
+
+#include <LibLog/Log.h>
+
+namespace Briarbend::Daemon
+{
+
+namespace
+{
+
+const auto &logger()
+{
+    static const auto named = Log::logger("peers");
+    return named;
+}
+
+std::string framed(Channel channel, std::string_view bytes)
+{
+    std::string message;
+    message.reserve(bytes.size() + 1);
+    message.push_back(static_cast<char>(channel));
+    message.append(bytes);
+    return message;
+}
+
+} // namespace
+
+PeerLink::PeerLink(Core::TimerService &timerService,
+                   Peers::Transport &peerTransport,
+                   Gossip::State initialState,
+                   Core::Random &randomSource)
+    : timers(timerService)
+    , transport(peerTransport)
+    , gossip(std::move(initialState))
+    , random(randomSource)
+{
+    this->transport.onMessage([this](const std::string &peer, std::string_view bytes) {
+        this->receive(peer, bytes);
+    });
+    this->transport.onClosed([this](const std::string &peer) {
+        Membership::peerUnreachable(this->gossip.members, {peer});
+    });
+    this->ticking = this->timers.every(Membership::TICK_INTERVAL, [this](Core::TimePoint now) {
+        this->carryOut(Gossip::tick(this->gossip, now, this->random));
+    });
+}
+
+void PeerLink::onChanges(ChangesCallback callback)
+{
+    this->changesCallback = std::move(callback);
+}
+
+void PeerLink::onMessage(Channel channel, MessageCallback callback)
+{
+    this->messageCallbacks[static_cast<char>(channel)] = std::move(callback);
+}
+
+void PeerLink::send(Channel channel, const std::string &peer, std::string_view bytes)
+{
+    this->transport.send(peer, framed(channel, bytes));
+}
+
+void PeerLink::publishSection(const Gossip::SectionText &section)
+{
+    this->carryOut(Gossip::publishSection(this->gossip, section, this->timers.now(), this->random));
+}
+
+void PeerLink::publish(const Gossip::Record &record, Core::Duration retention)
+{
+    this->carryOut(Gossip::publish(this->gossip, record, this->timers.now(), this->random, retention));
+}
+
+void PeerLink::confirmWithStore()
+{
+    Gossip::confirmWithStore(this->gossip, this->timers.now());
+}
+
+void PeerLink::applyInstanceList(const std::set<Membership::PeerAddress> &live)
+{
+    Membership::applyInstanceList(this->gossip.members, live);
+}
+
+void PeerLink::leave()
+{
+    this->carryOut(Gossip::leave(this->gossip, this->timers.now()));
+}
+
+const Gossip::State &PeerLink::state() const
+{
+    return this->gossip;
+}
+
+Peers::TransportCounters PeerLink::counters() const
+{
+    return this->transport.counters();
+}
+
+void PeerLink::receive(const std::string &peer, std::string_view bytes)
+{
+    if (bytes.empty()) {
+        return;
+    }
+    const char channel = bytes.front();
+    bytes.remove_prefix(1);
+    try {
+        if (channel == static_cast<char>(Channel::Gossip)) {
+            this->carryOut(Gossip::receive(this->gossip, bytes, this->timers.now(), this->random));
+            return;
+        }
+        const auto found = this->messageCallbacks.find(channel);
+        if (found != this->messageCallbacks.end()) {
+            found->second(peer, bytes);
+        }
+    } catch (const std::exception &exception) {
+        LOG4CXX_WARN(logger(), "dropped a message from " << peer << ": " << exception.what());
+    }
+}
+
+void PeerLink::carryOut(const Gossip::Decision &decision)
+{
+    for (const auto &datagram : decision.datagrams) {
+        this->transport.send(datagram.to.value, framed(Channel::Gossip, datagram.bytes));
+    }
+    const auto &changes = decision.changes;
+    const bool hasChanges = !changes.members.empty() || !changes.sections.empty() || !changes.records.empty();
+    if (hasChanges && this->changesCallback) {
+        this->changesCallback(changes);
+    }
+}
+
+} // namespace Briarbend::Daemon
--- /dev/null
+++ b/Services/briarbendd/PeerLink.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibCore/Random.h>
+#include <LibCore/TimerService.h>
+#include <LibGossip/Gossip.h>
+#include <LibPeers/Transport.h>
+
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+namespace Briarbend::Daemon
+{
+
+/// What a message between instances belongs to; the first byte of each message.
+enum class Channel : char {
+    Gossip = 'g',
+    /// Operations on claims and their results.
+    Claims = 'c',
+    /// The platform's instance list, for an instance that starts while the store is down.
+    InstanceList = 'i',
+};
+
+/// Connects the gossip state to the transport and the timer service.
+class PeerLink
+{
+public:
+    using ChangesCallback = std::function<void(const Gossip::Changes &)>;
+    using MessageCallback = std::function<void(const std::string &peer, std::string_view bytes)>;
+
+    PeerLink(Core::TimerService &timers, Peers::Transport &transport, Gossip::State initialState, Core::Random &random);
+
+    void onChanges(ChangesCallback callback);
+    /// Registers the receiver of one channel other than gossip.
+    void onMessage(Channel channel, MessageCallback callback);
+    void send(Channel channel, const std::string &peer, std::string_view bytes);
+
+    void publishSection(const Gossip::SectionText &section);
+    void publish(const Gossip::Record &record, Core::Duration retention = {});
+    void confirmWithStore();
+    /// Takes the platform's list of entry instances as seeds.
+    void applyInstanceList(const std::set<Membership::PeerAddress> &live);
+    /// Says goodbye; call once.
+    void leave();
+
+    const Gossip::State &state() const;
+    Peers::TransportCounters counters() const;
+
+private:
+    void receive(const std::string &peer, std::string_view bytes);
+    void carryOut(const Gossip::Decision &decision);
+
+    Core::TimerService &timers;
+    Peers::Transport &transport;
+    Gossip::State gossip;
+    Core::Random &random;
+    ChangesCallback changesCallback;
+    std::unordered_map<char, MessageCallback> messageCallbacks;
+    std::unique_ptr<Core::TimerSubscription> ticking;
+};
+
+} // namespace Briarbend::Daemon
--- /dev/null
+++ b/Services/briarbendd/WarmthSpread.cpp
@@ -0,0 +1,52 @@
+#include "WarmthSpread.h"
+
+namespace Briarbend::Daemon
+{
+
+namespace
+{
+
+/// Stands between target and start in the identifier that instances exchange, since a start's number is unique only at its target.
+constexpr char SEPARATOR = '/';
+
+Core::TargetStartId globalStart(const Limits::WarmthStatement &statement)
+{
+    return {statement.target.value + SEPARATOR + statement.start.value};
+}
+
+} // namespace
+
+WarmthSpread::WarmthSpread(PeerLink &peerLink, Limits::ColdGate &coldGate)
+    : peers(peerLink)
+    , gate(coldGate)
+{
+}
+
+void WarmthSpread::publishChanges()
+{
+    std::map<Core::TargetStartId, Limits::WarmthStatement> current;
+    for (auto &statement : Limits::warmthStatements(this->gate)) {
+        const auto start = globalStart(statement);
+        const auto known = this->published.find(start);
+        if (known == this->published.end() || known->second != statement) {
+            this->peers.publish(Gossip::WarmMark{.start = start, .epoch = statement.episode, .isWarm = statement.isWarm});
+        }
+        current.emplace(start, std::move(statement));
+    }
+    this->published = std::move(current);
+}
+
+void WarmthSpread::learn(const Gossip::WarmMark &mark)
+{
+    const auto separator = mark.start.value.find(SEPARATOR);
+    if (separator == std::string::npos) {
+        return;
+    }
+    Limits::learnWarmth(this->gate,
+                        {.target = {mark.start.value.substr(0, separator)},
+                         .start = {mark.start.value.substr(separator + 1)},
+                         .episode = static_cast<std::uint32_t>(mark.epoch),
+                         .isWarm = mark.isWarm});
+}
+
+} // namespace Briarbend::Daemon
--- /dev/null
+++ b/Services/briarbendd/WarmthSpread.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "PeerLink.h"
+
+#include <LibLimits/ColdGate.h>
+
+#include <map>
+
+namespace Briarbend::Daemon
+{
+
+/// Carries what instances know of targets' warmth between the cold gate and gossip.
+class WarmthSpread
+{
+public:
+    WarmthSpread(PeerLink &peers, Limits::ColdGate &gate);
+
+    /// Publishes the statements that changed since the last call.
+    void publishChanges();
+    /// Takes a peer's record over into the gate.
+    void learn(const Gossip::WarmMark &mark);
+
+private:
+    PeerLink &peers;
+    Limits::ColdGate &gate;
+    std::map<Core::TargetStartId, Limits::WarmthStatement> published;
+};
+
+} // namespace Briarbend::Daemon
