--- a/Libraries/LibClaims/BucketCodec.h
+++ b/Libraries/LibClaims/BucketCodec.h
@@ -22,16 +22,4 @@
 /// Throws CodecError where the bytes are no bucket of a known format. An empty value is an empty bucket.
 Bucket decodeBucket(const std::vector<std::uint8_t> &bytes);
 
-/// CBOR form of an operation, as passed to the bucket's owner.
-std::vector<std::uint8_t> encodeOperation(const Operation &operation);
-
-/// Throws CodecError.
-Operation decodeOperation(const std::vector<std::uint8_t> &bytes);
-
-/// CBOR form of a result, as passed back to the requester.
-std::vector<std::uint8_t> encodeResult(const OperationResult &result);
-
-/// Throws CodecError.
-OperationResult decodeResult(const std::vector<std::uint8_t> &bytes);
-
 } // namespace Briarbend::Claims
--- a/Libraries/LibClaims/BucketCommitter.cpp
+++ b/Libraries/LibClaims/BucketCommitter.cpp
@@ -75,17 +75,17 @@
     return std::max({wanted, committer.notBefore, committer.nextUpdateAt});
 }
 
-void startRead(BucketCommitter &committer, CommitterStep &step, Core::TimePoint now)
+void startRead(BucketCommitter &committer, CommitterStep &step)
 {
     committer.phase = CommitterPhase::Reading;
-    committer.callStartedAt = now;
+    ++committer.callsStarted;
     step.request = ReadBucket{};
 }
 
 void startWrite(BucketCommitter &committer, CommitterStep &step, Core::TimePoint now)
 {
     committer.phase = CommitterPhase::Writing;
-    committer.callStartedAt = now;
+    ++committer.callsStarted;
     committer.nextUpdateAt = now + committer.settings.updateInterval;
     std::ranges::for_each(committer.batch, [](PendingOperation &pending) {
         pending.wasWritten = true;
@@ -136,7 +136,7 @@
 bool isBatchCertain(const BucketCommitter &committer)
 {
     for (std::size_t index = 0; index < committer.batch.size(); ++index) {
-        if (!isFinal(committer.batchResults[index]) && committer.batch[index].submittedAt > committer.knownSince) {
+        if (!isFinal(committer.batchResults[index]) && committer.batch[index].callsBefore >= committer.knownByCall) {
             return false;
         }
     }
@@ -158,7 +158,7 @@
             return;
         }
         if (!committer.bucket) {
-            startRead(committer, step, now);
+            startRead(committer, step);
             return;
         }
         takeBatch(committer);
@@ -168,7 +168,7 @@
         }
         if (!isBatchCertain(committer)) {
             returnBatchToQueue(committer);
-            startRead(committer, step, now);
+            startRead(committer, step);
             return;
         }
         deliverBatch(committer, step);
@@ -187,7 +187,12 @@
 submit(BucketCommitter &committer, OperationId id, Operation operation, Core::TimePoint giveUpAt, Core::TimePoint now, Core::WallTime wall)
 {
     CommitterStep step;
-    PendingOperation pending{.id = id, .operation = std::move(operation), .submittedAt = now, .giveUpAt = giveUpAt, .wasWritten = false};
+    PendingOperation pending{.id = id,
+                             .operation = std::move(operation),
+                             .submittedAt = now,
+                             .giveUpAt = giveUpAt,
+                             .callsBefore = committer.callsStarted,
+                             .wasWritten = false};
     if (isClaim(pending) && committer.queue.size() >= committer.settings.queueLimit) {
         turnAway(committer, pending, step);
     } else {
@@ -209,7 +214,7 @@
     try {
         committer.bucket = decodeBucket(answer.value);
         committer.version = answer.version;
-        committer.knownSince = committer.callStartedAt;
+        committer.knownByCall = committer.callsStarted;
         committer.failures = 0;
     } catch (const CodecError &) {
         // A value of an unknown format may hold claims, so that it must neither be overwritten nor taken for empty.
@@ -226,7 +231,7 @@
     switch (answer.status) {
     case StoreStatus::Ok:
         committer.version = answer.version;
-        committer.knownSince = committer.callStartedAt;
+        committer.knownByCall = committer.callsStarted;
         committer.failures = 0;
         deliverBatch(committer, step);
         break;
--- a/Libraries/LibClaims/BucketCommitter.h
+++ b/Libraries/LibClaims/BucketCommitter.h
@@ -73,6 +73,8 @@
     Core::TimePoint submittedAt;
     /// Claims that are not committed by then are turned away. Records and releases never give up.
     Core::TimePoint giveUpAt;
+    /// Number of store calls that the committer had started at the submission. Clocks are too coarse to order the two.
+    std::uint64_t callsBefore{0};
     /// True once a write with this operation was sent.
     bool wasWritten{false};
 };
@@ -96,13 +98,13 @@
     /// The bucket as last read or written; not set where the last call leaves its state in doubt.
     std::optional<Bucket> bucket;
     std::uint64_t version{0};
-    /// The bucket is known to have had this state at or after this time.
-    Core::TimePoint knownSince;
+    /// Number of the call that showed the bucket in this state. Operations submitted before that call may be judged by it.
+    std::uint64_t knownByCall{0};
+    std::uint64_t callsStarted{0};
 
     /// Operations and their results in the write in flight, in order.
     std::vector<PendingOperation> batch;
     std::vector<OperationResult> batchResults;
-    Core::TimePoint callStartedAt;
     Core::TimePoint nextUpdateAt;
 
     std::uint32_t failures{0};
--- /dev/null
+++ b/Tests/LibClaims/TestAtMostOnce.cpp
@@ -0,0 +1,117 @@
+#include "ClaimWorld.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace Briarbend::Claims
+{
+
+namespace
+{
+
+constexpr std::size_t CHOICES_PER_RUN = 1200;
+constexpr std::uint64_t SEEDED_RUNS = 2000;
+constexpr std::uint64_t RUNS_PER_MUTATION = 2000;
+
+std::vector<std::uint32_t> choicesOf(std::uint64_t seed)
+{
+    Core::Random random{seed};
+    std::vector<std::uint32_t> choices(CHOICES_PER_RUN);
+    std::generate(choices.begin(), choices.end(), [&random] {
+        return static_cast<std::uint32_t>(random.bits() >> 32U);
+    });
+    return choices;
+}
+
+const char *nameOf(Mutation mutation)
+{
+    constexpr std::array NAMES{"None",
+                               "StoreIgnoresExpectedVersion",
+                               "SendsWithoutClaim",
+                               "SendsOnLateGrant",
+                               "ReleasesAfterLostConnection",
+                               "GrantsBeforeWrite",
+                               "EvictsLiveClaims",
+                               "TakesOverFromSilentHolder",
+                               "RefusesWithoutKnowingEarlierSubmissions"};
+    return NAMES.at(static_cast<std::size_t>(mutation));
+}
+
+} // namespace
+
+RC_GTEST_PROP(AtMostOnce, holdsUnderAnySchedule, ())
+{
+    const auto choices = *rc::gen::container<std::vector<std::uint32_t>>(*rc::gen::inRange<std::size_t>(0, CHOICES_PER_RUN),
+                                                                         rc::gen::inRange<std::uint32_t>(0, 1U << 30U));
+    ClaimWorld world{choices, Mutation::None};
+    world.run();
+    RC_ASSERT(world.violations() == std::set<Violation>{});
+}
+
+TEST(AtMostOnce, holdsInSeededRunsWithFaultsAtEveryStep)
+{
+    std::size_t runs = 0;
+    std::size_t replays = 0;
+    std::size_t notRun = 0;
+    for (std::uint64_t seed = 0; seed < SEEDED_RUNS; ++seed) {
+        ClaimWorld world{choicesOf(seed), Mutation::None};
+        world.run();
+        ASSERT_EQ(world.violations(), std::set<Violation>{}) << "seed " << seed;
+        runs += world.runCount();
+        replays += world.replayCount();
+        notRun += world.notRunCount();
+    }
+    RecordProperty("runs", std::to_string(runs));
+    RecordProperty("replays", std::to_string(replays));
+    RecordProperty("notRun", std::to_string(notRun));
+    // The schedules must reach what they are to prove.
+    EXPECT_GT(runs, SEEDED_RUNS);
+    EXPECT_GT(replays, SEEDED_RUNS / 2);
+    EXPECT_GT(notRun, SEEDED_RUNS / 8);
+    std::printf("%zu runs, %zu replays, %zu refusals as not run\n", runs, replays, notRun);
+}
+
+TEST(AtMostOnce, everyKeyRunsWithoutFaults)
+{
+    constexpr std::size_t KEYS = 300;
+    ClaimWorld world{{}, Mutation::None};
+    world.runCalmly(KEYS);
+    EXPECT_EQ(world.runCount(), KEYS);
+    EXPECT_EQ(world.violations(), std::set<Violation>{});
+}
+
+class RemovedProtection : public testing::TestWithParam<Mutation>
+{
+};
+
+TEST_P(RemovedProtection, isSeenByTheChecker)
+{
+    for (std::uint64_t seed = 0; seed < RUNS_PER_MUTATION; ++seed) {
+        ClaimWorld world{choicesOf(seed), GetParam()};
+        world.run();
+        const auto violations = world.violations();
+        if (violations.contains(Violation::RanTwice) || violations.contains(Violation::RanDespiteRefusal)) {
+            return;
+        }
+    }
+    FAIL() << "no violation in " << RUNS_PER_MUTATION << " runs";
+}
+
+INSTANTIATE_TEST_SUITE_P(AtMostOnce,
+                         RemovedProtection,
+                         testing::Values(Mutation::StoreIgnoresExpectedVersion,
+                                         Mutation::SendsWithoutClaim,
+                                         Mutation::SendsOnLateGrant,
+                                         Mutation::ReleasesAfterLostConnection,
+                                         Mutation::GrantsBeforeWrite,
+                                         Mutation::EvictsLiveClaims,
+                                         Mutation::TakesOverFromSilentHolder,
+                                         Mutation::RefusesWithoutKnowingEarlierSubmissions),
+                         [](const testing::TestParamInfo<Mutation> &parameter) {
+                             return std::string{nameOf(parameter.param)};
+                         });
+
+} // namespace Briarbend::Claims
