LibQuarantine: Keep a request from breaking more than two targets

A request that crashes each target that runs it, sent again by its caller through any instance, takes a service down target by target.

--- /dev/null
+++ b/Libraries/LibQuarantine/QuarantineState.cpp
@@ -0,0 +1,157 @@
+#include <LibQuarantine/QuarantineState.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Briarbend::Quarantine
+{
+
+namespace
+{
+
+constexpr std::size_t QUARANTINE_THRESHOLD = 2;
+constexpr std::size_t LARGEST_DOUBLING = 6;
+constexpr std::chrono::milliseconds SHORTEST_COINCIDENCE_HOLD{std::chrono::seconds{1}};
+
+std::chrono::milliseconds doubled(std::chrono::milliseconds base, std::size_t times)
+{
+    return base * (1U << std::min(times, LARGEST_DOUBLING));
+}
+
+/// The number of these starts that another single request may have broken, at most as many as lead to its quarantine.
+std::size_t explainedByAnother(const QuarantineState &state, const std::vector<Core::TargetStartId> &starts)
+{
+    std::size_t explained = 0;
+    for (const auto &entry : state.suspicions) {
+        const auto &evidence = entry.second.evidence;
+        const auto count = std::ranges::count_if(starts, [&evidence](const Core::TargetStartId &start) {
+            const auto found = evidence.find(start);
+            return found != evidence.end() && found->second.state == EvidenceState::Confirmed;
+        });
+        explained = std::max(explained, static_cast<std::size_t>(count));
+    }
+    return explained < QUARANTINE_THRESHOLD ? 0 : QUARANTINE_THRESHOLD;
+}
+
+/// True where the request's presence on the lost start speaks against it. A popular request is on every target at any time.
+bool isExplainedBy(const Suspicion &suspicion, const Core::TargetStartId &start)
+{
+    const auto found = suspicion.evidence.find(start);
+    return found != suspicion.evidence.end() && (found->second.isTrial || !hadRunClean(suspicion));
+}
+
+bool isCoincident(const QuarantineState &state, const Suspicion &suspicion, const Core::TargetStartId &start, const Evidence &evidence)
+{
+    if (evidence.isTrial && !hadRunClean(suspicion)) {
+        return false;
+    }
+    std::vector<Core::TargetStartId> unexplained;
+    for (const auto &[lost, lostAt] : state.lostStarts) {
+        const auto distance = lostAt > evidence.seenAt ? lostAt - evidence.seenAt : evidence.seenAt - lostAt;
+        if (distance <= state.settings.coincidenceWindow && lost != start && !isExplainedBy(suspicion, lost)) {
+            unexplained.push_back(lost);
+        }
+    }
+    if (unexplained.size() < state.settings.unexplainedLimit) {
+        return false;
+    }
+    return unexplained.size() - explainedByAnother(state, unexplained) >= state.settings.unexplainedLimit;
+}
+
+/// The strongest of the counted pieces of evidence alone.
+Assessment atMostOne(const Assessment &counts)
+{
+    if (counts.confirmed > 0) {
+        return {.confirmed = 1, .latest = {}, .newest = {}};
+    }
+    if (counts.provisional > 0) {
+        return {.provisional = 1, .latest = {}, .newest = {}};
+    }
+    return {.coincident = counts.coincident > 0 ? 1U : 0U, .latest = {}, .newest = {}};
+}
+
+} // namespace
+
+std::size_t Assessment::total() const
+{
+    return this->confirmed + this->coincident + this->provisional;
+}
+
+bool hadRunClean(const Suspicion &suspicion)
+{
+    return std::ranges::any_of(suspicion.evidence, [](const auto &entry) {
+        return entry.second.hadRunClean;
+    });
+}
+
+bool isWiderFailureGoingOn(const QuarantineState &state, Core::TimePoint now)
+{
+    std::vector<Core::TimePoint> times;
+    std::ranges::transform(state.lostStarts, std::back_inserter(times), [](const auto &entry) {
+        return entry.second;
+    });
+    const auto count = state.settings.failureStarts;
+    if (times.size() < count) {
+        return false;
+    }
+    std::ranges::nth_element(times, times.begin() + static_cast<std::ptrdiff_t>(count) - 1, std::ranges::greater{});
+    const auto latest = *std::ranges::max_element(times);
+    return now - latest < state.settings.failureQuiet && latest - times[count - 1] <= state.settings.failureSpan;
+}
+
+Assessment assess(const QuarantineState &state, const Suspicion &suspicion, Core::TimePoint now)
+{
+    Assessment assessment;
+    Assessment before;
+    for (const auto &[start, evidence] : suspicion.evidence) {
+        const auto age = now - evidence.seenAt;
+        const auto isProvisional = evidence.state == EvidenceState::Provisional;
+        const auto lifetime = isProvisional ? state.settings.provisionalLifetime : state.settings.retention;
+        if (evidence.state == EvidenceState::Cleared || age > lifetime) {
+            continue;
+        }
+        assessment.newest = std::max(assessment.newest, evidence.seenAt);
+        auto &counts = evidence.isTrial ? assessment : before;
+        if (isProvisional) {
+            ++counts.provisional;
+            continue;
+        }
+        assessment.latest = std::max(assessment.latest, evidence.seenAt);
+        if (isCoincident(state, suspicion, start, evidence)) {
+            ++counts.coincident;
+        } else {
+            ++counts.confirmed;
+        }
+    }
+    if (hadRunClean(suspicion)) {
+        before = atMostOne(before);
+    } else if (assessment.confirmed > 0) {
+        before.confirmed += std::exchange(before.coincident, 0);
+    }
+    assessment.confirmed += before.confirmed;
+    assessment.coincident += before.coincident;
+    assessment.provisional += before.provisional;
+    return assessment;
+}
+
+Core::TimePoint refusedUntil(const Assessment &assessment, const Settings &settings)
+{
+    if (assessment.confirmed >= QUARANTINE_THRESHOLD) {
+        return assessment.latest + doubled(settings.duration, assessment.confirmed - QUARANTINE_THRESHOLD);
+    }
+    // A request that meets ever more breaking targets during a wider failure waits longer each time, so that a culprit which hides
+    // in the failure breaks few, and a victim is held up for seconds only.
+    const auto total = assessment.confirmed + assessment.coincident;
+    if (total > QUARANTINE_THRESHOLD) {
+        return assessment.latest + doubled(SHORTEST_COINCIDENCE_HOLD, total - QUARANTINE_THRESHOLD);
+    }
+    return Core::TimePoint::min();
+}
+
+bool isAtThreshold(const Assessment &assessment)
+{
+    return assessment.total() >= QUARANTINE_THRESHOLD;
+}
+
+} // namespace Briarbend::Quarantine
