--- a/Libraries/LibConfiguration/ConfigurationDocument.cpp
+++ b/Libraries/LibConfiguration/ConfigurationDocument.cpp
@@ -63,6 +63,18 @@
     return sections;
 }
 
+std::optional<Section> parseTeamSection(std::string_view text, const std::string &file, const Core::TeamName &team)
+{
+    const auto document = Document::parseToml(text, file);
+    Document::ProblemList problems(file);
+    const TableReader root(document, "", problems);
+    const auto teams = root.subtable("team");
+    const auto table = teams ? teams->subtable(team.value) : std::nullopt;
+    auto section = table ? std::optional(readSection(*table)) : std::nullopt;
+    problems.throwIfAny();
+    return section;
+}
+
 std::vector<SectionClash> findClashes(const Section &section, const Sections &others)
 {
     std::vector<SectionClash> clashes;
--- a/Libraries/LibConfiguration/ConfigurationDocument.h
+++ b/Libraries/LibConfiguration/ConfigurationDocument.h
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/Model.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -12,6 +13,10 @@
 /// Document::DocumentError with every problem.
 Sections parseConfiguration(std::string_view text, const std::string &file);
 
+/// Reads and checks one team's section of a document and passes over the others, which may be half written; nothing where the document has
+/// no such section. Problems carry the document's own lines. Throws Document::DocumentError with every problem of the section.
+std::optional<Section> parseTeamSection(std::string_view text, const std::string &file, const Core::TeamName &team);
+
 /// One service or path that two teams' sections claim.
 struct SectionClash {
     Core::TeamName otherTeam;
@@ -29,8 +34,7 @@
 /// What a section claims that other teams' sections claim already. The team's own entry in the others is passed over.
 std::vector<SectionClash> findClashes(const Section &section, const Sections &others);
 
-/// The text of one team's section with its comments, as the store holds it; empty where the document has none. The document must be one
-/// that parseConfiguration takes.
+/// The text of one team's section with its comments, as the store holds it; empty where the document has none. The document must be TOML.
 std::string extractSectionText(std::string_view document, const Core::TeamName &team);
 
 /// The section's text with the state of one data centre changed or added, and everything else as it was. The text must be one that
