--- a/Libraries/LibOperations/InstanceReport.cpp
+++ b/Libraries/LibOperations/InstanceReport.cpp
@@ -54,6 +54,30 @@
     Asio::steady_timer done;
 };
 
+/// One dump as its leaves by path.
+struct FlatDump {
+    std::string instance;
+    nlohmann::json leaves;
+};
+
+MergedEntry mergePath(const std::vector<FlatDump> &dumps, const std::string &path)
+{
+    MergedEntry entry{.path = path, .values = {}};
+    for (const auto &dump : dumps) {
+        const auto value = dump.leaves.contains(path) ? dump.leaves.at(path).dump() : std::string("-");
+        const auto found = std::ranges::find(entry.values, value, &MergedValue::value);
+        if (found == entry.values.end()) {
+            entry.values.push_back({value, {dump.instance}});
+        } else {
+            found->instances.push_back(dump.instance);
+        }
+    }
+    std::ranges::stable_sort(entry.values, std::ranges::greater{}, [](const MergedValue &value) {
+        return value.instances.size();
+    });
+    return entry;
+}
+
 } // namespace
 
 bool InstanceReport::hasAnswered() const
@@ -136,34 +160,21 @@
 
 std::vector<MergedEntry> mergeReports(const std::vector<InstanceReport> &reports)
 {
-    std::map<std::string, nlohmann::json> leavesOf;
+    std::vector<FlatDump> dumps;
     std::set<std::string> paths;
     for (const auto &report : reports) {
-        if (report.hasAnswered()) {
-            auto leaves = report.document.flatten();
-            for (const auto &[path, value] : leaves.items()) {
-                paths.insert(path);
-            }
-            leavesOf.emplace(report.operatorAddress.text(), std::move(leaves));
+        if (!report.hasAnswered()) {
+            continue;
         }
-    }
-    std::vector<MergedEntry> merged;
-    for (const auto &path : paths) {
-        MergedEntry entry{.path = path, .values = {}};
-        for (const auto &[instance, leaves] : leavesOf) {
-            const auto value = leaves.contains(path) ? leaves.at(path).dump() : std::string("-");
-            const auto found = std::ranges::find(entry.values, value, &MergedValue::value);
-            if (found == entry.values.end()) {
-                entry.values.push_back({value, {instance}});
-            } else {
-                found->instances.push_back(instance);
-            }
+        dumps.push_back({report.operatorAddress.text(), report.document.flatten()});
+        for (const auto &[path, value] : dumps.back().leaves.items()) {
+            paths.insert(path);
         }
-        std::ranges::stable_sort(entry.values, std::ranges::greater{}, [](const MergedValue &value) {
-            return value.instances.size();
-        });
-        merged.push_back(std::move(entry));
     }
+    std::vector<MergedEntry> merged;
+    std::ranges::transform(paths, std::back_inserter(merged), [&dumps](const std::string &path) {
+        return mergePath(dumps, path);
+    });
     return merged;
 }
 
