LibLoad: Share the body checksum with the target stand-in

The generator and the target compute the same checksum in pieces, so both use one class. The target now also states the checksum of a request's body in a header, which lets the generator notice a damaged upload.

--- a/Tests/StandIns/Target/Body.cpp
+++ b/Tests/StandIns/Target/Body.cpp
@@ -1,13 +1,12 @@
 #include <Tests/StandIns/Target/Body.h>
 
+#include <LibLoad/BodyChecksum.h>
+
 #include <algorithm>
-#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <charconv>
 #include <cstring>
 #include <map>
-#include <memory>
 #include <utility>
 #include <xxhash.h>
 
@@ -51,35 +50,26 @@
 
 boost::asio::awaitable<std::string> checksum(const Body &body)
 {
-    const auto shortDigest = XXH3_64bits(body.pattern.data(), body.pattern.size());
+    Load::BodyChecksum checksum;
+    checksum.update(body.pattern);
+    auto text = checksum.text();
     if (body.length == body.pattern.size()) {
-        co_return hexadecimal(shortDigest);
+        co_return text;
     }
-    static std::map<std::pair<std::uint64_t, std::uint64_t>, std::string> known;
-    const auto found = known.find({shortDigest, body.length});
+    static std::map<std::pair<std::string, std::uint64_t>, std::string> known;
+    const auto found = known.find({text, body.length});
     if (found != known.end()) {
         co_return found->second;
     }
-    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> digest(XXH3_createState(), &XXH3_freeState);
-    XXH3_64bits_reset(digest.get());
+    Load::BodyChecksum total;
     std::uint64_t slices = 0;
     for (std::uint64_t done = 0; done < body.length; done += body.pattern.size()) {
-        XXH3_64bits_update(digest.get(), body.pattern.data(), std::min<std::uint64_t>(body.pattern.size(), body.length - done));
+        total.update(std::string_view(body.pattern).substr(0, body.length - done));
         if (++slices % SLICE_PATTERNS == 0) {
             co_await boost::asio::post(boost::asio::use_awaitable);
         }
     }
-    auto text = hexadecimal(XXH3_64bits_digest(digest.get()));
-    known[{shortDigest, body.length}] = text;
-    co_return text;
-}
-
-std::string hexadecimal(std::uint64_t value)
-{
-    std::array<char, 16> digits{};
-    const auto end = std::to_chars(digits.begin(), digits.end(), value, 16).ptr;
-    std::string text(digits.begin(), end);
-    return std::string(digits.size() - text.size(), '0') + text;
+    co_return known[{text, body.length}] = total.text();
 }
 
 } // namespace Briarbend::StandIns
--- a/Tests/StandIns/Target/Body.h
+++ b/Tests/StandIns/Target/Body.h
@@ -17,8 +17,7 @@
 Body bodyOf(std::string text);
 /// The deterministic body of a path.
 Body patternBody(std::string_view path, std::uint64_t length);
-/// The body's XXH3 as hexadecimal digits. Yields to other work between slices of a long body.
+/// The body's XXH3 checksum. Yields to other work between slices of a long body.
 boost::asio::awaitable<std::string> checksum(const Body &body);
-std::string hexadecimal(std::uint64_t value);
 
 } // namespace Briarbend::StandIns
--- a/Tests/StandIns/Target/Exchange.cpp
+++ b/Tests/StandIns/Target/Exchange.cpp
@@ -1,3 +1,4 @@
+#include <LibLoad/BodyChecksum.h>
 #include <LibNetwork/Http.h>
 #include <Tests/StandIns/Target/Target.h>
 
@@ -7,7 +8,6 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <xxhash.h>
 
 /// The target's side of HTTP/1.1: reads a request with bounded memory and writes an answer, right or scripted wrong.
 namespace Briarbend::StandIns
@@ -86,8 +86,7 @@
         constexpr std::string_view CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await Asio::async_write(connection.socket, Asio::buffer(CONTINUE), token);
     }
-    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> digest(XXH3_createState(), &XXH3_freeState);
-    XXH3_64bits_reset(digest.get());
+    Load::BodyChecksum checksum;
     std::vector<char> piece(READ_BYTES);
     while (!parser.is_done()) {
         auto &body = parser.get().body();
@@ -98,10 +97,10 @@
             co_return std::nullopt;
         }
         const auto filled = piece.size() - body.size;
-        XXH3_64bits_update(digest.get(), piece.data(), filled);
+        checksum.update({piece.data(), filled});
         incoming.bodyBytes += filled;
     }
-    incoming.bodyDigest = hexadecimal(XXH3_64bits_digest(digest.get()));
+    incoming.bodyDigest = checksum.text();
     co_return incoming;
 }
 
--- a/Tests/StandIns/Target/Target.cpp
+++ b/Tests/StandIns/Target/Target.cpp
@@ -251,7 +251,7 @@
                                   {"path", incoming.path},
                                   {"bytes", incoming.bodyBytes},
                                   {"digest", incoming.bodyDigest}};
-        answer.headers += "Content-Type: application/json\r\n";
+        answer.headers += "Content-Type: application/json\r\nx-body-checksum: " + incoming.bodyDigest + "\r\n";
         answer.body = bodyOf(json.dump());
     } else {
         constexpr std::uint64_t DEFAULT_BYTES = 64;
