LibGossip: Keep the fleet stable when budgets run out

A trial of 16 to 32 instances that start together showed a collapse: every instance probed every other, answers were refused by the budget, silence was taken for failure, and indirect probes took the rest.

Answers now have the larger reserve and go out bare where it is used up; a probe that the budget refuses is withdrawn. Ages ride on pings as well, for failure detection only, since a ping proves nothing about delay. New instances fetch the member table from the bulk budget, tables of members are compared by digest, and a suspect is told at once so that it refutes.

--- a/Libraries/LibGossip/ByteBudget.h
+++ b/Libraries/LibGossip/ByteBudget.h
@@ -9,10 +9,12 @@
 {
 
 /// In any window of one second at most rate and burst together: 3,000 bytes.
-constexpr std::size_t CONTROL_BYTES_PER_SECOND = 2000;
-constexpr std::size_t CONTROL_BURST_BYTES = 1000;
-/// Part of the burst that only heartbeats may use.
-constexpr std::size_t HEARTBEAT_RESERVE_BYTES = 400;
+constexpr std::size_t CONTROL_BYTES_PER_SECOND = 1800;
+constexpr std::size_t CONTROL_BURST_BYTES = 1200;
+/// Part of the burst that only probes and their answers may use.
+constexpr std::size_t HEARTBEAT_RESERVE_BYTES = 600;
+/// Part of the burst that only answers may use: an answer withheld looks like a failure, a probe withheld does not.
+constexpr std::size_t ANSWER_RESERVE_BYTES = 350;
 constexpr std::size_t BULK_BYTES_PER_SECOND = 2'000'000;
 constexpr std::size_t BULK_BURST_BYTES = 4'000'000;
 /// Charged for every message besides its payload: WebSocket frame (RFC 6455), TCP and IP headers.
--- a/Libraries/LibGossip/Compare.cpp
+++ b/Libraries/LibGossip/Compare.cpp
@@ -19,10 +19,12 @@
 /// Records compared in one step; the rest follows in later comparisons.
 constexpr std::size_t MAX_COMPARED_RECORDS = 24;
 /// Bytes of records that one step may carry.
-constexpr std::size_t MAX_REPAIR_BYTES = 300;
+constexpr std::size_t MAX_REPAIR_BYTES = 250;
+constexpr std::uint32_t ALL_BUCKETS = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint32_t LAST_KEY_HASH = std::numeric_limits<std::uint32_t>::max();
 constexpr std::size_t SNAPSHOT_MESSAGE_BYTES = 100'000;
 
-/// Calls the visitor with the digest of every item of the kind and the item's holder: a HeldSection or an Entry.
+/// Calls the visitor with the digest of every item of the kind and the item itself.
 template<typename Visitor>
 void forEachItem(const State &state, DigestKind kind, const Visitor &visitor)
 {
@@ -32,6 +34,11 @@
         }
     };
     switch (kind) {
+    case DigestKind::Members:
+        for (const auto &[id, member] : state.members.members) {
+            visitor(digestOf(member.news), member);
+        }
+        return;
     case DigestKind::Sections:
         for (const auto &[team, held] : state.sections.held) {
             visitor(digestOf(held.section), held);
@@ -46,9 +53,11 @@
     }
 }
 
-const BucketDigests &digestsOf(const State &state, DigestKind kind)
+BucketDigests digestsOf(const State &state, DigestKind kind)
 {
     switch (kind) {
+    case DigestKind::Members:
+        return memberDigests(state);
     case DigestKind::Sections:
         break;
     case DigestKind::Verdicts:
@@ -66,12 +75,24 @@
     return ((buckets >> bucketOf(digest)) & 1U) != 0;
 }
 
+template<typename Item>
+bool isCompared(const Item & /*item*/)
+{
+    return true;
+}
+
+/// Members that are gone are told of, but not compared: instances forget them at different times.
+bool isCompared(const Membership::Member &member)
+{
+    return member.news.state != Membership::MemberState::Gone;
+}
+
 /// The digests in the buckets, sorted by key hash.
 std::vector<RecordDigest> digestsIn(const State &state, DigestKind kind, std::uint32_t buckets)
 {
     std::vector<RecordDigest> digests;
-    forEachItem(state, kind, [&](const RecordDigest &digest, const auto & /*holder*/) {
-        if (isInBuckets(digest, buckets)) {
+    forEachItem(state, kind, [&](const RecordDigest &digest, const auto &item) {
+        if (isCompared(item) && isInBuckets(digest, buckets)) {
             digests.push_back(digest);
         }
     });
@@ -79,6 +100,11 @@
     return digests;
 }
 
+void append(Envelope &envelope, const Membership::Member &member, Core::TimePoint /*now*/)
+{
+    envelope.membership.news.push_back(member.news);
+}
+
 /// Adds the item to the message. Announces a section without its text: the receiver asks for what it lacks.
 void append(Envelope &envelope, const HeldSection &held, Core::TimePoint /*now*/)
 {
@@ -97,8 +123,10 @@
 std::size_t sizeOfLast(const Envelope &envelope)
 {
     const auto records = envelope.records.empty() ? 0 : encodedSize(envelope.records.back());
+    constexpr std::size_t MEMBER_NEWS_BYTES = 60;
+    const auto members = envelope.membership.news.empty() ? 0 : MEMBER_NEWS_BYTES;
     const auto sections = envelope.sections.empty() ? 0 : encodedSize(envelope.sections.back());
-    return std::max(records, sections);
+    return std::max({records, sections, members});
 }
 
 /// Adds as many of the items as fit.
@@ -106,9 +134,9 @@
     const State &state, DigestKind kind, const std::unordered_set<std::uint32_t> &keyHashes, Core::TimePoint now, Envelope &envelope)
 {
     std::size_t bytes = 0;
-    forEachItem(state, kind, [&](const RecordDigest &digest, const auto &holder) {
+    forEachItem(state, kind, [&](const RecordDigest &digest, const auto &item) {
         if (bytes < MAX_REPAIR_BYTES && keyHashes.contains(digest.keyHash)) {
-            append(envelope, holder, now);
+            append(envelope, item, now);
             bytes += sizeOfLast(envelope);
         }
     });
@@ -142,8 +170,16 @@
             different.push_back(static_cast<DigestKind>(index));
         }
     }
-    if (!different.empty()) {
-        const auto kind = different[random.below(different.size())];
+    if (different.empty()) {
+        return;
+    }
+    const auto kind = different[random.below(different.size())];
+    auto digests = digestsIn(state, kind, ALL_BUCKETS);
+    // Few records are compared at once; the buckets would take a message more.
+    if (digests.size() <= MAX_COMPARED_RECORDS) {
+        CompareRecords compare{kind, ALL_BUCKETS, 0, LAST_KEY_HASH, std::move(digests)};
+        dispatchExchange(state, peer, std::move(compare), MessageClass::Comparison, now, decision);
+    } else {
         dispatchExchange(state, peer, CompareBuckets{kind, digestsOf(state, kind)}, MessageClass::Comparison, now, decision);
     }
 }
@@ -155,8 +191,8 @@
             Core::Random &random,
             Decision &decision)
 {
-    const auto &mine = digestsOf(state, theirs.kind);
-    CompareRecords reply{theirs.kind, 0, 0, std::numeric_limits<std::uint32_t>::max(), {}};
+    const auto mine = digestsOf(state, theirs.kind);
+    CompareRecords reply{theirs.kind, 0, 0, LAST_KEY_HASH, {}};
     for (std::size_t bucket = 0; bucket < DIGEST_BUCKETS; ++bucket) {
         reply.buckets |= std::uint32_t{mine.at(bucket) != theirs.digests.at(bucket)} << bucket;
     }
@@ -166,9 +202,10 @@
     auto digests = digestsIn(state, theirs.kind, reply.buckets);
     if (digests.size() > MAX_COMPARED_RECORDS) {
         const auto start = digests.begin() + static_cast<std::ptrdiff_t>(random.below(digests.size() - MAX_COMPARED_RECORDS + 1));
-        reply.records.assign(start, start + MAX_COMPARED_RECORDS);
-        reply.firstKeyHash = start == digests.begin() ? 0 : reply.records.front().keyHash;
-        reply.lastKeyHash = start + MAX_COMPARED_RECORDS == digests.end() ? reply.lastKeyHash : reply.records.back().keyHash;
+        const auto end = start + MAX_COMPARED_RECORDS;
+        reply.firstKeyHash = start == digests.begin() ? 0 : start->keyHash;
+        reply.lastKeyHash = end == digests.end() ? LAST_KEY_HASH : std::prev(end)->keyHash;
+        reply.records.assign(start, end);
     } else {
         reply.records = std::move(digests);
     }
@@ -189,6 +226,7 @@
     for (const auto &digest : theirs.records) {
         if (!contains(mine, digest)) {
             request.keyHashes.push_back(digest.keyHash);
+            offered.insert(digest.keyHash);
         }
     }
     auto envelope = makeEnvelope(state);
--- a/Libraries/LibGossip/Decode.cpp
+++ b/Libraries/LibGossip/Decode.cpp
@@ -15,7 +15,8 @@
 
 /// Arrays within arrays in the deepest message.
 constexpr int MAX_DEPTH = 6;
-constexpr std::size_t AGE_BYTES = 5;
+/// A member hash and two ages.
+constexpr std::size_t AGE_BYTES = 6;
 
 /// Stops the parser before the nesting of hostile bytes exhausts the stack. Only the types that messages use are let through.
 struct ShapeCheck : nlohmann::json_sax<Json> {
@@ -121,7 +122,7 @@
     std::vector<Membership::HeardAge> ages;
     for (auto at = bytes.begin(); at != bytes.end(); at += AGE_BYTES) {
         const auto hash = unpack({at, at + sizeof(std::uint32_t)}).front();
-        ages.push_back({hash, Membership::HEARD_AGE_UNIT * at[AGE_BYTES - 1]});
+        ages.push_back({hash, Membership::HEARD_AGE_UNIT * at[AGE_BYTES - 2], Membership::HEARD_AGE_UNIT * at[AGE_BYTES - 1]});
     }
     return ages;
 }
@@ -138,7 +139,8 @@
         break;
     case 1: {
         const auto sequence = fields.unsignedNumber<std::uint64_t>();
-        body = Membership::Ping{sequence, fields.flag()};
+        const bool wantsMembers = fields.flag();
+        body = Membership::Ping{sequence, wantsMembers, decodeAges(fields.bytes())};
         break;
     }
     case 2: {
--- a/Libraries/LibGossip/Digest.cpp
+++ b/Libraries/LibGossip/Digest.cpp
@@ -108,6 +108,15 @@
     });
 }
 
+RecordDigest digestOf(const Membership::MemberNews &news)
+{
+    Hasher hasher;
+    hasher.key.add(news.id.value);
+    return hasher.finish([&news](Bytes &content) {
+        content.add(news.incarnation).add(number(news.state));
+    });
+}
+
 std::size_t bucketOf(const RecordDigest &digest)
 {
     return digest.keyHash % DIGEST_BUCKETS;
--- a/Libraries/LibGossip/Digest.h
+++ b/Libraries/LibGossip/Digest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGossip/Records.h>
+#include <LibMembership/Member.h>
 
 namespace Briarbend::Gossip
 {
@@ -23,6 +24,8 @@
 /// Of the team and version only: the text follows from them.
 RecordDigest digestOf(const SectionText &section);
 
+RecordDigest digestOf(const Membership::MemberNews &news);
+
 std::size_t bucketOf(const RecordDigest &digest);
 
 /// Adds a record to its bucket, or takes it out again.
--- a/Libraries/LibGossip/Encode.cpp
+++ b/Libraries/LibGossip/Encode.cpp
@@ -43,12 +43,18 @@
     return {news.id.value, news.address.value, news.dataCentre.value, news.incarnation, static_cast<int>(news.state)};
 }
 
+std::uint8_t encodeAge(std::chrono::milliseconds age)
+{
+    return static_cast<std::uint8_t>(std::min(age, Membership::MAX_HEARD_AGE) / Membership::HEARD_AGE_UNIT);
+}
+
 Json encodeAges(const std::vector<Membership::HeardAge> &ages)
 {
     std::vector<std::uint8_t> bytes;
     for (const auto &age : ages) {
         appendLittleEndian(bytes, age.memberHash);
-        bytes.push_back(static_cast<std::uint8_t>(std::clamp<std::int64_t>(age.age / Membership::HEARD_AGE_UNIT, 0, MAX_AGE_UNITS)));
+        bytes.push_back(encodeAge(age.heard));
+        bytes.push_back(encodeAge(age.proven));
     }
     return Json::binary(std::move(bytes));
 }
@@ -60,11 +66,11 @@
     }
     Json operator()(const Membership::Ping &ping) const
     {
-        return {ping.sequence, ping.wantsMembers};
+        return {ping.sequence, ping.wantsMembers, encodeAges(ping.ages)};
     }
     Json operator()(const Membership::Acknowledgement &acknowledgement) const
     {
-        return {acknowledgement.sequence, encodeAges(acknowledgement.heard)};
+        return {acknowledgement.sequence, encodeAges(acknowledgement.ages)};
     }
     Json operator()(const Membership::PingRequest &request) const
     {
--- a/Libraries/LibGossip/Envelope.h
+++ b/Libraries/LibGossip/Envelope.h
@@ -8,14 +8,16 @@
 namespace Briarbend::Gossip
 {
 
-/// Record kinds that are compared by digest. Evidence is not: its next publication repairs a lost one.
+/// Kinds that are compared by digest. Evidence and warmth are not: the next publication repairs a lost one.
 enum class DigestKind : std::uint8_t {
+    /// Members that are not gone.
+    Members,
     Sections,
     Verdicts,
     Quarantine,
     WarmMarks,
 };
-constexpr std::size_t DIGEST_KINDS = 4;
+constexpr std::size_t DIGEST_KINDS = 5;
 using Summaries = std::array<std::uint32_t, DIGEST_KINDS>;
 
 /// A record on its way, with the time it has left; time left rather than a time of day, because clocks differ.
--- a/Libraries/LibGossip/Gossip.cpp
+++ b/Libraries/LibGossip/Gossip.cpp
@@ -40,16 +40,44 @@
     push(state, PUSH_FANOUT, now, random, decision);
 }
 
+MessageClass classOf(const Membership::Message &message)
+{
+    // Only a table for a new instance is as long as this.
+    constexpr std::size_t BULK_NEWS = 4;
+    if (message.news.size() > BULK_NEWS) {
+        return MessageClass::Bulk;
+    }
+    const bool isProbe
+        = std::holds_alternative<Membership::Ping>(message.body) || std::holds_alternative<Membership::PingRequest>(message.body);
+    return isProbe ? MessageClass::Probe : MessageClass::Answer;
+}
+
+/// Where the budget refuses a whole answer, the bare one still shows that this instance runs.
+void sendHeartbeat(State &state, Membership::Outgoing outgoing, Core::TimePoint now, Decision &decision)
+{
+    const auto messageClass = classOf(outgoing.message);
+    Envelope envelope;
+    envelope.membership = outgoing.message;
+    if (dispatch(state, {outgoing.to, std::move(envelope), messageClass}, now, decision)) {
+        return;
+    }
+    if (std::holds_alternative<Membership::Ping>(outgoing.message.body)) {
+        Membership::cancelPing(state.members, outgoing.to);
+        return;
+    }
+    if (auto *acknowledgement = std::get_if<Membership::Acknowledgement>(&outgoing.message.body)) {
+        acknowledgement->ages.clear();
+        Envelope bare;
+        bare.membership = std::move(outgoing.message);
+        bare.membership.news.clear();
+        dispatch(state, {std::move(outgoing.to), std::move(bare), MessageClass::Answer}, now, decision);
+    }
+}
+
 void sendHeartbeats(State &state, std::vector<Membership::Outgoing> messages, Core::TimePoint now, Decision &decision)
 {
     for (auto &outgoing : messages) {
-        const auto to = outgoing.to;
-        const bool isPing = std::holds_alternative<Membership::Ping>(outgoing.message.body);
-        Envelope envelope;
-        envelope.membership = std::move(outgoing.message);
-        if (!dispatch(state, {to, std::move(envelope), MessageClass::Heartbeat}, now, decision) && isPing) {
-            Membership::cancelPing(state.members, to);
-        }
+        sendHeartbeat(state, std::move(outgoing), now, decision);
     }
 }
 
@@ -75,7 +103,7 @@
         }
     }
     if (!state.hasAskedSnapshot && envelope.membership.isConfirmed) {
-        state.hasAskedSnapshot = dispatchExchange(state, sender.address, RequestSnapshot{}, MessageClass::Heartbeat, now, decision);
+        state.hasAskedSnapshot = dispatchExchange(state, sender.address, RequestSnapshot{}, MessageClass::Answer, now, decision);
     }
     startComparison(state, envelope.summaries, sender.address, now, random, decision);
 }
@@ -174,7 +202,7 @@
     auto members = Membership::receive(state.members, envelope.membership, now);
     resetAgreement(state);
     decision.changes.members = std::move(members.changes);
-    bool hasUrgentNews = applyNews(state, envelope, now, decision);
+    bool hasUrgentNews = applyNews(state, envelope, now, decision) || members.hasRefuted;
     std::visit(ExchangeReceiver{state, sender.address, now, random, decision, hasUrgentNews}, envelope.exchange);
     sendHeartbeats(state, std::move(members.messages), now, decision);
     if (members.freshlyHeard) {
--- a/Libraries/LibGossip/Outbox.cpp
+++ b/Libraries/LibGossip/Outbox.cpp
@@ -35,6 +35,9 @@
     }
 };
 
+/// About the size of one member's news.
+constexpr std::size_t MEMBER_NEWS_BYTES = 60;
+
 /// What was put into a message, so that it counts as sent only once the budget has let it go.
 struct Cargo {
     std::vector<EntryPointer> records;
@@ -108,6 +111,9 @@
         return cargo;
     }
     auto room = std::min(available - base, MAX_PIGGYBACK_BYTES);
+    const auto news = Membership::takeNews(state.members, std::min(MAX_MEMBER_NEWS, room / MEMBER_NEWS_BYTES));
+    room -= news.size() * MEMBER_NEWS_BYTES;
+    std::ranges::copy(news, std::back_inserter(envelope.membership.news));
     fillSections(state, envelope, room, cargo);
     fillRecords(state, envelope, room, cargo, now);
     return cargo;
@@ -129,11 +135,23 @@
 
 bool charge(State &state, MessageClass messageClass, std::size_t bytes, Core::TimePoint now)
 {
-    if (messageClass == MessageClass::Bulk) {
+    switch (messageClass) {
+    case MessageClass::Answer:
+        return state.control.tryTake(bytes, 0, now);
+    case MessageClass::Probe:
+        return state.control.tryTake(bytes, ANSWER_RESERVE_BYTES, now);
+    case MessageClass::Bulk:
         return state.bulk.tryTake(bytes, 0, now);
+    case MessageClass::News:
+    case MessageClass::Comparison:
+        break;
     }
-    const auto reserve = messageClass == MessageClass::Heartbeat ? 0 : HEARTBEAT_RESERVE_BYTES;
-    return state.control.tryTake(bytes, reserve, now);
+    return state.control.tryTake(bytes, HEARTBEAT_RESERVE_BYTES, now);
+}
+
+bool carriesNews(MessageClass messageClass)
+{
+    return messageClass != MessageClass::Comparison && messageClass != MessageClass::Bulk;
 }
 
 bool isEmpty(const Envelope &envelope)
@@ -148,8 +166,7 @@
     auto &envelope = draft.envelope;
     envelope.summaries = summariesOf(state);
     Cargo cargo;
-    if (draft.messageClass == MessageClass::Heartbeat || draft.messageClass == MessageClass::News) {
-        std::ranges::move(Membership::takeNews(state.members, MAX_MEMBER_NEWS), std::back_inserter(envelope.membership.news));
+    if (carriesNews(draft.messageClass)) {
         cargo = fill(state, envelope, now);
     }
     if (draft.messageClass == MessageClass::News && isEmpty(envelope)) {
@@ -184,12 +201,24 @@
 
 Summaries summariesOf(const State &state)
 {
-    return {summaryOf(state.sections.digests),
+    return {summaryOf(memberDigests(state)),
+            summaryOf(state.sections.digests),
             summaryOf(state.verdicts.digests),
             summaryOf(state.quarantine.digests),
             summaryOf(state.warmMarks.digests)};
 }
 
+BucketDigests memberDigests(const State &state)
+{
+    BucketDigests digests{};
+    for (const auto &[id, member] : state.members.members) {
+        if (member.news.state != Membership::MemberState::Gone) {
+            toggle(digests, digestOf(member.news));
+        }
+    }
+    return digests;
+}
+
 std::chrono::seconds remainingTime(Core::TimePoint expires, Core::TimePoint now)
 {
     return std::chrono::floor<std::chrono::seconds>(std::max(expires - now, Core::Duration{0}));
@@ -197,7 +226,7 @@
 
 std::uint32_t newsLimit(const State &state)
 {
-    return Membership::transmissionLimit(state.members.members.size()) / 2 + 1;
+    return Membership::transmissionLimit(state.members.members.size());
 }
 
 } // namespace Briarbend::Gossip
--- a/Libraries/LibGossip/Outbox.h
+++ b/Libraries/LibGossip/Outbox.h
@@ -7,8 +7,10 @@
 
 /// Which budget a message is charged to, and what it may carry besides.
 enum class MessageClass {
-    /// May use the reserve; carries news where the budget allows.
-    Heartbeat,
+    /// May use the whole burst; carries news where the budget allows.
+    Answer,
+    /// May use the reserve of probes; carries news where the budget allows.
+    Probe,
     /// Carries news, and is not sent where there is none.
     News,
     /// Sent as it is, within the control budget.
@@ -20,7 +22,7 @@
 struct Draft {
     Membership::PeerAddress to;
     Envelope envelope;
-    MessageClass messageClass{MessageClass::Heartbeat};
+    MessageClass messageClass{MessageClass::Probe};
 };
 
 /// Fills, encodes and charges one message. False where the budget refuses it or there is nothing to say.
@@ -35,6 +37,9 @@
 
 Summaries summariesOf(const State &state);
 
+/// Of the members that are not gone.
+BucketDigests memberDigests(const State &state);
+
 /// Messages of this instance that carry one version of a record.
 std::uint32_t newsLimit(const State &state);
 
--- a/Libraries/LibGossip/Sections.cpp
+++ b/Libraries/LibGossip/Sections.cpp
@@ -32,7 +32,7 @@
 void request(State &state, const Core::TeamName &team, WantedSection &wanted, Core::TimePoint now, Decision &decision)
 {
     const auto &holder = wanted.holders.back();
-    if (dispatchExchange(state, holder, RequestSection{team, wanted.storeVersion}, MessageClass::Heartbeat, now, decision)) {
+    if (dispatchExchange(state, holder, RequestSection{team, wanted.storeVersion}, MessageClass::Answer, now, decision)) {
         wanted.holders.pop_back();
         wanted.askedAt = now;
         wanted.isAsked = true;
--- a/Libraries/LibMembership/Member.h
+++ b/Libraries/LibMembership/Member.h
@@ -38,8 +38,11 @@
 /// One row of the member table.
 struct Member {
     MemberNews news;
-    /// A moment at which the member certainly ran: the sending time of a probe that it answered, here or at a peer.
+    /// A moment at which the member ran, unless a message that told so was delayed on its way. For failure detection.
     std::optional<Core::TimePoint> lastHeard;
+    /// A moment at which the member certainly ran: the sending time of a probe that it answered, here or at a peer, told only in answers to
+    /// probes of this instance's own. Not after lastHeard.
+    std::optional<Core::TimePoint> lastProven;
     Core::TimePoint stateSince;
     /// Messages that have carried the latest news of this member.
     std::uint32_t transmissions{0};
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -11,44 +11,39 @@
 namespace
 {
 
-/// Heard ages in one acknowledgement; the most recent ones where there are more.
-constexpr std::size_t MAX_HEARD_AGES = 64;
 /// Members that a new instance is told of at once.
 constexpr std::size_t MAX_JOIN_NEWS = 128;
 
-std::vector<HeardAge> heardAges(const State &state, Core::TimePoint now)
+void raise(std::optional<Core::TimePoint> &moment, Core::TimePoint candidate)
 {
-    std::vector<HeardAge> ages;
-    for (const auto &[id, member] : state.members) {
-        if (id == state.self || !member.lastHeard || now - *member.lastHeard > QUIET_LIMIT) {
+    moment = std::max(moment.value_or(candidate), candidate);
+}
+
+/// Both kinds of ages in an acknowledgement count from the moment the acknowledged ping was sent: the acknowledgement left later, so a
+/// member ran no earlier than that. The ages in a ping count from its arrival, which proves nothing.
+void applyAges(State &state, const std::vector<HeardAge> &ages, Core::TimePoint reference, bool isProof)
+{
+    for (auto &[id, member] : state.members) {
+        const auto age = std::ranges::find(ages, memberHash(id), &HeardAge::memberHash);
+        if (age == ages.end() || id == state.self) {
             continue;
         }
-        const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - *member.lastHeard);
-        ages.push_back({memberHash(id), (age / HEARD_AGE_UNIT + 1) * HEARD_AGE_UNIT});
+        raise(member.lastHeard, reference - age->heard);
+        if (isProof && age->proven < MAX_HEARD_AGE) {
+            raise(member.lastProven, reference - age->proven);
+        }
     }
-    const auto kept = std::min(ages.size(), MAX_HEARD_AGES);
-    std::ranges::partial_sort(ages, ages.begin() + static_cast<std::ptrdiff_t>(kept), {}, &HeardAge::age);
-    ages.resize(kept);
-    return ages;
 }
 
-void heard(State &state, const Core::InstanceId &id, Core::TimePoint moment)
+void heardDirectly(State &state, const Core::InstanceId &id, Core::TimePoint moment, bool isProof)
 {
     const auto found = state.members.find(id);
-    if (found != state.members.end()) {
-        auto &lastHeard = found->second.lastHeard;
-        lastHeard = std::max(lastHeard.value_or(moment), moment);
+    if (found == state.members.end()) {
+        return;
     }
-}
-
-/// An age counts from the moment the acknowledged ping was sent: the acknowledgement left later, so the member ran no earlier than that.
-void applyHeardAges(State &state, const std::vector<HeardAge> &ages, Core::TimePoint pingSentAt)
-{
-    for (const auto &[id, member] : state.members) {
-        const auto age = std::ranges::find(ages, memberHash(id), &HeardAge::memberHash);
-        if (age != ages.end() && id != state.self) {
-            heard(state, id, pingSentAt - age->age);
-        }
+    raise(found->second.lastHeard, moment);
+    if (isProof) {
+        raise(found->second.lastProven, moment);
     }
 }
 
@@ -65,6 +60,8 @@
 
     void operator()(const Ping &ping) const
     {
+        applyAges(this->state, ping.ages, this->now, false);
+        heardDirectly(this->state, this->message.sender.id, this->now, false);
         auto reply = makeMessage(this->state, Acknowledgement{ping.sequence, heardAges(this->state, this->now)});
         if (ping.wantsMembers) {
             reply.news = allNews(this->state, MAX_JOIN_NEWS);
@@ -86,8 +83,8 @@
         const auto pending = found->second;
         this->state.pendingPings.erase(found);
         const auto &sender = this->message.sender.id;
-        heard(this->state, sender, pending.sentAt);
-        applyHeardAges(this->state, acknowledgement.heard, pending.sentAt);
+        heardDirectly(this->state, sender, pending.sentAt, true);
+        applyAges(this->state, acknowledgement.ages, pending.sentAt, true);
         if (pending.expected && *pending.expected != sender && pending.to == this->message.sender.address) {
             markReplaced(this->state, *pending.expected, this->now, this->decision.changes);
         }
@@ -103,7 +100,7 @@
         const auto sequence = this->state.nextSequence++;
         this->state.pendingPings[sequence]
             = {request.target, std::nullopt, this->now, true, this->message.sender.address, request.sequence};
-        this->decision.messages.push_back({request.target, makeMessage(this->state, Ping{sequence, false})});
+        this->decision.messages.push_back({request.target, makeMessage(this->state, Ping{sequence, false, {}})});
     }
 
     void operator()(const IndirectAcknowledgement &acknowledgement) const
@@ -112,7 +109,7 @@
         if (found == this->state.pendingPings.end() || found->second.expected != acknowledgement.target) {
             return;
         }
-        heard(this->state, acknowledgement.target, found->second.sentAt);
+        heardDirectly(this->state, acknowledgement.target, found->second.sentAt, true);
         this->state.pendingPings.erase(found);
     }
 };
@@ -126,12 +123,14 @@
     state.seeds = std::move(seeds);
     state.nextProbe = now;
     state.nextSeedProbe = now;
+    state.startedAt = now;
+    state.nextTableRequest = now;
     state.lastActive = now;
     state.unconfirmedSince = now;
     // A process that replaces another at its address must not take answers to the other's pings for answers to its own.
     state.nextSequence = std::uint64_t{memberHash(self.id) & 0xFFFFU} << 16U;
     const auto id = self.id;
-    state.members[id] = Member{std::move(self), now, now, 0, false};
+    state.members[id] = Member{std::move(self), now, now, now, 0, false};
     return state;
 }
 
@@ -154,7 +153,7 @@
     }
     applyNews(state, message.sender, now, decision.changes);
     std::ranges::for_each(message.news, [&](const MemberNews &news) {
-        applyNews(state, news, now, decision.changes);
+        decision.hasRefuted |= applyNews(state, news, now, decision.changes);
     });
     std::visit(Receiver{state, message, now, decision}, message.body);
     return decision;
@@ -226,10 +225,10 @@
 {
     const auto counts = [](const auto &item) {
         const auto &member = item.second;
-        return member.lastHeard && !member.isReplaced && member.news.state != MemberState::Leaving;
+        return member.lastProven && !member.isReplaced && member.news.state != MemberState::Leaving;
     };
     const auto isRecent = [&](const auto &item) {
-        return counts(item) && (item.first == state.self || now - *item.second.lastHeard <= window);
+        return counts(item) && (item.first == state.self || now - *item.second.lastProven <= window);
     };
     const auto total = std::ranges::count_if(state.members, counts);
     return std::ranges::count_if(state.members, isRecent) * 2 > total;
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -15,6 +15,8 @@
     std::vector<MemberChange> changes;
     /// Set when the message answered a ping that was sent after the last start or freeze.
     std::optional<Core::InstanceId> freshlyHeard;
+    /// This instance has just denied a false report about itself, which others should learn before they act on the report.
+    bool hasRefuted{false};
 };
 
 /// Probes members, suspects the silent ones and drops those that do not refute. Call every TICK_INTERVAL.
--- a/Libraries/LibMembership/Message.h
+++ b/Libraries/LibMembership/Message.h
@@ -11,28 +11,31 @@
 
 /// Ages are told in this unit, rounded up.
 constexpr std::chrono::milliseconds HEARD_AGE_UNIT{50};
+constexpr auto MAX_HEARD_AGE = HEARD_AGE_UNIT * 255;
+
+/// How long ago a member was heard and was proven to run, measured when the message left. Rounded up to HEARD_AGE_UNIT.
+struct HeardAge {
+    std::uint32_t memberHash{0};
+    std::chrono::milliseconds heard{0};
+    /// MAX_HEARD_AGE or more where it is not known.
+    std::chrono::milliseconds proven{0};
+
+    bool operator==(const HeardAge &) const = default;
+};
 
 /// A direct probe, answered at once by an Acknowledgement with the same sequence.
 struct Ping {
     std::uint64_t sequence{0};
     /// Asks for the whole member table: the sender has just started.
     bool wantsMembers{false};
+    std::vector<HeardAge> ages;
 
     bool operator==(const Ping &) const = default;
 };
 
-/// How long ago a member was certainly running, measured when the acknowledgement left.
-struct HeardAge {
-    std::uint32_t memberHash{0};
-    /// Rounded up to HEARD_AGE_UNIT.
-    std::chrono::milliseconds age{0};
-
-    bool operator==(const HeardAge &) const = default;
-};
-
 struct Acknowledgement {
     std::uint64_t sequence{0};
-    std::vector<HeardAge> heard;
+    std::vector<HeardAge> ages;
 
     bool operator==(const Acknowledgement &) const = default;
 };
--- a/Libraries/LibMembership/Probing.cpp
+++ b/Libraries/LibMembership/Probing.cpp
@@ -37,9 +37,17 @@
 
 void ping(State &state, const PeerAddress &to, std::optional<Core::InstanceId> expected, Core::TimePoint now, Decision &decision)
 {
-    const auto sequence = state.nextSequence++;
-    state.pendingPings[sequence] = {to, std::move(expected), now, false, std::nullopt, 0};
-    decision.messages.push_back({to, makeMessage(state, Ping{sequence, !hasHeardAnyone(state)})});
+    const bool isNew = now - state.startedAt < JOIN_PERIOD && now >= state.nextTableRequest;
+    if (isNew) {
+        state.nextTableRequest = now + TABLE_REQUEST_INTERVAL;
+    }
+    auto message = makeMessage(state, Ping{state.nextSequence++, isNew || !hasHeardAnyone(state), heardAges(state, now)});
+    const auto *member = expected ? find(state, *expected) : nullptr;
+    if (member != nullptr && member->news.state != MemberState::Alive) {
+        message.news.push_back(member->news);
+    }
+    state.pendingPings[std::get<Ping>(message.body).sequence] = {to, std::move(expected), now, false, std::nullopt, 0};
+    decision.messages.push_back({to, std::move(message)});
 }
 
 /// The next member in a random order in which every member comes once. Source: SWIM, section 4.3.
@@ -78,21 +86,30 @@
     }
 }
 
-void pingQuiet(State &state, Core::TimePoint now, Decision &decision)
+void pingQuiet(State &state, Core::TimePoint now, Core::Random &random, Decision &decision)
 {
     const auto isQuiet = [now](const Member &member) {
-        return isPresent(member) && (!member.lastHeard || now - *member.lastHeard > QUIET_LIMIT);
+        // A member that is new has as long to be heard through peers.
+        return isPresent(member) && now - member.lastHeard.value_or(member.stateSince) > QUIET_LIMIT;
     };
-    auto waiting = static_cast<std::size_t>(std::ranges::count_if(state.pendingPings, [&](const auto &item) {
+    const auto waiting = static_cast<std::size_t>(std::ranges::count_if(state.pendingPings, [&](const auto &item) {
         const auto *member = item.second.expected ? find(state, *item.second.expected) : nullptr;
         return member != nullptr && isQuiet(*member);
     }));
+    if (waiting >= MAX_QUIET_PROBES) {
+        return;
+    }
+    std::vector<const Member *> quiet;
     for (const auto &[id, member] : state.members) {
-        if (waiting < MAX_QUIET_PROBES && id != state.self && isQuiet(member) && !isPinged(state, id)) {
-            ping(state, member.news.address, id, now, decision);
-            ++waiting;
+        if (id != state.self && isQuiet(member) && !isPinged(state, id)) {
+            quiet.push_back(&member);
         }
     }
+    // At random, so that instances that miss the same members do not all begin with the same one.
+    if (!quiet.empty()) {
+        const auto &news = quiet[random.below(quiet.size())]->news;
+        ping(state, news.address, news.id, now, decision);
+    }
 }
 
 void pingSeed(State &state, Core::TimePoint now, Core::Random &random, Decision &decision)
@@ -135,22 +152,31 @@
             decision.messages.push_back({std::move(helper), makeMessage(state, PingRequest{sequence, pending.to})});
         }
     }
+    std::vector<Core::InstanceId> silent;
     std::erase_if(state.pendingPings, [&](const auto &item) {
         const auto &pending = item.second;
         if (now - pending.sentAt < PROBE_TIMEOUT) {
             return false;
         }
         if (pending.expected) {
-            suspect(state, *pending.expected, now, decision.changes);
+            silent.push_back(*pending.expected);
         }
         return true;
     });
+    for (const auto &id : silent) {
+        const auto *member = find(state, id);
+        if (member != nullptr && member->news.state == MemberState::Alive) {
+            suspect(state, id, now, decision.changes);
+            // Lets the member refute without waiting for the news to come round.
+            ping(state, member->news.address, id, now, decision);
+        }
+    }
 }
 
 void startPings(State &state, Core::TimePoint now, Core::Random &random, Decision &decision)
 {
     pingRoutine(state, now, random, decision);
-    pingQuiet(state, now, decision);
+    pingQuiet(state, now, random, decision);
     pingSeed(state, now, random, decision);
 }
 
--- a/Libraries/LibMembership/State.h
+++ b/Libraries/LibMembership/State.h
@@ -29,17 +29,20 @@
 constexpr std::chrono::milliseconds FREEZE_LIMIT{1000};
 /// Between two probes of a seed or a gone member's address, which let two halves find each other after a cut.
 constexpr std::chrono::milliseconds SEED_INTERVAL{2000};
+/// A new instance asks for the member table this often, for as long as JOIN_PERIOD: others may be starting with it.
+constexpr std::chrono::milliseconds TABLE_REQUEST_INTERVAL{1000};
+constexpr std::chrono::seconds JOIN_PERIOD{6};
 /// How long a member that said goodbye is remembered as leaving.
 constexpr std::chrono::seconds LEAVING_RETENTION{10};
 /// How long a silent member stays in the count that a majority is taken of.
 constexpr std::chrono::minutes GONE_RETENTION{10};
 
 /// The longest time from a member's stop without goodbye to its being gone at every instance that can reach a peer, apart from the spread
-/// of the news. Further simultaneous failures queue for the MAX_QUIET_PROBES.
+/// of the news. Simultaneous failures queue for the MAX_QUIET_PROBES, one of which starts at a tick.
 constexpr std::chrono::milliseconds detectionBound(std::size_t simultaneousFailures)
 {
     const auto rounds = static_cast<std::int64_t>((simultaneousFailures + MAX_QUIET_PROBES - 1) / MAX_QUIET_PROBES);
-    return QUIET_LIMIT + TICK_INTERVAL + (PROBE_TIMEOUT + TICK_INTERVAL) * rounds + SUSPICION_TIMEOUT + TICK_INTERVAL;
+    return QUIET_LIMIT + TICK_INTERVAL + (PROBE_TIMEOUT + TICK_INTERVAL * MAX_QUIET_PROBES) * rounds + SUSPICION_TIMEOUT + TICK_INTERVAL;
 }
 
 struct PendingPing {
@@ -65,6 +68,8 @@
     /// A member has to be probed without waiting for the next routine probe.
     bool isProbeDue{false};
     Core::TimePoint nextSeedProbe;
+    Core::TimePoint startedAt;
+    Core::TimePoint nextTableRequest;
     /// Last moment at which this process certainly ran.
     Core::TimePoint lastActive;
     bool isConfirmed{false};
--- a/Libraries/LibMembership/Table.cpp
+++ b/Libraries/LibMembership/Table.cpp
@@ -13,6 +13,9 @@
 namespace
 {
 
+/// Heard ages in one message; the most recent ones where there are more.
+constexpr std::size_t MAX_HEARD_AGES = 16;
+
 bool supersedes(const MemberNews &incoming, const MemberNews &held)
 {
     return std::tie(incoming.incarnation, incoming.state) > std::tie(held.incarnation, held.state);
@@ -26,14 +29,16 @@
     changes.push_back({member.news});
 }
 
-void refute(State &state, const MemberNews &news)
+bool refute(State &state, const MemberNews &news)
 {
     auto &self = state.members.at(state.self);
     const bool isFalse = news.state != MemberState::Alive && self.news.state != MemberState::Leaving;
-    if (isFalse && news.incarnation >= self.news.incarnation) {
-        self.news.incarnation = news.incarnation + 1;
-        self.transmissions = 0;
+    if (!isFalse || news.incarnation < self.news.incarnation) {
+        return false;
     }
+    self.news.incarnation = news.incarnation + 1;
+    self.transmissions = 0;
+    return true;
 }
 
 } // namespace
@@ -43,24 +48,23 @@
     return member.news.state == MemberState::Alive || member.news.state == MemberState::Suspect;
 }
 
-void applyNews(State &state, const MemberNews &news, Core::TimePoint now, std::vector<MemberChange> &changes)
+bool applyNews(State &state, const MemberNews &news, Core::TimePoint now, std::vector<MemberChange> &changes)
 {
     if (news.id == state.self) {
-        refute(state, news);
-        return;
+        return refute(state, news);
     }
     const auto found = state.members.find(news.id);
     if (found == state.members.end()) {
         // Being told that an unknown member is gone changes nothing, and remembering it would only keep the news going round.
         if (news.state != MemberState::Gone) {
-            state.members[news.id] = Member{news, std::nullopt, now, 0, false};
+            state.members[news.id] = Member{news, std::nullopt, std::nullopt, now, 0, false};
             changes.push_back({news});
         }
-        return;
+        return false;
     }
     auto &member = found->second;
     if (!supersedes(news, member.news)) {
-        return;
+        return false;
     }
     const bool isChanged = news.state != member.news.state;
     member.news = news;
@@ -69,6 +73,7 @@
         member.isReplaced = false;
         setState(member, news.state, now, changes);
     }
+    return false;
 }
 
 void markReplaced(State &state, const Core::InstanceId &id, Core::TimePoint now, std::vector<MemberChange> &changes)
@@ -107,6 +112,25 @@
     });
 }
 
+std::vector<HeardAge> heardAges(const State &state, Core::TimePoint now)
+{
+    const auto inUnits = [now](Core::TimePoint moment) {
+        const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - moment);
+        return std::min((age / HEARD_AGE_UNIT + 1) * HEARD_AGE_UNIT, MAX_HEARD_AGE);
+    };
+    std::vector<HeardAge> ages;
+    for (const auto &[id, member] : state.members) {
+        if (id != state.self && member.lastHeard && now - *member.lastHeard <= QUIET_LIMIT) {
+            const auto proven = member.lastProven ? inUnits(*member.lastProven) : MAX_HEARD_AGE;
+            ages.push_back({memberHash(id), inUnits(*member.lastHeard), proven});
+        }
+    }
+    const auto kept = std::min(ages.size(), MAX_HEARD_AGES);
+    std::ranges::partial_sort(ages, ages.begin() + static_cast<std::ptrdiff_t>(kept), {}, &HeardAge::heard);
+    ages.resize(kept);
+    return ages;
+}
+
 std::vector<MemberNews> allNews(const State &state, std::size_t count)
 {
     std::vector<MemberNews> news;
@@ -128,7 +152,7 @@
     const auto limit = transmissionLimit(state.members.size());
     std::vector<Member *> fresh;
     for (auto &[id, member] : state.members) {
-        if (member.transmissions < limit && id != state.self) {
+        if (member.transmissions < limit) {
             fresh.push_back(&member);
         }
     }
@@ -147,8 +171,7 @@
 
 std::uint32_t transmissionLimit(std::size_t members)
 {
-    constexpr std::uint32_t ROUNDS_PER_DOUBLING = 2;
-    return ROUNDS_PER_DOUBLING * static_cast<std::uint32_t>(std::bit_width(members));
+    return static_cast<std::uint32_t>(std::bit_width(members)) + 1;
 }
 
 std::uint32_t memberHash(const Core::InstanceId &id)
--- a/Libraries/LibMembership/Table.h
+++ b/Libraries/LibMembership/Table.h
@@ -9,8 +9,8 @@
 /// Alive or suspect.
 bool isPresent(const Member &member);
 
-/// Takes in one piece of news. A false report about this instance is refuted by a higher incarnation.
-void applyNews(State &state, const MemberNews &news, Core::TimePoint now, std::vector<MemberChange> &changes);
+/// Takes in one piece of news. A false report about this instance is refuted by a higher incarnation; then true is returned.
+bool applyNews(State &state, const MemberNews &news, Core::TimePoint now, std::vector<MemberChange> &changes);
 
 /// Another process answers at the member's address: the member is gone at once.
 void markReplaced(State &state, const Core::InstanceId &id, Core::TimePoint now, std::vector<MemberChange> &changes);
@@ -21,6 +21,9 @@
 /// Lets suspicions and goodbyes run out and forgets members long gone.
 void advanceStates(State &state, Core::TimePoint now, std::vector<MemberChange> &changes);
 
+/// Of the members heard within the quiet limit.
+std::vector<HeardAge> heardAges(const State &state, Core::TimePoint now);
+
 /// The whole table for a new instance, without members that are gone.
 std::vector<MemberNews> allNews(const State &state, std::size_t count);
 
