--- a/Meta/install-dependencies.sh
+++ b/Meta/install-dependencies.sh
@@ -8,7 +8,7 @@
     libboost1.81-dev libwebsocketpp-dev nlohmann-json3-dev libtomlplusplus-dev
     libpopt-dev liblog4cxx-dev libxxhash-dev libssl-dev
     libgtest-dev libgmock-dev librapidcheck-dev libbenchmark-dev
-    gnuplot-nox
+    gnuplot-nox curl jq
 )
 
 missing=()
--- a/Services/briarbendd/ClaimsMessage.cpp
+++ b/Services/briarbendd/ClaimsMessage.cpp
@@ -1,6 +1,6 @@
 #include "ClaimsMessage.h"
 
-#include <LibClaims/BucketCodec.h>
+#include <LibClaims/OperationCodec.h>
 
 #include <nlohmann/json.hpp>
 
