LibRelay: Ask before sending a suspect request, and test the whole path

Two faults that the new process test found first: - A chunk's head that arrived before its data became an empty chunk of our own, which ended the message: an upload of 409,600 bytes reached the target as 0 bytes. An empty read is now passed over, in both directions. - g++ 12 mistranslates `while (a && co_await b)`: a caller's connection stayed open after `Connection: close`. Ruled out: the caller watch and the stream's timers. No co_await stands to the right of && any more.

Quarantine: evidence and trials go to all live peers and are acknowledged before the request goes on or its caller gets an answer.

--- a/Libraries/LibRelay/AttemptRecord.cpp
+++ b/Libraries/LibRelay/AttemptRecord.cpp
@@ -36,6 +36,9 @@
     Routing::recordAnswer(this->service.table, this->sent, outcome, now);
     if (outcome.report) {
         Limits::recordReport(this->relay.coldGate, this->sent.target, outcome.report->start, outcome.report->isCold);
+        if (outcome.report->start && this->relay.guard != nullptr) {
+            this->relay.guard->startSeen(this->sent.target, *outcome.report->start);
+        }
     }
     if (outcome.kind == Routing::OutcomeKind::Success) {
         const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - this->sent.sentAt);
--- a/Libraries/LibRelay/CallerListener.cpp
+++ b/Libraries/LibRelay/CallerListener.cpp
@@ -118,8 +118,8 @@
     boost::beast::flat_buffer buffer;
     boost::system::error_code error;
     stream.socket().set_option(Asio::ip::tcp::no_delay(true), error);
-    bool isUsable = true;
-    while (isUsable && co_await waitForRequest(relay, stream, buffer)) {
+    bool isUsable = co_await waitForRequest(relay, stream, buffer);
+    while (isUsable) {
         const Presence request(relay.requestsInFlight);
         Http::request_parser<Http::buffer_body> parser;
         parser.header_limit(relay.limits.headerBytes);
@@ -136,6 +136,9 @@
         const auto version = parser.get().version();
         RequestHandler handler(relay, {stream, buffer, parser, version, parser.keep_alive() && version >= HTTP_1_1});
         isUsable = co_await handler.handle();
+        if (isUsable) {
+            isUsable = co_await waitForRequest(relay, stream, buffer);
+        }
     }
 }
 
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -69,7 +69,13 @@
     const auto startedAt = Core::Clock::now();
     AttemptRecord record(this->relay, this->service, target, startedAt);
     this->result.targetStart = record.startAtSend();
-    const bool hasHead = co_await this->connect(target, record) && co_await this->send(record) && co_await this->receiveHead(record);
+    bool hasHead = co_await this->connect(target, record);
+    if (hasHead) {
+        hasHead = co_await this->send(record);
+    }
+    if (hasHead) {
+        hasHead = co_await this->receiveHead(record);
+    }
     this->result.timeToHead = Core::Clock::now() - startedAt;
     if (!hasHead) {
         co_return this->result;
@@ -90,11 +96,16 @@
     }
     const auto now = Core::Clock::now();
     bool isConnected = false;
+    bool isRefused = false;
     try {
         this->connection = co_await this->relay.pool.connect(target, std::min(this->request.deadline, now + CONNECT_TIMEOUT));
         isConnected = true;
-    } catch (const boost::system::system_error &) {
+    } catch (const boost::system::system_error &error) {
         this->result.failure = Reason::TargetConnectFailed;
+        isRefused = error.code() == Asio::error::connection_refused;
+    }
+    if (isRefused && this->relay.guard != nullptr) {
+        this->relay.guard->targetGone(target);
     }
     if (!isConnected) {
         record.connectionLost(Core::Clock::now());
@@ -148,8 +159,13 @@
             this->result.isCallerUsable = false;
             co_return false;
         }
+        const auto length = this->chunk.size() - callerBody.size;
+        if (length == 0 && !this->caller.parser.is_done()) {
+            // Only the head of a chunk came. An empty chunk of our own would end the message.
+            continue;
+        }
         body.data = this->chunk.data();
-        body.size = this->chunk.size() - callerBody.size;
+        body.size = length;
         body.more = !this->caller.parser.is_done();
         this->connection->stream.expires_after(BODY_IDLE_TIMEOUT);
         co_await Http::async_write(this->connection->stream, serializer, Asio::redirect_error(Asio::use_awaitable, error));
@@ -284,13 +300,22 @@
     while (!error && !serializer.is_done()) {
         std::size_t length = 0;
         this->connection->stream.expires_after(BODY_IDLE_TIMEOUT);
-        if (!this->parser->is_done() && !co_await this->readSome(length)) {
+        bool isRead = true;
+        if (!this->parser->is_done()) {
+            isRead = co_await this->readSome(length);
+        }
+        if (!isRead) {
             // The answer is cut: the caller must see that, so its connection is closed before the message's end.
             this->result.failure = Reason::TargetConnectionLost;
             this->result.isCallerUsable = false;
+            this->result.isTargetBroken = true;
             this->relay.counters.brokenOff += this->result.isHeadForwarded ? 1 : 0;
             co_return;
         }
+        if (length == 0 && !this->parser->is_done()) {
+            // Only the head of a chunk came. An empty chunk of our own would end the message.
+            continue;
+        }
         this->copyBody(length);
         message.body().data = this->chunk.data();
         message.body().size = length;
@@ -304,7 +329,11 @@
         this->result.isCallerGone = true;
         this->result.isCallerUsable = false;
     }
-    if (error && !co_await this->readRestForCopy()) {
+    bool isWhole = true;
+    if (error) {
+        isWhole = co_await this->readRestForCopy();
+    }
+    if (!isWhole) {
         co_return;
     }
     if (this->copy != nullptr) {
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -5,6 +5,7 @@
 #include <LibMetrics/LatencySummary.h>
 #include <LibRejection/Reason.h>
 #include <LibRelay/ClaimSubmitter.h>
+#include <LibRelay/RequestGuard.h>
 #include <LibRelay/ServiceState.h>
 #include <LibRelay/TargetConnection.h>
 
@@ -67,6 +68,8 @@
     Core::InstanceId instance;
     /// Null where the instance serves no requests that run at most once.
     ClaimSubmitter *claims{nullptr};
+    /// Null where requests that break targets are not looked for.
+    RequestGuard *guard{nullptr};
     /// Null until a configuration has come.
     std::shared_ptr<const Configuration::RouteTable> routes;
     std::unordered_map<Core::ServiceName, std::shared_ptr<ServiceState>> services;
--- a/Libraries/LibRelay/RequestHandler.cpp
+++ b/Libraries/LibRelay/RequestHandler.cpp
@@ -100,15 +100,28 @@
     const auto maximumBytes = isOnce ? this->relay.limits.claimedBodyBytes : BUFFERED_BODY_BYTES;
     const auto length = this->caller.parser.content_length();
     this->forwarded.isStreamed = !isOnce && !this->caller.parser.is_done() && (!length || *length > maximumBytes);
-    if (!this->forwarded.isStreamed && !co_await this->readWholeBody(maximumBytes)) {
+    bool isBodyRead = true;
+    if (!this->forwarded.isStreamed) {
+        isBodyRead = co_await this->readWholeBody(maximumBytes);
+    }
+    if (!isBodyRead) {
         co_return false;
     }
     this->prepareForwardedHead();
+    const auto &head = this->forwarded.head;
+    this->fingerprint = Quarantine::fingerprintOf({head.method_string().data(), head.method_string().size()},
+                                                  {head.target().data(), head.target().size()},
+                                                  length.value_or(0),
+                                                  this->forwarded.body);
     AdmissionTurn turn(this->relay, this->service, this->matched.route->trafficClass, this->forwarded.deadline);
     if (!co_await turn.enter()) {
         co_return co_await this->refuse(Reason::Overloaded, turn.retryAfter());
     }
-    if (isOnce && !co_await this->claimKey()) {
+    bool maySend = true;
+    if (isOnce) {
+        maySend = co_await this->claimKey();
+    }
+    if (!maySend) {
         co_return this->isCallerUsable;
     }
     Limits::recordRequest(this->service->retryBudget, Core::Clock::now());
@@ -157,13 +170,21 @@
     auto choice = this->choose();
     while (!choice.target) {
         const bool canWait = choice.obstacle == Routing::ChoiceObstacle::Cold || choice.obstacle == Routing::ChoiceObstacle::Connections;
-        if (!canWait || !co_await turn.enterAgain()) {
+        bool isTurn = false;
+        if (canWait) {
+            isTurn = co_await turn.enterAgain();
+        }
+        if (!isTurn) {
             this->refusal.reason = canWait ? Reason::Overloaded : Reason::NoTarget;
             this->refusal.retryAfter = canWait ? turn.retryAfter() : Rejection::withJitter(NO_TARGET_RETRY_AFTER, this->relay.random);
             co_return Next::Refuse;
         }
         choice = this->choose();
     }
+    const auto verdict = co_await this->askGuard(*choice.target);
+    if (verdict == RequestGuard::Verdict::Refuse) {
+        co_return Next::Refuse;
+    }
     if (this->submission) {
         if (const auto refused = this->submission->beginSending()) {
             this->submission.reset();
@@ -181,9 +202,39 @@
     this->relay.latencies.beforeSending.add(sentAt - this->arrivedAt);
     this->relay.latencies.atTarget.add(this->lastResult.timeToHead);
     this->observe(*choice.target, version);
+    co_await this->tellGuard(*choice.target, verdict, sentAt);
     co_return this->judge(this->lastResult);
 }
 
+Asio::awaitable<RequestGuard::Verdict> RequestHandler::askGuard(const Core::TargetId &target)
+{
+    if (this->relay.guard == nullptr || this->relay.guard->isUnsuspected(this->fingerprint)) {
+        co_return RequestGuard::Verdict::Send;
+    }
+    const auto permission = co_await this->relay.guard->permit(this->fingerprint, target, this->forwarded.deadline);
+    if (permission.verdict == RequestGuard::Verdict::Refuse) {
+        this->refusal.reason = Reason::Quarantined;
+        this->refusal.retryAfter = permission.retryAfter;
+    }
+    co_return permission.verdict;
+}
+
+Asio::awaitable<void> RequestHandler::tellGuard(const Core::TargetId &target, RequestGuard::Verdict verdict, Core::TimePoint sentAt)
+{
+    if (this->relay.guard == nullptr) {
+        co_return;
+    }
+    const bool isTrial = verdict == RequestGuard::Verdict::SendOnTrial;
+    if (this->lastResult.isTargetBroken) {
+        co_await this->relay.guard->broke(this->fingerprint, target, isTrial);
+    } else if (this->lastResult.progress == Progress::Answered) {
+        this->relay.guard->completed(this->fingerprint, sentAt);
+    }
+    if (isTrial) {
+        this->relay.guard->trialEnded(this->fingerprint);
+    }
+}
+
 void RequestHandler::observe(const Core::TargetId &target, const Core::VersionName &version) const
 {
     const auto &result = this->lastResult;
--- a/Libraries/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/RequestHandler.h
@@ -19,6 +19,9 @@
     boost::asio::awaitable<bool> handle();
 
 private:
+    /// What the quarantine says about the next sending.
+    boost::asio::awaitable<RequestGuard::Verdict> askGuard(const Core::TargetId &target);
+    boost::asio::awaitable<void> tellGuard(const Core::TargetId &target, RequestGuard::Verdict verdict, Core::TimePoint sentAt);
     /// The next step after one exchange.
     enum class Next {
         Done,
@@ -58,6 +61,7 @@
     std::shared_ptr<OnceSubmission> submission;
     /// Set for requests that run at most once.
     std::optional<AnswerCopy> copy;
+    Quarantine::Fingerprint fingerprint;
     bool isCallerUsable{true};
 };
 
--- a/Services/briarbendd/Daemon.cpp
+++ b/Services/briarbendd/Daemon.cpp
@@ -89,6 +89,8 @@
                                                   Claims::BucketLayout{this->settings.claims.buckets, this->settings.claims.window});
     this->relay.claims = this->claims.get();
     this->relay.instance = this->instance;
+    this->quarantine = std::make_unique<QuarantineLink>(ioContext, this->timers, *this->peers);
+    this->relay.guard = this->quarantine.get();
     this->warmth = std::make_unique<WarmthSpread>(*this->peers, this->relay.coldGate);
     this->peers->onChanges([this](const Gossip::Changes &changes) {
         this->takeChanges(changes);
--- a/Services/briarbendd/Daemon.h
+++ b/Services/briarbendd/Daemon.h
@@ -5,6 +5,7 @@
 #include "InstanceListFeed.h"
 #include "OperatorEndpoint.h"
 #include "Prober.h"
+#include "QuarantineLink.h"
 #include "WarmthSpread.h"
 
 #include <LibNetwork/AsioTimerService.h>
@@ -55,6 +56,7 @@
     std::unique_ptr<InstanceListFeed> instanceList;
     std::unique_ptr<WarmthSpread> warmth;
     std::unique_ptr<ClaimsRunner> claims;
+    std::unique_ptr<QuarantineLink> quarantine;
     std::unique_ptr<Prober> prober;
     std::unique_ptr<Relay::CallerListener> callers;
     std::unique_ptr<OperatorEndpoint> operators;
--- a/Services/briarbendd/PeerLink.h
+++ b/Services/briarbendd/PeerLink.h
@@ -19,6 +19,8 @@
     Claims = 'c',
     /// The platform's instance list, for an instance that starts while the store is down.
     InstanceList = 'i',
+    /// Evidence about requests that break targets, and trials of such requests.
+    Quarantine = 'q',
 };
 
 /// Connects the gossip state to the transport and the timer service.
--- a/Services/briarbendd/Prober.cpp
+++ b/Services/briarbendd/Prober.cpp
@@ -77,11 +77,13 @@
     const auto client = slot;
     std::optional<Routing::LoadReport> report;
     bool isConnectionLost = false;
+    bool isRefused = false;
     try {
         auto request = Network::makeRequest(Network::Http::verb::get, service->service.probePath, target.value);
         report = reportOf(co_await client->exchange(std::move(request), PROBE_TIMEOUT));
     } catch (const boost::system::system_error &error) {
         isConnectionLost = error.code() != boost::beast::error::timeout;
+        isRefused = error.code() == boost::asio::error::connection_refused;
     }
     const auto now = Core::Clock::now();
     const auto sharesNow = service->shares.find(target);
@@ -92,9 +94,15 @@
     if (report) {
         Routing::recordProbeAnswer(service->table, target, *report, now);
         Limits::recordReport(this->relay.coldGate, target, report->start, report->isCold);
+        if (report->start && this->relay.guard != nullptr) {
+            this->relay.guard->startSeen(target, *report->start);
+        }
         co_return;
     }
     Routing::recordProbeLost(service->table, target);
+    if (isRefused && this->relay.guard != nullptr) {
+        this->relay.guard->targetGone(target);
+    }
     if (isConnectionLost) {
         Limits::recordConnectionLost(this->relay.coldGate, target);
     }
--- a/Tests/Processes/Support/Cluster.cpp
+++ b/Tests/Processes/Support/Cluster.cpp
@@ -214,6 +214,7 @@
     std::ofstream text(instance.settings);
     text << "[instance]\ndata_centre = \"" << instance.dataCentre << "\"\ncaller_address = " << quoted(instance.callers)
          << "\npeer_address = " << quoted(instance.peers) << "\noperator_address = " << quoted(instance.operators)
+         << "\ndeclared_maximum_instances = " << std::max<std::size_t>(1, this->plan.instances)
          << "\nlog_level = \"warn\"\n[store]\nendpoints = [" << quoted(this->storeAddress) << "]\n"
          << this->plan.moreSettings;
 }
