--- a/Libraries/LibGossip/ByteBudget.h
+++ b/Libraries/LibGossip/ByteBudget.h
@@ -8,15 +8,16 @@
 namespace Briarbend::Gossip
 {
 
-/// In any window of one second at most rate and burst together: 3,000 bytes.
-constexpr std::size_t CONTROL_BYTES_PER_SECOND = 1800;
-constexpr std::size_t CONTROL_BURST_BYTES = 1200;
-/// Part of the burst that only probes and their answers may use.
-constexpr std::size_t HEARTBEAT_RESERVE_BYTES = 600;
-/// Part of the burst that only answers may use: an answer withheld looks like a failure, a probe withheld does not.
-constexpr std::size_t ANSWER_RESERVE_BYTES = 350;
+/// In any window of three seconds or more at most 3,000 bytes a second.
+constexpr std::size_t CONTROL_BYTES_PER_SECOND = 2400;
+constexpr std::size_t CONTROL_BURST_BYTES = 1800;
+/// Parts of the burst that are kept for answers, for urgent news, and for probes. An answer withheld looks like a failure; a probe withheld
+/// does not.
+constexpr std::size_t ANSWER_RESERVE_BYTES = 300;
+constexpr std::size_t URGENT_RESERVE_BYTES = 300;
+constexpr std::size_t PROBE_RESERVE_BYTES = 300;
 constexpr std::size_t BULK_BYTES_PER_SECOND = 2'000'000;
-constexpr std::size_t BULK_BURST_BYTES = 4'000'000;
+constexpr std::size_t BULK_BURST_BYTES = 8'000'000;
 /// Charged for every message besides its payload: WebSocket frame (RFC 6455), TCP and IP headers.
 constexpr std::size_t MESSAGE_OVERHEAD_BYTES = 60;
 
--- a/Libraries/LibGossip/Compare.cpp
+++ b/Libraries/LibGossip/Compare.cpp
@@ -178,9 +178,9 @@
     // Few records are compared at once; the buckets would take a message more.
     if (digests.size() <= MAX_COMPARED_RECORDS) {
         CompareRecords compare{kind, ALL_BUCKETS, 0, LAST_KEY_HASH, std::move(digests)};
-        dispatchExchange(state, peer, std::move(compare), MessageClass::Comparison, now, decision);
+        dispatchExchange(state, peer, std::move(compare), MessageClass::Background, now, decision);
     } else {
-        dispatchExchange(state, peer, CompareBuckets{kind, digestsOf(state, kind)}, MessageClass::Comparison, now, decision);
+        dispatchExchange(state, peer, CompareBuckets{kind, digestsOf(state, kind)}, MessageClass::Background, now, decision);
     }
 }
 
@@ -209,7 +209,7 @@
     } else {
         reply.records = std::move(digests);
     }
-    dispatchExchange(state, peer, std::move(reply), MessageClass::Comparison, now, decision);
+    dispatchExchange(state, peer, std::move(reply), MessageClass::Background, now, decision);
 }
 
 void answer(State &state, const CompareRecords &theirs, const Membership::PeerAddress &peer, Core::TimePoint now, Decision &decision)
@@ -234,14 +234,14 @@
     if (!request.keyHashes.empty()) {
         envelope.exchange = std::move(request);
     }
-    dispatch(state, {peer, std::move(envelope), MessageClass::Comparison}, now, decision);
+    dispatch(state, {peer, std::move(envelope), MessageClass::Background, std::nullopt}, now, decision);
 }
 
 void answer(State &state, const RequestRecords &request, const Membership::PeerAddress &peer, Core::TimePoint now, Decision &decision)
 {
     auto envelope = makeEnvelope(state);
     appendItems(state, request.kind, {request.keyHashes.begin(), request.keyHashes.end()}, now, envelope);
-    dispatch(state, {peer, std::move(envelope), MessageClass::Comparison}, now, decision);
+    dispatch(state, {peer, std::move(envelope), MessageClass::Background, std::nullopt}, now, decision);
 }
 
 void sendSnapshot(State &state, const Membership::PeerAddress &peer, Core::TimePoint now, Decision &decision)
@@ -256,12 +256,12 @@
             append(envelope, entry, now);
             bytes += sizeOfLast(envelope);
             if (bytes > SNAPSHOT_MESSAGE_BYTES) {
-                dispatch(state, {peer, std::exchange(envelope, makeEnvelope(state)), MessageClass::Bulk}, now, decision);
+                dispatch(state, {peer, std::exchange(envelope, makeEnvelope(state)), MessageClass::Bulk, std::nullopt}, now, decision);
                 bytes = 0;
             }
         }
     });
-    dispatch(state, {peer, std::move(envelope), MessageClass::Bulk}, now, decision);
+    dispatch(state, {peer, std::move(envelope), MessageClass::Bulk, std::nullopt}, now, decision);
 }
 
 } // namespace Briarbend::Gossip
--- a/Libraries/LibGossip/Decode.cpp
+++ b/Libraries/LibGossip/Decode.cpp
@@ -237,7 +237,7 @@
     envelope.membership.news = fields.list(decodeNews);
     envelope.summaries = exactly<DIGEST_KINDS>(unpack(fields.bytes()));
     envelope.sections = fields.list(decodeSectionNews);
-    envelope.records = fields.list(decodeRecord);
+    envelope.records = decodeRecords(fields.next());
     envelope.exchange = decodeExchange(fields.next());
     fields.finish();
     return envelope;
--- a/Libraries/LibGossip/DecodeRecords.cpp
+++ b/Libraries/LibGossip/DecodeRecords.cpp
@@ -1,6 +1,11 @@
 #include <LibGossip/DecodeRecords.h>
 
+#include <LibGossip/Wire.h>
+
 #include <algorithm>
+#include <limits>
+#include <optional>
+#include <span>
 
 namespace Briarbend::Gossip
 {
@@ -20,26 +25,54 @@
     return record;
 }
 
-EvidenceRecord decodeEvidence(Fields &fields)
+std::uint32_t takeCount(std::span<const std::uint8_t> &bytes)
+{
+    std::uint64_t count = 0;
+    for (int shift = 0; shift <= 4 * BITS_PER_BYTE && !bytes.empty(); shift += BITS_PER_BYTE) {
+        const auto byte = bytes.front();
+        bytes = bytes.subspan(1);
+        count |= std::uint64_t{byte & LOW_BITS} << shift;
+        if ((byte & MORE_FOLLOWS) == 0 && count <= std::numeric_limits<std::uint32_t>::max()) {
+            return static_cast<std::uint32_t>(count);
+        }
+    }
+    throw MalformedMessage("count without end or out of range");
+}
+
+EvidenceRecord decodeEvidence(Fields &fields, const std::optional<EvidenceSubject> &subject)
 {
+    if (!subject) {
+        throw MalformedMessage("evidence without its subject");
+    }
     EvidenceRecord record;
-    record.key.member.value = fields.text();
-    record.key.service.value = fields.text();
-    record.key.version.value = fields.text();
-    record.key.routePrefix = fields.text();
-    record.key.loadBucket = fields.unsignedNumber<std::uint8_t>();
+    record.key.subject = *subject;
+    record.key.member = fields.unsignedNumber<std::uint32_t>();
     record.sequence = fields.unsignedNumber<std::uint64_t>();
     record.requests = fields.unsignedNumber<std::uint64_t>();
     record.failures = fields.unsignedNumber<std::uint64_t>();
-    Fields counts{fields.next()};
+    std::span<const std::uint8_t> counts = fields.bytes();
     std::ranges::generate(record.latencyCounts, [&counts] {
-        return counts.unsignedNumber<std::uint32_t>();
+        return takeCount(counts);
     });
-    counts.finish();
+    if (!counts.empty()) {
+        throw MalformedMessage("too many counts");
+    }
     return record;
 }
 
-Record decodeRecordFields(std::uint8_t tag, Fields &fields)
+EvidenceSubject decodeSubject(const nlohmann::json &value)
+{
+    Fields fields{value};
+    EvidenceSubject subject;
+    subject.service.value = fields.text();
+    subject.version.value = fields.text();
+    subject.routePrefix = fields.text();
+    subject.loadBucket = fields.unsignedNumber<std::uint8_t>();
+    fields.finish();
+    return subject;
+}
+
+Record decodeRecordFields(std::uint8_t tag, Fields &fields, const std::optional<EvidenceSubject> &subject)
 {
     switch (tag) {
     case 0:
@@ -62,26 +95,48 @@
         return record;
     }
     case 4:
-        return decodeEvidence(fields);
+        return decodeEvidence(fields, subject);
     default:
         throw MalformedMessage("unknown record kind");
     }
 }
 
-} // namespace
-
-CarriedRecord decodeRecord(const nlohmann::json &value)
+CarriedRecord decodeRecord(const nlohmann::json &value, const std::optional<EvidenceSubject> &subject)
 {
     Fields tagged{value};
     const auto tag = tagged.unsignedNumber<std::uint8_t>();
     const std::chrono::seconds remaining{tagged.unsignedNumber<std::uint32_t>()};
     Fields fields{tagged.next()};
     tagged.finish();
-    CarriedRecord carried{decodeRecordFields(tag, fields), remaining};
+    CarriedRecord carried{decodeRecordFields(tag, fields, subject), remaining};
     fields.finish();
     return carried;
 }
 
+bool isSubject(const nlohmann::json &value)
+{
+    return value.is_array() && !value.empty() && value.front().is_string();
+}
+
+} // namespace
+
+std::vector<CarriedRecord> decodeRecords(const nlohmann::json &value)
+{
+    if (!value.is_array()) {
+        throw MalformedMessage("expected a list of records");
+    }
+    std::vector<CarriedRecord> records;
+    std::optional<EvidenceSubject> subject;
+    for (const auto &element : value) {
+        if (isSubject(element)) {
+            subject = decodeSubject(element);
+        } else {
+            records.push_back(decodeRecord(element, subject));
+        }
+    }
+    return records;
+}
+
 SectionNews decodeSectionNews(const nlohmann::json &value)
 {
     Fields fields{value};
--- a/Libraries/LibGossip/DecodeRecords.h
+++ b/Libraries/LibGossip/DecodeRecords.h
@@ -6,7 +6,7 @@
 {
 
 /// Both throw MalformedMessage.
-CarriedRecord decodeRecord(const nlohmann::json &value);
+std::vector<CarriedRecord> decodeRecords(const nlohmann::json &value);
 SectionNews decodeSectionNews(const nlohmann::json &value);
 
 } // namespace Briarbend::Gossip
--- a/Libraries/LibGossip/Digest.cpp
+++ b/Libraries/LibGossip/Digest.cpp
@@ -84,8 +84,9 @@
 
     RecordDigest operator()(const EvidenceRecord &record)
     {
-        this->key.add(record.key.member.value).add(record.key.service.value).add(record.key.version.value);
-        this->key.add(record.key.routePrefix).add(number(record.key.loadBucket));
+        const auto &subject = record.key.subject;
+        this->key.add(record.key.member).add(subject.service.value).add(subject.version.value);
+        this->key.add(subject.routePrefix).add(number(subject.loadBucket));
         return this->finish([&record](Bytes &content) {
             content.add(record.sequence);
         });
--- a/Libraries/LibGossip/Encode.cpp
+++ b/Libraries/LibGossip/Encode.cpp
@@ -82,6 +82,20 @@
     }
 };
 
+/// Seven bits a byte, the lowest first; the highest bit tells that more follow.
+Json packCounts(const std::array<std::uint32_t, EVIDENCE_LATENCY_BUCKETS> &counts)
+{
+    std::vector<std::uint8_t> bytes;
+    for (auto count : counts) {
+        while (count > LOW_BITS) {
+            bytes.push_back(static_cast<std::uint8_t>((count & LOW_BITS) | MORE_FOLLOWS));
+            count >>= BITS_PER_BYTE;
+        }
+        bytes.push_back(static_cast<std::uint8_t>(count));
+    }
+    return Json::binary(std::move(bytes));
+}
+
 struct RecordEncoder {
     Json operator()(const VerdictRecord &record) const
     {
@@ -107,24 +121,36 @@
     }
     Json operator()(const EvidenceRecord &record) const
     {
-        const auto &key = record.key;
-        return {key.member.value,
-                key.service.value,
-                key.version.value,
-                key.routePrefix,
-                key.loadBucket,
-                record.sequence,
-                record.requests,
-                record.failures,
-                Json(record.latencyCounts)};
+        return {record.key.member, record.sequence, record.requests, record.failures, packCounts(record.latencyCounts)};
     }
 };
 
+Json encodeSubject(const EvidenceSubject &subject)
+{
+    return {subject.service.value, subject.version.value, subject.routePrefix, subject.loadBucket};
+}
+
 Json encodeRecord(const CarriedRecord &carried)
 {
     return {carried.record.index(), carried.remaining.count(), std::visit(RecordEncoder{}, carried.record)};
 }
 
+/// A subject is written once, before the records of its members.
+Json encodeRecords(const std::vector<CarriedRecord> &records)
+{
+    auto list = Json::array();
+    std::optional<EvidenceSubject> subject;
+    for (const auto &carried : records) {
+        const auto *evidence = std::get_if<EvidenceRecord>(&carried.record);
+        if (evidence != nullptr && subject != evidence->key.subject) {
+            subject = evidence->key.subject;
+            list.push_back(encodeSubject(*subject));
+        }
+        list.push_back(encodeRecord(carried));
+    }
+    return list;
+}
+
 Json encodeSectionNews(const SectionNews &news)
 {
     auto fields = Json::array({news.team.value, news.storeVersion, news.baseVersion});
@@ -188,7 +214,7 @@
                                        listOf(membership.news, encodeNews),
                                        packed(envelope.summaries),
                                        listOf(envelope.sections, encodeSectionNews),
-                                       listOf(envelope.records, encodeRecord),
+                                       encodeRecords(envelope.records),
                                        tagged(envelope.exchange, ExchangeEncoder{})});
     std::string bytes;
     Json::to_cbor(document, bytes);
--- a/Libraries/LibGossip/Gossip.cpp
+++ b/Libraries/LibGossip/Gossip.cpp
@@ -17,7 +17,7 @@
 /// Peers that urgent news goes to at once, and in each of the next ticks.
 constexpr std::size_t PUSH_FANOUT = 3;
 constexpr std::size_t REPEATED_PUSH_FANOUT = 1;
-constexpr std::uint32_t REPEATED_PUSHES = 2;
+constexpr std::uint32_t REPEATED_PUSHES = 4;
 constexpr std::chrono::seconds EXPIRY_INTERVAL{1};
 
 /// Records that change count once in the changes.
@@ -47,18 +47,20 @@
     if (message.news.size() > BULK_NEWS) {
         return MessageClass::Bulk;
     }
-    const bool isProbe
-        = std::holds_alternative<Membership::Ping>(message.body) || std::holds_alternative<Membership::PingRequest>(message.body);
-    return isProbe ? MessageClass::Probe : MessageClass::Answer;
+    if (std::holds_alternative<Membership::PingRequest>(message.body)) {
+        return MessageClass::Background;
+    }
+    return std::holds_alternative<Membership::Ping>(message.body) ? MessageClass::Probe : MessageClass::Answer;
 }
 
 /// Where the budget refuses a whole answer, the bare one still shows that this instance runs.
-void sendHeartbeat(State &state, Membership::Outgoing outgoing, Core::TimePoint now, Decision &decision)
+void sendHeartbeat(
+    State &state, Membership::Outgoing outgoing, const std::optional<Summaries> &theirs, Core::TimePoint now, Decision &decision)
 {
     const auto messageClass = classOf(outgoing.message);
     Envelope envelope;
     envelope.membership = outgoing.message;
-    if (dispatch(state, {outgoing.to, std::move(envelope), messageClass}, now, decision)) {
+    if (dispatch(state, {outgoing.to, std::move(envelope), messageClass, theirs}, now, decision)) {
         return;
     }
     if (std::holds_alternative<Membership::Ping>(outgoing.message.body)) {
@@ -70,14 +72,18 @@
         Envelope bare;
         bare.membership = std::move(outgoing.message);
         bare.membership.news.clear();
-        dispatch(state, {std::move(outgoing.to), std::move(bare), MessageClass::Answer}, now, decision);
+        dispatch(state, {std::move(outgoing.to), std::move(bare), MessageClass::Answer, std::nullopt}, now, decision);
     }
 }
 
-void sendHeartbeats(State &state, std::vector<Membership::Outgoing> messages, Core::TimePoint now, Decision &decision)
+void sendHeartbeats(State &state,
+                    std::vector<Membership::Outgoing> messages,
+                    const std::optional<Summaries> &theirs,
+                    Core::TimePoint now,
+                    Decision &decision)
 {
     for (auto &outgoing : messages) {
-        sendHeartbeat(state, std::move(outgoing), now, decision);
+        sendHeartbeat(state, std::move(outgoing), theirs, now, decision);
     }
 }
 
@@ -105,7 +111,10 @@
     if (!state.hasAskedSnapshot && envelope.membership.isConfirmed) {
         state.hasAskedSnapshot = dispatchExchange(state, sender.address, RequestSnapshot{}, MessageClass::Answer, now, decision);
     }
-    startComparison(state, envelope.summaries, sender.address, now, random, decision);
+    const bool isDifferent = envelope.summaries != summariesOf(state);
+    if (isDifferent && !sendRecentChanges(state, sender.address, envelope.summaries, now, decision)) {
+        startComparison(state, envelope.summaries, sender.address, now, random, decision);
+    }
 }
 
 /// Answers the exchange step of one message.
@@ -138,7 +147,7 @@
     }
     void operator()(const DeliverSection &delivery) const
     {
-        this->hasUrgentNews |= acceptSection(this->state, delivery.section, this->decision.changes);
+        this->hasUrgentNews |= acceptSection(this->state, delivery.section, this->now, this->decision.changes);
     }
     void operator()(const RequestSnapshot &) const
     {
@@ -182,7 +191,7 @@
             expire(table, now);
         });
     }
-    sendHeartbeats(state, std::move(members.messages), now, decision);
+    sendHeartbeats(state, std::move(members.messages), std::nullopt, now, decision);
     requestWanted(state, now, decision);
     if (state.urgentRounds > 0) {
         --state.urgentRounds;
@@ -204,7 +213,7 @@
     decision.changes.members = std::move(members.changes);
     bool hasUrgentNews = applyNews(state, envelope, now, decision) || members.hasRefuted;
     std::visit(ExchangeReceiver{state, sender.address, now, random, decision, hasUrgentNews}, envelope.exchange);
-    sendHeartbeats(state, std::move(members.messages), now, decision);
+    sendHeartbeats(state, std::move(members.messages), envelope.summaries, now, decision);
     if (members.freshlyHeard) {
         compareWith(state, envelope, now, random, decision);
     }
@@ -218,7 +227,7 @@
 {
     Membership::observeTime(state.members, now);
     Decision decision;
-    if (acceptSection(state, section, decision.changes)) {
+    if (acceptSection(state, section, now, decision.changes)) {
         pushUrgent(state, now, random, decision);
     }
     return decision;
@@ -242,7 +251,7 @@
     for (auto &outgoing : Membership::leave(state.members, now).messages) {
         Envelope envelope;
         envelope.membership = std::move(outgoing.message);
-        dispatch(state, {std::move(outgoing.to), std::move(envelope), MessageClass::Bulk}, now, decision);
+        dispatch(state, {std::move(outgoing.to), std::move(envelope), MessageClass::Bulk, std::nullopt}, now, decision);
     }
     return decision;
 }
--- a/Libraries/LibGossip/Outbox.h
+++ b/Libraries/LibGossip/Outbox.h
@@ -5,16 +5,18 @@
 namespace Briarbend::Gossip
 {
 
-/// Which budget a message is charged to, and what it may carry besides.
+/// Which budget a message is charged to, and what it may carry besides. A class may use less of the control budget than those before it.
 enum class MessageClass {
-    /// May use the whole burst; carries news where the budget allows.
+    /// Shows that this instance runs; carries news where the budget allows.
     Answer,
-    /// May use the reserve of probes; carries news where the budget allows.
+    /// Sections, verdicts and the like that have just changed; not sent where there are none.
+    Urgent,
+    /// Urgent news for a peer that is known to lack it, sent as it is.
+    Repeated,
+    /// Carries news where the budget allows.
     Probe,
-    /// Carries news, and is not sent where there is none.
-    News,
-    /// Sent as it is, within the control budget.
-    Comparison,
+    /// Comparisons and repairs, sent as they are.
+    Background,
     /// Sent as it is, within the bulk budget.
     Bulk,
 };
@@ -23,6 +25,8 @@
     Membership::PeerAddress to;
     Envelope envelope;
     MessageClass messageClass{MessageClass::Probe};
+    /// The receiver's, where it has just told them: recent changes of the kinds that differ are sent again, however often they were sent.
+    std::optional<Summaries> theirSummaries;
 };
 
 /// Fills, encodes and charges one message. False where the budget refuses it or there is nothing to say.
@@ -37,6 +41,9 @@
 
 Summaries summariesOf(const State &state);
 
+/// Sends recent changes of the kinds that differ. False where there are none, or no budget.
+bool sendRecentChanges(State &state, const Membership::PeerAddress &to, const Summaries &theirs, Core::TimePoint now, Decision &decision);
+
 /// Of the members that are not gone.
 BucketDigests memberDigests(const State &state);
 
--- a/Libraries/LibGossip/Records.h
+++ b/Libraries/LibGossip/Records.h
@@ -51,14 +51,22 @@
 /// Buckets of the latency histogram in an EvidenceRecord.
 constexpr std::size_t EVIDENCE_LATENCY_BUCKETS = 12;
 
-/// What one instance saw of one version on one route at one level of load.
-struct EvidenceKey {
-    Core::InstanceId member;
+/// One version on one route at one level of load.
+struct EvidenceSubject {
     Core::ServiceName service;
     Core::VersionName version;
     std::string routePrefix;
     std::uint8_t loadBucket{0};
 
+    auto operator<=>(const EvidenceSubject &) const = default;
+};
+
+/// What one instance saw of a subject. Ordered by subject first, so that the fleet's evidence of one subject stands together.
+struct EvidenceKey {
+    EvidenceSubject subject;
+    /// Membership::memberHash of the publishing instance.
+    std::uint32_t member{0};
+
     auto operator<=>(const EvidenceKey &) const = default;
 };
 
--- a/Libraries/LibGossip/Sections.cpp
+++ b/Libraries/LibGossip/Sections.cpp
@@ -83,7 +83,7 @@
 
 } // namespace
 
-bool acceptSection(State &state, const SectionText &section, Changes &changes)
+bool acceptSection(State &state, const SectionText &section, Core::TimePoint now, Changes &changes)
 {
     auto &table = state.sections;
     if (section.storeVersion <= heldVersion(state, section.team)) {
@@ -95,6 +95,7 @@
     }
     held.previous = std::exchange(held.section, section);
     held.transmissions = 0;
+    held.changedAt = now;
     toggle(table.digests, digestOf(section));
     const auto wanted = table.wanted.find(section.team);
     if (wanted != table.wanted.end() && wanted->second.storeVersion <= section.storeVersion) {
@@ -134,7 +135,7 @@
         return false;
     }
     if (auto text = applyDifference(state, news)) {
-        return acceptSection(state, {news.team, news.storeVersion, std::move(*text)}, decision.changes);
+        return acceptSection(state, {news.team, news.storeVersion, std::move(*text)}, now, decision.changes);
     }
     want(state, news, from, now, decision);
     return false;
--- a/Libraries/LibGossip/Sections.h
+++ b/Libraries/LibGossip/Sections.h
@@ -6,7 +6,7 @@
 {
 
 /// Keeps the section where its version is higher than the held one. True where it was.
-bool acceptSection(State &state, const SectionText &section, Changes &changes);
+bool acceptSection(State &state, const SectionText &section, Core::TimePoint now, Changes &changes);
 
 /// Announces a held section, with the difference to its previous version where that is small.
 SectionNews newsOf(const HeldSection &held);
--- a/Libraries/LibGossip/State.h
+++ b/Libraries/LibGossip/State.h
@@ -25,6 +25,7 @@
     SectionText section;
     /// The text that this one replaced, for sending only the difference.
     SectionText previous;
+    Core::TimePoint changedAt;
     std::uint32_t transmissions{0};
 };
 
--- a/Libraries/LibGossip/Wire.h
+++ b/Libraries/LibGossip/Wire.h
@@ -8,7 +8,12 @@
 /// First element of every message. Instances ignore messages of other versions.
 constexpr std::uint32_t PROTOCOL_VERSION = 1;
 
-/// Bytes that a part adds to a message.
+/// Of numbers with seven bits a byte.
+constexpr std::uint32_t LOW_BITS = 0x7F;
+constexpr std::uint32_t MORE_FOLLOWS = 0x80;
+constexpr int BITS_PER_BYTE = 7;
+
+/// Bytes that a part adds to a message, without the subject that evidence shares.
 std::size_t encodedSize(const CarriedRecord &record);
 std::size_t encodedSize(const SectionNews &news);
 
--- a/Libraries/LibMembership/Probing.cpp
+++ b/Libraries/LibMembership/Probing.cpp
@@ -28,6 +28,13 @@
     });
 }
 
+/// A peer heard the member after the ping left, so that only the ping or its answer was lost.
+bool isHeardSince(const State &state, const PendingPing &pending)
+{
+    const auto *member = pending.expected ? find(state, *pending.expected) : nullptr;
+    return member != nullptr && member->lastHeard && *member->lastHeard > pending.sentAt;
+}
+
 bool hasHeardAnyone(const State &state)
 {
     return std::ranges::any_of(state.members, [&state](const auto &item) {
@@ -141,7 +148,7 @@
 void followUpPings(State &state, Core::TimePoint now, Core::Random &random, Decision &decision)
 {
     for (auto &[sequence, pending] : state.pendingPings) {
-        if (pending.isIndirectSent || !pending.expected || now - pending.sentAt < PING_TIMEOUT) {
+        if (pending.isIndirectSent || !pending.expected || now - pending.sentAt < PING_TIMEOUT || isHeardSince(state, pending)) {
             continue;
         }
         pending.isIndirectSent = true;
@@ -158,7 +165,7 @@
         if (now - pending.sentAt < PROBE_TIMEOUT) {
             return false;
         }
-        if (pending.expected) {
+        if (pending.expected && !isHeardSince(state, pending)) {
             silent.push_back(*pending.expected);
         }
         return true;
@@ -184,7 +191,7 @@
 {
     std::vector<PeerAddress> peers;
     for (const auto &[id, member] : state.members) {
-        if (id != state.self && member.news.state == MemberState::Alive && member.lastHeard) {
+        if (id != state.self && isPresent(member) && member.lastHeard) {
             peers.push_back(member.news.address);
         }
     }
--- a/Libraries/LibPeers/Transport.h
+++ b/Libraries/LibPeers/Transport.h
@@ -12,9 +12,9 @@
 {
 
 /// Largest message that is sent or accepted, in bytes.
-constexpr std::size_t MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
+constexpr std::size_t MAX_MESSAGE_BYTES = 2'097'152;
 /// Most bytes that wait for one peer; further messages to it are dropped.
-constexpr std::size_t MAX_QUEUED_BYTES = 4 * 1024 * 1024;
+constexpr std::size_t MAX_QUEUED_BYTES = 4'194'304;
 
 /// Totals since the start. Bytes are message payloads.
 struct TransportCounters {
@@ -24,7 +24,9 @@
     std::uint64_t messagesReceived{0};
     /// Messages not sent, because the peer's queue was full, the message too long, or the peer not reachable.
     std::uint64_t messagesDropped{0};
-    /// Connections that were open now.
+    /// Callbacks that threw.
+    std::uint64_t callbackFailures{0};
+    /// Open or being opened now, in both directions.
     std::uint64_t connections{0};
 };
 
--- /dev/null
+++ b/Libraries/LibPeers/WebSocketConfiguration.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+/// Private to this library: websocketpp 0.8.2 is not valid C++20.
+namespace Briarbend::Peers
+{
+
+/// Time for the TCP connection to open.
+constexpr long CONNECT_TIMEOUT_MS = 500;
+/// Time for the WebSocket handshake, and for the answer to a close frame.
+constexpr long HANDSHAKE_TIMEOUT_MS = 1000;
+
+// The names are those that websocketpp looks up.
+// NOLINTBEGIN(readability-identifier-naming)
+struct ServerConfiguration : websocketpp::config::asio {
+    struct transport_config : websocketpp::config::asio::transport_config {
+        /// The io_context runs on one thread.
+        static const bool enable_multithreading = false;
+    };
+    using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
+};
+
+struct ClientConfiguration : websocketpp::config::asio_client {
+    struct transport_config : websocketpp::config::asio_client::transport_config {
+        static const bool enable_multithreading = false;
+        static const long timeout_connect = CONNECT_TIMEOUT_MS;
+    };
+    using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
+};
+
+// NOLINTEND(readability-identifier-naming)
+
+using Server = websocketpp::server<ServerConfiguration>;
+using Client = websocketpp::client<ClientConfiguration>;
+using Handle = websocketpp::connection_hdl;
+
+/// Settings that both endpoints share. websocketpp's own log channels stay silent: this library reports by counters.
+template<typename Endpoint>
+void prepare(Endpoint &endpoint, boost::asio::io_context &context, std::size_t maxMessageBytes)
+{
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.init_asio(&context);
+    endpoint.set_max_message_size(maxMessageBytes);
+    endpoint.set_open_handshake_timeout(HANDSHAKE_TIMEOUT_MS);
+    endpoint.set_close_handshake_timeout(HANDSHAKE_TIMEOUT_MS);
+    endpoint.set_user_agent("");
+}
+
+/// Sends small messages at once (TCP_NODELAY).
+template<typename Connection>
+void disableDelay(const Connection &connection)
+{
+    boost::system::error_code ignored;
+    connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
+}
+
+} // namespace Briarbend::Peers
