--- /dev/null
+++ b/Libraries/LibRouting/TargetTable.cpp
@@ -0,0 +1,266 @@
+#include <LibRouting/TargetTable.h>
+
+#include <LibCore/RendezvousHash.h>
+
+#include <algorithm>
+#include <map>
+
+namespace Briarbend::Routing
+{
+
+namespace
+{
+
+using Microseconds = std::chrono::duration<double, std::micro>;
+
+/// Weight of a new sample in the averages over all targets.
+constexpr double TYPICAL_WEIGHT = 0.02;
+/// Answers that the typical answer time counts for in a target's estimate.
+constexpr double PRIOR_ANSWERS = 2;
+/// Requests of this instance weigh more than reported ones: they are known at once, those of others only as of the report.
+constexpr double OWN_WEIGHT = 2;
+/// Requests for each slot at which a target is too busy for hedges.
+constexpr double HEDGED_REQUESTS_PER_SLOT = 4;
+/// Limit of the failure share in estimates, so that a failing target still has a finite cost.
+constexpr double LARGEST_FAILURE_SHARE = 0.95;
+/// Answer time assumed before the first answer, in microseconds.
+constexpr double FIRST_ANSWER_TIME = 1000;
+/// Limit of the doublings of the ejection time.
+constexpr std::uint32_t MOST_DOUBLINGS = 5;
+
+double microsecondsBetween(Core::TimePoint from, Core::TimePoint to)
+{
+    return std::max(0.0, Microseconds(to - from).count());
+}
+
+double slotsOf(const TargetTable &table, const TargetState &target)
+{
+    const bool isReported = target.evidence && target.evidence->report.slots > 0;
+    return std::max(1U, isReported ? target.evidence->report.slots : table.parameters.slots);
+}
+
+double distanceTo(const TargetTable &table, const TargetState &target)
+{
+    const bool isNear = target.description.dataCentre == table.parameters.ownDataCentre;
+    return isNear ? 0.0 : Microseconds(table.parameters.distance).count();
+}
+
+double typicalAnswerTime(const TargetTable &table)
+{
+    return table.typicalAnswerTime > 0 ? table.typicalAnswerTime : FIRST_ANSWER_TIME;
+}
+
+void addTypical(double &average, double sample)
+{
+    average = average > 0 ? average + TYPICAL_WEIGHT * (sample - average) : sample;
+}
+
+void noteReport(TargetTable &table, TargetState &target, const LoadReport &report, Core::TimePoint now)
+{
+    const auto others = std::max(0.0, static_cast<double>(report.inFlight) - static_cast<double>(target.ownInFlight));
+    target.evidence = LoadEvidence{.report = report, .receivedAt = now, .others = others};
+    addTypical(table.typicalOthers, others);
+}
+
+double estimatedOthers(const TargetTable &table, const TargetState &target, Core::TimePoint now)
+{
+    if (!target.evidence) {
+        return table.typicalOthers;
+    }
+    const auto weight = remainingWeight(now - target.evidence->receivedAt, table.parameters.reportMemory);
+    return weight * target.evidence->others + (1 - weight) * table.typicalOthers;
+}
+
+void bringEstimateTo(const TargetTable &table, TargetState &target, Core::TimePoint now)
+{
+    target.answerTime = estimateAt(target.answerTime, target.waiting.size(), table.parameters.answerMemory, now);
+}
+
+std::size_t largestEjectedCount(const TargetTable &table)
+{
+    return static_cast<std::size_t>(table.parameters.ejectedShare * static_cast<double>(table.targets.size()));
+}
+
+void ejectIfFailing(TargetTable &table, TargetState &target, Core::TimePoint now)
+{
+    if (target.ejection.failuresInRow < table.parameters.failuresToEject || isEjected(target, now)) {
+        return;
+    }
+    const auto ejected = std::ranges::count_if(table.targets, [now](const TargetState &other) {
+        return isEjected(other, now);
+    });
+    if (static_cast<std::size_t>(ejected) >= largestEjectedCount(table)) {
+        return;
+    }
+    const auto doublings = std::min(target.ejection.repeats, MOST_DOUBLINGS);
+    target.ejection.until = now + table.parameters.ejectionTime * (1U << doublings);
+    target.ejection.failuresInRow = 0;
+    ++target.ejection.repeats;
+}
+
+void recordSuccess(TargetTable &table, TargetState &target, const SentRequest &request, Core::TimePoint now)
+{
+    const auto elapsed = microsecondsBetween(request.sentAt, now);
+    addTypical(table.typicalAnswerTime, elapsed);
+    addSample(table.lateAnswerTime, elapsed);
+    target.answerTime.answers += 1;
+    addOutcome(target.failures, false, now);
+    target.ejection = {};
+}
+
+void recordFailure(TargetTable &table, TargetState &target, Core::TimePoint now)
+{
+    // A failure is no answer: a target that fails fast must not look fast.
+    addOutcome(target.failures, true, now);
+    ++target.ejection.failuresInRow;
+    ejectIfFailing(table, target, now);
+}
+
+} // namespace
+
+std::size_t subsetSize(std::size_t targets, std::size_t instances, std::size_t sendersPerTarget, std::size_t smallest)
+{
+    const auto divisor = std::max<std::size_t>(instances, 1);
+    const auto covering = (targets * sendersPerTarget + divisor - 1) / divisor;
+    return std::min(targets, std::max(covering, smallest));
+}
+
+std::vector<TargetDescription> subsetOf(const std::vector<TargetDescription> &all, const Core::InstanceId &instance, std::size_t size)
+{
+    if (size >= all.size()) {
+        return all;
+    }
+    struct Weighted {
+        std::uint64_t weight;
+        const TargetDescription *description;
+    };
+    std::map<Core::DataCentreName, std::vector<Weighted>> byDataCentre;
+    for (const auto &description : all) {
+        byDataCentre[description.dataCentre].push_back({Core::rendezvousWeight(description.id.value, instance.value), &description});
+    }
+    std::vector<TargetDescription> subset;
+    for (auto &[dataCentre, weighted] : byDataCentre) {
+        std::ranges::sort(weighted, std::greater{}, &Weighted::weight);
+        const auto part = (weighted.size() * size + all.size() - 1) / all.size();
+        weighted.resize(std::min(part, weighted.size()));
+        std::ranges::transform(weighted, std::back_inserter(subset), [](const Weighted &entry) {
+            return *entry.description;
+        });
+    }
+    return subset;
+}
+
+void updateTargets(TargetTable &table, const std::vector<TargetDescription> &descriptions)
+{
+    std::vector<TargetState> targets;
+    std::unordered_map<Core::TargetId, std::size_t> indexById;
+    for (const auto &description : descriptions) {
+        if (!indexById.emplace(description.id, targets.size()).second) {
+            continue;
+        }
+        auto *known = findTarget(table, description.id);
+        targets.push_back(known ? std::move(*known) : TargetState{});
+        targets.back().description = description;
+    }
+    table.targets = std::move(targets);
+    table.indexById = std::move(indexById);
+}
+
+TargetState *findTarget(TargetTable &table, const Core::TargetId &id)
+{
+    const auto found = table.indexById.find(id);
+    return found == table.indexById.end() ? nullptr : &table.targets[found->second];
+}
+
+const TargetState *findTarget(const TargetTable &table, const Core::TargetId &id)
+{
+    const auto found = table.indexById.find(id);
+    return found == table.indexById.end() ? nullptr : &table.targets[found->second];
+}
+
+double estimatedInFlight(const TargetTable &table, const TargetState &target, Core::TimePoint now)
+{
+    return target.ownInFlight + estimatedOthers(table, target, now);
+}
+
+double sendCost(const TargetTable &table, const TargetState &target, Core::TimePoint now)
+{
+    const auto estimate = estimateAt(target.answerTime, target.waiting.size(), table.parameters.answerMemory, now);
+    const auto time = answerTime(estimate, typicalAnswerTime(table), PRIOR_ANSWERS);
+    const auto load = (OWN_WEIGHT * target.ownInFlight + estimatedOthers(table, target, now)) / slotsOf(table, target);
+    const auto successShare = 1 - std::min(failureShareAt(target.failures, now), LARGEST_FAILURE_SHARE);
+    return time * (1 + load) / successShare + distanceTo(table, target);
+}
+
+SentRequest recordSent(TargetTable &table, const Core::TargetId &id, Core::TimePoint now)
+{
+    auto *target = findTarget(table, id);
+    if (!target) {
+        return {.target = id, .sentAt = now};
+    }
+    bringEstimateTo(table, *target, now);
+    ++target->ownInFlight;
+    target->waiting.push_back(now);
+    return {.target = id, .sentAt = now};
+}
+
+void recordAnswer(TargetTable &table, const SentRequest &request, const Outcome &outcome, Core::TimePoint now)
+{
+    auto *target = findTarget(table, request.target);
+    if (!target) {
+        return;
+    }
+    bringEstimateTo(table, *target, now);
+    const auto sent = std::ranges::find(target->waiting, request.sentAt);
+    if (sent != target->waiting.end()) {
+        target->waiting.erase(sent);
+    }
+    if (outcome.report) {
+        noteReport(table, *target, *outcome.report, now);
+    }
+    switch (outcome.kind) {
+    case OutcomeKind::Success:
+        recordSuccess(table, *target, request, now);
+        return;
+    case OutcomeKind::Failure:
+    case OutcomeKind::Refused:
+        recordFailure(table, *target, now);
+        return;
+    case OutcomeKind::Cancelled:
+        return;
+    }
+}
+
+void recordReport(TargetTable &table, const Core::TargetId &id, const LoadReport &report, Core::TimePoint now)
+{
+    if (auto *target = findTarget(table, id)) {
+        noteReport(table, *target, report, now);
+    }
+}
+
+void recordFinished(TargetTable &table, const SentRequest &request)
+{
+    auto *target = findTarget(table, request.target);
+    if (!target || target->ownInFlight == 0) {
+        return;
+    }
+    --target->ownInFlight;
+}
+
+std::chrono::microseconds hedgeDelay(const TargetTable &table)
+{
+    return std::chrono::microseconds{static_cast<std::int64_t>(table.lateAnswerTime.estimate)};
+}
+
+bool hasRoomForHedge(const TargetTable &table, const Core::TargetId &id, Core::TimePoint now)
+{
+    const auto *target = findTarget(table, id);
+    return target && estimatedInFlight(table, *target, now) < HEDGED_REQUESTS_PER_SLOT * slotsOf(table, *target);
+}
+
+bool isEjected(const TargetState &target, Core::TimePoint now)
+{
+    return target.ejection.until && now < *target.ejection.until;
+}
+
+} // namespace Briarbend::Routing
--- a/Tests/LibGossip/TestGossip.cpp
+++ b/Tests/LibGossip/TestGossip.cpp
@@ -145,8 +145,8 @@
         fleet.settle();
         fleet.loop.lossShare = parameters.lossShare;
         Core::Random random{seed};
-        const std::uint64_t changes = parameters.isRewritten ? 8 : 25;
-        for (std::uint64_t version = 1; version <= changes; ++version) {
+        const std::uint64_t versions = parameters.isRewritten ? 8 : 25;
+        for (std::uint64_t version = 1; version <= versions; ++version) {
             auto &origin = *std::next(fleet.nodes.begin(), static_cast<std::ptrdiff_t>(random.below(fleet.nodes.size())));
             std::set<std::string> missing;
             for (auto &[address, node] : fleet.nodes) {
