--- /dev/null
+++ b/Tests/LibRouting/TestProbing.cpp
@@ -0,0 +1,102 @@
+#include <LibLimits/ShareBudget.h>
+#include <LibRouting/Probing.h>
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+
+namespace Briarbend::Routing
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t INSTANCES = 19;
+constexpr std::uint32_t PROBES_PER_SECOND = 50;
+
+struct Prober {
+    TargetTable table;
+    std::map<Core::TargetId, Limits::ShareBudget> budgets;
+    Core::TimePoint stoppedUntil;
+};
+
+Prober startProber(std::uint32_t slot, Core::TimePoint now)
+{
+    Prober prober;
+    updateTargets(prober.table, {{{"a"}, {"dc"}, {"v"}, false}, {{"b"}, {"dc"}, {"v"}, false}, {{"c"}, {"dc"}, {"v"}, false}});
+    for (const auto &target : prober.table.targets) {
+        const auto &id = target.description.id;
+        const auto units = Limits::shareOf(PROBES_PER_SECOND, {.maximumInstances = INSTANCES, .instanceSlot = slot}, id);
+        prober.budgets.emplace(id, Limits::startShareBudget(units, now));
+    }
+    return prober;
+}
+
+} // namespace
+
+TEST(Probing, theBudgetOfATargetHoldsInEveryWindowWithAllInstancesProbingThroughFreezesAndRestarts)
+{
+    Core::Random random{42};
+    std::vector<Prober> probers;
+    for (std::uint32_t slot = 0; slot < INSTANCES; ++slot) {
+        probers.push_back(startProber(slot, Core::TimePoint{0s}));
+    }
+    std::map<Core::TargetId, std::vector<Core::TimePoint>> sent;
+    for (Core::TimePoint now{0s}; now < Core::TimePoint{60s}; now += 5ms) {
+        for (std::uint32_t slot = 0; slot < INSTANCES; ++slot) {
+            auto &prober = probers[slot];
+            if (random.below(4000) == 0) {
+                prober = startProber(slot, now);
+            }
+            if (random.below(4000) == 0) {
+                prober.stoppedUntil = now + std::chrono::milliseconds{random.below(4000)};
+            }
+            if (now < prober.stoppedUntil) {
+                continue;
+            }
+            const auto isPermitted = [&](const TargetState &target) {
+                return hasFreeUnit(prober.budgets.at(target.description.id), now);
+            };
+            for (const auto &id : chooseProbes(prober.table, isPermitted, 3, now, random)) {
+                ASSERT_TRUE(reserveUnit(prober.budgets.at(id), now));
+                confirmUnit(prober.budgets.at(id), now);
+                recordProbeSent(prober.table, id, now);
+                sent[id].push_back(now);
+            }
+        }
+    }
+    for (const auto &[id, times] : sent) {
+        for (auto first = times.begin(); first != times.end(); ++first) {
+            const auto end = std::upper_bound(first, times.end(), *first + 1s);
+            ASSERT_LE(std::distance(first, end), PROBES_PER_SECOND);
+        }
+        // Most of the budget is used where no traffic brings reports.
+        EXPECT_GT(times.size(), 60 * PROBES_PER_SECOND * 3 / 4);
+    }
+}
+
+TEST(Probing, onlyTargetsWithoutRecentReportsAreProbedAndSilentOnesAreTakenAsLost)
+{
+    auto prober = startProber(0, Core::TimePoint{0s});
+    auto &table = prober.table;
+    Core::Random random{1};
+    const Core::TimePoint now{10s};
+    const auto isPermitted = [](const TargetState &) {
+        return true;
+    };
+    recordReport(table, {"a"}, {.inFlight = 1}, now - 500ms);
+    recordReport(table, {"b"}, {.inFlight = 1}, now - 10ms);
+    const std::vector<Core::TargetId> expected{{"c"}, {"a"}};
+    EXPECT_EQ(chooseProbes(table, isPermitted, 9, now, random), expected);
+
+    recordProbeSent(table, {"c"}, now);
+    recordProbeAnswer(table, {"a"}, {.inFlight = 2}, now);
+    EXPECT_TRUE(chooseProbes(table, isPermitted, 9, now + 10ms, random).empty());
+    const auto late = now + table.parameters.probeTimeout;
+    EXPECT_EQ(chooseProbes(table, isPermitted, 1, late, random), std::vector<Core::TargetId>{{"c"}});
+    EXPECT_EQ(findTarget(table, {"c"})->probe.lostInRow, 1U);
+}
+
+} // namespace Briarbend::Routing
--- /dev/null
+++ b/Tests/LibRouting/TestTargetTable.cpp
@@ -0,0 +1,173 @@
+#include <LibRouting/Choice.h>
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+
+namespace Briarbend::Routing
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const Core::TimePoint START{100s};
+
+std::vector<TargetDescription> descriptionsOf(std::size_t count)
+{
+    std::vector<TargetDescription> descriptions;
+    for (std::size_t number = 0; number < count; ++number) {
+        descriptions.push_back({{std::to_string(number)}, {"dc-" + std::to_string(number % 3)}, {"v1"}, false});
+    }
+    return descriptions;
+}
+
+TargetTable tableOf(std::size_t count)
+{
+    TargetTable table;
+    table.parameters.ownDataCentre = {"dc-0"};
+    updateTargets(table, descriptionsOf(count));
+    return table;
+}
+
+void answerAt(TargetTable &table, const SentRequest &request, Core::TimePoint now, OutcomeKind kind = OutcomeKind::Success)
+{
+    recordAnswer(table, request, {.kind = kind, .report = std::nullopt}, now);
+    recordFinished(table, request);
+}
+
+} // namespace
+
+TEST(TargetTable, aTargetThatFailsFastDoesNotLookLightlyLoaded)
+{
+    auto table = tableOf(2);
+    // Too few targets for any to be ejected: the cost alone has to keep requests away.
+    table.parameters.distance = 0us;
+    Core::Random random{7};
+    std::size_t toFailing = 0;
+    std::vector<SentRequest> working;
+    for (auto now = START; now < START + 5s; now += 1ms) {
+        const auto sent = recordSent(table, *chooseTarget(table, {}, now, random).target, now);
+        if (sent.target.value == "1") {
+            ++toFailing;
+            answerAt(table, sent, now + 100us, OutcomeKind::Failure);
+        } else {
+            working.push_back(sent);
+        }
+        if (!working.empty() && now - working.front().sentAt >= 6ms) {
+            answerAt(table, working.front(), now);
+            working.erase(working.begin());
+        }
+    }
+    // 5000 requests, of which a target that looked idle for its fast failures would receive nearly all.
+    EXPECT_LT(toFailing, 250U);
+    EXPECT_GT(toFailing, 0U);
+}
+
+TEST(TargetTable, aRequestThatWaitsShowsASlowdownBeforeItsAnswer)
+{
+    auto table = tableOf(2);
+    auto now = START;
+    for (int request = 0; request < 50; ++request) {
+        for (const auto *id : {"0", "1"}) {
+            const auto sent = recordSent(table, {id}, now);
+            answerAt(table, sent, now + 2ms);
+        }
+        now += 3ms;
+    }
+    recordSent(table, {"0"}, now);
+    const auto costAtOnce = sendCost(table, *findTarget(table, {"0"}), now);
+    const auto costLater = sendCost(table, *findTarget(table, {"0"}), now + 30ms);
+    EXPECT_GT(costLater, 3 * costAtOnce);
+    // Once answered, the slowdown is forgotten within a few memories.
+    EXPECT_LT(sendCost(table, *findTarget(table, {"1"}), now + 100ms), 2 * costAtOnce + 2000);
+}
+
+RC_GTEST_PROP(TargetTable, ejectedTargetsStayWithinTheirShareAndReturn, (std::uint64_t seed))
+{
+    Core::Random random{seed};
+    const auto count = 1 + random.below(30);
+    auto table = tableOf(count);
+    auto now = START;
+    const auto ejectedNow = [&] {
+        return std::ranges::count_if(table.targets, [&](const TargetState &target) {
+            return isEjected(target, now);
+        });
+    };
+    for (int step = 0; step < 1000; ++step) {
+        now += std::chrono::microseconds{random.below(2000)};
+        const auto sent = recordSent(table, {std::to_string(random.below(count))}, now);
+        answerAt(table, sent, now, random.below(10) < 9 ? OutcomeKind::Failure : OutcomeKind::Success);
+        RC_ASSERT(static_cast<double>(ejectedNow()) <= 0.3 * static_cast<double>(count));
+    }
+    now += 60s;
+    RC_ASSERT(ejectedNow() == 0);
+}
+
+RC_GTEST_PROP(TargetTable, requestsInFlightAreCountedThroughChangesOfTheList, (std::uint64_t seed))
+{
+    Core::Random random{seed};
+    auto table = tableOf(8);
+    std::vector<SentRequest> onTheirWay;
+    auto now = START;
+    for (int step = 0; step < 300; ++step) {
+        now += 1ms;
+        const auto action = random.below(10);
+        if (action == 0) {
+            // A removed target is forgotten together with its requests.
+            const auto kept = descriptionsOf(4 + random.below(5));
+            updateTargets(table, kept);
+            std::erase_if(onTheirWay, [&](const SentRequest &request) {
+                return !findTarget(table, request.target);
+            });
+        } else if (action < 6) {
+            onTheirWay.push_back(recordSent(table, table.targets[random.below(table.targets.size())].description.id, now));
+        } else if (!onTheirWay.empty()) {
+            const auto finished = onTheirWay.begin() + static_cast<std::ptrdiff_t>(random.below(onTheirWay.size()));
+            answerAt(table, *finished, now, static_cast<OutcomeKind>(random.below(4)));
+            onTheirWay.erase(finished);
+        }
+        for (const auto &target : table.targets) {
+            const auto expected = std::ranges::count(onTheirWay, target.description.id, &SentRequest::target);
+            RC_ASSERT(static_cast<std::ptrdiff_t>(target.ownInFlight) == expected);
+            RC_ASSERT(static_cast<std::ptrdiff_t>(target.waiting.size()) == expected);
+        }
+    }
+}
+
+TEST(TargetTable, subsetsCoverEveryTargetWithSeveralInstances)
+{
+    const auto all = descriptionsOf(600);
+    constexpr std::size_t INSTANCES = 200;
+    const auto size = subsetSize(all.size(), INSTANCES, 10, 20);
+    EXPECT_EQ(size, 30U);
+    std::map<std::string, std::size_t> senders;
+    for (std::size_t instance = 0; instance < INSTANCES; ++instance) {
+        const auto subset = subsetOf(all, {"instance-" + std::to_string(instance)}, size);
+        EXPECT_EQ(subset.size(), size);
+        std::ranges::for_each(subset, [&](const TargetDescription &description) {
+            ++senders[description.id.value];
+        });
+    }
+    EXPECT_EQ(senders.size(), all.size());
+    EXPECT_EQ(subsetSize(20, 13, 10, 20), 20U);
+    EXPECT_EQ(subsetOf(descriptionsOf(20), {"a"}, 20), descriptionsOf(20));
+}
+
+TEST(TargetTable, hedgeDelayFollowsTheLateAnswers)
+{
+    auto table = tableOf(1);
+    Core::Random random{3};
+    auto now = START;
+    for (int request = 0; request < 20'000; ++request) {
+        const auto sent = recordSent(table, {"0"}, now);
+        now += std::chrono::microseconds{1 + random.below(10'000)};
+        answerAt(table, sent, now);
+    }
+    EXPECT_GT(hedgeDelay(table), 9ms);
+    EXPECT_LT(hedgeDelay(table), 11ms);
+}
+
+} // namespace Briarbend::Routing
