LibLimits: Let sends overlap in the property of the probe budget

Removing the count of reserved units from the budget was noticed only by one example: in the property each send was confirmed before the next began.

Reservations now overlap and die with their process.

--- a/Tests/LibLimits/TestShareBudget.cpp
+++ b/Tests/LibLimits/TestShareBudget.cpp
@@ -27,18 +27,21 @@
         now += std::chrono::milliseconds{random.below(static_cast<std::size_t>(stopped))};
     };
     auto budget = startShareBudget(units, now);
-    for (int step = 0; step < 600; ++step) {
+    std::uint32_t reserved = 0;
+    for (int step = 0; step < 1000; ++step) {
         pass();
         if (random.below(100) == 0) {
             budget = startShareBudget(units, now);
+            reserved = 0;
         }
-        if (!reserveUnit(budget, now)) {
-            continue;
+        reserved += reserveUnit(budget, now) ? 1 : 0;
+        if (reserved > 0 && random.below(3) == 0) {
+            pass();
+            sends.push_back(now);
+            pass();
+            confirmUnit(budget, now);
+            --reserved;
         }
-        pass();
-        sends.push_back(now);
-        pass();
-        confirmUnit(budget, now);
     }
     return sends;
 }
