--- a/Libraries/LibLimits/ColdGate.cpp
+++ b/Libraries/LibLimits/ColdGate.cpp
@@ -34,13 +34,35 @@
     }
 }
 
-bool hearsMajority(const MembershipView &view, Core::Duration hearingWindow, Core::TimePoint now)
+bool hearsMajority(const ColdGate &gate, Core::TimePoint now)
 {
     const auto isHeard = [&](const PeerContact &contact) {
-        return contact.peer != view.self && now - contact.lastExchange <= hearingWindow;
+        return now - contact.lastExchange <= gate.parameters.hearingWindow;
     };
-    const auto heard = static_cast<std::size_t>(std::ranges::count_if(view.contacts, isHeard)) + 1;
-    return 2 * heard > std::max(view.expected, view.members.size());
+    const auto heard = static_cast<std::size_t>(std::ranges::count_if(gate.view.contacts, isHeard)) + 1;
+    return 2 * heard > std::max(gate.view.expected, gate.view.members.size());
+}
+
+/// True where every instance of the fleet is in contact and said that it was not informed after the last of them came into contact:
+/// whoever was informed by an instance that has ended since would have said so.
+bool isNewFleet(const ColdGate &gate)
+{
+    const auto &contacts = gate.view.contacts;
+    const bool isComplete = contacts.size() + 1 >= std::max(gate.view.expected, gate.view.members.size());
+    return isComplete && std::ranges::all_of(contacts, [&](const PeerContact &contact) {
+               return !contact.isInformed && contact.lastExchange > gate.sameContactsSince;
+           });
+}
+
+/// Follows whether this instance may act on what it knows.
+void updateStanding(ColdGate &gate, bool wasPaused, Core::TimePoint now)
+{
+    if (!hearsMajority(gate, now)) {
+        gate.majoritySince.reset();
+    } else if (wasPaused || !gate.majoritySince) {
+        gate.majoritySince = now;
+    }
+    gate.isInformed = gate.isInformed || isNewFleet(gate) || std::ranges::any_of(gate.view.contacts, &PeerContact::isInformed);
 }
 
 void turnCold(ColdTarget &target, std::uint32_t episode, bool isSuspected)
@@ -168,14 +190,20 @@
     const bool wasPaused = gate.lastUpdate && now - *gate.lastUpdate > gate.parameters.longestPause;
     gate.lastUpdate = now;
     std::ranges::sort(view.members);
+    std::ranges::sort(view.contacts, {}, &PeerContact::peer);
+    if (!std::ranges::equal(view.contacts, gate.view.contacts, {}, &PeerContact::peer, &PeerContact::peer)) {
+        gate.sameContactsSince = now;
+    }
     const bool isSameView = view.self == gate.view.self && view.members == gate.view.members;
     gate.view = std::move(view);
 
-    if (!hearsMajority(gate.view, gate.parameters.hearingWindow, now)) {
-        gate.majoritySince.reset();
-    } else if (wasPaused || !gate.majoritySince) {
-        gate.majoritySince = now;
+    if (wasPaused) {
+        // Targets may have restarted meanwhile.
+        std::ranges::for_each(gate.targets, [](auto &entry) {
+            entry.second.isConfirmed = false;
+        });
     }
+    updateStanding(gate, wasPaused, now);
     if (isSameView) {
         return;
     }
@@ -191,15 +219,15 @@
         return ColdVerdict::Refuse;
     }
     const auto &target = found->second;
+    if (!gate.lastUpdate || now - *gate.lastUpdate > gate.parameters.longestPause) {
+        return ColdVerdict::Refuse;
+    }
     if (target.warmth == Warmth::Warm && target.isConfirmed) {
         return ColdVerdict::Warm;
     }
     if (target.inFlight > 0 || !target.placeSince || !gate.majoritySince) {
         return ColdVerdict::Refuse;
     }
-    if (!gate.lastUpdate || now - *gate.lastUpdate > gate.parameters.longestPause) {
-        return ColdVerdict::Refuse;
-    }
     const auto heldSince = std::max(*target.placeSince, *gate.majoritySince);
     return now - heldSince >= settlingTime(gate.parameters) ? ColdVerdict::MayTry : ColdVerdict::Refuse;
 }
@@ -243,6 +271,10 @@
     if (!target || !start || std::ranges::find(target->replacedStarts, *start) != target->replacedStarts.end()) {
         return;
     }
+    const bool isNewToPeers = target->warmth == Warmth::Unknown && target->heard && target->heard->start != *start;
+    if (isNewToPeers) {
+        turnCold(*target, 0, false);
+    }
     if (target->start != start) {
         replaceStart(*target, *start);
     }
@@ -251,8 +283,8 @@
     if (isCold && target->warmth != Warmth::Cold) {
         turnCold(*target, target->episode + (target->warmth == Warmth::Warm ? 1 : 0), false);
     }
-    // Nobody in a majority knows better, so the whole fleet is as new as this instance.
-    if (!isCold && target->warmth == Warmth::Unknown && gate.majoritySince) {
+    // The fleet knows no start of this target, so it is as new as all targets are to a new fleet: its report is all there is.
+    if (!isCold && target->warmth == Warmth::Unknown && gate.isInformed) {
         turnWarm(*target);
     }
 }
@@ -283,6 +315,10 @@
 {
     std::vector<WarmthStatement> statements;
     for (const auto &[id, target] : gate.targets) {
+        if (target.warmth == Warmth::Unknown && target.heard) {
+            // An instance without a report of its own still passes on what it heard.
+            statements.push_back(*target.heard);
+        }
         if (target.start && target.warmth != Warmth::Unknown) {
             statements.push_back({.target = id,
                                   .start = *target.start,
--- a/Libraries/LibLimits/ColdGate.h
+++ b/Libraries/LibLimits/ColdGate.h
@@ -11,10 +11,18 @@
 /// Keeps the requests that all instances together send to a cold target within what the target bears.
 ///
 /// A cold target's senders are the first `coldRequests` members by rendezvous hash, with one request in flight each. The bound holds
-/// as long as: (1) `MembershipView::expected` is the same number at all instances and at least the number of instances that run, so
-/// that any two majorities share one; (2) a contact is a completed exchange in which both sides told the members they knew;
-/// (3) a member stays listed for at least twice `hearingWindow` after the last exchange that any peer had with it; (4) a request
-/// to a cold target ends within `longestRequest`, by an answer or by closing its connection; (5) clocks run at the same rate.
+/// as long as:
+/// 1. `MembershipView::expected` is the same number at all instances and at least the number that run, so that any two majorities
+///    share an instance, and one informed instance remains through all replacements;
+/// 2. a contact is a completed exchange, after which each side knows the members and the warmth statements of the other; it is dropped
+///    when the connection closes, so that an ended instance never counts beside its replacement;
+/// 3. a member stays listed for at least twice `hearingWindow` after the last exchange that any instance had with it;
+/// 4. a request to a cold target ends within `longestRequest`: by its answer, its closed connection, or the deadline sent with it;
+/// 5. an instance that counts a target as warm holds a connection open to it, and calls recordConnectionLost when it closes, before any
+///    further verdict unless the process has been stopped for longer than `longestPause`;
+/// 6. clocks run at the same rate.
+/// A target that turns cold without ending its process is known as cold with its next report, statement or slow answers; requests sent
+/// before that are not counted.
 namespace Briarbend::Limits
 {
 
@@ -41,6 +49,8 @@
 struct PeerContact {
     Core::InstanceId peer;
     Core::TimePoint lastExchange;
+    /// What the peer said of itself: `ColdGate::isInformed`.
+    bool isInformed{false};
 };
 
 /// The instances, in this instance's opinion.
@@ -50,6 +60,7 @@
     std::vector<Core::InstanceId> members;
     /// Number of instances over which a majority is counted, this one included.
     std::size_t expected{1};
+    /// Peers with an open connection; this instance is not among them.
     std::vector<PeerContact> contacts;
 };
 
@@ -93,7 +104,7 @@
     std::uint32_t completed{0};
     /// Requests of this instance in flight, those sent while the target was warm included.
     std::uint32_t inFlight{0};
-    /// A report has shown the start since the last lost connection.
+    /// A report has shown the start since the last lost connection and the last freeze.
     bool isConfirmed{false};
     /// Since when the members have given this instance a sender's place without a break.
     std::optional<Core::TimePoint> placeSince;
@@ -114,6 +125,10 @@
     /// Since when a majority has been heard without a break.
     std::optional<Core::TimePoint> majoritySince;
     std::optional<Core::TimePoint> lastUpdate;
+    /// Since when the peers in contact have been the same.
+    Core::TimePoint sameContactsSince;
+    /// This instance knows what the fleet knows of targets: from an informed peer, or because every instance is new.
+    bool isInformed{false};
     /// The first instance list has been taken over; targets that come later are new.
     bool hasFirstTargets{false};
 };
@@ -153,7 +168,7 @@
 /// Takes over what a peer states.
 void learnWarmth(ColdGate &gate, const WarmthStatement &statement);
 
-/// What this instance tells its peers: one statement for each target with a known start.
+/// What this instance tells its peers: at most one statement for each target.
 std::vector<WarmthStatement> warmthStatements(const ColdGate &gate);
 
 } // namespace Briarbend::Limits
