LibLimits: Hear a majority steadily, and time a cold data centre

With 13 instances a data centre of targets that restarted together did not come back: after 30 s one target had had 7 of its 20 requests. Cause: in the model an instance met peers at random five times a second, which reaches half of the fleet within 1.5 s only most of the time. Each time it did not, the settling began again.

Ruled out: counting peers as heard that are known through others only, since the proof needs exchanges that both sides took part in; a grace time for a lost majority, which lengthens the settling as much as a longer window does.

The window is 2 s and the peers are met in a shuffled cycle, which reaches half of the fleet with certainty at that rate. The header says so to whoever sets it.

--- a/Libraries/LibLimits/ColdGate.h
+++ b/Libraries/LibLimits/ColdGate.h
@@ -27,8 +27,9 @@
 {
 
 struct ColdGateParameters {
-    /// A peer counts as heard for this long after a completed exchange.
-    std::chrono::milliseconds hearingWindow{1500};
+    /// A peer counts as heard for this long after a completed exchange. Long enough for exchanges with more than half of the fleet in
+    /// the normal course, best by taking the peers in a shuffled cycle; otherwise the majority is lost again and again.
+    std::chrono::milliseconds hearingWindow{2000};
     /// Longest time that a request occupies a cold target.
     std::chrono::milliseconds longestRequest{2000};
     /// A longer time between two calls of updateMembership counts as a freeze of the process.
--- a/Tests/LibLimits/ColdTargets/TestColdGate.cpp
+++ b/Tests/LibLimits/ColdTargets/TestColdGate.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <map>
+#include <numeric>
 #include <rapidcheck/gtest.h>
 
 namespace Briarbend::Limits
@@ -48,6 +49,7 @@
     std::map<Core::InstanceId, Core::TimePoint> lastSeen;
     std::map<Core::InstanceId, PeerContact> exchanges;
     std::vector<std::size_t> lostConnections;
+    std::vector<std::size_t> nextPeers;
     Core::TimePoint frozenUntil{};
     bool wasFrozen{false};
 };
@@ -214,18 +216,36 @@
 
     void exchange(std::size_t number)
     {
-        const auto peerNumber = this->random.below(this->instances.size());
         auto &instance = this->instances[number];
+        if (this->random.below(EXCHANGE_INTERVAL / STEP) != 0) {
+            return;
+        }
+        const auto peerNumber = this->nextPeer(instance);
         auto &peer = this->instances[peerNumber];
         const auto cut = this->cuts.find(std::minmax(number, peerNumber));
         const bool isCut = cut != this->cuts.end() && cut->second > this->now;
-        if (peerNumber == number || isCut || peer.frozenUntil > this->now || this->random.below(EXCHANGE_INTERVAL / STEP) != 0) {
+        if (peerNumber == number || isCut || peer.frozenUntil > this->now) {
             return;
         }
         tell(instance, peer, this->now);
         tell(peer, instance, this->now);
     }
 
+    /// The peers in a shuffled cycle.
+    std::size_t nextPeer(Instance &instance)
+    {
+        if (instance.nextPeers.empty()) {
+            instance.nextPeers.resize(this->instances.size());
+            std::iota(instance.nextPeers.begin(), instance.nextPeers.end(), 0U);
+            for (std::size_t left = instance.nextPeers.size(); left > 1; --left) {
+                std::swap(instance.nextPeers[left - 1], instance.nextPeers[this->random.below(left)]);
+            }
+        }
+        const auto next = instance.nextPeers.back();
+        instance.nextPeers.pop_back();
+        return next;
+    }
+
     static void tell(Instance &from, Instance &to, Core::TimePoint now)
     {
         from.lastSeen[from.id] = now;
@@ -311,6 +331,22 @@
     RC_CLASSIFY(fleet.trials > 0);
 }
 
+TEST(ColdGate, aDataCentreOfColdTargetsComesIntoServiceTogether)
+{
+    constexpr std::size_t TARGETS = 20;
+    Fleet fleet(5, 13, TARGETS, 1);
+    fleet.run(10s, false);
+    ASSERT_TRUE(fleet.areAllWarmEverywhere());
+    for (std::size_t target = 0; target < TARGETS; ++target) {
+        fleet.restartTarget(target);
+    }
+    // Twenty requests of 0.1 s each, one at a time, some of them of up to 2 s, then the news to all instances.
+    fleet.run(10s, false);
+    EXPECT_TRUE(fleet.areAllWarmEverywhere());
+    EXPECT_EQ(fleet.mostTrials, 1U);
+    EXPECT_EQ(fleet.wronglyWarm, 0U);
+}
+
 TEST(ColdGate, theLastRequestOfAFormerSenderEndsBeforeTheNewSenderBegins)
 {
     const std::vector<Core::InstanceId> both{{"a"}, {"b"}};
