LibLimits: Derive the requests in flight of an instance

The daemon has to set Admission's limit from what it knows: the slots of all targets and the number of instances. Two requests for each slot of its part keep the slots busy over the way to the target and back; the overload test takes the limit from here. A limit without the number of instances was ruled out: the queue would form at the targets, where deadlines cannot order it.

--- a/Libraries/LibLimits/Admission.cpp
+++ b/Libraries/LibLimits/Admission.cpp
@@ -14,6 +14,7 @@
 
 /// Drain rate below which there is too little evidence to foretell a wait.
 constexpr double LEAST_RATE_PER_SECOND = 1;
+constexpr std::size_t REQUESTS_PER_SLOT = 2;
 constexpr std::chrono::milliseconds SHORTEST_RETRY_AFTER{100};
 /// Weight of a new sample in the usual time at targets, as a divisor.
 constexpr int USUAL_TIME_DIVISOR = 16;
@@ -76,6 +77,13 @@
 
 } // namespace
 
+std::uint32_t inFlightLimit(std::size_t slotsOfAllTargets, std::size_t instances)
+{
+    const auto divisor = std::max<std::size_t>(instances, 1);
+    const auto limit = (REQUESTS_PER_SLOT * slotsOfAllTargets + divisor - 1) / divisor;
+    return static_cast<std::uint32_t>(std::max(limit, REQUESTS_PER_SLOT));
+}
+
 AdmissionDecision
 admit(Admission &admission, TrafficClass trafficClass, Core::TimePoint deadline, Core::TimePoint now, Core::Random &random)
 {
--- a/Libraries/LibLimits/Admission.h
+++ b/Libraries/LibLimits/Admission.h
@@ -75,6 +75,10 @@
     Configuration::TrafficClass trafficClass{Configuration::TrafficClass::Interactive};
 };
 
+/// The requests in flight that one of so many instances may have: two for each of its part of the slots, so that a slot never waits
+/// for the next request, and at least two.
+std::uint32_t inFlightLimit(std::size_t slotsOfAllTargets, std::size_t instances);
+
 /// Decides on a request that arrives now. One that cannot finish by its deadline at the measured drain rate is refused at once.
 AdmissionDecision
 admit(Admission &admission, Configuration::TrafficClass trafficClass, Core::TimePoint deadline, Core::TimePoint now, Core::Random &random);
--- a/Tests/LibLimits/TestAdmission.cpp
+++ b/Tests/LibLimits/TestAdmission.cpp
@@ -41,7 +41,7 @@
     explicit Service(std::uint64_t seed)
         : random(seed)
     {
-        this->admission.parameters.inFlight = 2 * SLOTS;
+        this->admission.parameters.inFlight = inFlightLimit(SLOTS, 1);
         // So long that the deadline, not the length, bounds the queue.
         this->admission.parameters.waitingPerClass = 5000;
     }
