--- a/Libraries/LibLimits/Admission.h
+++ b/Libraries/LibLimits/Admission.h
@@ -15,10 +15,10 @@
 {
 
 struct AdmissionParameters {
-    /// Requests of this instance that may be at targets at once, all classes together.
+    /// Requests of this instance that may be at targets at once, all classes together: about twice its part of the targets' slots.
     std::uint32_t inFlight{64};
-    /// Largest share of `inFlight` that bulk requests take, so that interactive ones always find room.
-    double bulkShare{0.5};
+    /// Largest share of `inFlight` that bulk requests take: half of the slots, so that interactive ones always find some free.
+    double bulkShare{0.25};
     /// Requests of one class that may wait.
     std::uint32_t waitingPerClass{256};
     /// Largest time that a refused caller is told to wait, before jitter.
@@ -75,6 +75,10 @@
     Configuration::TrafficClass trafficClass{Configuration::TrafficClass::Interactive};
 };
 
+/// The requests in flight that one of so many instances may have: two for each of its part of the slots, so that a slot never waits
+/// for the next request, and at least two.
+std::uint32_t inFlightLimit(std::size_t slotsOfAllTargets, std::size_t instances);
+
 /// Decides on a request that arrives now. One that cannot finish by its deadline at the measured drain rate is refused at once.
 AdmissionDecision
 admit(Admission &admission, Configuration::TrafficClass trafficClass, Core::TimePoint deadline, Core::TimePoint now, Core::Random &random);
