--- a/Tests/StandIns/Target/Main.cpp
+++ b/Tests/StandIns/Target/Main.cpp
@@ -1,4 +1,5 @@
 #include <LibNetwork/HttpServer.h>
+#include <Tests/StandIns/Common/JsonResponse.h>
 #include <Tests/StandIns/Common/Process.h>
 #include <Tests/StandIns/Target/Target.h>
 
@@ -78,7 +79,7 @@
     } else {
         control(targets, history, nlohmann::json::parse(request.body()));
     }
-    return Network::makeResponse(Network::Http::status::ok, "application/json", result.dump());
+    return StandIns::makeJsonResponse(result);
 }
 
 void run(int argc, const char **argv)
