--- a/Tests/Processes/Support/Cluster.cpp
+++ b/Tests/Processes/Support/Cluster.cpp
@@ -211,10 +211,12 @@
 
 void Cluster::writeSettings(const EntryInstance &instance) const
 {
+    const auto maximum = this->plan.declaredMaximumInstances == 0 ? this->plan.instances : this->plan.declaredMaximumInstances;
     std::ofstream text(instance.settings);
     text << "[instance]\ndata_centre = \"" << instance.dataCentre << "\"\ncaller_address = " << quoted(instance.callers)
          << "\npeer_address = " << quoted(instance.peers) << "\noperator_address = " << quoted(instance.operators)
-         << "\nlog_level = \"warn\"\n[store]\nendpoints = [" << quoted(this->storeAddress) << "]\n"
+         << "\ndeclared_maximum_instances = " << maximum << "\nlog_level = \"warn\"\n[store]\nendpoints = [" << quoted(this->storeAddress)
+         << "]\n"
          << this->plan.moreSettings;
 }
 
--- a/Tests/Processes/Support/Cluster.h
+++ b/Tests/Processes/Support/Cluster.h
@@ -17,6 +17,8 @@
     std::vector<std::string> dataCentres{"sfax-1", "sfax-2", "sfax-3"};
     std::size_t targetsPerDataCentre{3};
     std::size_t instances{3};
+    /// Zero for as many as there are instances. Those that a test adds later count as well.
+    std::size_t declaredMaximumInstances{0};
     /// The configuration document. Empty for one team with the service, an idempotent route "/" and a once route "/once/".
     std::string configuration;
     /// Control message to all targets before the instances start.
