briarbendd: Be ready only once the warmth of targets is known

Every message now says whether its sender is informed, and readiness waits for that; in a new and incomplete fleet, where nobody can know, for ten seconds at most, since without requests nothing would ever become warm.

The cold gate counts contacts by what is certainly proven (Member::lastProven), not by hearsay, and no longer counts the instance itself among its contacts.

--- a/Libraries/LibGossip/Decode.cpp
+++ b/Libraries/LibGossip/Decode.cpp
@@ -233,6 +233,7 @@
     Envelope envelope;
     envelope.membership.sender = decodeNews(fields.next());
     envelope.membership.isConfirmed = fields.flag();
+    envelope.membership.isInformed = fields.flag();
     envelope.membership.body = decodeBody(fields.next());
     envelope.membership.news = fields.list(decodeNews);
     envelope.summaries = exactly<DIGEST_KINDS>(unpack(fields.bytes()));
--- a/Libraries/LibGossip/Encode.cpp
+++ b/Libraries/LibGossip/Encode.cpp
@@ -210,6 +210,7 @@
     const auto document = Json::array({PROTOCOL_VERSION,
                                        encodeNews(membership.sender),
                                        membership.isConfirmed,
+                                       membership.isInformed,
                                        tagged(membership.body, BodyEncoder{}),
                                        listOf(membership.news, encodeNews),
                                        packed(envelope.summaries),
--- a/Libraries/LibMembership/Member.h
+++ b/Libraries/LibMembership/Member.h
@@ -48,6 +48,8 @@
     std::uint32_t transmissions{0};
     /// Another process answers at the member's address, or the platform no longer lists it: it cannot come back.
     bool isReplaced{false};
+    /// What the member said last of itself: Message::isInformed.
+    bool isInformed{false};
 };
 
 /// A member whose state this instance sees differently from before.
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -152,6 +152,9 @@
         return decision;
     }
     applyNews(state, message.sender, now, decision.changes);
+    if (const auto sender = state.members.find(message.sender.id); sender != state.members.end()) {
+        sender->second.isInformed = message.isInformed;
+    }
     std::ranges::for_each(message.news, [&](const MemberNews &news) {
         decision.hasRefuted |= applyNews(state, news, now, decision.changes);
     });
--- a/Libraries/LibMembership/Message.h
+++ b/Libraries/LibMembership/Message.h
@@ -64,6 +64,8 @@
     MemberNews sender;
     /// False while the sender may hold stale state after a start or a freeze.
     bool isConfirmed{false};
+    /// The sender knows what the fleet knows of targets' warmth.
+    bool isInformed{false};
     Body body;
     std::vector<MemberNews> news;
 
--- a/Libraries/LibMembership/State.h
+++ b/Libraries/LibMembership/State.h
@@ -73,6 +73,8 @@
     /// Last moment at which this process certainly ran.
     Core::TimePoint lastActive;
     bool isConfirmed{false};
+    /// Told to peers with every message; set by whoever keeps the warmth of targets.
+    bool isInformed{false};
     /// Pings sent before this moment confirm nothing.
     Core::TimePoint unconfirmedSince;
 };
--- a/Libraries/LibMembership/Table.cpp
+++ b/Libraries/LibMembership/Table.cpp
@@ -144,7 +144,7 @@
 
 Message makeMessage(const State &state, Body body)
 {
-    return {state.members.at(state.self).news, state.isConfirmed, std::move(body), {}};
+    return {state.members.at(state.self).news, state.isConfirmed, state.isInformed, std::move(body), {}};
 }
 
 std::vector<MemberNews> takeNews(State &state, std::size_t count)
--- a/Services/briarbendd/Daemon.cpp
+++ b/Services/briarbendd/Daemon.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::seconds IDLE_CONNECTION_SWEEP{5};
 constexpr std::chrono::seconds IDLE_CONNECTION_LIFETIME{30};
 constexpr std::chrono::milliseconds STOP_CHECK{50};
+/// Time after which an instance counts as ready without having heard of targets' warmth.
+constexpr std::chrono::seconds INFORMED_PATIENCE{10};
 /// A stopping instance ends once no request has come for this long and none is in flight.
 constexpr std::chrono::milliseconds STOP_QUIET_TIME{1000};
 
@@ -165,11 +167,12 @@
                                 .expected = this->settings.instance.declaredMaximumInstances,
                                 .contacts = {}};
     for (const auto &[id, member] : members.members) {
-        if (member.lastHeard) {
-            view.contacts.push_back({id, *member.lastHeard});
+        if (id != this->instance && member.lastProven) {
+            view.contacts.push_back({id, *member.lastProven, member.isInformed});
         }
     }
     Limits::updateMembership(this->relay.coldGate, std::move(view), now);
+    this->peers->setInformed(this->relay.coldGate.isInformed);
 }
 
 void Daemon::takeChanges(const Gossip::Changes &changes)
@@ -221,7 +224,10 @@
 
 bool Daemon::isReady() const
 {
-    return !this->relay.isStopping && this->relay.routes && this->relay.isCurrent();
+    // An instance that has not heard yet what the fleet knows of targets' warmth may send to none of them. In a fleet that is new and
+    // incomplete nobody can know, so that it takes its first requests all the same.
+    const bool knowsTargets = this->relay.coldGate.isInformed || this->timers.now() - this->startedAt >= INFORMED_PATIENCE;
+    return !this->relay.isStopping && this->relay.routes && this->relay.isCurrent() && knowsTargets;
 }
 
 nlohmann::json Daemon::dump() const
--- a/Services/briarbendd/PeerLink.cpp
+++ b/Services/briarbendd/PeerLink.cpp
@@ -75,6 +75,11 @@
     Gossip::confirmWithStore(this->gossip, this->timers.now());
 }
 
+void PeerLink::setInformed(bool isInformed)
+{
+    this->gossip.members.isInformed = isInformed;
+}
+
 void PeerLink::applyInstanceList(const std::set<Membership::PeerAddress> &live)
 {
     Membership::applyInstanceList(this->gossip.members, live);
--- a/Services/briarbendd/PeerLink.h
+++ b/Services/briarbendd/PeerLink.h
@@ -40,6 +40,8 @@
     void publishSection(const Gossip::SectionText &section);
     void publish(const Gossip::Record &record, Core::Duration retention = {});
     void confirmWithStore();
+    /// Tells peers from now on that this instance knows what the fleet knows of targets' warmth.
+    void setInformed(bool isInformed);
     /// Takes the platform's list of entry instances as seeds.
     void applyInstanceList(const std::set<Membership::PeerAddress> &live);
     /// Says goodbye; call once.
