--- /dev/null
+++ b/Libraries/LibRollout/ChangeDetection.cpp
@@ -0,0 +1,178 @@
+#include <LibRollout/ChangeDetection.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <set>
+#include <utility>
+
+namespace Briarbend::Rollout
+{
+
+namespace
+{
+
+constexpr std::array FAILURE_FACTORS{4.0, 16.0, 64.0};
+constexpr double LARGEST_FAILURE_SHARE = 0.9;
+constexpr double SLOW_UNIT_SHARE = 0.9;
+constexpr double LARGEST_TOLERATED_SLOW_UNITS = 0.5;
+constexpr double FAILURE_MARGIN = 2.0;
+constexpr double SLOWNESS_MARGIN = 1.5;
+
+/// Successes and trials of one block.
+struct BlockTally {
+    double events{0};
+    double trials{0};
+};
+
+using Series = std::map<BlockNumber, BlockTally>;
+
+struct RouteSeries {
+    Series ofNew;
+    BlockTally ofOld;
+    /// Targets of the new version with a block that was judged, and with a slow one.
+    std::set<Core::TargetId> seenTargets;
+    std::set<Core::TargetId> slowTargets;
+};
+
+/// Log likelihood ratio of the alternative against the tolerated share.
+double logRatio(const BlockTally &tally, double tolerated, double alternative)
+{
+    const auto others = tally.trials - tally.events;
+    return tally.events * std::log(alternative / tolerated) + others * std::log((1 - alternative) / (1 - tolerated));
+}
+
+/// The largest sum over blocks from any start to the newest block.
+double largestTail(const Series &series, double tolerated, double alternative)
+{
+    double sum = 0;
+    for (const auto &[block, tally] : series) {
+        sum = std::max(0.0, sum + logRatio(tally, tolerated, alternative));
+    }
+    return sum;
+}
+
+/// Names all routes together.
+const std::string ALL_ROUTES{};
+
+std::map<std::string, RouteSeries> failureSeries(const MemberEvidence &sum)
+{
+    std::map<std::string, RouteSeries> routes;
+    for (const auto &[key, counts] : sum.failures) {
+        for (const auto &name : {ALL_ROUTES, key.route}) {
+            auto &route = routes[name];
+            auto &tally = key.side == Side::New ? route.ofNew[key.block] : route.ofOld;
+            tally.trials += counts.requests;
+            tally.events += counts.failures;
+        }
+    }
+    return routes;
+}
+
+/// Requests of one target that do not make up a unit yet.
+using OpenUnits = std::map<std::pair<Core::TargetId, Side>, LatencyCounts>;
+
+void addLatencies(
+    RouteSeries &route, OpenUnits &openUnits, const TargetBlock &key, const LatencyCounts &counts, const DetectionSettings &settings)
+{
+    auto &unit = openUnits[{key.target, key.side}];
+    unit.requests += counts.requests;
+    unit.slow += counts.slow;
+    if (unit.requests < settings.requestsPerUnit) {
+        return;
+    }
+    const auto isSlow = 2 * unit.slow > unit.requests;
+    unit = {};
+    auto &tally = key.side == Side::New ? route.ofNew[key.block] : route.ofOld;
+    tally.trials += 1;
+    tally.events += isSlow ? 1 : 0;
+    if (key.side == Side::New) {
+        route.seenTargets.insert(key.target);
+        if (isSlow) {
+            route.slowTargets.insert(key.target);
+        }
+    }
+}
+
+/// The counts of all routes together, block by block.
+std::map<TargetBlock, LatencyCounts> overAllRoutes(const MemberEvidence &sum)
+{
+    std::map<TargetBlock, LatencyCounts> totals;
+    for (const auto &[key, counts] : sum.latencies) {
+        auto &total = totals[{.block = key.block, .route = ALL_ROUTES, .side = key.side, .target = key.target}];
+        total.requests += counts.requests;
+        total.slow += counts.slow;
+    }
+    return totals;
+}
+
+std::map<std::string, RouteSeries> slownessSeries(const MemberEvidence &sum, const DetectionSettings &settings)
+{
+    std::map<std::string, RouteSeries> routes;
+    std::map<std::string, OpenUnits> openUnits;
+    for (const auto &[key, counts] : overAllRoutes(sum)) {
+        addLatencies(routes[key.route], openUnits[key.route], key, counts, settings);
+    }
+    for (const auto &[key, counts] : sum.latencies) {
+        addLatencies(routes[key.route], openUnits[key.route], key, counts, settings);
+    }
+    return routes;
+}
+
+/// Largest log likelihood ratio for more failures than the old version has.
+double failureEvidence(const RouteSeries &route, const DetectionSettings &settings)
+{
+    const auto shareOfOld = (route.ofOld.events + 1) / (route.ofOld.trials + 1 / settings.toleratedFailures);
+    const auto tolerated = std::min(LARGEST_FAILURE_SHARE / 2, std::max(settings.toleratedFailures, FAILURE_MARGIN * shareOfOld));
+    auto largest = 0.0;
+    for (const auto factor : FAILURE_FACTORS) {
+        const auto alternative = std::min(LARGEST_FAILURE_SHARE, tolerated * factor);
+        largest = std::max(largest, largestTail(route.ofNew, tolerated, alternative));
+    }
+    return largest;
+}
+
+/// Largest log likelihood ratio for more slow units than the old version has.
+double slownessEvidence(const RouteSeries &route, const DetectionSettings &settings)
+{
+    const auto shareOfOld = (route.ofOld.events + 1) / (route.ofOld.trials + 1 / settings.toleratedSlowUnits);
+    const auto tolerated = std::clamp(SLOWNESS_MARGIN * shareOfOld, settings.toleratedSlowUnits, LARGEST_TOLERATED_SLOW_UNITS);
+    return largestTail(route.ofNew, tolerated, SLOW_UNIT_SHARE);
+}
+
+bool areTargetsSlow(const RouteSeries &route, const DetectionSettings &settings)
+{
+    return route.slowTargets.size() >= std::min(settings.slowTargets, route.seenTargets.size());
+}
+
+void note(Comparison &comparison, const std::string &route, Fault fault, double evidence, double threshold, double suspicionThreshold)
+{
+    if (evidence >= suspicionThreshold) {
+        comparison.suspectRoutes.insert(route);
+        comparison.isFailureSuspect = comparison.isFailureSuspect || fault == Fault::Failures;
+    }
+    if (evidence >= threshold && comparison.fault == Fault::None) {
+        comparison.fault = fault;
+        comparison.faultRoute = route;
+    }
+}
+
+} // namespace
+
+Comparison compare(const MemberEvidence &sum, const DetectionSettings &settings)
+{
+    constexpr auto NEVER = std::numeric_limits<double>::infinity();
+    Comparison comparison;
+    for (const auto &[route, series] : failureSeries(sum)) {
+        const auto evidence = failureEvidence(series, settings);
+        note(comparison, route, Fault::Failures, evidence, settings.failureThreshold, settings.suspicionThreshold);
+    }
+    for (const auto &[route, series] : slownessSeries(sum, settings)) {
+        const auto threshold = areTargetsSlow(series, settings) ? settings.slownessThreshold : NEVER;
+        note(comparison, route, Fault::Slowness, slownessEvidence(series, settings), threshold, settings.suspicionThreshold);
+    }
+    return comparison;
+}
+
+} // namespace Briarbend::Rollout
--- /dev/null
+++ b/Libraries/LibRollout/CodecError.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <stdexcept>
+
+namespace Briarbend::Rollout
+{
+
+/// The bytes are not a value of the expected kind.
+class CodecError : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+} // namespace Briarbend::Rollout
--- /dev/null
+++ b/Libraries/LibRollout/Evidence.cpp
@@ -0,0 +1,138 @@
+#include <LibRollout/CodecError.h>
+#include <LibRollout/Evidence.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Briarbend::Rollout
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+template<typename Enumeration>
+Enumeration enumerationFromJson(const Json &json, Enumeration last)
+{
+    const auto value = json.get<unsigned>();
+    if (value > static_cast<unsigned>(last)) {
+        throw CodecError{"evidence has an unknown side or load level"};
+    }
+    return static_cast<Enumeration>(value);
+}
+
+/// Routes are named once and referred to by their position.
+std::vector<std::string> routesOf(const MemberEvidence &evidence)
+{
+    std::vector<std::string> routes;
+    for (const auto &[key, counts] : evidence.failures) {
+        routes.push_back(key.route);
+    }
+    for (const auto &[key, counts] : evidence.latencies) {
+        routes.push_back(key.route);
+    }
+    for (const auto &[cell, counts] : evidence.answers) {
+        routes.push_back(cell.route);
+    }
+    std::ranges::sort(routes);
+    routes.erase(std::unique(routes.begin(), routes.end()), routes.end());
+    return routes;
+}
+
+std::size_t positionOf(const std::vector<std::string> &routes, const std::string &route)
+{
+    return static_cast<std::size_t>(std::ranges::lower_bound(routes, route) - routes.begin());
+}
+
+} // namespace
+
+LoadLevel loadLevelOf(std::uint32_t requestsInFlight, std::uint32_t slots)
+{
+    constexpr std::uint32_t LEVELS = 3;
+    if (requestsInFlight * LEVELS < slots) {
+        return LoadLevel::Low;
+    }
+    return requestsInFlight * LEVELS < 2 * slots ? LoadLevel::Medium : LoadLevel::High;
+}
+
+void forgetBefore(MemberEvidence &evidence, BlockNumber block)
+{
+    evidence.failures.erase(evidence.failures.begin(), evidence.failures.lower_bound({.block = block, .route = {}}));
+    evidence.latencies.erase(evidence.latencies.begin(), evidence.latencies.lower_bound({.block = block, .route = {}, .target = {}}));
+}
+
+void add(MemberEvidence &sum, const MemberEvidence &other)
+{
+    for (const auto &[key, counts] : other.failures) {
+        auto &total = sum.failures[key];
+        total.requests += counts.requests;
+        total.failures += counts.failures;
+    }
+    for (const auto &[key, counts] : other.latencies) {
+        auto &total = sum.latencies[key];
+        total.requests += counts.requests;
+        total.slow += counts.slow;
+    }
+    for (const auto &[cell, counts] : other.answers) {
+        auto &total = sum.answers[cell];
+        total.ofOld += counts.ofOld;
+        total.ofNew += counts.ofNew;
+    }
+}
+
+std::vector<std::uint8_t> encodeEvidence(const MemberEvidence &evidence)
+{
+    const auto routes = routesOf(evidence);
+    Json failures = Json::array();
+    for (const auto &[key, counts] : evidence.failures) {
+        failures.push_back(
+            Json::array({key.block, positionOf(routes, key.route), static_cast<unsigned>(key.side), counts.requests, counts.failures}));
+    }
+    Json latencies = Json::array();
+    for (const auto &[key, counts] : evidence.latencies) {
+        latencies.push_back(Json::array(
+            {key.block, positionOf(routes, key.route), static_cast<unsigned>(key.side), key.target.value, counts.requests, counts.slow}));
+    }
+    Json answers = Json::array();
+    for (const auto &[cell, counts] : evidence.answers) {
+        answers.push_back(Json::array({positionOf(routes, cell.route), static_cast<unsigned>(cell.level), counts.ofOld, counts.ofNew}));
+    }
+    return Json::to_cbor(Json::array({evidence.revision, routes, std::move(failures), std::move(latencies), std::move(answers)}));
+}
+
+MemberEvidence decodeEvidence(const std::vector<std::uint8_t> &bytes)
+{
+    try {
+        const auto json = Json::from_cbor(bytes);
+        const auto routes = json.at(1).get<std::vector<std::string>>();
+        const auto routeAt = [&routes](const Json &position) {
+            return routes.at(position.get<std::size_t>());
+        };
+        MemberEvidence evidence{.revision = json.at(0).get<std::uint64_t>(), .failures = {}, .latencies = {}, .answers = {}};
+        for (const auto &entry : json.at(2)) {
+            evidence.failures[{.block = entry.at(0).get<BlockNumber>(),
+                               .route = routeAt(entry.at(1)),
+                               .side = enumerationFromJson(entry.at(2), Side::New)}]
+                = {entry.at(3).get<std::uint32_t>(), entry.at(4).get<std::uint32_t>()};
+        }
+        for (const auto &entry : json.at(3)) {
+            evidence.latencies[{.block = entry.at(0).get<BlockNumber>(),
+                                .route = routeAt(entry.at(1)),
+                                .side = enumerationFromJson(entry.at(2), Side::New),
+                                .target = {entry.at(3).get<std::string>()}}]
+                = {entry.at(4).get<std::uint32_t>(), entry.at(5).get<std::uint32_t>()};
+        }
+        for (const auto &entry : json.at(4)) {
+            evidence.answers[{.route = routeAt(entry.at(0)), .level = enumerationFromJson(entry.at(1), LoadLevel::High)}]
+                = {entry.at(2).get<std::uint64_t>(), entry.at(3).get<std::uint64_t>()};
+        }
+        return evidence;
+    } catch (const Json::exception &error) {
+        throw CodecError{error.what()};
+    } catch (const std::out_of_range &error) {
+        throw CodecError{error.what()};
+    }
+}
+
+} // namespace Briarbend::Rollout
--- /dev/null
+++ b/Libraries/LibRollout/Evidence.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/Time.h>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/// What instances count about the old and the new version of a service that is being moved.
+namespace Briarbend::Rollout
+{
+
+/// The version that a request went to.
+enum class Side : std::uint8_t {
+    Old = 0,
+    New = 1,
+};
+
+/// Requests in flight at the target when one was sent, against the target's slots.
+enum class LoadLevel : std::uint8_t {
+    /// Below a third.
+    Low = 0,
+    /// Below two thirds.
+    Medium = 1,
+    High = 2,
+};
+
+LoadLevel loadLevelOf(std::uint32_t requestsInFlight, std::uint32_t slots);
+
+/// Requests of one kind, whose share of the new version is decided apart from others.
+struct Cell {
+    /// The route's path prefix.
+    std::string route;
+    LoadLevel level{LoadLevel::Low};
+
+    auto operator<=>(const Cell &) const = default;
+};
+
+/// A span of wall time of Settings::block, counted from the epoch. Clocks that differ move counts into a neighbouring block.
+using BlockNumber = std::int64_t;
+
+/// Answers of one version on one route within one block.
+struct RouteBlock {
+    BlockNumber block{0};
+    std::string route;
+    Side side{Side::Old};
+
+    auto operator<=>(const RouteBlock &) const = default;
+};
+
+struct FailureCounts {
+    std::uint32_t requests{0};
+    std::uint32_t failures{0};
+
+    bool operator==(const FailureCounts &) const = default;
+};
+
+/// Answers of one sampled target on one route within one block. Neighbours slow down a machine, not a version, so that slowness is
+/// judged by whole targets.
+struct TargetBlock {
+    BlockNumber block{0};
+    std::string route;
+    Side side{Side::Old};
+    Core::TargetId target;
+
+    auto operator<=>(const TargetBlock &) const = default;
+};
+
+struct LatencyCounts {
+    std::uint32_t requests{0};
+    /// Requests that took longer than the slow threshold of their instance.
+    std::uint32_t slow{0};
+
+    bool operator==(const LatencyCounts &) const = default;
+};
+
+/// Answers without failure of both versions.
+struct AnswerCounts {
+    std::uint64_t ofOld{0};
+    std::uint64_t ofNew{0};
+
+    bool operator==(const AnswerCounts &) const = default;
+};
+
+/// One instance's counts. A later revision replaces an earlier one.
+struct MemberEvidence {
+    std::uint64_t revision{0};
+    std::map<RouteBlock, FailureCounts> failures;
+    std::map<TargetBlock, LatencyCounts> latencies;
+    /// Answers since the move began.
+    std::map<Cell, AnswerCounts> answers;
+
+    bool operator==(const MemberEvidence &) const = default;
+};
+
+/// Drops blocks before the given one.
+void forgetBefore(MemberEvidence &evidence, BlockNumber block);
+
+/// Adds the counts of another member.
+void add(MemberEvidence &sum, const MemberEvidence &other);
+
+/// CBOR (RFC 8949) form for gossip.
+std::vector<std::uint8_t> encodeEvidence(const MemberEvidence &evidence);
+/// Throws CodecError.
+MemberEvidence decodeEvidence(const std::vector<std::uint8_t> &bytes);
+
+} // namespace Briarbend::Rollout
--- /dev/null
+++ b/Libraries/LibRollout/Status.cpp
@@ -0,0 +1,114 @@
+#include <LibRollout/CodecError.h>
+#include <LibRollout/Status.h>
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <tuple>
+
+namespace Briarbend::Rollout
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::array PHASE_NAMES{"waiting", "trial", "ramping", "done", "taken back"};
+constexpr std::array FAULT_NAMES{"none", "failures", "slowness"};
+
+template<typename Enumeration, std::size_t COUNT>
+Enumeration valueOf(const std::array<const char *, COUNT> &names, const std::string &name)
+{
+    const auto found = std::ranges::find(names, name);
+    if (found == names.end()) {
+        throw CodecError{"a status has the unknown word \"" + name + '"'};
+    }
+    return static_cast<Enumeration>(found - names.begin());
+}
+
+std::int64_t toMilliseconds(Core::WallTime time)
+{
+    return time.time_since_epoch().count();
+}
+
+Core::WallTime timeAt(const Json &json)
+{
+    return Core::WallTime{std::chrono::milliseconds{json.get<std::int64_t>()}};
+}
+
+/// Orders statuses of one move by progress; ties are broken so that merging does not depend on the order.
+auto rank(const Status &status)
+{
+    // The earliest time is kept among equals.
+    return std::tuple(status.phase, status.step, -toMilliseconds(status.since), status.fault, status.faultRoute);
+}
+
+auto moveRank(const Status &status)
+{
+    return std::tie(status.start, status.to, status.from, status.service);
+}
+
+} // namespace
+
+const char *nameOf(Phase phase)
+{
+    return PHASE_NAMES.at(static_cast<std::size_t>(phase));
+}
+
+const char *nameOf(Fault fault)
+{
+    return FAULT_NAMES.at(static_cast<std::size_t>(fault));
+}
+
+bool isSameMove(const Status &one, const Status &other)
+{
+    return moveRank(one) == moveRank(other);
+}
+
+Status merge(const Status &one, const Status &other)
+{
+    if (!isSameMove(one, other)) {
+        return moveRank(one) < moveRank(other) ? other : one;
+    }
+    return rank(one) < rank(other) ? other : one;
+}
+
+std::string statusStoreKey(const Core::ServiceName &service)
+{
+    return "rollouts/" + service.value;
+}
+
+std::string encodeStatus(const Status &status)
+{
+    return Json{{"service", status.service.value},
+                {"from", status.from.value},
+                {"to", status.to.value},
+                {"startMilliseconds", toMilliseconds(status.start)},
+                {"phase", nameOf(status.phase)},
+                {"step", status.step},
+                {"sinceMilliseconds", toMilliseconds(status.since)},
+                {"fault", nameOf(status.fault)},
+                {"faultRoute", status.faultRoute}}
+        .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Status decodeStatus(const std::string &text)
+{
+    try {
+        const auto json = Json::parse(text);
+        return {.service = {json.at("service").get<std::string>()},
+                .from = {json.at("from").get<std::string>()},
+                .to = {json.at("to").get<std::string>()},
+                .start = timeAt(json.at("startMilliseconds")),
+                .phase = valueOf<Phase>(PHASE_NAMES, json.at("phase").get<std::string>()),
+                .step = json.at("step").get<std::uint32_t>(),
+                .since = timeAt(json.at("sinceMilliseconds")),
+                .fault = valueOf<Fault>(FAULT_NAMES, json.at("fault").get<std::string>()),
+                .faultRoute = json.at("faultRoute").get<std::string>()};
+    } catch (const Json::exception &error) {
+        throw CodecError{error.what()};
+    }
+}
+
+} // namespace Briarbend::Rollout
