LibRollout: Compare versions fast enough to stop within two seconds

The bounds are a share of at most 2% before a fault shows and no new work from 2 s after, while no good version may be taken back for its noisy neighbours. Counting slow requests took good versions back, because one slow machine makes many slow requests at once; slowness is therefore counted in units of one target and one block, needs two targets, and is compared with sampled targets of the old version at the same time.

What helped: a route under suspicion gets four times the trial share for a second, paid back afterwards; urgent evidence goes straight to two judges; bursts on one sampled target bring out faults that show only under load; most of the time is spent at the trial share, so that late faults meet it too.

--- a/Libraries/LibRollout/ChangeDetection.cpp
+++ b/Libraries/LibRollout/ChangeDetection.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <limits>
 #include <set>
 #include <utility>
 
@@ -146,13 +145,15 @@
     return route.slowTargets.size() >= std::min(settings.slowTargets, route.seenTargets.size());
 }
 
-void note(Comparison &comparison, const std::string &route, Fault fault, double evidence, double threshold, double suspicionThreshold)
+void noteSuspicion(Comparison &comparison, const std::string &route, Fault fault)
 {
-    if (evidence >= suspicionThreshold) {
-        comparison.suspectRoutes.insert(route);
-        comparison.isFailureSuspect = comparison.isFailureSuspect || fault == Fault::Failures;
-    }
-    if (evidence >= threshold && comparison.fault == Fault::None) {
+    comparison.suspectRoutes.insert(route);
+    comparison.isFailureSuspect = comparison.isFailureSuspect || fault == Fault::Failures;
+}
+
+void noteFault(Comparison &comparison, const std::string &route, Fault fault)
+{
+    if (comparison.fault == Fault::None) {
         comparison.fault = fault;
         comparison.faultRoute = route;
     }
@@ -162,15 +163,24 @@
 
 Comparison compare(const MemberEvidence &sum, const DetectionSettings &settings)
 {
-    constexpr auto NEVER = std::numeric_limits<double>::infinity();
     Comparison comparison;
     for (const auto &[route, series] : failureSeries(sum)) {
         const auto evidence = failureEvidence(series, settings);
-        note(comparison, route, Fault::Failures, evidence, settings.failureThreshold, settings.suspicionThreshold);
+        if (evidence >= settings.suspicionThreshold) {
+            noteSuspicion(comparison, route, Fault::Failures);
+        }
+        if (evidence >= settings.failureThreshold) {
+            noteFault(comparison, route, Fault::Failures);
+        }
     }
     for (const auto &[route, series] : slownessSeries(sum, settings)) {
-        const auto threshold = areTargetsSlow(series, settings) ? settings.slownessThreshold : NEVER;
-        note(comparison, route, Fault::Slowness, slownessEvidence(series, settings), threshold, settings.suspicionThreshold);
+        const auto evidence = slownessEvidence(series, settings);
+        if (evidence >= settings.suspicionThreshold) {
+            noteSuspicion(comparison, route, Fault::Slowness);
+        }
+        if (evidence >= settings.slownessThreshold && areTargetsSlow(series, settings)) {
+            noteFault(comparison, route, Fault::Slowness);
+        }
     }
     return comparison;
 }
--- a/Libraries/LibRollout/ChangeDetection.h
+++ b/Libraries/LibRollout/ChangeDetection.h
@@ -12,16 +12,16 @@
 /// Settings of the comparison. The thresholds are natural logarithms of likelihood ratios.
 struct DetectionSettings {
     double failureThreshold{9.2};
-    double slownessThreshold{9.2};
+    double slownessThreshold{8.8};
     double suspicionThreshold{2.0};
     /// Share of failures that is always tolerated.
     double toleratedFailures{0.003};
     /// Share of slow units that is always tolerated. A unit is one block of one target, or several where it got few requests; it is
     /// slow where most of its requests were.
     double toleratedSlowUnits{0.15};
-    std::uint32_t requestsPerUnit{3};
+    std::uint32_t requestsPerUnit{2};
     /// Targets of the new version that must have been slow, if as many were seen.
-    std::size_t slowTargets{3};
+    std::size_t slowTargets{2};
 };
 
 struct Comparison {
--- /dev/null
+++ b/Libraries/LibRollout/Progress.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <LibRollout/Rollout.h>
+
+/// Parts of the decisions that the share of traffic and the status have in common. Not part of the library's interface.
+namespace Briarbend::Rollout
+{
+
+/// Part of the move's time that has passed; below zero before its start.
+double position(const RolloutState &state, Core::WallTime now);
+
+/// True where the new version has answered enough requests of the cell.
+bool isProven(const RolloutState &state, const Cell &cell);
+
+} // namespace Briarbend::Rollout
--- a/Libraries/LibRollout/Rollout.h
+++ b/Libraries/LibRollout/Rollout.h
@@ -52,7 +52,7 @@
     /// Factor on the share between bursts while suspicions have used up more than the trial share.
     double repaymentFactor{0.5};
     /// Shortest time between two urgent messages of evidence.
-    std::chrono::milliseconds urgentInterval{100};
+    std::chrono::milliseconds urgentInterval{50};
     DetectionSettings detection;
 };
 
@@ -119,7 +119,8 @@
 /// suspicion. Ask after each observation of a failure and with each decision; a true answer counts as sent.
 bool isEvidenceUrgent(RolloutState &state, Core::WallTime now);
 
-/// The instances that get urgent evidence, a few by rendezvous hash. They only save time: every instance judges what it knows.
+/// The instances that get urgent evidence, a few by rendezvous hash. They call decide on its arrival. They only save time: every instance
+/// judges what it knows.
 std::vector<Core::InstanceId> judges(const RolloutState &state, const std::vector<Core::InstanceId> &members);
 
 /// Moves on by time and evidence. Call every 100 ms or so, and after each failure of the new version. A changed status is returned:
--- a/Tests/LibRollout/RolloutWorld.cpp
+++ b/Tests/LibRollout/RolloutWorld.cpp
@@ -204,7 +204,7 @@
     const auto evidence = std::make_shared<const MemberEvidence>(nextEvidence(this->states[from]));
     for (const auto &judge : judges(this->states[from], this->names)) {
         const auto delay = static_cast<std::int64_t>(1000 + this->random.below(5000));
-        this->deliveries.push({this->now + delay, from, std::stoul(judge.value), evidence, std::nullopt});
+        this->deliveries.push({this->now + delay, from, std::stoul(judge.value), evidence, std::nullopt, true});
     }
 }
 
@@ -245,14 +245,17 @@
 void RolloutWorld::deliver()
 {
     while (!this->deliveries.empty() && this->deliveries.top().at <= this->now) {
-        const auto &delivery = this->deliveries.top();
+        const auto delivery = this->deliveries.top();
+        this->deliveries.pop();
         auto &state = this->states[delivery.to];
         if (delivery.status) {
             mergeStatus(state, *delivery.status);
         } else {
             mergeEvidence(state, this->states[delivery.from].self, *delivery.evidence);
         }
-        this->deliveries.pop();
+        if (delivery.isUrgent) {
+            this->push(delivery.to, decide(state, this->wall()));
+        }
     }
 }
 
--- a/Tests/LibRollout/RolloutWorld.h
+++ b/Tests/LibRollout/RolloutWorld.h
@@ -74,6 +74,7 @@
         std::size_t to;
         std::shared_ptr<const MemberEvidence> evidence;
         std::optional<Status> status;
+        bool isUrgent{false};
 
         bool operator>(const Delivery &other) const
         {
--- /dev/null
+++ b/Tests/LibRollout/TestStatus.cpp
@@ -0,0 +1,107 @@
+#include <LibRollout/CodecError.h>
+#include <LibRollout/Rollout.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace Briarbend::Rollout
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr Core::WallTime START{std::chrono::hours{490'000}};
+
+Status anyStatus()
+{
+    return {.service = {"pattern"},
+            .from = {"1"},
+            .to = {*rc::gen::element<std::string>("2", "3")},
+            .start = START + std::chrono::milliseconds{*rc::gen::inRange(0, 2)},
+            .phase = static_cast<Phase>(*rc::gen::inRange(0, 5)),
+            .step = *rc::gen::inRange<std::uint32_t>(0, 3),
+            .since = START + std::chrono::milliseconds{*rc::gen::inRange(0, 3)},
+            .fault = static_cast<Fault>(*rc::gen::inRange(0, 3)),
+            .faultRoute = *rc::gen::element<std::string>("", "/a")};
+}
+
+RolloutState stateOf(const std::string &instance)
+{
+    const Configuration::Rollout move{
+        .service = {"pattern"}, .from = {"1"}, .to = {"2"}, .start = START, .finishBy = START + 20s, .trialShare = 0.01};
+    return {move, {instance}, {}};
+}
+
+} // namespace
+
+RC_GTEST_PROP(Status, mergingIsCommutativeAssociativeAndIdempotent, ())
+{
+    const auto a = anyStatus();
+    const auto b = anyStatus();
+    const auto c = anyStatus();
+    RC_ASSERT(merge(a, b) == merge(b, a));
+    RC_ASSERT(merge(a, merge(b, c)) == merge(merge(a, b), c));
+    RC_ASSERT(merge(a, a) == a);
+    if (isSameMove(a, b) && a.phase == Phase::TakenBack) {
+        RC_ASSERT(merge(a, b).phase == Phase::TakenBack);
+    }
+    RC_ASSERT(decodeStatus(encodeStatus(a)) == a);
+}
+
+RC_GTEST_PROP(Status, foreignBytesAreRefused, (const std::string &text))
+{
+    RC_ASSERT_THROWS_AS(decodeStatus(text), CodecError);
+    RC_ASSERT_THROWS_AS(decodeEvidence({text.begin(), text.end()}), CodecError);
+}
+
+TEST(Evidence, roundTripsAndOnlyNewerRevisionsCount)
+{
+    auto one = stateOf("one");
+    setTargets(one, {{"old"}}, {{"new"}}, START);
+    decide(one, START);
+    for (auto number = 0; number < 100; ++number) {
+        observe(one, {.cell = {.route = "/a"}, .side = Side::Old, .target = {"old"}, .latency = 5ms}, START);
+    }
+    observe(one, {.cell = {.route = "/a"}, .side = Side::New, .target = {"new"}, .latency = 50ms}, START);
+    observe(one, {.cell = {.route = "/b"}, .side = Side::New, .target = {"new"}, .isFailure = true}, START);
+    const auto evidence = nextEvidence(one);
+    EXPECT_FALSE(evidence.latencies.empty());
+    EXPECT_EQ(decodeEvidence(encodeEvidence(evidence)), evidence);
+
+    auto other = stateOf("other");
+    mergeEvidence(other, one.self, evidence);
+    auto older = evidence;
+    older.failures.clear();
+    mergeEvidence(other, one.self, older);
+    EXPECT_EQ(other.others.at(one.self), evidence);
+}
+
+TEST(Rollout, aVersionTakenBackStaysSoThroughTimePeersAndStore)
+{
+    auto state = stateOf("one");
+    EXPECT_EQ(shareOfNew(state, {.route = "/a"}, START), 0);
+    decide(state, START);
+    EXPECT_GT(shareOfNew(state, {.route = "/a"}, START), 0);
+    auto takenBack = state.status;
+    takenBack.phase = Phase::TakenBack;
+    EXPECT_TRUE(mergeStatus(state, takenBack));
+    auto done = takenBack;
+    done.phase = Phase::Done;
+    mergeStatus(state, done);
+    decide(state, START + 1h);
+    EXPECT_EQ(state.status.phase, Phase::TakenBack);
+    EXPECT_EQ(shareOfNew(state, {.route = "/a"}, START + 1h), 0);
+}
+
+TEST(Rollout, aServiceWithoutTrafficStillFinishesInTime)
+{
+    auto state = stateOf("one");
+    for (auto passed = 0ms; passed <= 20s; passed += 100ms) {
+        decide(state, START + passed);
+    }
+    EXPECT_EQ(state.status.phase, Phase::Done);
+}
+
+} // namespace Briarbend::Rollout
