LibClaims: Bound a bucket's size by what it holds

The bound counted room for released attempts that nearly no claim has and a generous overhead, so that a bucket refused new keys at about 1750 claims while its value had 216 KB of 512. It now counts what is there; the room between the soft and the hard limit covers what comes later.

The default number of buckets becomes 256, since the window holds bucket count times about 4000 keys.

--- a/Libraries/LibClaims/Bucket.cpp
+++ b/Libraries/LibClaims/Bucket.cpp
@@ -11,7 +11,7 @@
 
 // Sizes in bytes that bound the CBOR form of the parts from above.
 constexpr std::size_t BUCKET_OVERHEAD = 64;
-constexpr std::size_t CLAIM_OVERHEAD = 160;
+constexpr std::size_t CLAIM_OVERHEAD = 112;
 constexpr std::size_t TIME_MARK_OVERHEAD = 24;
 constexpr std::size_t ATTEMPT_SIZE = 20;
 constexpr std::size_t ANSWER_OVERHEAD = 16;
@@ -33,7 +33,7 @@
 std::size_t sizeOf(const Claim &claim)
 {
     const auto answerSize = claim.answer ? sizeOf(*claim.answer) : 0;
-    return CLAIM_OVERHEAD + claim.instance.value.size() + ATTEMPT_SIZE * RELEASED_ATTEMPT_LIMIT + answerSize;
+    return CLAIM_OVERHEAD + claim.instance.value.size() + ATTEMPT_SIZE * claim.releasedAttempts.size() + answerSize;
 }
 
 /// Median of the marks of all instances but one; nothing where there are none.
--- a/Libraries/LibClaims/BucketLayout.h
+++ b/Libraries/LibClaims/BucketLayout.h
@@ -15,8 +15,8 @@
 /// in two places and could run it twice, so that the layout itself is an object of the store: the first instance creates it, and
 /// every other one uses what it finds there.
 struct BucketLayout {
-    /// A power of two.
-    std::uint32_t bucketCount{16};
+    /// A power of two. A bucket holds about 4000 keys within the window, and about 1250 with answers of 200 bytes.
+    std::uint32_t bucketCount{256};
     std::chrono::milliseconds window{std::chrono::hours{24}};
 
     bool operator==(const BucketLayout &) const = default;
