LibRouting: Probe only what answers have not shown for a second

Nearly all probes told nothing new: answers bring reports, and evidence fades within 20 ms, so a probe twice a second cannot follow the load.

Probes go to targets without a report for 1 s, for 100 ms where the limits refuse the target as cold, since only a report can show that it is warm.

The example of the probe choice takes its ages from the parameters instead of naming 500 ms, and checks both sides of the bound.

--- a/Libraries/LibRouting/Probing.cpp
+++ b/Libraries/LibRouting/Probing.cpp
@@ -13,7 +13,8 @@
     if (target.probe.outstandingSince) {
         return false;
     }
-    return !target.evidence || now - target.evidence->receivedAt >= table.parameters.probeAfter;
+    const auto after = target.wasCold ? table.parameters.probeAfterCold : table.parameters.probeAfter;
+    return !target.evidence || now - target.evidence->receivedAt >= after;
 }
 
 void expireProbes(TargetTable &table, Core::TimePoint now)
--- a/Libraries/LibRouting/TargetTable.h
+++ b/Libraries/LibRouting/TargetTable.h
@@ -45,7 +45,9 @@
     /// Time constant with which the requests of other instances in a load report are forgotten.
     std::chrono::microseconds reportMemory{20'000};
     /// Reports younger than this make a probe needless.
-    std::chrono::milliseconds probeAfter{100};
+    std::chrono::milliseconds probeAfter{1000};
+    /// The same for a target that limits refuse as cold: only a report can show that it no longer is.
+    std::chrono::milliseconds probeAfterCold{100};
     /// Time after which a probe without an answer is taken as lost.
     std::chrono::milliseconds probeTimeout{50};
     /// Largest share of the targets that may be ejected at once.
--- a/Tests/LibRouting/TestProbing.cpp
+++ b/Tests/LibRouting/TestProbing.cpp
@@ -86,14 +86,18 @@
     const auto isPermitted = [](const TargetState &) {
         return true;
     };
-    recordReport(table, {"a"}, {.inFlight = 1}, now - 500ms);
-    recordReport(table, {"b"}, {.inFlight = 1}, now - 10ms);
+    recordReport(table, {"a"}, {.inFlight = 1}, now - table.parameters.probeAfter);
+    recordReport(table, {"b"}, {.inFlight = 1}, now - table.parameters.probeAfter + 1ms);
     const std::vector<Core::TargetId> expected{{"c"}, {"a"}};
     EXPECT_EQ(chooseProbes(table, isPermitted, 9, now, random), expected);
 
+    findTarget(table, {"b"})->wasCold = true;
+    EXPECT_EQ(chooseProbes(table, isPermitted, 9, now, random).size(), 3U);
+    findTarget(table, {"b"})->wasCold = false;
+
     recordProbeSent(table, {"c"}, now);
     recordProbeAnswer(table, {"a"}, {.inFlight = 2}, now);
-    EXPECT_TRUE(chooseProbes(table, isPermitted, 9, now + 10ms, random).empty());
+    EXPECT_TRUE(chooseProbes(table, isPermitted, 9, now, random).empty());
     const auto late = now + table.parameters.probeTimeout;
     EXPECT_EQ(chooseProbes(table, isPermitted, 1, late, random), std::vector<Core::TargetId>{{"c"}});
     EXPECT_EQ(findTarget(table, {"c"})->probe.lostInRow, 1U);
