LibLimits: Tell peers only the changes of warmth

A full list of statements in each exchange would take some 60 bytes for each target: at 40 targets and ten exchanges a second eight times the 3 KB/s of an instance.

The gate counts changes; a peer is told what changed since it was told last, and everything on a new connection. The model of the fleet exchanges these changes only.

--- a/Libraries/LibLimits/ColdGate.cpp
+++ b/Libraries/LibLimits/ColdGate.cpp
@@ -153,6 +153,41 @@
     return false;
 }
 
+/// What peers are told of a target.
+std::optional<WarmthStatement> statementOf(const Core::TargetId &id, const ColdTarget &target)
+{
+    if (target.warmth == Warmth::Unknown) {
+        // An instance without a report of its own still passes on what it heard.
+        return target.heard;
+    }
+    if (!target.start) {
+        return std::nullopt;
+    }
+    return WarmthStatement{.target = id,
+                           .start = *target.start,
+                           .episode = target.episode,
+                           .isWarm = target.warmth == Warmth::Warm,
+                           .isSuspected = target.isSuspected};
+}
+
+void noteChange(ColdGate &gate, const Core::TargetId &id, ColdTarget &target)
+{
+    auto statement = statementOf(id, target);
+    if (statement != target.told) {
+        target.told = std::move(statement);
+        target.toldSince = ++gate.revision;
+    }
+}
+
+/// Counts a successful request towards warmth.
+void addCompleted(ColdTarget &target)
+{
+    ++target.completed;
+    if (target.start && target.completed >= target.warmAfterRequests) {
+        turnWarm(target);
+    }
+}
+
 ColdTarget *findColdTarget(ColdGate &gate, const Core::TargetId &id)
 {
     const auto found = gate.targets.find(id);
@@ -254,15 +289,11 @@
         return;
     }
     if (target->warmth != Warmth::Warm) {
-        ++target->completed;
-        if (target->start && target->completed >= target->warmAfterRequests) {
-            turnWarm(*target);
-        }
-        return;
-    }
-    if (isSuspicious(gate, *target, elapsed, hadFewInFlight) && mayBeSuspected(gate)) {
+        addCompleted(*target);
+    } else if (isSuspicious(gate, *target, elapsed, hadFewInFlight) && mayBeSuspected(gate)) {
         turnCold(*target, target->episode + 1, true);
     }
+    noteChange(gate, id, *target);
 }
 
 void recordReport(ColdGate &gate, const Core::TargetId &id, const std::optional<Core::TargetStartId> &start, bool isCold)
@@ -287,6 +318,7 @@
     if (!isCold && target->warmth == Warmth::Unknown && gate.isInformed) {
         turnWarm(*target);
     }
+    noteChange(gate, id, *target);
 }
 
 void recordConnectionLost(ColdGate &gate, const Core::TargetId &id)
@@ -304,30 +336,23 @@
     }
     if (target->start == statement.start) {
         mergeStatement(gate, *target, statement);
-        return;
+    } else {
+        // Start identifiers have no order, so only the target's own report can tell whether this one is newer.
+        mergeHeard(target->heard, statement);
+        target->isConfirmed = false;
     }
-    // Start identifiers have no order, so only the target's own report can tell whether this one is newer.
-    mergeHeard(target->heard, statement);
-    target->isConfirmed = false;
+    noteChange(gate, statement.target, *target);
 }
 
-std::vector<WarmthStatement> warmthStatements(const ColdGate &gate)
+WarmthNews warmthNewsSince(const ColdGate &gate, std::uint64_t revision)
 {
-    std::vector<WarmthStatement> statements;
+    WarmthNews news{.statements = {}, .revision = gate.revision};
     for (const auto &[id, target] : gate.targets) {
-        if (target.warmth == Warmth::Unknown && target.heard) {
-            // An instance without a report of its own still passes on what it heard.
-            statements.push_back(*target.heard);
-        }
-        if (target.start && target.warmth != Warmth::Unknown) {
-            statements.push_back({.target = id,
-                                  .start = *target.start,
-                                  .episode = target.episode,
-                                  .isWarm = target.warmth == Warmth::Warm,
-                                  .isSuspected = target.isSuspected});
+        if (target.told && target.toldSince > revision) {
+            news.statements.push_back(*target.told);
         }
     }
-    return statements;
+    return news;
 }
 
 } // namespace Briarbend::Limits
--- a/Libraries/LibLimits/ColdGate.h
+++ b/Libraries/LibLimits/ColdGate.h
@@ -117,6 +117,9 @@
     std::vector<Core::TargetStartId> replacedStarts;
     /// The merged statements of peers about a start that no report has shown yet.
     std::optional<WarmthStatement> heard;
+    /// What peers are told, and the gate's revision that changed it last.
+    std::optional<WarmthStatement> told;
+    std::uint64_t toldSince{0};
 };
 
 struct ColdGate {
@@ -130,6 +133,8 @@
     Core::TimePoint sameContactsSince;
     /// This instance knows what the fleet knows of targets: from an informed peer, or because every instance is new.
     bool isInformed{false};
+    /// Counts the changes of what peers are told.
+    std::uint64_t revision{0};
     /// The first instance list has been taken over; targets that come later are new.
     bool hasFirstTargets{false};
 };
@@ -169,7 +174,13 @@
 /// Takes over what a peer states.
 void learnWarmth(ColdGate &gate, const WarmthStatement &statement);
 
-/// What this instance tells its peers: at most one statement for each target.
-std::vector<WarmthStatement> warmthStatements(const ColdGate &gate);
+/// Statements that changed after a revision, and the revision up to which they reach.
+struct WarmthNews {
+    std::vector<WarmthStatement> statements;
+    std::uint64_t revision{0};
+};
+
+/// What to tell a peer that has been told everything up to a revision; zero for a new connection. At most one statement for each target.
+WarmthNews warmthNewsSince(const ColdGate &gate, std::uint64_t revision);
 
 } // namespace Briarbend::Limits
--- a/Tests/LibLimits/ColdTargets/Fleet.h
+++ b/Tests/LibLimits/ColdTargets/Fleet.h
@@ -46,6 +46,7 @@
     std::map<Core::InstanceId, PeerContact> exchanges;
     std::vector<std::size_t> lostConnections;
     std::vector<std::size_t> nextPeers;
+    std::map<Core::InstanceId, std::uint64_t> toldRevisions;
     Core::TimePoint frozenUntil{};
     bool wasFrozen{false};
 };
@@ -249,7 +250,10 @@
         for (const auto &[id, seen] : from.lastSeen) {
             to.lastSeen[id] = std::max(to.lastSeen[id], seen);
         }
-        std::ranges::for_each(warmthStatements(from.gate), [&](const WarmthStatement &statement) {
+        auto &told = from.toldRevisions[to.id];
+        const auto news = warmthNewsSince(from.gate, told);
+        told = news.revision;
+        std::ranges::for_each(news.statements, [&](const WarmthStatement &statement) {
             learnWarmth(to.gate, statement);
         });
     }
