LibRouting: Do not eject targets that shed load

Five refusals in a row ejected a target. Under overload all targets shed load, so up to 30% of the capacity would have been taken away when it is needed most.

A refusal now raises the cost of the target only. Ruled out: ignoring refusals, since a target that sheds at once would look idle.

Conclusion: the new test fails with the old rule and passes with this one.

--- a/Libraries/LibRouting/TargetTable.cpp
+++ b/Libraries/LibRouting/TargetTable.cpp
@@ -223,9 +223,12 @@
         recordSuccess(table, *target, request, now);
         return;
     case OutcomeKind::Failure:
-    case OutcomeKind::Refused:
         recordFailure(table, *target, now);
         return;
+    case OutcomeKind::Refused:
+        // A target that sheds load is busy, not broken: it becomes expensive, but ejecting it would overload the others.
+        addOutcome(target->failures, true, now);
+        return;
     case OutcomeKind::Cancelled:
         return;
     }
--- a/Tests/LibRouting/TestTargetTable.cpp
+++ b/Tests/LibRouting/TestTargetTable.cpp
@@ -66,6 +66,19 @@
     EXPECT_GT(toFailing, 0U);
 }
 
+TEST(TargetTable, aTargetThatShedsLoadBecomesExpensiveButIsNotEjected)
+{
+    auto table = tableOf(10);
+    for (int request = 0; request < 20; ++request) {
+        answerAt(table, recordSent(table, {"0"}, START), START, OutcomeKind::Refused);
+    }
+    const auto &target = *findTarget(table, {"0"});
+    EXPECT_FALSE(isEjected(target, START));
+    EXPECT_GT(sendCost(table, target, START), 5 * sendCost(table, *findTarget(table, {"3"}), START));
+    answerAt(table, recordSent(table, {"0"}, START), START, OutcomeKind::Failure);
+    EXPECT_EQ(target.ejection.failuresInRow, 1U);
+}
+
 TEST(TargetTable, aRequestThatWaitsShowsASlowdownBeforeItsAnswer)
 {
     auto table = tableOf(2);
