LibGossip: Prove spread, budgets, freezes and cuts in virtual time

Fleets of 4 to 32 instances pass messages with seeded delay and loss.

The list of the platform replaces its previous version instead of adding to it, so that replaced addresses are forgotten.

--- a/Libraries/LibGossip/Merge.h
+++ b/Libraries/LibGossip/Merge.h
@@ -39,7 +39,8 @@
 constexpr std::chrono::minutes VERDICT_RETENTION{24 * 60};
 constexpr std::chrono::minutes EVIDENCE_RETENTION{10};
 constexpr std::chrono::minutes WARMTH_RETENTION{2};
-constexpr std::chrono::minutes WARM_MARK_RETENTION{30};
+/// Whoever uses a start publishes its mark again within this time.
+constexpr std::chrono::minutes WARM_MARK_RETENTION{6 * 60};
 constexpr std::chrono::minutes QUARANTINE_RETENTION{10};
 
 /// Longest time left that is believed of a peer.
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -177,7 +177,7 @@
 
 void applyInstanceList(State &state, const std::set<PeerAddress> &live)
 {
-    state.seeds.insert(live.begin(), live.end());
+    state.listed = live;
     for (auto &[id, member] : state.members) {
         if (member.news.state == MemberState::Gone && !live.contains(member.news.address)) {
             member.isReplaced = true;
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -27,8 +27,8 @@
 /// Marks this instance as leaving. The returned goodbyes go to every known member, so that its work moves away at once.
 Decision leave(State &state, Core::TimePoint now);
 
-/// Takes the platform's lagging list of live instances as further seeds. It never removes a member that answers; it only tells that a
-/// silent one will not come back.
+/// Takes the platform's lagging list of live instances as further seeds, in place of its previous one. It never removes a member that
+/// answers; it only tells that a silent one will not come back.
 void applyInstanceList(State &state, const std::set<PeerAddress> &live);
 
 /// Takes a closed or refused connection as a reason to probe its member at the next tick.
--- a/Libraries/LibMembership/Probing.cpp
+++ b/Libraries/LibMembership/Probing.cpp
@@ -127,6 +127,7 @@
     // Until anybody answers, seeds are asked as often as unconfirmed members are.
     state.nextSeedProbe = now + (hasHeardAnyone(state) ? SEED_INTERVAL : UNCONFIRMED_PROBE_INTERVAL);
     auto candidates = state.seeds;
+    candidates.insert(state.listed.begin(), state.listed.end());
     for (const auto &[id, member] : state.members) {
         if (member.news.state == MemberState::Gone && !member.isReplaced) {
             candidates.insert(member.news.address);
--- a/Libraries/LibMembership/State.h
+++ b/Libraries/LibMembership/State.h
@@ -60,7 +60,10 @@
     Core::InstanceId self;
     /// Includes this instance.
     std::map<Core::InstanceId, Member> members;
+    /// From the settings.
     std::set<PeerAddress> seeds;
+    /// From the platform's latest list of live instances.
+    std::set<PeerAddress> listed;
     std::map<std::uint64_t, PendingPing> pendingPings;
     std::vector<Core::InstanceId> probeOrder;
     std::uint64_t nextSequence{1};
--- a/Tests/LibGossip/TestGossip.cpp
+++ b/Tests/LibGossip/TestGossip.cpp
@@ -164,7 +164,12 @@
             }
             const auto section = sectionText(version, parameters.textBytes, parameters.isRewritten);
             fleet.send(origin.first, publishSection(origin.second.state, section, fleet.loop.now, origin.second.random));
-            fleet.run(seconds{4});
+            fleet.timeUntil(
+                [&] {
+                    return missing.empty();
+                },
+                seconds{4});
+            fleet.run(seconds{2});
             delays.insert(delays.end(), missing.size(), seconds{10});
         }
     }
--- /dev/null
+++ b/Tests/LibMembership/TestMembership.cpp
@@ -0,0 +1,125 @@
+#include <Tests/LibGossip/Fleet.h>
+
+#include <gtest/gtest.h>
+
+namespace Briarbend::Membership
+{
+
+using Gossip::Fleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+/// True where nobody counts any of the gone instances among the alive.
+bool areForgotten(Fleet &fleet, const std::set<Core::InstanceId> &gone)
+{
+    return fleet.all([&gone](const Gossip::State &state) {
+        return std::ranges::none_of(aliveMembers(state.members), [&gone](const auto &id) {
+            return gone.contains(id);
+        });
+    });
+}
+
+std::size_t leastAlive(Fleet &fleet)
+{
+    std::size_t least = fleet.nodes.size();
+    for (const auto &[address, node] : fleet.nodes) {
+        least = std::min(least, aliveMembers(node.state.members).size());
+    }
+    return least;
+}
+
+} // namespace
+
+TEST(Membership, aLeavingInstanceIsDroppedAtOnceAlsoWhenMessagesAreLost)
+{
+    milliseconds slowest{0};
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
+        Fleet fleet{32, seed};
+        fleet.settle();
+        fleet.loop.lossShare = 0.05;
+        auto &leaving = fleet.node(11);
+        const std::set<Core::InstanceId> gone{leaving.state.members.self};
+        fleet.send(Fleet::addressOf(11), Gossip::leave(leaving.state, fleet.loop.now));
+        const auto time = fleet.timeUntil(
+            [&] {
+                return areForgotten(fleet, gone);
+            },
+            seconds{10});
+        ASSERT_TRUE(time) << seed;
+        slowest = std::max(slowest, *time);
+    }
+    std::cout << "goodbye known everywhere after " << slowest.count() << " ms at worst\n";
+    EXPECT_LE(slowest, seconds{2});
+}
+
+TEST(Membership, stoppedInstancesAreGoneWithinTheDetectionBound)
+{
+    for (const std::size_t failures : {1U, 6U}) {
+        milliseconds slowest{0};
+        for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
+            Fleet fleet{19, seed};
+            fleet.settle();
+            fleet.run(seconds{5});
+            std::set<Core::InstanceId> gone;
+            for (std::size_t index = 0; index < failures; ++index) {
+                gone.insert(fleet.node(index * 3).state.members.self);
+                fleet.nodes.erase(Fleet::addressOf(index * 3));
+            }
+            const auto time = fleet.timeUntil(
+                [&] {
+                    return areForgotten(fleet, gone);
+                },
+                seconds{30});
+            ASSERT_TRUE(time) << seed;
+            slowest = std::max(slowest, *time);
+            EXPECT_EQ(leastAlive(fleet), fleet.nodes.size()) << "only the stopped are dropped, seed " << seed;
+            EXPECT_TRUE(fleet.all([&](const Gossip::State &state) {
+                return hasHeardMajority(state.members, seconds{4}, fleet.loop.now);
+            }));
+        }
+        std::cout << failures << " stopped: gone everywhere after " << slowest.count() << " ms at worst, bound "
+                  << detectionBound(failures).count() << " ms\n";
+        EXPECT_LE(slowest, detectionBound(failures));
+    }
+}
+
+TEST(Membership, lossAndAFreezeDropNobodyThatRuns)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
+        Fleet fleet{19, seed};
+        fleet.settle();
+        fleet.loop.lossShare = 0.05;
+        std::size_t fewest = 19;
+        for (int second = 0; second < 60; ++second) {
+            // A process that stands still for less than a probe's time-out and the time to refute is not dropped.
+            const auto address = Fleet::addressOf(static_cast<std::size_t>(second) % 19);
+            fleet.loop.frozen.insert(address);
+            fleet.run(milliseconds{600});
+            fleet.loop.release(address);
+            fleet.run(milliseconds{400});
+            fewest = std::min(fewest, leastAlive(fleet));
+        }
+        EXPECT_EQ(fewest, 19U) << seed;
+    }
+}
+
+TEST(Membership, aReplacementAtTheSameAddressEndsItsPredecessor)
+{
+    Fleet fleet{13, 2};
+    fleet.settle();
+    const std::set<Core::InstanceId> gone{fleet.node(4).state.members.self};
+    fleet.start(Fleet::addressOf(4), "replacement");
+    const auto time = fleet.timeUntil(
+        [&] {
+            return areForgotten(fleet, gone) && leastAlive(fleet) == 13;
+        },
+        seconds{10});
+    ASSERT_TRUE(time);
+    std::cout << "replacement seen everywhere after " << time->count() << " ms\n";
+    EXPECT_TRUE(hasHeardMajority(fleet.node(0).state.members, seconds{4}, fleet.loop.now));
+}
+
+} // namespace Briarbend::Membership
