LibGossip: Let a resumed instance ask first and answer later

A process that resumed after a freeze answered every ping that had waited in its buffers, which used up its budget, so that its own probes waited: it was confirmed 820 to 2,020 ms after resuming. Such pings now stay unanswered, and the probes of an unconfirmed instance come before all else.

--- a/Libraries/LibGossip/Gossip.cpp
+++ b/Libraries/LibGossip/Gossip.cpp
@@ -40,6 +40,7 @@
     push(state, PUSH_FANOUT, now, random, decision);
 }
 
+/// The probes of an unconfirmed instance come before everything else: it takes no new work until one is answered.
 MessageClass classOf(const Membership::Message &message)
 {
     // Only a table for a new instance is as long as this.
@@ -50,7 +51,8 @@
     if (std::holds_alternative<Membership::PingRequest>(message.body)) {
         return MessageClass::Background;
     }
-    return std::holds_alternative<Membership::Ping>(message.body) ? MessageClass::Probe : MessageClass::Answer;
+    const bool isRoutineProbe = std::holds_alternative<Membership::Ping>(message.body) && message.isConfirmed;
+    return isRoutineProbe ? MessageClass::Probe : MessageClass::Answer;
 }
 
 /// Where the budget refuses a whole answer, the bare one still shows that this instance runs.
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -62,6 +62,10 @@
     {
         applyAges(this->state, ping.ages, this->now, false);
         heardDirectly(this->state, this->message.sender.id, this->now, false);
+        // Pings that waited in buffers during a freeze have been given up by their senders; answering them all would use up the budget.
+        if (!this->state.isConfirmed && this->now - this->state.unconfirmedSince < TICK_INTERVAL) {
+            return;
+        }
         auto reply = makeMessage(this->state, Acknowledgement{ping.sequence, heardAges(this->state, this->now)});
         if (ping.wantsMembers) {
             reply.news = allNews(this->state, MAX_JOIN_NEWS);
