LibConfiguration: Read headers of sections without regular expressions

std::regex matches by recursion, a call for each character, so that a very long line that looks like a header could use up the stack; and building it raises a false warning under the sanitizers. A header needs three tokens read, which a small function does.

--- a/Libraries/LibConfiguration/SectionText.cpp
+++ b/Libraries/LibConfiguration/SectionText.cpp
@@ -5,7 +5,6 @@
 #include <numeric>
 #include <optional>
 #include <ranges>
-#include <regex>
 #include <sstream>
 #include <stdexcept>
 #include <toml++/toml.h>
@@ -51,11 +50,28 @@
     return start != std::string_view::npos && line[start] == '#';
 }
 
-std::string teamOfHeader(const std::string &line)
+/// Takes the text from the front where it is there, with spaces and tabs before it.
+bool skip(std::string_view &line, std::string_view text)
 {
-    static const std::regex header(R"(^\s*\[{1,2}\s*team\s*\.\s*["']?([a-z0-9-]+)["']?\s*[.\]].*$)");
-    std::smatch match;
-    return std::regex_match(line, match, header) ? match[1].str() : std::string{};
+    const auto rest = line.substr(std::min(line.find_first_not_of(" \t"), line.size()));
+    if (!rest.starts_with(text)) {
+        return false;
+    }
+    line = rest.substr(text.size());
+    return true;
+}
+
+/// The team of a header such as [team.benches.service.pattern], empty for any other.
+std::string teamOfHeader(std::string_view line)
+{
+    constexpr std::string_view NAME_CHARACTERS{"abcdefghijklmnopqrstuvwxyz0123456789-"};
+    skip(line, "[");
+    skip(line, "[");
+    if (!skip(line, "team") || !skip(line, ".")) {
+        return {};
+    }
+    skip(line, "");
+    return std::string(line.substr(0, line.find_first_not_of(NAME_CHARACTERS)));
 }
 
 std::vector<OwnedLine> ownedLines(std::string_view document)
