--- a/Meta/CMake/Briarbend.cmake
+++ b/Meta/CMake/Briarbend.cmake
@@ -12,12 +12,6 @@
     target_link_options(BriarbendOptions INTERFACE -fsanitize=thread)
 endif()
 
-if(BRIARBEND_ADDRESS_SANITIZER OR BRIARBEND_THREAD_SANITIZER)
-    # GCC's manual says that sanitizers raise false positives of warnings that follow values through inlined code, and advises against -Werror
-    # with them. These two are raised inside Asio's coroutine frames and the standard library; the plain build keeps them as errors.
-    target_compile_options(BriarbendOptions INTERFACE -Wno-error=mismatched-new-delete -Wno-error=maybe-uninitialized)
-endif()
-
 # Adds every folder directly below the current one that has a CMakeLists.txt.
 function(briarbend_add_subfolders)
     file(GLOB subfolders CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*/CMakeLists.txt)
