LibOperations: Let a broken or oversized section stop only itself

A store object below configuration/ that no editor wrote made every apply, show and status end with its problem, those of other teams too, and could not be replaced with briarctl at all. It now stands in lists with its problem, and an edit of its version mends it.

A section above the store's value limit ended as a fault of briarctl. It is a problem of the document, with the size found and allowed.

Tests: aBrokenObjectStopsNoOtherTeamAndCanBeMended and aSectionAboveTheStoresLimitIsAProblemOfTheDocument.

--- a/Libraries/LibOperations/SectionEditor.cpp
+++ b/Libraries/LibOperations/SectionEditor.cpp
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/SectionReader.h>
 #include <LibConfiguration/StoredSection.h>
+#include <LibDocument/DocumentProblem.h>
 #include <LibOperations/StoredSections.h>
 
 #include <algorithm>
@@ -44,8 +45,9 @@
     }
     CurrentSection current;
     if (const auto *object = std::get_if<Store::Object>(&result)) {
+        // A broken object counts as an empty section, so that an edit of its version can mend it.
         current.version = object->version;
-        current.stored = Configuration::parseStoredSection(object->value, key);
+        current.stored = readSectionObject(key, *object).stored;
     }
     co_return current;
 }
@@ -87,6 +89,10 @@
 Asio::awaitable<EditResult> writeConditionally(Store::ObjectStore &store, PendingWrite write, RetryPolicy policy)
 {
     const auto value = Configuration::formatStoredSection(write.stored);
+    if (value.size() > Store::MAXIMUM_VALUE_BYTES) {
+        const auto limit = "at most " + std::to_string(Store::MAXIMUM_VALUE_BYTES) + " bytes, which is what the store takes";
+        throw Document::DocumentError({{write.key, 0, "", "a section of " + std::to_string(value.size()) + " bytes", limit}});
+    }
     const auto condition = conditionOn(write.base);
     bool wasLost = false;
     std::string reason;
--- a/Libraries/LibOperations/StoredSections.cpp
+++ b/Libraries/LibOperations/StoredSections.cpp
@@ -23,14 +23,24 @@
             co_return *unavailable;
         }
         if (const auto *object = std::get_if<Store::Object>(&result)) {
-            auto stored = Configuration::parseStoredSection(object->value, entry.key);
-            sections.push_back({Configuration::teamOfSectionKey(entry.key), object->version, std::move(stored)});
+            sections.push_back(readSectionObject(entry.key, *object));
         }
     }
     std::ranges::sort(sections, {}, &SectionObject::team);
     co_return sections;
 }
 
+SectionObject readSectionObject(const std::string &key, const Store::Object &object)
+{
+    SectionObject section{.team = Configuration::teamOfSectionKey(key), .version = object.version, .stored = {}, .problem = {}};
+    try {
+        section.stored = Configuration::parseStoredSection(object.value, key);
+    } catch (const Document::DocumentError &error) {
+        section.problem = error.what();
+    }
+    return section;
+}
+
 Configuration::Sections acceptedSections(const std::vector<SectionObject> &objects)
 {
     Configuration::Sections sections;
@@ -47,7 +57,8 @@
 
 std::string printSection(const SectionObject &object)
 {
-    return versionMarker(object.team, object.version) + object.stored.text;
+    const auto text = object.problem.empty() ? object.stored.text : "# " + object.problem + "\n";
+    return versionMarker(object.team, object.version) + text;
 }
 
 } // namespace Briarbend::Operations
--- a/Tests/LibOperations/TestSectionEditor.cpp
+++ b/Tests/LibOperations/TestSectionEditor.cpp
@@ -1,4 +1,5 @@
 #include <LibConfiguration/StoredSection.h>
+#include <LibDocument/DocumentProblem.h>
 #include <LibOperations/SectionEditor.h>
 #include <Tests/LibStore/FakeObjectStore.h>
 #include <Tests/LibStore/MockObjectStore.h>
@@ -155,6 +156,35 @@
     EXPECT_EQ(store.writes, 0U);
 }
 
+TEST(SectionEditor, aBrokenObjectStopsNoOtherTeamAndCanBeMended)
+{
+    Store::FakeObjectStore store;
+    store.put("configuration/b", "no section");
+    const auto broken = store.put("configuration/a", "no section");
+    Editors editors;
+    const SectionEdit ofAnother{.team = {"c"}, .edit = "c", .text = "[team.c]\n", .base = OnlyAbsent{}};
+    EXPECT_EQ(editors.run(applySection(store, ofAnother, AT_ONCE)), EditResult(EditAccepted{.version = 3}));
+    EXPECT_EQ(editors.run(applySection(store, editOf("mine", OnlyAbsent{}), AT_ONCE)),
+              EditResult(EditConflict{.currentVersion = broken, .currentText = {}}));
+    EXPECT_EQ(editors.run(applySection(store, editOf("mine", OnlyVersion{broken}), AT_ONCE)), EditResult(EditAccepted{.version = 4}));
+}
+
+TEST(SectionEditor, aSectionAboveTheStoresLimitIsAProblemOfTheDocument)
+{
+    Store::FakeObjectStore store;
+    Editors editors;
+    const SectionEdit large{
+        .team = {"a"}, .edit = "large", .text = "[team.a]\n# " + std::string(Store::MAXIMUM_VALUE_BYTES, 'x') + "\n", .base = OnlyAbsent{}};
+    bool isRefused = false;
+    boost::asio::co_spawn(
+        editors.context, applySection(store, large, AT_ONCE), [&isRefused](const std::exception_ptr &exception, const EditResult &) {
+            EXPECT_THROW(std::rethrow_exception(exception), Document::DocumentError);
+            isRefused = true;
+        });
+    editors.context.run();
+    EXPECT_TRUE(isRefused);
+}
+
 class DataCentreEditTest : public testing::Test
 {
 protected:
