briarbendd: Carry out moves between versions

What the relay sees goes to the move's judges (two instances by rendezvous hash), who push the status to all peers; each instance writes it to the store with the merge rule on conflict, so that any of them may end. A star of judges was taken over gossip records, whose fixed shape does not hold the blocks that the comparison needs, and over all-to-all.

Not measured yet: the bytes a second of a running move.

--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -43,6 +43,8 @@
     Core::VersionName version;
     std::string routePrefix;
     bool isFailure{false};
+    /// The target was cold when the request was sent.
+    bool wasCold{false};
     Core::Duration timeToHead{0};
 };
 
--- a/Libraries/LibRelay/RequestHandler.cpp
+++ b/Libraries/LibRelay/RequestHandler.cpp
@@ -201,7 +201,7 @@
     turn.headArrived(this->lastResult.timeToHead);
     this->relay.latencies.beforeSending.add(sentAt - this->arrivedAt);
     this->relay.latencies.atTarget.add(this->lastResult.timeToHead);
-    this->observe(*choice.target, version);
+    this->observe(*choice.target, version, choice.isColdTrial);
     co_await this->tellGuard(*choice.target, verdict, sentAt);
     co_return this->judge(this->lastResult);
 }
@@ -235,7 +235,7 @@
     }
 }
 
-void RequestHandler::observe(const Core::TargetId &target, const Core::VersionName &version) const
+void RequestHandler::observe(const Core::TargetId &target, const Core::VersionName &version, bool wasCold) const
 {
     const auto &result = this->lastResult;
     // A caller that went away before the answer, or a target that shed the request, says nothing about the version.
@@ -248,6 +248,7 @@
                             .version = version,
                             .routePrefix = this->matched.route->pathPrefix,
                             .isFailure = (result.failure && !result.isCallerGone) || result.status >= FIRST_SERVER_ERROR,
+                            .wasCold = wasCold,
                             .timeToHead = result.timeToHead});
 }
 
@@ -292,9 +293,11 @@
 
 Routing::Choice RequestHandler::choose()
 {
+    auto versions = this->service->chooseVersions ? this->service->chooseVersions(this->matched.route->pathPrefix) : VersionChoice{};
+    versions.excluded.insert(versions.excluded.end(), this->tried.begin(), this->tried.end());
     const Routing::ChoiceInput input{
-        .excluded = this->tried,
-        .versions = this->service->versionShares,
+        .excluded = versions.excluded,
+        .versions = versions.shares,
         .dataCentresOut = this->service->dataCentresOut,
         .permission =
             [this](const Routing::TargetState &target) {
--- a/Libraries/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/RequestHandler.h
@@ -39,7 +39,7 @@
     boost::asio::awaitable<bool> claimKey();
     boost::asio::awaitable<Next> attemptOnce(AdmissionTurn &turn);
     Next judge(const ExchangeResult &result);
-    void observe(const Core::TargetId &target, const Core::VersionName &version) const;
+    void observe(const Core::TargetId &target, const Core::VersionName &version, bool wasCold) const;
     void endAnswered(const ExchangeResult &result);
     Routing::Choice choose();
     Routing::Permission permissionFor(const Routing::TargetState &target);
--- a/Libraries/LibRelay/ServiceState.h
+++ b/Libraries/LibRelay/ServiceState.h
@@ -7,6 +7,7 @@
 #include <LibRouting/TargetTable.h>
 
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
@@ -30,6 +31,13 @@
     Verdict verdict{Verdict::Waiting};
 };
 
+/// Which versions a request may go to while traffic moves between two.
+struct VersionChoice {
+    std::vector<Routing::VersionShare> shares;
+    /// Targets that the request must not go to.
+    std::vector<Core::TargetId> excluded;
+};
+
 /// The instance's share of one target's divisible budgets.
 struct TargetShares {
     std::uint32_t connections{0};
@@ -44,8 +52,8 @@
     Limits::RetryBudget retryBudget;
     std::unordered_map<Core::TargetId, TargetShares> shares;
     std::unordered_map<std::uint64_t, std::shared_ptr<WaitingRequest>> waiting;
-    /// Shares of the versions while a rollout moves traffic; empty where every version is equal.
-    std::vector<Routing::VersionShare> versionShares;
+    /// Asked for each request of a route while a rollout moves traffic; empty where every version is equal.
+    std::function<VersionChoice(const std::string &routePrefix)> chooseVersions;
     /// Data centres that are out by any team's section.
     std::vector<Core::DataCentreName> dataCentresOut;
 };
--- a/Services/briarbendd/Daemon.cpp
+++ b/Services/briarbendd/Daemon.cpp
@@ -93,6 +93,7 @@
     this->relay.instance = this->instance;
     this->quarantine = std::make_unique<QuarantineLink>(ioContext, this->timers, *this->peers);
     this->relay.guard = this->quarantine.get();
+    this->rollouts = std::make_unique<RolloutRunner>(ioContext, this->timers, this->store, *this->peers, this->relay);
     this->warmth = std::make_unique<WarmthSpread>(*this->peers, this->relay.coldGate);
     this->peers->onChanges([this](const Gossip::Changes &changes) {
         this->takeChanges(changes);
@@ -151,6 +152,7 @@
 {
     updateServices(this->relay, this->configuration->sections(), this->instanceList->list(), this->place(), this->timers.now());
     this->prober->forget(targetsOf(this->relay));
+    this->rollouts->update(this->configuration->sections());
     for (const auto &[name, service] : this->relay.services) {
         if (std::ranges::find(service->service.routes, Configuration::RouteKind::Once, &Configuration::Route::kind)
             != service->service.routes.end()) {
--- a/Services/briarbendd/Daemon.h
+++ b/Services/briarbendd/Daemon.h
@@ -6,6 +6,7 @@
 #include "OperatorEndpoint.h"
 #include "Prober.h"
 #include "QuarantineLink.h"
+#include "RolloutRunner.h"
 #include "WarmthSpread.h"
 
 #include <LibNetwork/AsioTimerService.h>
@@ -57,6 +58,7 @@
     std::unique_ptr<WarmthSpread> warmth;
     std::unique_ptr<ClaimsRunner> claims;
     std::unique_ptr<QuarantineLink> quarantine;
+    std::unique_ptr<RolloutRunner> rollouts;
     std::unique_ptr<Prober> prober;
     std::unique_ptr<Relay::CallerListener> callers;
     std::unique_ptr<OperatorEndpoint> operators;
--- a/Services/briarbendd/Dump.cpp
+++ b/Services/briarbendd/Dump.cpp
@@ -78,11 +78,7 @@
     for (const auto &dataCentre : service.dataCentresOut) {
         out.push_back(dataCentre.value);
     }
-    auto shares = json::object();
-    for (const auto &share : service.versionShares) {
-        shares[share.version.value] = share.share;
-    }
-    return {{"targets", targets}, {"waiting", service.waiting.size()}, {"data_centres_out", out}, {"version_shares", shares}};
+    return {{"targets", targets}, {"waiting", service.waiting.size()}, {"data_centres_out", out}};
 }
 
 } // namespace
--- a/Services/briarbendd/PeerLink.h
+++ b/Services/briarbendd/PeerLink.h
@@ -19,6 +19,8 @@
     Claims = 'c',
     /// The platform's instance list, for an instance that starts while the store is down.
     InstanceList = 'i',
+    /// Evidence about new versions and the status of moves.
+    Rollout = 'r',
     /// Evidence about requests that break targets, and trials of such requests.
     Quarantine = 'q',
 };
--- a/Services/briarbendd/WarmthSpread.cpp
+++ b/Services/briarbendd/WarmthSpread.cpp
@@ -24,16 +24,11 @@
 
 void WarmthSpread::publishChanges()
 {
-    std::map<Core::TargetStartId, Limits::WarmthStatement> current;
-    for (auto &statement : Limits::warmthStatements(this->gate)) {
-        const auto start = globalStart(statement);
-        const auto known = this->published.find(start);
-        if (known == this->published.end() || known->second != statement) {
-            this->peers.publish(Gossip::WarmMark{.start = start, .epoch = statement.episode, .isWarm = statement.isWarm});
-        }
-        current.emplace(start, std::move(statement));
+    auto news = Limits::warmthNewsSince(this->gate, this->toldRevision);
+    this->toldRevision = news.revision;
+    for (const auto &statement : news.statements) {
+        this->peers.publish(Gossip::WarmMark{.start = globalStart(statement), .epoch = statement.episode, .isWarm = statement.isWarm});
     }
-    this->published = std::move(current);
 }
 
 void WarmthSpread::learn(const Gossip::WarmMark &mark)
--- a/Services/briarbendd/WarmthSpread.h
+++ b/Services/briarbendd/WarmthSpread.h
@@ -4,7 +4,7 @@
 
 #include <LibLimits/ColdGate.h>
 
-#include <map>
+#include <cstdint>
 
 namespace Briarbend::Daemon
 {
@@ -23,7 +23,7 @@
 private:
     PeerLink &peers;
     Limits::ColdGate &gate;
-    std::map<Core::TargetStartId, Limits::WarmthStatement> published;
+    std::uint64_t toldRevision{0};
 };
 
 } // namespace Briarbend::Daemon
--- a/Tests/LibGossip/TestCodec.cpp
+++ b/Tests/LibGossip/TestCodec.cpp
@@ -122,7 +122,7 @@
 Envelope anyEnvelope()
 {
     Envelope envelope;
-    envelope.membership = {anyNews(), anyNumber<bool>(), anyBody(), {anyNews(), anyNews()}};
+    envelope.membership = {anyNews(), anyNumber<bool>(), anyNumber<bool>(), anyBody(), {anyNews(), anyNews()}};
     envelope.summaries = *rc::gen::container<Summaries>(rc::gen::arbitrary<std::uint32_t>());
     envelope.sections = {{anyName<Core::TeamNameTag>(), anyNumber<std::uint64_t>(), 0, 0, 0, {}, 0},
                          {anyName<Core::TeamNameTag>(),
