LibLimits: Part a target's warmth from the gate

ColdGate.cpp had grown to 358 lines with two subjects: who may send, and what is known of one target. The second stands in ColdTarget now, without the gate.

--- a/Libraries/LibLimits/ColdGate.cpp
+++ b/Libraries/LibLimits/ColdGate.cpp
@@ -10,11 +10,6 @@
 namespace
 {
 
-/// Replaced starts that are remembered for each target.
-constexpr std::size_t REPLACED_STARTS = 8;
-/// Weight of a new sample in the usual time of a target.
-constexpr double USUAL_TIME_WEIGHT = 0.05;
-
 bool holdsPlace(const MembershipView &view, const Core::TargetId &id, std::uint32_t places)
 {
     const auto own = Core::rendezvousWeight(view.self.value, id.value);
@@ -65,22 +60,6 @@
     gate.isInformed = gate.isInformed || isNewFleet(gate) || std::ranges::any_of(gate.view.contacts, &PeerContact::isInformed);
 }
 
-void turnCold(ColdTarget &target, std::uint32_t episode, bool isSuspected)
-{
-    target.warmth = Warmth::Cold;
-    target.episode = episode;
-    target.isSuspected = isSuspected;
-    target.completed = 0;
-    target.slowInRow = 0;
-}
-
-void turnWarm(ColdTarget &target)
-{
-    target.warmth = Warmth::Warm;
-    target.isSuspected = false;
-    target.slowInRow = 0;
-}
-
 bool mayBeSuspected(const ColdGate &gate)
 {
     const auto suspected = std::ranges::count_if(gate.targets, [](const auto &entry) {
@@ -89,85 +68,11 @@
     return static_cast<double>(suspected + 1) <= gate.parameters.suspectedShare * static_cast<double>(gate.targets.size());
 }
 
-/// Merges a statement about the start that the target is known to run.
-void mergeStatement(const ColdGate &gate, ColdTarget &target, const WarmthStatement &statement)
-{
-    const bool isNewer = target.warmth == Warmth::Unknown || statement.episode > target.episode;
-    if (isNewer && !statement.isWarm && statement.isSuspected && !mayBeSuspected(gate)) {
-        return;
-    }
-    if (isNewer) {
-        turnCold(target, statement.episode, statement.isSuspected);
-    }
-    if (statement.isWarm && statement.episode == target.episode) {
-        turnWarm(target);
-    }
-}
-
-void mergeHeard(std::optional<WarmthStatement> &heard, const WarmthStatement &statement)
-{
-    const bool isOther = !heard || heard->start != statement.start;
-    const bool isNewer = !isOther && statement.episode > heard->episode;
-    const bool isWarmer = !isOther && statement.episode == heard->episode && statement.isWarm;
-    if (isOther || isNewer || isWarmer) {
-        heard = statement;
-    }
-}
-
-void replaceStart(ColdTarget &target, const Core::TargetStartId &start)
-{
-    const bool isFirst = !target.start;
-    if (!isFirst) {
-        target.replacedStarts.push_back(*target.start);
-        if (target.replacedStarts.size() > REPLACED_STARTS) {
-            target.replacedStarts.erase(target.replacedStarts.begin());
-        }
-        turnCold(target, 0, false);
-        target.usualTime = 0;
-    }
-    target.start = start;
-}
-
-/// What peers said of a start before a report showed it here.
-void adoptHeard(const ColdGate &gate, ColdTarget &target)
-{
-    if (target.heard && target.heard->start == target.start) {
-        mergeStatement(gate, target, *target.heard);
-        target.heard.reset();
-    }
-}
-
-/// A slow answer of a target that had little to do.
 bool isSuspicious(const ColdGate &gate, ColdTarget &target, std::chrono::microseconds elapsed, bool hadFewInFlight)
 {
-    const auto time = static_cast<double>(elapsed.count());
-    if (!hadFewInFlight) {
-        return false;
-    }
-    if (target.usualTime > 0 && time > gate.parameters.slowFactor * target.usualTime) {
-        ++target.slowInRow;
-        return target.slowInRow >= gate.parameters.slowAnswersToSuspect;
-    }
-    target.slowInRow = 0;
-    target.usualTime += target.usualTime > 0 ? USUAL_TIME_WEIGHT * (time - target.usualTime) : time;
-    return false;
-}
-
-/// What peers are told of a target.
-std::optional<WarmthStatement> statementOf(const Core::TargetId &id, const ColdTarget &target)
-{
-    if (target.warmth == Warmth::Unknown) {
-        // An instance without a report of its own still passes on what it heard.
-        return target.heard;
-    }
-    if (!target.start) {
-        return std::nullopt;
-    }
-    return WarmthStatement{.target = id,
-                           .start = *target.start,
-                           .episode = target.episode,
-                           .isWarm = target.warmth == Warmth::Warm,
-                           .isSuspected = target.isSuspected};
+    const auto &parameters = gate.parameters;
+    return hadFewInFlight && isSuddenlySlow(target, elapsed, parameters.slowFactor, parameters.slowAnswersToSuspect)
+        && mayBeSuspected(gate);
 }
 
 void noteChange(ColdGate &gate, const Core::TargetId &id, ColdTarget &target)
@@ -179,15 +84,6 @@
     }
 }
 
-/// Counts a successful request towards warmth.
-void addCompleted(ColdTarget &target)
-{
-    ++target.completed;
-    if (target.start && target.completed >= target.warmAfterRequests) {
-        turnWarm(target);
-    }
-}
-
 ColdTarget *findColdTarget(ColdGate &gate, const Core::TargetId &id)
 {
     const auto found = gate.targets.find(id);
@@ -290,7 +186,7 @@
     }
     if (target->warmth != Warmth::Warm) {
         addCompleted(*target);
-    } else if (isSuspicious(gate, *target, elapsed, hadFewInFlight) && mayBeSuspected(gate)) {
+    } else if (isSuspicious(gate, *target, elapsed, hadFewInFlight)) {
         turnCold(*target, target->episode + 1, true);
     }
     noteChange(gate, id, *target);
@@ -299,7 +195,7 @@
 void recordReport(ColdGate &gate, const Core::TargetId &id, const std::optional<Core::TargetStartId> &start, bool isCold)
 {
     auto *target = findColdTarget(gate, id);
-    if (!target || !start || std::ranges::find(target->replacedStarts, *start) != target->replacedStarts.end()) {
+    if (!target || !start || isReplaced(*target, *start)) {
         return;
     }
     const bool isNewToPeers = target->warmth == Warmth::Unknown && target->heard && target->heard->start != *start;
@@ -310,7 +206,7 @@
         replaceStart(*target, *start);
     }
     target->isConfirmed = true;
-    adoptHeard(gate, *target);
+    adoptHeard(*target, mayBeSuspected(gate));
     if (isCold && target->warmth != Warmth::Cold) {
         turnCold(*target, target->episode + (target->warmth == Warmth::Warm ? 1 : 0), false);
     }
@@ -331,14 +227,14 @@
 void learnWarmth(ColdGate &gate, const WarmthStatement &statement)
 {
     auto *target = findColdTarget(gate, statement.target);
-    if (!target || std::ranges::find(target->replacedStarts, statement.start) != target->replacedStarts.end()) {
+    if (!target || isReplaced(*target, statement.start)) {
         return;
     }
     if (target->start == statement.start) {
-        mergeStatement(gate, *target, statement);
+        mergeStatement(*target, statement, mayBeSuspected(gate));
     } else {
         // Start identifiers have no order, so only the target's own report can tell whether this one is newer.
-        mergeHeard(target->heard, statement);
+        keepHeard(*target, statement);
         target->isConfirmed = false;
     }
     noteChange(gate, statement.target, *target);
--- a/Libraries/LibLimits/ColdGate.h
+++ b/Libraries/LibLimits/ColdGate.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibCore/Time.h>
+#include <LibLimits/ColdTarget.h>
 
 #include <cstdint>
 #include <optional>
@@ -65,26 +66,6 @@
     std::vector<PeerContact> contacts;
 };
 
-/// What an instance tells its peers about one target. Statements about one start merge: the higher episode wins, and within an
-/// episode warm wins. Each time a start turns cold begins a new episode.
-struct WarmthStatement {
-    Core::TargetId target;
-    Core::TargetStartId start;
-    std::uint32_t episode{0};
-    bool isWarm{false};
-    /// The target turned cold by slowness alone.
-    bool isSuspected{false};
-
-    bool operator==(const WarmthStatement &) const = default;
-};
-
-enum class Warmth {
-    /// Known from the first instance list, nothing heard of it yet.
-    Unknown,
-    Cold,
-    Warm,
-};
-
 enum class ColdVerdict {
     Warm,
     /// Cold, and this instance may send one request now.
@@ -93,35 +74,6 @@
     Refuse,
 };
 
-/// What one instance knows of one target's warmth.
-struct ColdTarget {
-    Warmth warmth{Warmth::Unknown};
-    std::optional<Core::TargetStartId> start;
-    std::uint32_t episode{0};
-    /// Limits of the target's service.
-    std::uint32_t coldRequests{1};
-    std::uint32_t warmAfterRequests{50};
-    /// Successful requests since the target turned cold.
-    std::uint32_t completed{0};
-    /// Requests of this instance in flight, those sent while the target was warm included.
-    std::uint32_t inFlight{0};
-    /// A report has shown the start since the last lost connection and the last freeze.
-    bool isConfirmed{false};
-    /// Since when the members have given this instance a sender's place without a break.
-    std::optional<Core::TimePoint> placeSince;
-    /// Exponentially weighted time of a request with few in flight, in microseconds.
-    double usualTime{0};
-    std::uint32_t slowInRow{0};
-    bool isSuspected{false};
-    /// Starts that have been replaced, oldest first; statements about them are void.
-    std::vector<Core::TargetStartId> replacedStarts;
-    /// The merged statements of peers about a start that no report has shown yet.
-    std::optional<WarmthStatement> heard;
-    /// What peers are told, and the gate's revision that changed it last.
-    std::optional<WarmthStatement> told;
-    std::uint64_t toldSince{0};
-};
-
 struct ColdGate {
     ColdGateParameters parameters;
     std::unordered_map<Core::TargetId, ColdTarget> targets;
