LibLimits: Try a new target at once where the senders are settled

A place follows from the members alone, so that with unchanged members it has been held for as long as they have; only an instance list with entries counts as the first. Ruled out: no settling for new targets at all, since the members may just have changed.

Before: the new test sees Refuse for the new target and Cold for the known one.

Conclusion: a new target or version receives its first trial without delay.

--- a/Libraries/LibLimits/ColdGate.cpp
+++ b/Libraries/LibLimits/ColdGate.cpp
@@ -20,12 +20,12 @@
     return std::ranges::count_if(view.members, comesBefore) < static_cast<std::ptrdiff_t>(places);
 }
 
-void updatePlace(const MembershipView &view, const Core::TargetId &id, ColdTarget &target, Core::TimePoint now)
+void updatePlace(const MembershipView &view, const Core::TargetId &id, ColdTarget &target, Core::TimePoint since)
 {
-    if (!holdsPlace(view, id, target.coldRequests)) {
+    if (view.self.value.empty() || !holdsPlace(view, id, target.coldRequests)) {
         target.placeSince.reset();
     } else if (!target.placeSince) {
-        target.placeSince = now;
+        target.placeSince = since;
     }
 }
 
@@ -97,7 +97,7 @@
     return 2 * parameters.hearingWindow + parameters.longestRequest + 2 * parameters.longestPause;
 }
 
-void updateColdTargets(ColdGate &gate, const std::vector<ColdTargetLimits> &targets, Core::TimePoint now)
+void updateColdTargets(ColdGate &gate, const std::vector<ColdTargetLimits> &targets)
 {
     std::unordered_map<Core::TargetId, ColdTarget> kept;
     for (const auto &limits : targets) {
@@ -110,10 +110,11 @@
         }
         target.coldRequests = limits.coldRequests;
         target.warmAfterRequests = limits.warmAfterRequests;
-        updatePlace(gate.view, limits.target, target, now);
+        // With the same members this instance would have held the place of a new target as long.
+        updatePlace(gate.view, limits.target, target, gate.sameMembersSince);
     }
     gate.targets = std::move(kept);
-    gate.hasFirstTargets = true;
+    gate.hasFirstTargets = gate.hasFirstTargets || !targets.empty();
 }
 
 void updateMembership(ColdGate &gate, MembershipView view, Core::TimePoint now)
@@ -138,6 +139,7 @@
     if (isSameView) {
         return;
     }
+    gate.sameMembersSince = now;
     for (auto &[id, target] : gate.targets) {
         updatePlace(gate.view, id, target, now);
     }
--- a/Libraries/LibLimits/ColdGate.h
+++ b/Libraries/LibLimits/ColdGate.h
@@ -81,6 +81,8 @@
     /// Since when a majority has been heard without a break.
     std::optional<Core::TimePoint> majoritySince;
     std::optional<Core::TimePoint> lastUpdate;
+    /// Since when the members have been the same.
+    Core::TimePoint sameMembersSince;
     /// Since when the peers in contact have been the same.
     Core::TimePoint sameContactsSince;
     /// This instance knows what the fleet knows of targets: from an informed peer, or because every instance is new.
@@ -98,8 +100,9 @@
     std::uint32_t warmAfterRequests{50};
 };
 
-/// Takes over the list of all targets that this instance may send to. Targets of the first list are unknown, later ones cold.
-void updateColdTargets(ColdGate &gate, const std::vector<ColdTargetLimits> &targets, Core::TimePoint now);
+/// Takes over the list of all targets that this instance may send to. Targets of the first list that is not empty are unknown, later
+/// ones cold. Call it after the first updateMembership.
+void updateColdTargets(ColdGate &gate, const std::vector<ColdTargetLimits> &targets);
 
 /// Takes over the membership and contacts; call it several times within each `longestPause`, also when nothing changed.
 void updateMembership(ColdGate &gate, MembershipView view, Core::TimePoint now);
--- a/Tests/LibLimits/ColdTargets/Fleet.h
+++ b/Tests/LibLimits/ColdTargets/Fleet.h
@@ -123,7 +123,7 @@
         for (const auto &target : this->targets) {
             limits.push_back({target.id, this->coldRequests, WARM_AFTER});
         }
-        updateColdTargets(instance.gate, limits, this->now);
+        updateColdTargets(instance.gate, limits);
     }
 
     void strike()
--- a/Tests/LibLimits/ColdTargets/TestColdGate.cpp
+++ b/Tests/LibLimits/ColdTargets/TestColdGate.cpp
@@ -54,7 +54,7 @@
     const auto formerSender = newSender == both[0] ? both[1] : both[0];
     ColdGate gate;
     const Core::TimePoint start{100s};
-    updateColdTargets(gate, {{target, 1, WARM_AFTER}}, start);
+    updateColdTargets(gate, {{target, 1, WARM_AFTER}});
     // Two hearing windows may pass until the former sender knows of this one, and its last request then takes the longest time.
     const auto lastEnd = start + 2 * gate.parameters.hearingWindow + gate.parameters.longestRequest;
     auto now = start;
@@ -71,6 +71,28 @@
     EXPECT_EQ(coldVerdict(gate, target, now), ColdVerdict::Refuse);
 }
 
+TEST(ColdGate, aTargetThatComesLaterIsColdAndTriedAtOnceBySettledSenders)
+{
+    ColdGate gate;
+    Core::TimePoint now{100s};
+    const auto advance = [&](Core::Duration time) {
+        for (const auto end = now + time; now < end; now += 100ms) {
+            updateMembership(gate, {.self = {"a"}, .members = {{"a"}}, .expected = 1, .contacts = {}}, now);
+        }
+    };
+    advance(100ms);
+    // An empty list is no first list.
+    updateColdTargets(gate, {});
+    updateColdTargets(gate, {{{"known"}, 1, WARM_AFTER}});
+    recordReport(gate, {"known"}, Core::TargetStartId{"1"}, false);
+    EXPECT_EQ(coldVerdict(gate, {"known"}, now), ColdVerdict::Warm);
+    advance(settlingTime(gate.parameters));
+    updateColdTargets(gate, {{{"known"}, 1, WARM_AFTER}, {{"new"}, 1, WARM_AFTER}});
+    recordReport(gate, {"new"}, Core::TargetStartId{"1"}, false);
+    EXPECT_EQ(coldVerdict(gate, {"known"}, now), ColdVerdict::Warm);
+    EXPECT_EQ(coldVerdict(gate, {"new"}, now), ColdVerdict::MayTry);
+}
+
 TEST(ColdGate, aSuddenlySlowTargetTurnsColdAndOnlySoManyOfThem)
 {
     ColdGate gate;
@@ -79,7 +101,7 @@
     std::ranges::for_each(limits, [number = 0](ColdTargetLimits &entry) mutable {
         entry.target = {std::to_string(number++)};
     });
-    updateColdTargets(gate, limits, now);
+    updateColdTargets(gate, limits);
     updateMembership(gate, {.self = {"a"}, .members = {{"a"}}, .expected = 1, .contacts = {}}, now);
     const auto cold = [&] {
         return std::ranges::count_if(gate.targets, [&](const auto &entry) {
--- a/Tests/LibRouting/Benchmark/Main.cpp
+++ b/Tests/LibRouting/Benchmark/Main.cpp
@@ -33,7 +33,7 @@
     std::ranges::transform(table.targets, std::back_inserter(limits), [](const Routing::TargetState &target) {
         return Limits::ColdTargetLimits{.target = target.description.id};
     });
-    updateColdTargets(gate, limits, now);
+    updateColdTargets(gate, limits);
     updateMembership(gate, {.self = {"a"}, .members = {{"a"}}, .expected = 1, .contacts = {}}, now);
     std::ranges::for_each(limits, [&](const Limits::ColdTargetLimits &entry) {
         recordReport(gate, entry.target, Core::TargetStartId{"1"}, false);
