LibClaims: Build the committer under the address sanitizer

With the sanitizers on, the compiler takes the members of a variant's other alternatives for uninitialized where a nested result is built from a temporary, and warnings are errors. The result is now built in place.

Weighed: turning that warning off for the sanitizer builds. Not needed, and it would hide real ones.

--- a/Libraries/LibClaims/BucketCommitter.cpp
+++ b/Libraries/LibClaims/BucketCommitter.cpp
@@ -30,8 +30,9 @@
 
 void turnAway(const BucketCommitter &committer, const PendingOperation &pending, CommitterStep &step)
 {
-    const StoreUnavailable result{.retryAfter = backoff(committer), .mayBeStored = pending.wasWritten};
-    step.finished.push_back({pending.id, ClaimResult{result}});
+    auto &finished = step.finished.emplace_back();
+    finished.id = pending.id;
+    finished.result.emplace<ClaimResult>().emplace<StoreUnavailable>(backoff(committer), pending.wasWritten);
 }
 
 template<typename Predicate>
--- a/Libraries/LibClaims/Operation.h
+++ b/Libraries/LibClaims/Operation.h
@@ -88,6 +88,13 @@
     /// True where a write with this claim may have taken effect, or still may: the attempt must then give the key back.
     bool mayBeStored{false};
 
+    StoreUnavailable() = default;
+    StoreUnavailable(std::chrono::milliseconds delay, bool isInDoubt)
+        : retryAfter(delay)
+        , mayBeStored(isInDoubt)
+    {
+    }
+
     bool operator==(const StoreUnavailable &) const = default;
 };
 
