Meta: Let the sanitizer builds pass g++'s false uninitialized warnings

The address-sanitizer preset did not compile: under instrumentation g++ 12 takes values inside std::regex (LibConfiguration) and boost::optional (LibNetwork) for uninitialized, and warnings are errors. The warning is off in the sanitizer builds only. The release build keeps it, and the sanitizers themselves are not touched.

--- a/Meta/CMake/Briarbend.cmake
+++ b/Meta/CMake/Briarbend.cmake
@@ -3,6 +3,10 @@
 add_library(BriarbendOptions INTERFACE)
 target_compile_options(BriarbendOptions INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
 target_link_libraries(BriarbendOptions INTERFACE Threads::Threads)
+if(BRIARBEND_ADDRESS_SANITIZER OR BRIARBEND_THREAD_SANITIZER)
+    # g++ warns of values inside std::regex and Boost that its own instrumentation keeps it from following; the release build keeps the warning.
+    target_compile_options(BriarbendOptions INTERFACE $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>)
+endif()
 if(BRIARBEND_ADDRESS_SANITIZER)
     target_compile_options(BriarbendOptions INTERFACE -fsanitize=address,undefined -fno-omit-frame-pointer)
     target_link_options(BriarbendOptions INTERFACE -fsanitize=address,undefined)
