--- a/Tests/StandIns/Store/Main.cpp
+++ b/Tests/StandIns/Store/Main.cpp
@@ -9,7 +9,8 @@
 
 void run(int argc, const char **argv)
 {
-    const char *listen = "127.0.0.1:0";
+    // popt's copies last as long as the process.
+    static const char *listen = "127.0.0.1:0";
     long long seed = 1;
     const poptOption options[]
         = {{"listen", 0, POPT_ARG_STRING, static_cast<void *>(&listen), 0, "IP number and port; port 0 takes a free one", "IP:PORT"},
--- a/Tests/StandIns/Target/Main.cpp
+++ b/Tests/StandIns/Target/Main.cpp
@@ -84,11 +84,12 @@
 
 void run(int argc, const char **argv)
 {
-    const char *listen = "127.0.0.1:0";
-    const char *controlListen = "127.0.0.1:0";
-    const char *service = "pattern";
-    const char *dataCentre = "sfax-1";
-    const char *version = "v1";
+    // popt's copies last as long as the process.
+    static const char *listen = "127.0.0.1:0";
+    static const char *controlListen = "127.0.0.1:0";
+    static const char *service = "pattern";
+    static const char *dataCentre = "sfax-1";
+    static const char *version = "v1";
     int count = 1;
     int isCold = 0;
     long long seed = 1;
--- a/Utilities/briarload/Options.cpp
+++ b/Utilities/briarload/Options.cpp
@@ -1,6 +1,8 @@
 #include "Options.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <memory>
@@ -15,13 +17,12 @@
 
 constexpr int ROUTE_OPTION = 1;
 
-/// The values as popt leaves them, before they are checked.
+/// The values as popt leaves them, before they are checked. popt allocates the texts.
 struct RawOptions {
-    const char *to = "";
-    const char *spread = "random";
-    const char *mix = "";
-    const char *route = "";
-    const char *history = "";
+    char *to = nullptr;
+    char *spread = nullptr;
+    char *mix = nullptr;
+    char *history = nullptr;
     double rate = 100;
     double duration = 10;
     double resubmit = 0;
@@ -32,8 +33,22 @@
     long long seed = 1;
     int isJson = 0;
     int isQuiet = 0;
+
+    RawOptions() = default;
+    RawOptions(const RawOptions &) = delete;
+    RawOptions &operator=(const RawOptions &) = delete;
+
+    ~RawOptions()
+    {
+        std::ranges::for_each(std::array{this->to, this->spread, this->mix, this->history}, std::free);
+    }
 };
 
+std::string textOr(const char *text, const char *otherwise)
+{
+    return text == nullptr ? otherwise : text;
+}
+
 void require(bool holds, const std::string &text)
 {
     if (!holds) {
@@ -64,7 +79,7 @@
 
 Options checked(const RawOptions &raw, std::vector<Load::MixRoute> routes)
 {
-    const std::string spread = raw.spread;
+    const auto spread = textOr(raw.spread, "random");
     require(spread == "random" || spread == "round-robin", "--spread: \"" + spread + "\" is not one of random, round-robin");
     require(raw.rate > 0, "--rate must be above zero");
     require(raw.duration > 0, "--duration must be above zero");
@@ -73,13 +88,13 @@
     require(raw.threads > 0, "--threads must be above zero");
     require(raw.resubmit >= 0 && raw.resubmit <= 1, "--resubmit must be from 0 to 1");
     require(raw.duplicate >= 0 && raw.duplicate <= 1, "--duplicate must be from 0 to 1");
-    if (*raw.mix != '\0') {
+    if (raw.mix != nullptr) {
         std::ranges::copy(readMix(raw.mix), std::back_inserter(routes));
     }
     if (routes.empty()) {
         routes.push_back({});
     }
-    return {.instances = parseInstances(raw.to),
+    return {.instances = parseInstances(textOr(raw.to, "")),
             .spread = spread == "random" ? Spread::Random : Spread::RoundRobin,
             .rate = raw.rate,
             .duration = std::chrono::duration<double>(raw.duration),
@@ -90,7 +105,7 @@
             .connections = static_cast<std::size_t>(raw.connections),
             .threads = static_cast<unsigned>(raw.threads),
             .seed = static_cast<std::uint64_t>(raw.seed),
-            .historyFile = raw.history,
+            .historyFile = textOr(raw.history, ""),
             .isJson = raw.isJson != 0,
             .isQuiet = raw.isQuiet != 0};
 }
@@ -100,7 +115,7 @@
 Options parseOptions(int argc, const char **argv)
 {
     RawOptions raw;
-    const auto text = [](const char *name, const char **value, const char *help, const char *argument) {
+    const auto text = [](const char *name, char **value, const char *help, const char *argument) {
         return poptOption{name, 0, POPT_ARG_STRING, static_cast<void *>(value), 0, help, argument};
     };
     const auto real = [](const char *name, double *value, const char *help, const char *argument) {
@@ -109,29 +124,23 @@
     const auto integer = [](const char *name, int *value, const char *help, const char *argument) {
         return poptOption{name, 0, POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT, value, 0, help, argument};
     };
-    const poptOption table[]
-        = {text("to", &raw.to, "entry instances, separated by commas", "IP:PORT,..."),
-           text("spread", &raw.spread, "random (default) or round-robin over the instances", "NAME"),
-           real("rate", &raw.rate, "requests a second, over all threads", "N"),
-           real("duration", &raw.duration, "seconds in which requests are sent", "SECONDS"),
-           text("mix", &raw.mix, "TOML file with [[route]] tables: weight, method, path, bytes, once", "FILE"),
-           {"route",
-            0,
-            POPT_ARG_STRING,
-            static_cast<void *>(&raw.route),
-            ROUTE_OPTION,
-            "one route of the mix; may be repeated",
-            "WEIGHT,METHOD,PATH[,BYTES][,once]"},
-           real("resubmit", &raw.resubmit, "probability that a failed request is sent again with its key to another instance", "P"),
-           real("duplicate", &raw.duplicate, "probability that a request goes to two instances at once with the same key", "P"),
-           integer("timeout", &raw.timeout, "milliseconds from the intended send time to the end of the answer", "MS"),
-           integer("connections", &raw.connections, "connections of one thread to one instance at most", "N"),
-           integer("threads", &raw.threads, "threads that send", "N"),
-           {"seed", 0, POPT_ARG_LONGLONG | POPT_ARGFLAG_SHOW_DEFAULT, &raw.seed, 0, "seed of arrivals, routes and instances", "N"},
-           text("history", &raw.history, "file for one JSON line an attempt", "FILE"),
-           {"json", 0, POPT_ARG_NONE, &raw.isJson, 0, "print the result as JSON", nullptr},
-           {"quiet", 0, POPT_ARG_NONE, &raw.isQuiet, 0, "no progress line on standard error", nullptr},
-           POPT_AUTOHELP POPT_TABLEEND};
+    const poptOption table[] = {
+        text("to", &raw.to, "entry instances, separated by commas", "IP:PORT,..."),
+        text("spread", &raw.spread, "random (default) or round-robin over the instances", "NAME"),
+        real("rate", &raw.rate, "requests a second, over all threads", "N"),
+        real("duration", &raw.duration, "seconds in which requests are sent", "SECONDS"),
+        text("mix", &raw.mix, "TOML file with [[route]] tables: weight, method, path, bytes, once", "FILE"),
+        {"route", 0, POPT_ARG_STRING, nullptr, ROUTE_OPTION, "one route of the mix; may be repeated", "WEIGHT,METHOD,PATH[,BYTES][,once]"},
+        real("resubmit", &raw.resubmit, "probability that a failed request is sent again with its key to another instance", "P"),
+        real("duplicate", &raw.duplicate, "probability that a request goes to two instances at once with the same key", "P"),
+        integer("timeout", &raw.timeout, "milliseconds from the intended send time to the end of the answer", "MS"),
+        integer("connections", &raw.connections, "connections of one thread to one instance at most", "N"),
+        integer("threads", &raw.threads, "threads that send", "N"),
+        {"seed", 0, POPT_ARG_LONGLONG | POPT_ARGFLAG_SHOW_DEFAULT, &raw.seed, 0, "seed of arrivals, routes and instances", "N"},
+        text("history", &raw.history, "file for one JSON line an attempt", "FILE"),
+        {"json", 0, POPT_ARG_NONE, &raw.isJson, 0, "print the result as JSON", nullptr},
+        {"quiet", 0, POPT_ARG_NONE, &raw.isQuiet, 0, "no progress line on standard error", nullptr},
+        POPT_AUTOHELP POPT_TABLEEND};
     const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(poptGetContext(nullptr, argc, argv, table, 0),
                                                                              &poptFreeContext);
     poptSetOtherOptionHelp(
@@ -146,7 +155,8 @@
         int result = 0;
         while ((result = poptGetNextOpt(context.get())) >= 0) {
             if (result == ROUTE_OPTION) {
-                routes.push_back(Load::parseMixRoute(raw.route));
+                const std::unique_ptr<char, decltype(&std::free)> route(poptGetOptArg(context.get()), &std::free);
+                routes.push_back(Load::parseMixRoute(route.get()));
             }
         }
         require(result == -1, std::string(poptBadOption(context.get(), 0)) + ": " + poptStrerror(result));
