--- a/Libraries/LibMembership/State.h
+++ b/Libraries/LibMembership/State.h
@@ -60,7 +60,10 @@
     Core::InstanceId self;
     /// Includes this instance.
     std::map<Core::InstanceId, Member> members;
+    /// From the settings.
     std::set<PeerAddress> seeds;
+    /// From the platform's latest list of live instances.
+    std::set<PeerAddress> listed;
     std::map<std::uint64_t, PendingPing> pendingPings;
     std::vector<Core::InstanceId> probeOrder;
     std::uint64_t nextSequence{1};
@@ -73,6 +76,8 @@
     /// Last moment at which this process certainly ran.
     Core::TimePoint lastActive;
     bool isConfirmed{false};
+    /// Told to peers with every message; set by whoever keeps the warmth of targets.
+    bool isInformed{false};
     /// Pings sent before this moment confirm nothing.
     Core::TimePoint unconfirmedSince;
 };
--- a/Services/briarbendd/Daemon.cpp
+++ b/Services/briarbendd/Daemon.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::seconds IDLE_CONNECTION_SWEEP{5};
 constexpr std::chrono::seconds IDLE_CONNECTION_LIFETIME{30};
 constexpr std::chrono::milliseconds STOP_CHECK{50};
+/// Time after which an instance counts as ready without having heard of targets' warmth.
+constexpr std::chrono::seconds INFORMED_PATIENCE{10};
 /// A stopping instance ends once no request has come for this long and none is in flight.
 constexpr std::chrono::milliseconds STOP_QUIET_TIME{1000};
 
@@ -91,6 +93,7 @@
     this->relay.instance = this->instance;
     this->quarantine = std::make_unique<QuarantineLink>(ioContext, this->timers, *this->peers);
     this->relay.guard = this->quarantine.get();
+    this->rollouts = std::make_unique<RolloutRunner>(ioContext, this->timers, this->store, *this->peers, this->relay);
     this->warmth = std::make_unique<WarmthSpread>(*this->peers, this->relay.coldGate);
     this->peers->onChanges([this](const Gossip::Changes &changes) {
         this->takeChanges(changes);
@@ -149,6 +152,7 @@
 {
     updateServices(this->relay, this->configuration->sections(), this->instanceList->list(), this->place(), this->timers.now());
     this->prober->forget(targetsOf(this->relay));
+    this->rollouts->update(this->configuration->sections());
     for (const auto &[name, service] : this->relay.services) {
         if (std::ranges::find(service->service.routes, Configuration::RouteKind::Once, &Configuration::Route::kind)
             != service->service.routes.end()) {
@@ -165,11 +169,12 @@
                                 .expected = this->settings.instance.declaredMaximumInstances,
                                 .contacts = {}};
     for (const auto &[id, member] : members.members) {
-        if (member.lastHeard) {
-            view.contacts.push_back({id, *member.lastHeard});
+        if (id != this->instance && member.lastProven) {
+            view.contacts.push_back({id, *member.lastProven, member.isInformed});
         }
     }
     Limits::updateMembership(this->relay.coldGate, std::move(view), now);
+    this->peers->setInformed(this->relay.coldGate.isInformed);
 }
 
 void Daemon::takeChanges(const Gossip::Changes &changes)
@@ -221,7 +226,10 @@
 
 bool Daemon::isReady() const
 {
-    return !this->relay.isStopping && this->relay.routes && this->relay.isCurrent();
+    // An instance that has not heard yet what the fleet knows of targets' warmth may send to none of them. In a fleet that is new and
+    // incomplete nobody can know, so that it takes its first requests all the same.
+    const bool knowsTargets = this->relay.coldGate.isInformed || this->timers.now() - this->startedAt >= INFORMED_PATIENCE;
+    return !this->relay.isStopping && this->relay.routes && this->relay.isCurrent() && knowsTargets;
 }
 
 nlohmann::json Daemon::dump() const
--- a/Services/briarbendd/PeerLink.h
+++ b/Services/briarbendd/PeerLink.h
@@ -19,6 +19,8 @@
     Claims = 'c',
     /// The platform's instance list, for an instance that starts while the store is down.
     InstanceList = 'i',
+    /// Evidence about new versions and the status of moves.
+    Rollout = 'r',
     /// Evidence about requests that break targets, and trials of such requests.
     Quarantine = 'q',
 };
@@ -40,6 +42,8 @@
     void publishSection(const Gossip::SectionText &section);
     void publish(const Gossip::Record &record, Core::Duration retention = {});
     void confirmWithStore();
+    /// Tells peers from now on that this instance knows what the fleet knows of targets' warmth.
+    void setInformed(bool isInformed);
     /// Takes the platform's list of entry instances as seeds.
     void applyInstanceList(const std::set<Membership::PeerAddress> &live);
     /// Says goodbye; call once.
