briarbendd: Follow the limits' last interfaces

An instance's admission now lets in two requests for each of its part of the slots of all targets (inFlightLimit), not for each slot that it covers, which let 13 instances together send 13 times what the targets hold.

--- a/Libraries/LibRelay/ServiceState.cpp
+++ b/Libraries/LibRelay/ServiceState.cpp
@@ -13,8 +13,6 @@
 constexpr std::size_t SENDERS_PER_TARGET = 8;
 /// Targets that an instance covers at the least, so that its choice stays a choice.
 constexpr std::size_t SMALLEST_SUBSET = 24;
-/// Requests queued at an instance beyond the targets' slots, as a multiple of them.
-constexpr std::uint32_t IN_FLIGHT_PER_SLOT = 2;
 constexpr std::uint32_t MINIMUM_IN_FLIGHT = 16;
 constexpr std::uint32_t PROBER_CONNECTIONS = 1;
 
@@ -67,8 +65,8 @@
     parameters.slots = service.limits.slots;
     const auto size = Routing::subsetSize(targets.size(), place.members, SENDERS_PER_TARGET, SMALLEST_SUBSET);
     Routing::updateTargets(state.table, Routing::subsetOf(targets, place.instance, size));
-    const auto slots = static_cast<std::uint32_t>(state.table.targets.size()) * service.limits.slots;
-    state.admission.parameters.inFlight = std::max(MINIMUM_IN_FLIGHT, slots * IN_FLIGHT_PER_SLOT);
+    const auto slots = targets.size() * service.limits.slots;
+    state.admission.parameters.inFlight = std::max(MINIMUM_IN_FLIGHT, Limits::inFlightLimit(slots, place.members));
     updateShares(state, place);
 }
 
--- a/Services/briarbendd/ClaimsRunner.cpp
+++ b/Services/briarbendd/ClaimsRunner.cpp
@@ -122,7 +122,7 @@
         this->prepare(service);
         // Without a layout nothing can have been claimed here, so that records and releases do not come this way.
         Asio::post(this->context, [callback = std::move(callback)] {
-            callback(Claims::StoreUnavailable{.retryAfter = LAYOUT_RETRY_AFTER}, false);
+            callback(Claims::StoreUnavailable{LAYOUT_RETRY_AFTER, false}, false);
         });
         return;
     }
--- a/Services/briarbendd/Daemon.cpp
+++ b/Services/briarbendd/Daemon.cpp
@@ -150,7 +150,7 @@
 
 void Daemon::update()
 {
-    updateServices(this->relay, this->configuration->sections(), this->instanceList->list(), this->place(), this->timers.now());
+    updateServices(this->relay, this->configuration->sections(), this->instanceList->list(), this->place());
     this->prober->forget(targetsOf(this->relay));
     this->rollouts->update(this->configuration->sections());
     for (const auto &[name, service] : this->relay.services) {
--- a/Services/briarbendd/ServiceUpdater.cpp
+++ b/Services/briarbendd/ServiceUpdater.cpp
@@ -37,7 +37,7 @@
     return {out.begin(), out.end()};
 }
 
-void updateColdGate(Relay::RelayState &relay, Core::TimePoint now)
+void updateColdGate(Relay::RelayState &relay)
 {
     std::vector<Limits::ColdTargetLimits> limits;
     for (const auto &[name, service] : relay.services) {
@@ -47,7 +47,7 @@
                 return Limits::ColdTargetLimits{target.description.id, targetLimits.coldRequests, targetLimits.warmAfterRequests};
             });
     }
-    Limits::updateColdTargets(relay.coldGate, limits, now);
+    Limits::updateColdTargets(relay.coldGate, limits);
 }
 
 } // namespace
@@ -55,8 +55,7 @@
 void updateServices(Relay::RelayState &relay,
                     const Configuration::Sections &sections,
                     const std::vector<Store::ListedInstance> &list,
-                    const Relay::InstancePlace &place,
-                    Core::TimePoint now)
+                    const Relay::InstancePlace &place)
 {
     if (sections.empty()) {
         return;
@@ -80,7 +79,7 @@
     });
     relay.routes = std::move(routes);
     if (!list.empty()) {
-        updateColdGate(relay, now);
+        updateColdGate(relay);
     }
 }
 
--- a/Services/briarbendd/ServiceUpdater.h
+++ b/Services/briarbendd/ServiceUpdater.h
@@ -14,8 +14,7 @@
 void updateServices(Relay::RelayState &relay,
                     const Configuration::Sections &sections,
                     const std::vector<Store::ListedInstance> &list,
-                    const Relay::InstancePlace &place,
-                    Core::TimePoint now);
+                    const Relay::InstancePlace &place);
 
 /// Every target of the list that the relay may send to.
 std::set<Core::TargetId> targetsOf(const Relay::RelayState &relay);
