LibGossip: Name the cases of the spread test by what they vary

Without a printer GoogleTest put the raw bytes of the parameters, padding included, into the names that ctest lists, so that they differed between builds.

--- a/Tests/LibGossip/TestSections.cpp
+++ b/Tests/LibGossip/TestSections.cpp
@@ -16,6 +16,13 @@
     bool isRewritten;
 };
 
+/// Keeps the names of the tests free of raw bytes.
+void PrintTo(const SpreadCase &parameters, std::ostream *stream)
+{
+    *stream << parameters.size << " instances, " << parameters.lossShare << " lost, " << parameters.textBytes << " bytes"
+            << (parameters.isRewritten ? ", rewritten" : "");
+}
+
 class SectionSpread : public testing::TestWithParam<SpreadCase>
 {
 };
