LibRelay: Hedge late safe requests, and part opening from forwarding

A safe request that is later than 97 in 100 goes to a second target within the retry budget; the first head wins and the other exchange is cancelled without blaming its target. The exchange now ends with the answer's head; AnswerForwarder streams the answer. Each exchange copies the request's head, since two may send it at once.

Also: the settings that nothing read are gone (gossip_interval) or read (request body, stop deadline, distances of the own data centre); statements about warmth are told again every hour, before gossip forgets them; the window of claims is the one that the store holds.

--- /dev/null
+++ b/Libraries/LibRelay/AnswerForwarder.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <LibRejection/Refusal.h>
+#include <LibRelay/Exchange.h>
+
+namespace Briarbend::Relay
+{
+
+/// A copy of an answer that is kept for repeats of the request. A request whose answer is copied is not cancelled when its caller goes.
+struct AnswerCopy {
+    /// Copying ends once the body is longer than this.
+    std::size_t maximumBytes{0};
+    unsigned status{0};
+    std::vector<Rejection::HeaderField> fields;
+    std::string body;
+    bool isWhole{false};
+};
+
+/// Streams the answer of an opened exchange to the caller, with one chunk in memory.
+class AnswerForwarder
+{
+public:
+    /// The copy may be null.
+    AnswerForwarder(RelayState &relay, CallerSide caller, Exchange &exchange, const std::string &requestId, AnswerCopy *copy);
+
+    /// How it ended is in the exchange's result.
+    boost::asio::awaitable<void> forward();
+
+private:
+    using Serializer = Http::response_serializer<Http::buffer_body>;
+
+    void prepareHead();
+    boost::asio::awaitable<void> writeHead(Serializer &serializer);
+    /// False where the answer is cut.
+    boost::asio::awaitable<bool> forwardBody(Serializer &serializer);
+    boost::asio::awaitable<bool> readRestForCopy();
+    void noteCut();
+    void copyHead();
+    void copyBody(std::size_t length);
+
+    RelayState &relay;
+    CallerSide caller;
+    Exchange &exchange;
+    const std::string &requestId;
+    AnswerCopy *copy;
+    std::vector<char> chunk;
+    boost::system::error_code callerError;
+};
+
+} // namespace Briarbend::Relay
--- a/Libraries/LibRelay/CallerListener.cpp
+++ b/Libraries/LibRelay/CallerListener.cpp
@@ -123,7 +123,7 @@
         const Presence request(relay.requestsInFlight);
         Http::request_parser<Http::buffer_body> parser;
         parser.header_limit(relay.limits.headerBytes);
-        parser.body_limit(boost::none);
+        parser.body_limit(relay.limits.requestBodyBytes);
         stream.expires_after(HEAD_TIMEOUT);
         co_await Http::async_read_header(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
         if (isProtocolError(error)) {
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -1,4 +1,4 @@
-#include <LibRelay/CallerWatch.h>
+#include <LibRejection/Refusal.h>
 #include <LibRelay/Exchange.h>
 #include <LibRelay/HeaderRules.h>
 
@@ -26,7 +26,6 @@
 constexpr std::chrono::seconds BODY_IDLE_TIMEOUT{30};
 constexpr std::size_t CHUNK_BYTES = 64UL * 1024;
 constexpr std::uint32_t MAXIMUM_ANSWER_HEAD_BYTES = 64U * 1024;
-constexpr unsigned HTTP_1_1 = 11;
 
 bool isNotRunRefusal(const Http::response_header<> &head)
 {
@@ -54,43 +53,49 @@
 
 } // namespace
 
-Exchange::Exchange(
-    RelayState &relayState, ServiceState &serviceState, CallerSide callerSide, ForwardedRequest &forwarded, AnswerCopy *answerCopy)
+Exchange::Exchange(RelayState &relayState,
+                   std::shared_ptr<ServiceState> serviceState,
+                   CallerSide callerSide,
+                   std::shared_ptr<const ForwardedRequest> forwarded,
+                   const Core::TargetId &target)
     : relay(relayState)
-    , service(serviceState)
+    , service(std::move(serviceState))
     , caller(callerSide)
-    , request(forwarded)
-    , copy(answerCopy)
+    , request(std::move(forwarded))
+    , head(this->request->head)
+    , targetId(target)
 {
 }
 
-Asio::awaitable<ExchangeResult> Exchange::run(const Core::TargetId &target)
+Asio::awaitable<bool> Exchange::open()
 {
     const auto startedAt = Core::Clock::now();
-    AttemptRecord record(this->relay, this->service, target, startedAt);
-    this->result.targetStart = record.startAtSend();
-    bool hasHead = co_await this->connect(target, record);
+    this->record.emplace(this->relay, *this->service, this->targetId, startedAt);
+    bool hasHead = co_await this->connect();
     if (hasHead) {
-        hasHead = co_await this->send(record);
+        hasHead = co_await this->send();
     }
     if (hasHead) {
-        hasHead = co_await this->receiveHead(record);
+        hasHead = co_await this->receiveHead();
     }
     this->result.timeToHead = Core::Clock::now() - startedAt;
     if (!hasHead) {
-        co_return this->result;
+        this->record.reset();
     }
-    if (this->result.progress == Progress::RefusedByTargetNotRun) {
-        co_await this->discardRefusal();
-        co_return this->result;
+    co_return hasHead;
+}
+
+void Exchange::cancel()
+{
+    this->isCancelled = true;
+    if (this->connection) {
+        this->connection->stream.cancel();
     }
-    co_await this->forwardAnswer();
-    co_return this->result;
 }
 
-Asio::awaitable<bool> Exchange::connect(const Core::TargetId &target, AttemptRecord &record)
+Asio::awaitable<bool> Exchange::connect()
 {
-    this->connection = this->relay.pool.takeIdle(target);
+    this->connection = this->relay.pool.takeIdle(this->targetId);
     if (this->connection) {
         co_return true;
     }
@@ -98,56 +103,57 @@
     bool isConnected = false;
     bool isRefused = false;
     try {
-        this->connection = co_await this->relay.pool.connect(target, std::min(this->request.deadline, now + CONNECT_TIMEOUT));
+        this->connection = co_await this->relay.pool.connect(this->targetId, std::min(this->request->deadline, now + CONNECT_TIMEOUT));
         isConnected = true;
     } catch (const boost::system::system_error &error) {
         this->result.failure = Reason::TargetConnectFailed;
         isRefused = error.code() == Asio::error::connection_refused;
     }
     if (isRefused && this->relay.guard != nullptr) {
-        this->relay.guard->targetGone(target);
+        this->relay.guard->targetGone(this->targetId);
     }
     if (!isConnected) {
-        record.connectionLost(Core::Clock::now());
+        this->record->connectionLost(Core::Clock::now());
     }
-    co_return isConnected;
+    co_return isConnected && !this->isCancelled;
 }
 
-Asio::awaitable<bool> Exchange::send(AttemptRecord &record)
+Asio::awaitable<bool> Exchange::send()
 {
-    auto &message = this->request.head;
-    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(this->request.deadline - Core::Clock::now());
-    message.set(std::string(DEADLINE_FIELD), std::to_string(std::max<std::int64_t>(remaining.count(), 0)));
-    message.body().data = this->request.isStreamed || this->request.body.empty() ? nullptr : this->request.body.data();
-    message.body().size = this->request.isStreamed ? 0 : this->request.body.size();
-    message.body().more = this->request.isStreamed;
-    Http::request_serializer<Http::buffer_body> serializer{message};
+    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(this->request->deadline - Core::Clock::now());
+    this->head.set(std::string(DEADLINE_FIELD), std::to_string(std::max<std::int64_t>(remaining.count(), 0)));
+    const auto &body = this->request->body;
+    // The serializer only reads the bytes; its interface is shared with parsers, which write them.
+    this->head.body().data = this->request->isStreamed || body.empty() ? nullptr : const_cast<char *>(body.data());
+    this->head.body().size = this->request->isStreamed ? 0 : body.size();
+    this->head.body().more = this->request->isStreamed;
+    Http::request_serializer<Http::buffer_body> serializer{this->head};
 
     // From here on nobody can tell whether the target got enough to run the request.
     this->result.progress = Progress::SentOutcomeUnknown;
-    auto &target = this->connection->stream;
-    target.expires_at(this->request.deadline);
-    boost::system::error_code error;
-    if (this->request.isStreamed) {
-        co_return co_await this->sendStreamedBody(serializer, record);
+    auto &stream = this->connection->stream;
+    stream.expires_at(this->request->deadline);
+    if (this->request->isStreamed) {
+        co_return co_await this->sendStreamedBody(serializer);
     }
-    co_await Http::async_write(target, serializer, Asio::redirect_error(Asio::use_awaitable, error));
+    boost::system::error_code error;
+    co_await Http::async_write(stream, serializer, Asio::redirect_error(Asio::use_awaitable, error));
     forgiveNeedBuffer(error);
     if (error) {
-        this->fail(error, record);
+        this->fail(error);
     }
     co_return !error;
 }
 
-Asio::awaitable<bool> Exchange::sendStreamedBody(Http::request_serializer<Http::buffer_body> &serializer, AttemptRecord &record)
+Asio::awaitable<bool> Exchange::sendStreamedBody(Http::request_serializer<Http::buffer_body> &serializer)
 {
-    auto &body = this->request.head.body();
+    auto &body = this->head.body();
     auto &callerBody = this->caller.parser.get().body();
-    this->chunk.resize(CHUNK_BYTES);
+    std::vector<char> chunk(CHUNK_BYTES);
     boost::system::error_code error;
     do {
-        callerBody.data = this->chunk.data();
-        callerBody.size = this->chunk.size();
+        callerBody.data = chunk.data();
+        callerBody.size = chunk.size();
         if (!this->caller.parser.is_done()) {
             this->caller.stream.expires_after(BODY_IDLE_TIMEOUT);
             co_await Http::async_read_some(
@@ -159,12 +165,12 @@
             this->result.isCallerUsable = false;
             co_return false;
         }
-        const auto length = this->chunk.size() - callerBody.size;
+        const auto length = chunk.size() - callerBody.size;
         if (length == 0 && !this->caller.parser.is_done()) {
             // Only the head of a chunk came. An empty chunk of our own would end the message.
             continue;
         }
-        body.data = this->chunk.data();
+        body.data = chunk.data();
         body.size = length;
         body.more = !this->caller.parser.is_done();
         this->connection->stream.expires_after(BODY_IDLE_TIMEOUT);
@@ -172,239 +178,125 @@
         forgiveNeedBuffer(error);
         if (error) {
             this->result.isCallerUsable = false;
-            this->fail(error, record);
+            this->fail(error);
             co_return false;
         }
     } while (!serializer.is_done());
     // A long upload leaves the target as much time as the route gives.
-    const auto allowed = this->request.deadline - Core::Clock::now();
+    const auto allowed = this->request->deadline - Core::Clock::now();
     this->connection->stream.expires_after(std::max<Core::Duration>(allowed, BODY_IDLE_TIMEOUT));
     co_return true;
 }
 
-Asio::awaitable<bool> Exchange::receiveHead(AttemptRecord &record)
+Asio::awaitable<bool> Exchange::receiveHead()
 {
-    auto &target = this->connection->stream;
     boost::system::error_code error;
-    std::optional<CallerWatch> watch;
-    if (this->copy == nullptr) {
-        watch.emplace(this->caller.stream.socket(), [&target] {
-            target.cancel();
-        });
-    }
     do {
         this->parser.emplace();
         this->parser->header_limit(MAXIMUM_ANSWER_HEAD_BYTES);
         this->parser->body_limit(boost::none);
-        this->parser->skip(this->request.head.method() == Http::verb::head);
-        co_await Http::async_read_header(target, this->connection->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
+        this->parser->skip(this->head.method() == Http::verb::head);
+        co_await Http::async_read_header(
+            this->connection->stream, this->connection->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
     } while (!error && this->parser->get().result_int() / 100 == 1);
-    if (watch && watch->isGone()) {
-        this->result.isCallerGone = true;
-        this->result.isCallerUsable = false;
-        this->connection.reset();
-        co_return false;
-    }
     if (error) {
-        this->fail(error, record);
+        this->fail(error);
         co_return false;
     }
-    this->noteHead(record);
+    this->noteHead();
     co_return true;
 }
 
-void Exchange::noteHead(AttemptRecord &record)
+void Exchange::noteHead()
 {
-    const auto &head = this->parser->get();
-    this->result.status = head.result_int();
+    const auto &answerHead = this->parser->get();
+    this->result.status = answerHead.result_int();
     Routing::Outcome outcome;
-    outcome.report = Routing::parseLoadReport(head[std::string(LOAD_REPORT_FIELD)]);
-    this->result.progress = isNotRunRefusal(head) ? Progress::RefusedByTargetNotRun : Progress::Answered;
+    outcome.report = Routing::parseLoadReport(answerHead[std::string(LOAD_REPORT_FIELD)]);
+    this->result.progress = isNotRunRefusal(answerHead) ? Progress::RefusedByTargetNotRun : Progress::Answered;
     if (this->result.progress == Progress::RefusedByTargetNotRun) {
         outcome.kind = Routing::OutcomeKind::Refused;
         this->result.failure = Reason::RefusedByTarget;
-        this->result.retryAfter = retryAfterOf(head);
-    } else if (head.result_int() >= 500) {
+        this->result.retryAfter = retryAfterOf(answerHead);
+    } else if (answerHead.result_int() >= 500) {
         outcome.kind = Routing::OutcomeKind::Failure;
     }
-    record.answered(outcome, Core::Clock::now());
+    this->record->answered(outcome, Core::Clock::now());
 }
 
-Asio::awaitable<void> Exchange::discardRefusal()
+Asio::awaitable<void> Exchange::discardAnswer()
 {
     this->connection->stream.expires_after(CONNECT_TIMEOUT);
-    this->chunk.resize(CHUNK_BYTES);
+    std::vector<char> chunk(CHUNK_BYTES);
     std::size_t length = 0;
     std::size_t total = 0;
-    while (!this->parser->is_done() && total < CHUNK_BYTES) {
-        if (!co_await this->readSome(length)) {
-            co_return;
-        }
+    bool isWhole = true;
+    while (isWhole && !this->parser->is_done() && total < CHUNK_BYTES) {
+        isWhole = co_await this->readSome(chunk, length);
         total += length;
     }
-    if (this->parser->is_done()) {
-        this->finish();
-    }
-}
-
-void Exchange::prepareAnswerHead()
-{
-    auto &message = this->parser->get();
-    const bool hasLength = this->parser->content_length().has_value() || this->parser->chunked() || this->parser->is_done();
-    removeConnectionFields(message);
-    message.erase(std::string(LOAD_REPORT_FIELD));
-    message.set(std::string(REQUEST_ID_FIELD), this->request.requestId);
-    this->copyHead();
-    message.version(HTTP_1_1);
-    if (this->caller.version < HTTP_1_1 && !this->parser->content_length()) {
-        message.chunked(false);
-        this->endsWithConnection = !this->parser->is_done();
-    } else if (!hasLength) {
-        message.chunked(true);
-    }
-    if (this->endsWithConnection || !this->caller.keepsAlive || this->relay.isStopping) {
-        this->result.isCallerUsable = false;
-    }
-    message.keep_alive(this->result.isCallerUsable);
+    this->finish();
 }
 
-Asio::awaitable<bool> Exchange::readSome(std::size_t &length)
+Asio::awaitable<bool> Exchange::readSome(std::vector<char> &chunk, std::size_t &length)
 {
     auto &body = this->parser->get().body();
-    body.data = this->chunk.data();
-    body.size = this->chunk.size();
+    body.data = chunk.data();
+    body.size = chunk.size();
+    this->connection->stream.expires_after(BODY_IDLE_TIMEOUT);
     boost::system::error_code error;
     co_await Http::async_read_some(
         this->connection->stream, this->connection->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
     forgiveNeedBuffer(error);
-    length = this->chunk.size() - body.size;
+    length = chunk.size() - body.size;
     co_return !error;
 }
 
-Asio::awaitable<void> Exchange::forwardAnswer()
+bool Exchange::hasBufferedBytes() const
 {
-    this->prepareAnswerHead();
-    this->chunk.resize(CHUNK_BYTES);
-    auto &message = this->parser->get();
-    ResponseSerializer serializer{message};
-    boost::system::error_code error;
-    auto &callerStream = this->caller.stream;
-    if (!this->parser->is_done() && this->connection->buffer.size() == 0) {
-        // The body has not come yet; the caller shall not wait for the head because of it.
-        message.body().data = nullptr;
-        message.body().more = true;
-        callerStream.expires_after(BODY_IDLE_TIMEOUT);
-        co_await Http::async_write_header(callerStream, serializer, Asio::redirect_error(Asio::use_awaitable, error));
-        this->result.isHeadForwarded = true;
-    }
-    while (!error && !serializer.is_done()) {
-        std::size_t length = 0;
-        this->connection->stream.expires_after(BODY_IDLE_TIMEOUT);
-        bool isRead = true;
-        if (!this->parser->is_done()) {
-            isRead = co_await this->readSome(length);
-        }
-        if (!isRead) {
-            // The answer is cut: the caller must see that, so its connection is closed before the message's end.
-            this->result.failure = Reason::TargetConnectionLost;
-            this->result.isCallerUsable = false;
-            this->result.isTargetBroken = true;
-            this->relay.counters.brokenOff += this->result.isHeadForwarded ? 1 : 0;
-            co_return;
-        }
-        if (length == 0 && !this->parser->is_done()) {
-            // Only the head of a chunk came. An empty chunk of our own would end the message.
-            continue;
-        }
-        this->copyBody(length);
-        message.body().data = this->chunk.data();
-        message.body().size = length;
-        message.body().more = !this->parser->is_done();
-        callerStream.expires_after(BODY_IDLE_TIMEOUT);
-        this->result.isHeadForwarded = true;
-        co_await Http::async_write(callerStream, serializer, Asio::redirect_error(Asio::use_awaitable, error));
-        forgiveNeedBuffer(error);
-    }
-    if (error) {
-        this->result.isCallerGone = true;
-        this->result.isCallerUsable = false;
-    }
-    bool isWhole = true;
-    if (error) {
-        isWhole = co_await this->readRestForCopy();
-    }
-    if (!isWhole) {
-        co_return;
-    }
-    if (this->copy != nullptr) {
-        this->copy->isWhole = true;
-    }
-    this->finish();
-}
-
-Asio::awaitable<bool> Exchange::readRestForCopy()
-{
-    if (this->copy == nullptr) {
-        co_return false;
-    }
-    std::size_t length = 0;
-    while (!this->parser->is_done() && this->copy->body.size() <= this->copy->maximumBytes) {
-        if (!co_await this->readSome(length)) {
-            co_return false;
-        }
-        this->copyBody(length);
-    }
-    co_return true;
+    return this->connection->buffer.size() > 0;
 }
 
-void Exchange::copyHead()
+void Exchange::finish()
 {
-    if (this->copy == nullptr) {
-        return;
-    }
-    const auto &message = this->parser->get();
-    this->copy->status = message.result_int();
-    for (const auto &field : message) {
-        if (field.name() != Http::field::transfer_encoding && field.name() != Http::field::content_length) {
-            this->copy->fields.push_back({std::string(field.name_string()), std::string(field.value())});
-        }
+    const bool isClean = this->parser->is_done() && this->parser->keep_alive() && this->connection->buffer.size() == 0;
+    if (isClean) {
+        this->relay.pool.giveBack(std::move(this->connection), Core::Clock::now());
     }
+    this->connection.reset();
+    this->record.reset();
 }
 
-void Exchange::copyBody(std::size_t length)
+Exchange::AnswerParser &Exchange::answer()
 {
-    // One byte above the maximum shows that the answer is too long to be kept; more of it is not needed.
-    if (this->copy != nullptr && this->copy->body.size() <= this->copy->maximumBytes) {
-        this->copy->body.append(this->chunk.data(), length);
-    }
+    return *this->parser;
 }
 
-void Exchange::finish()
+const Core::TargetId &Exchange::target() const
 {
-    const bool isClean = this->parser->is_done() && this->parser->keep_alive() && this->connection->buffer.size() == 0;
-    if (isClean) {
-        this->relay.pool.giveBack(std::move(this->connection), Core::Clock::now());
-    }
-    this->connection.reset();
+    return this->targetId;
 }
 
-void Exchange::fail(const boost::system::error_code &error, AttemptRecord &record)
+void Exchange::fail(const boost::system::error_code &error)
 {
     this->connection.reset();
+    if (this->isCancelled) {
+        return;
+    }
     const auto now = Core::Clock::now();
     if (error == boost::beast::error::timeout) {
         this->result.failure = Reason::DeadlinePassedAfterSending;
-        record.answered({.kind = Routing::OutcomeKind::Failure, .report = {}}, now);
+        this->record->answered({.kind = Routing::OutcomeKind::Failure, .report = {}}, now);
         return;
     }
     if (isProtocolError(error)) {
         this->result.failure = Reason::BadGatewayAnswer;
-        record.answered({.kind = Routing::OutcomeKind::Failure, .report = {}}, now);
+        this->record->answered({.kind = Routing::OutcomeKind::Failure, .report = {}}, now);
         return;
     }
     this->result.failure = Reason::TargetConnectionLost;
     this->result.isTargetBroken = true;
-    record.connectionLost(now);
+    this->record->connectionLost(now);
 }
 
 } // namespace Briarbend::Relay
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -2,13 +2,13 @@
 
 #include <LibRejection/Progress.h>
 #include <LibRejection/Reason.h>
-#include <LibRejection/Refusal.h>
 #include <LibRelay/AttemptRecord.h>
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -40,16 +40,6 @@
     std::string requestId;
 };
 
-/// A copy of an answer that is kept for repeats of the request. A request whose answer is copied is not cancelled when its caller goes.
-struct AnswerCopy {
-    /// Copying ends once the body is longer than this.
-    std::size_t maximumBytes{0};
-    unsigned status{0};
-    std::vector<Rejection::HeaderField> fields;
-    std::string body;
-    bool isWhole{false};
-};
-
 /// How one exchange with a target ended.
 struct ExchangeResult {
     Rejection::Progress progress{Rejection::Progress::NotSent};
@@ -64,50 +54,63 @@
     std::optional<std::chrono::milliseconds> retryAfter;
     /// The connection broke after the request was sent: the request may have crashed the target.
     bool isTargetBroken{false};
-    std::optional<Core::TargetStartId> targetStart;
     unsigned status{0};
     /// From the start of the exchange to the head of the answer, or to its failure.
     Core::Duration timeToHead{0};
 };
 
-/// Sends one request to one target and streams the answer back. The target connection is reused only after a clean end.
+/// Sends one request to one target and reads the head of its answer. Destroying it closes the connection, unless the answer was read to a
+/// clean end.
 class Exchange
 {
 public:
-    Exchange(RelayState &relay, ServiceState &service, CallerSide caller, ForwardedRequest &request, AnswerCopy *copy);
+    using AnswerParser = Http::response_parser<Http::buffer_body>;
 
-    /// Throws nothing but what allocation throws; every failure of the network is in the result.
-    boost::asio::awaitable<ExchangeResult> run(const Core::TargetId &target);
+    Exchange(RelayState &relay,
+             std::shared_ptr<ServiceState> service,
+             CallerSide caller,
+             std::shared_ptr<const ForwardedRequest> request,
+             const Core::TargetId &target);
 
-private:
-    using ResponseParser = Http::response_parser<Http::buffer_body>;
-    using ResponseSerializer = Http::response_serializer<Http::buffer_body>;
-
-    boost::asio::awaitable<bool> connect(const Core::TargetId &target, AttemptRecord &record);
-    boost::asio::awaitable<bool> send(AttemptRecord &record);
-    boost::asio::awaitable<bool> sendStreamedBody(Http::request_serializer<Http::buffer_body> &serializer, AttemptRecord &record);
-    boost::asio::awaitable<bool> receiveHead(AttemptRecord &record);
-    boost::asio::awaitable<void> discardRefusal();
-    boost::asio::awaitable<void> forwardAnswer();
-    boost::asio::awaitable<bool> readRestForCopy();
-    boost::asio::awaitable<bool> readSome(std::size_t &length);
-    void prepareAnswerHead();
-    void noteHead(AttemptRecord &record);
-    void copyHead();
-    void copyBody(std::size_t length);
+    /// Ends with the head of an answer in answer(), or with a failure in the result. The caller's side is touched only where the body is
+    /// streamed. Throws nothing but what allocation throws.
+    boost::asio::awaitable<bool> open();
+    /// Gives up an opening that is under way; it then ends without blaming the target.
+    void cancel();
+
+    /// Reads the rest of a short answer that nobody wants, so that its connection can be used again.
+    boost::asio::awaitable<void> discardAnswer();
+    /// Reads the next part of the answer's body into the chunk. False where the answer is cut.
+    boost::asio::awaitable<bool> readSome(std::vector<char> &chunk, std::size_t &length);
+    /// True where bytes of the answer wait that have been received already.
+    bool hasBufferedBytes() const;
+    /// Keeps the connection for other requests if the answer came to a clean end.
     void finish();
-    void fail(const boost::system::error_code &error, AttemptRecord &record);
+
+    AnswerParser &answer();
+    const Core::TargetId &target() const;
+
+    ExchangeResult result;
+
+private:
+    boost::asio::awaitable<bool> connect();
+    boost::asio::awaitable<bool> send();
+    boost::asio::awaitable<bool> sendStreamedBody(Http::request_serializer<Http::buffer_body> &serializer);
+    boost::asio::awaitable<bool> receiveHead();
+    void noteHead();
+    void fail(const boost::system::error_code &error);
 
     RelayState &relay;
-    ServiceState &service;
+    std::shared_ptr<ServiceState> service;
     CallerSide caller;
-    ForwardedRequest &request;
-    AnswerCopy *copy;
-    ExchangeResult result;
+    std::shared_ptr<const ForwardedRequest> request;
+    /// Its own copy, since two exchanges may send the same request at once.
+    Http::request<Http::buffer_body> head;
+    Core::TargetId targetId;
+    std::optional<AttemptRecord> record;
     std::unique_ptr<TargetConnection> connection;
-    std::optional<ResponseParser> parser;
-    std::vector<char> chunk;
-    bool endsWithConnection{false};
+    std::optional<AnswerParser> parser;
+    bool isCancelled{false};
 };
 
 } // namespace Briarbend::Relay
--- a/Libraries/LibRelay/OnceSubmission.h
+++ b/Libraries/LibRelay/OnceSubmission.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibNetwork/Http.h>
+#include <LibRelay/AnswerForwarder.h>
 #include <LibRelay/ClaimSubmitter.h>
-#include <LibRelay/Exchange.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <variant>
--- a/Libraries/LibRelay/RelayState.h
+++ b/Libraries/LibRelay/RelayState.h
@@ -23,6 +23,7 @@
     std::uint64_t answered{0};
     std::uint64_t refused{0};
     std::uint64_t retries{0};
+    std::uint64_t hedges{0};
     std::uint64_t callersGone{0};
     std::uint64_t brokenOff{0};
     std::array<std::uint64_t, Rejection::REASON_COUNT> refusedByReason{};
@@ -52,6 +53,7 @@
 struct RelayLimits {
     std::uint32_t callerConnections{10'000};
     std::uint32_t headerBytes{16 * 1024};
+    std::uint64_t requestBodyBytes{4ULL * 1024 * 1024 * 1024};
     std::uint64_t claimedBodyBytes{256ULL * 1024};
     std::chrono::milliseconds idleTimeout{60'000};
 };
--- a/Libraries/LibRelay/RequestHandler.cpp
+++ b/Libraries/LibRelay/RequestHandler.cpp
@@ -1,6 +1,9 @@
 #include <LibClaims/IdempotencyKey.h>
+#include <LibRelay/AnswerForwarder.h>
 #include <LibRelay/Answers.h>
+#include <LibRelay/CallerWatch.h>
 #include <LibRelay/HeaderRules.h>
+#include <LibRelay/HedgedOpening.h>
 #include <LibRelay/RequestHandler.h>
 
 #include <algorithm>
@@ -56,6 +59,7 @@
     : relay(relayState)
     , caller(callerSide)
     , routes(relayState.routes)
+    , forwarded(std::make_shared<ForwardedRequest>())
     , arrivedAt(Core::Clock::now())
 {
     ++this->relay.counters.requests;
@@ -83,7 +87,7 @@
         co_return co_await this->refuse(Reason::NoTarget);
     }
     this->service = found->second;
-    this->forwarded.deadline = this->deadlineOf(*this->matched.route);
+    this->forwarded->deadline = this->deadlineOf(*this->matched.route);
     co_return co_await this->serve();
 }
 
@@ -99,21 +103,21 @@
     }
     const auto maximumBytes = isOnce ? this->relay.limits.claimedBodyBytes : BUFFERED_BODY_BYTES;
     const auto length = this->caller.parser.content_length();
-    this->forwarded.isStreamed = !isOnce && !this->caller.parser.is_done() && (!length || *length > maximumBytes);
+    this->forwarded->isStreamed = !isOnce && !this->caller.parser.is_done() && (!length || *length > maximumBytes);
     bool isBodyRead = true;
-    if (!this->forwarded.isStreamed) {
+    if (!this->forwarded->isStreamed) {
         isBodyRead = co_await this->readWholeBody(maximumBytes);
     }
     if (!isBodyRead) {
         co_return false;
     }
     this->prepareForwardedHead();
-    const auto &head = this->forwarded.head;
+    const auto &head = this->forwarded->head;
     this->fingerprint = Quarantine::fingerprintOf({head.method_string().data(), head.method_string().size()},
                                                   {head.target().data(), head.target().size()},
                                                   length.value_or(0),
-                                                  this->forwarded.body);
-    AdmissionTurn turn(this->relay, this->service, this->matched.route->trafficClass, this->forwarded.deadline);
+                                                  this->forwarded->body);
+    AdmissionTurn turn(this->relay, this->service, this->matched.route->trafficClass, this->forwarded->deadline);
     if (!co_await turn.enter()) {
         co_return co_await this->refuse(Reason::Overloaded, turn.retryAfter());
     }
@@ -137,7 +141,7 @@
 
 Asio::awaitable<bool> RequestHandler::claimKey()
 {
-    const auto key = idempotencyKeyOf(this->forwarded.head);
+    const auto key = idempotencyKeyOf(this->forwarded->head);
     if (!key) {
         this->isCallerUsable = co_await this->refuse(Reason::KeyMissing);
         co_return false;
@@ -151,10 +155,10 @@
         this->caller.stream.get_executor(),
         *this->relay.claims,
         this->matched.service->name,
-        makeRequestClaim(this->matched, this->forwarded, *key, this->relay.instance, this->relay.random));
+        makeRequestClaim(this->matched, *this->forwarded, *key, this->relay.instance, this->relay.random));
     const auto verdict = co_await claiming->claim();
     if (const auto *answer = std::get_if<Claims::RecordedAnswer>(&verdict)) {
-        this->isCallerUsable = co_await this->write(replayedAnswer(*answer, this->forwarded.requestId));
+        this->isCallerUsable = co_await this->write(replayedAnswer(*answer, this->forwarded->requestId));
         co_return false;
     }
     if (const auto *refused = std::get_if<Rejection::Refusal>(&verdict)) {
@@ -192,26 +196,103 @@
             co_return Next::Refuse;
         }
     }
-    this->tried.push_back(*choice.target);
-    const auto *target = Routing::findTarget(this->service->table, *choice.target);
-    const auto version = target == nullptr ? Core::VersionName{} : target->description.version;
     const auto sentAt = Core::Clock::now();
-    Exchange exchange(this->relay, *this->service, this->caller, this->forwarded, this->copy ? &*this->copy : nullptr);
-    this->lastResult = co_await exchange.run(*choice.target);
-    turn.headArrived(this->lastResult.timeToHead);
     this->relay.latencies.beforeSending.add(sentAt - this->arrivedAt);
-    this->relay.latencies.atTarget.add(this->lastResult.timeToHead);
-    this->observe(*choice.target, version, choice.isColdTrial);
-    co_await this->tellGuard(*choice.target, verdict, sentAt);
+    const auto exchange = co_await this->openExchange(choice);
+    turn.headArrived(exchange->result.timeToHead);
+    this->relay.latencies.atTarget.add(exchange->result.timeToHead);
+    const auto version = this->versionOf(exchange->target());
+    co_await this->finishExchange(*exchange);
+    this->lastResult = exchange->result;
+    this->observe(exchange->target(), version, choice.isColdTrial);
+    co_await this->tellGuard(exchange->target(), verdict, sentAt);
     co_return this->judge(this->lastResult);
 }
 
+std::shared_ptr<Exchange> RequestHandler::makeExchange(const Core::TargetId &target)
+{
+    this->tried.push_back(target);
+    return std::make_shared<Exchange>(this->relay, this->service, this->caller, this->forwarded, target);
+}
+
+Asio::awaitable<std::shared_ptr<Exchange>> RequestHandler::openExchange(Routing::Choice choice)
+{
+    auto exchange = this->makeExchange(*choice.target);
+    if (this->forwarded->isStreamed || this->copy) {
+        co_await exchange->open();
+        co_return exchange;
+    }
+    HedgedOpening opening(this->caller.stream.get_executor());
+    const CallerWatch watch(this->caller.stream.socket(), [&opening] {
+        opening.cancel();
+    });
+    const auto delay = Routing::hedgeDelay(this->service->table);
+    const bool mayHedge = this->matched.route->kind == Configuration::RouteKind::Safe && delay.count() > 0 && !choice.isColdTrial;
+    exchange = co_await opening.open(
+        std::move(exchange), mayHedge ? Core::Duration{delay} : Core::Duration{std::chrono::hours{1}}, [this, &watch] {
+            return watch.isGone() ? nullptr : this->makeHedge();
+        });
+    if (watch.isGone()) {
+        exchange->result.isCallerGone = true;
+        exchange->result.isCallerUsable = false;
+    }
+    co_return exchange;
+}
+
+std::shared_ptr<Exchange> RequestHandler::makeHedge()
+{
+    const auto now = Core::Clock::now();
+    if (this->matched.route->kind != Configuration::RouteKind::Safe) {
+        return nullptr;
+    }
+    const auto choice = this->choose();
+    const bool isUsable = choice.target && !choice.isColdTrial;
+    if (!isUsable) {
+        return nullptr;
+    }
+    const auto delay = Routing::hedgeDelay(this->service->table);
+    const Limits::HedgeInput input{.kind = this->matched.route->kind,
+                                   .elapsed = delay,
+                                   .hedgeDelay = delay,
+                                   .remaining = this->forwarded->deadline - now,
+                                   .hasRoom = Routing::hasRoomForHedge(this->service->table, *choice.target, now)};
+    const bool isUnsuspected = this->relay.guard == nullptr || this->relay.guard->isUnsuspected(this->fingerprint);
+    if (!isUnsuspected || !Limits::takeHedge(this->service->retryBudget, input, now)) {
+        return nullptr;
+    }
+    ++this->relay.counters.hedges;
+    return this->makeExchange(*choice.target);
+}
+
+Asio::awaitable<void> RequestHandler::finishExchange(Exchange &exchange)
+{
+    const auto &result = exchange.result;
+    if (result.isCallerGone) {
+        co_return;
+    }
+    if (result.progress == Progress::RefusedByTargetNotRun) {
+        co_await exchange.discardAnswer();
+        co_return;
+    }
+    if (result.progress != Progress::Answered) {
+        co_return;
+    }
+    AnswerForwarder forwarder(this->relay, this->caller, exchange, this->forwarded->requestId, this->copy ? &*this->copy : nullptr);
+    co_await forwarder.forward();
+}
+
+Core::VersionName RequestHandler::versionOf(const Core::TargetId &target) const
+{
+    const auto *known = Routing::findTarget(this->service->table, target);
+    return known == nullptr ? Core::VersionName{} : known->description.version;
+}
+
 Asio::awaitable<RequestGuard::Verdict> RequestHandler::askGuard(const Core::TargetId &target)
 {
     if (this->relay.guard == nullptr || this->relay.guard->isUnsuspected(this->fingerprint)) {
         co_return RequestGuard::Verdict::Send;
     }
-    const auto permission = co_await this->relay.guard->permit(this->fingerprint, target, this->forwarded.deadline);
+    const auto permission = co_await this->relay.guard->permit(this->fingerprint, target, this->forwarded->deadline);
     if (permission.verdict == RequestGuard::Verdict::Refuse) {
         this->refusal.reason = Reason::Quarantined;
         this->refusal.retryAfter = permission.retryAfter;
@@ -264,11 +345,11 @@
     }
     const auto now = Core::Clock::now();
     const bool mayBeSentAgain = Rejection::mayRetry(this->matched.route->kind, result.progress)
-        && (!this->forwarded.isStreamed || result.progress == Progress::NotSent);
+        && (!this->forwarded->isStreamed || result.progress == Progress::NotSent);
     if (this->submission && Rejection::isCertainlyNotRun(result.progress)) {
         this->submission->refusedByTarget();
     }
-    if (mayBeSentAgain && now < this->forwarded.deadline && Limits::takeExtraSend(this->service->retryBudget, now)) {
+    if (mayBeSentAgain && now < this->forwarded->deadline && Limits::takeExtraSend(this->service->retryBudget, now)) {
         ++this->relay.counters.retries;
         return Next::TryAgain;
     }
@@ -337,7 +418,7 @@
         answer = this->submission->failed(answer);
         this->submission.reset();
     }
-    co_return co_await this->write(makeRefusal(answer, this->relay.instanceName, this->forwarded.requestId));
+    co_return co_await this->write(makeRefusal(answer, this->relay.instanceName, this->forwarded->requestId));
 }
 
 Asio::awaitable<bool> RequestHandler::write(Network::Response response)
@@ -361,7 +442,7 @@
 Asio::awaitable<bool> RequestHandler::readWholeBody(std::uint64_t maximumBytes)
 {
     auto &parser = this->caller.parser;
-    auto &whole = this->forwarded.body;
+    auto &whole = this->forwarded->body;
     std::vector<char> chunk(parser.is_done() ? 0 : READ_BYTES);
     while (!parser.is_done()) {
         parser.get().body().data = chunk.data();
@@ -383,14 +464,14 @@
 
 void RequestHandler::prepareForwardedHead()
 {
-    auto &head = this->forwarded.head;
+    auto &head = this->forwarded->head;
     static_cast<Http::request_header<> &>(head) = this->caller.parser.get().base();
     removeConnectionFields(head);
     head.version(11);
-    head.set(std::string(REQUEST_ID_FIELD), this->forwarded.requestId);
-    if (!this->forwarded.isStreamed && head.count(Http::field::transfer_encoding) > 0) {
+    head.set(std::string(REQUEST_ID_FIELD), this->forwarded->requestId);
+    if (!this->forwarded->isStreamed && head.count(Http::field::transfer_encoding) > 0) {
         head.erase(Http::field::transfer_encoding);
-        head.content_length(this->forwarded.body.size());
+        head.content_length(this->forwarded->body.size());
     }
 }
 
@@ -398,7 +479,7 @@
 {
     const auto given = this->caller.parser.get()[std::string(REQUEST_ID_FIELD)];
     const bool isUsable = !given.empty() && given.size() <= MAXIMUM_REQUEST_ID_BYTES;
-    this->forwarded.requestId = isUsable ? std::string(given) : hexadecimal(this->relay.random.bits());
+    this->forwarded->requestId = isUsable ? std::string(given) : hexadecimal(this->relay.random.bits());
 }
 
 Core::TimePoint RequestHandler::deadlineOf(const Configuration::Route &route) const
--- a/Libraries/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/RequestHandler.h
@@ -2,7 +2,7 @@
 
 #include <LibNetwork/Http.h>
 #include <LibRelay/AdmissionTurn.h>
-#include <LibRelay/Exchange.h>
+#include <LibRelay/AnswerForwarder.h>
 #include <LibRelay/OnceSubmission.h>
 #include <LibRouting/Choice.h>
 
@@ -38,6 +38,13 @@
     /// Claims the key of a request that runs at most once. False where the caller has its answer already.
     boost::asio::awaitable<bool> claimKey();
     boost::asio::awaitable<Next> attemptOnce(AdmissionTurn &turn);
+    std::shared_ptr<Exchange> makeExchange(const Core::TargetId &target);
+    /// Sends to the chosen target, and to a second one where a safe request is late.
+    boost::asio::awaitable<std::shared_ptr<Exchange>> openExchange(Routing::Choice choice);
+    std::shared_ptr<Exchange> makeHedge();
+    /// Passes the answer to the caller, or takes a refusal off its connection.
+    boost::asio::awaitable<void> finishExchange(Exchange &exchange);
+    Core::VersionName versionOf(const Core::TargetId &target) const;
     Next judge(const ExchangeResult &result);
     void observe(const Core::TargetId &target, const Core::VersionName &version, bool wasCold) const;
     void endAnswered(const ExchangeResult &result);
@@ -52,7 +59,7 @@
     std::shared_ptr<const Configuration::RouteTable> routes;
     Configuration::MatchedRoute matched;
     std::shared_ptr<ServiceState> service;
-    ForwardedRequest forwarded;
+    std::shared_ptr<ForwardedRequest> forwarded;
     Core::TimePoint arrivedAt;
     std::vector<Core::TargetId> tried;
     Rejection::Refusal refusal;
--- a/Libraries/LibRelay/ServiceState.h
+++ b/Libraries/LibRelay/ServiceState.h
@@ -64,7 +64,7 @@
     Core::DataCentreName dataCentre;
     Limits::ShareDeclaration shares;
     /// Round trip to another data centre, over that within the own one.
-    std::chrono::microseconds distance{1500};
+    std::chrono::microseconds distance{0};
     Core::TimePoint startedAt;
     /// Members that run now, at least one; decides how many targets each covers.
     std::size_t members{1};
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -38,7 +38,6 @@
 struct PeerSettings {
     /// Known besides those that the platform's list names.
     std::vector<Network::Endpoint> seeds;
-    std::chrono::milliseconds gossipInterval{250};
 };
 
 struct LimitSettings {
--- a/Libraries/LibSettings/SettingsKeys.cpp
+++ b/Libraries/LibSettings/SettingsKeys.cpp
@@ -99,7 +99,6 @@
             &P::seeds,
             Document::listType(remoteType(), 0),
             "Peer addresses that are known besides those in the platform's list, for a start while the store is down."),
-        key("gossip_interval", &P::gossipInterval, durationType<Milliseconds>(10ms, 10s), "How often news goes to a few random peers."),
     };
 }
 
--- a/Services/briarbendd/ClaimsRunner.cpp
+++ b/Services/briarbendd/ClaimsRunner.cpp
@@ -3,6 +3,7 @@
 #include "ClaimsMessage.h"
 
 #include <LibCore/RendezvousHash.h>
+#include <LibLog/Log.h>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -26,6 +27,12 @@
 /// An instance that is younger than this may not know of others yet.
 constexpr std::chrono::seconds YOUNG_AGE{30};
 
+const auto &logger()
+{
+    static const auto named = Log::logger("claims");
+    return named;
+}
+
 Core::WallTime wallNow()
 {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
@@ -130,6 +137,9 @@
     this->submitToBucket(storeKey, operation, [this, callback = std::move(callback)](const Claims::OperationResult &result) {
         const auto *claim = std::get_if<Claims::ClaimResult>(&result);
         if (claim == nullptr) {
+            if (std::holds_alternative<Claims::NotHeld>(std::get<Claims::OutcomeResult>(result))) {
+                LOG4CXX_ERROR(logger(), "an outcome found no claim of its attempt: see docs/operators/at-most-once.md");
+            }
             return;
         }
         const auto *running = std::get_if<Claims::RunningElsewhere>(claim);
@@ -204,7 +214,7 @@
     auto &commitment = this->commitments[storeKey];
     if (!commitment) {
         const auto &self = this->peers.state().members.self;
-        commitment = std::make_shared<Commitment>(this->context, Claims::BucketCommitter(self, this->claimSettings), storeKey);
+        commitment = std::make_shared<Commitment>(this->context, Claims::BucketCommitter(self, this->settingsFor(storeKey)), storeKey);
     }
     const auto id = this->nextId++;
     this->localCallbacks.emplace(id, std::move(callback));
@@ -287,6 +297,20 @@
     return members.members.at({order.front()}).news.address.value;
 }
 
+Claims::Settings ClaimsRunner::settingsFor(const std::string &storeKey) const
+{
+    // The window that the store holds counts, whatever this instance's own settings say: all instances must evict alike.
+    auto settings = this->claimSettings;
+    const auto found = std::ranges::find_if(this->layouts, [&storeKey](const auto &entry) {
+        const auto last = Claims::bucketStoreKey(entry.first, 0);
+        return storeKey.starts_with(std::string_view(last).substr(0, last.rfind('/') + 1));
+    });
+    if (found != this->layouts.end()) {
+        settings.window = found->second.window;
+    }
+    return settings;
+}
+
 bool ClaimsRunner::isGone(const Core::InstanceId &instance) const
 {
     const auto &members = this->peers.state().members;
--- a/Services/briarbendd/ClaimsRunner.h
+++ b/Services/briarbendd/ClaimsRunner.h
@@ -58,6 +58,7 @@
     boost::asio::awaitable<void> callStore(std::shared_ptr<Commitment> commitment, Claims::StoreRequest request);
     void armTimer(const std::shared_ptr<Commitment> &commitment, Core::TimePoint wakeAt);
     void receive(const std::string &peer, std::string_view bytes);
+    Claims::Settings settingsFor(const std::string &storeKey) const;
     std::string ownerOf(const std::string &storeKey) const;
     bool isGone(const Core::InstanceId &instance) const;
 
--- a/Services/briarbendd/Daemon.cpp
+++ b/Services/briarbendd/Daemon.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds TICK{10};
 constexpr std::chrono::milliseconds MEMBERSHIP_TICK{100};
 constexpr std::chrono::milliseconds WARMTH_TICK{250};
+/// Well within the time for which gossip keeps a statement about warmth.
+constexpr std::chrono::hours WARMTH_REPETITION{1};
 constexpr std::chrono::seconds IDLE_CONNECTION_SWEEP{5};
 constexpr std::chrono::seconds IDLE_CONNECTION_LIFETIME{30};
 constexpr std::chrono::milliseconds STOP_CHECK{50};
@@ -62,6 +64,7 @@
     this->relay.instanceName = this->settings.instance.name.value_or(this->instance.value);
     this->relay.limits = {.callerConnections = this->settings.limits.maximumCallerConnections,
                           .headerBytes = this->settings.limits.maximumHeaderBytes,
+                          .requestBodyBytes = this->settings.limits.maximumRequestBodyBytes,
                           .idleTimeout = this->settings.limits.idleTimeout};
     const auto &listenAt = this->settings.instance.peerAddress;
     this->peerEndpoint = {listenAt.address, this->transport->listen(listenAt.address, listenAt.port)};
@@ -127,6 +130,9 @@
     this->subscriptions.push_back(this->timers.every(WARMTH_TICK, [this](Core::TimePoint) {
         this->warmth->publishChanges();
     }));
+    this->subscriptions.push_back(this->timers.every(WARMTH_REPETITION, [this](Core::TimePoint) {
+        this->warmth->publishAllAgain();
+    }));
     this->subscriptions.push_back(this->timers.every(IDLE_CONNECTION_SWEEP, [this](Core::TimePoint now) {
         this->relay.pool.closeIdle(now, IDLE_CONNECTION_LIFETIME);
     }));
@@ -192,6 +198,7 @@
     LOG4CXX_INFO(logger(), "planned stop begins");
     this->onStopped = std::move(callback);
     this->relay.isStopping = true;
+    this->stopBegan = this->timers.now();
     this->subscriptions.push_back(this->timers.after(this->settings.limits.stopGrace, [this](Core::TimePoint now) {
         this->quietSince = now;
         this->endListening();
@@ -216,8 +223,9 @@
     if (isBusy) {
         this->quietSince = now;
     }
+    const bool isOverdue = now - this->stopBegan >= this->settings.limits.stopGrace + this->settings.limits.stopDeadline;
     const bool isDone = this->relay.callerConnections == 0 || now - this->quietSince >= STOP_QUIET_TIME;
-    if (!isBusy && isDone && this->onStopped) {
+    if (((!isBusy && isDone) || isOverdue) && this->onStopped) {
         LOG4CXX_INFO(logger(), "planned stop ends");
         this->transport->stop();
         std::exchange(this->onStopped, nullptr)();
@@ -264,9 +272,10 @@
                                .shares = {.maximumInstances = this->settings.instance.declaredMaximumInstances, .instanceSlot = {}},
                                .startedAt = this->startedAt};
     place.members = std::max<std::size_t>(1, Membership::aliveMembers(this->peers->state().members).size());
-    const auto longest = std::ranges::max_element(this->settings.distances, {}, &Settings::DataCentreDistance::roundTrip);
-    if (longest != this->settings.distances.end()) {
-        place.distance = longest->roundTrip;
+    for (const auto &pair : this->settings.distances) {
+        if (pair.first == place.dataCentre || pair.second == place.dataCentre) {
+            place.distance = std::max(place.distance, pair.roundTrip);
+        }
     }
     return place;
 }
--- a/Services/briarbendd/Daemon.h
+++ b/Services/briarbendd/Daemon.h
@@ -66,6 +66,7 @@
     std::function<void()> onStopped;
     std::uint64_t requestsAtLastLook{0};
     Core::TimePoint quietSince;
+    Core::TimePoint stopBegan;
 };
 
 } // namespace Briarbend::Daemon
--- a/Services/briarbendd/Dump.cpp
+++ b/Services/briarbendd/Dump.cpp
@@ -98,6 +98,7 @@
               {"answered", counters.answered},
               {"refused", counters.refused},
               {"retries", counters.retries},
+              {"hedges", counters.hedges},
               {"callers_gone", counters.callersGone},
               {"broken_off", counters.brokenOff}}}};
 }
--- a/Services/briarbendd/WarmthSpread.cpp
+++ b/Services/briarbendd/WarmthSpread.cpp
@@ -31,6 +31,11 @@
     }
 }
 
+void WarmthSpread::publishAllAgain()
+{
+    this->toldRevision = 0;
+}
+
 void WarmthSpread::learn(const Gossip::WarmMark &mark)
 {
     const auto separator = mark.start.value.find(SEPARATOR);
--- a/Services/briarbendd/WarmthSpread.h
+++ b/Services/briarbendd/WarmthSpread.h
@@ -17,6 +17,8 @@
 
     /// Publishes the statements that changed since the last call.
     void publishChanges();
+    /// Publishes every statement again with the next call, before peers forget them.
+    void publishAllAgain();
     /// Takes a peer's record over into the gate.
     void learn(const Gossip::WarmMark &mark);
 
