--- a/Meta/cluster.sh
+++ b/Meta/cluster.sh
@@ -83,6 +83,9 @@
 instance_list_interval = "500ms"
 [limits]
 stop_grace = "${stop_grace:-500ms}"
+[claims]
+batch_delay = "${batch_delay:-2ms}"
+buckets = ${buckets:-256}
 TOML
     start "$1" "$binaries/briarbendd" --settings "$work/$1.toml"
     callers+=("$(field "$1" listening)")
