briarbendd: End planned stops cleanly and take accepted sections directly

The pool now closes its idle connections first, and the process ends without taking apart what open connections still refer to.

An operators' PUT /sections/<team> takes a section from whoever got the store's acceptance: a store that fails right after it accepted a section has nobody else to tell it.

--- a/Libraries/LibRelay/TargetConnection.cpp
+++ b/Libraries/LibRelay/TargetConnection.cpp
@@ -44,6 +44,14 @@
 {
 }
 
+TargetConnectionPool::~TargetConnectionPool()
+{
+    // Each connection counts itself out of the table, which must still stand then.
+    for (auto &[target, entry] : this->connections) {
+        entry.idle.clear();
+    }
+}
+
 std::unique_ptr<TargetConnection> TargetConnectionPool::takeIdle(const Core::TargetId &target)
 {
     const auto found = this->connections.find(target);
--- a/Libraries/LibRelay/TargetConnection.h
+++ b/Libraries/LibRelay/TargetConnection.h
@@ -47,6 +47,9 @@
 {
 public:
     explicit TargetConnectionPool(boost::asio::any_io_executor executor);
+    TargetConnectionPool(const TargetConnectionPool &) = delete;
+    TargetConnectionPool &operator=(const TargetConnectionPool &) = delete;
+    ~TargetConnectionPool();
 
     /// The most recently used idle connection that is still quiet; null where there is none.
     std::unique_ptr<TargetConnection> takeIdle(const Core::TargetId &target);
--- a/Services/briarbendd/ConfigurationFeed.cpp
+++ b/Services/briarbendd/ConfigurationFeed.cpp
@@ -65,6 +65,16 @@
     }
 }
 
+void ConfigurationFeed::takeAccepted(const Gossip::SectionText &accepted)
+{
+    Configuration::parseSection(accepted.team, accepted.text, accepted.storeVersion, Configuration::sectionKey(accepted.team));
+    const bool isNew = this->bringIntoForce(accepted);
+    if (isNew) {
+        this->peers.publishSection(accepted);
+        this->callback(this->inForce);
+    }
+}
+
 boost::asio::awaitable<void> ConfigurationFeed::follow()
 {
     boost::asio::steady_timer pause(this->context);
--- a/Services/briarbendd/ConfigurationFeed.h
+++ b/Services/briarbendd/ConfigurationFeed.h
@@ -23,6 +23,9 @@
     /// Takes the sections that gossip brought.
     void takeFromPeers(const std::vector<Gossip::SectionText> &changed);
 
+    /// Takes a section from whoever wrote it and got the store's acceptance. Throws Document::DocumentError where it is not allowed.
+    void takeAccepted(const Gossip::SectionText &accepted);
+
     const Configuration::Sections &sections() const;
 
 private:
--- a/Services/briarbendd/Daemon.cpp
+++ b/Services/briarbendd/Daemon.cpp
@@ -118,6 +118,10 @@
                                                                  [this] {
                                                                      return this->metrics();
                                                                  },
+                                                             .takeSection =
+                                                                 [this](const std::string &team, std::uint64_t version, const std::string &text) {
+                                                                     this->configuration->takeAccepted({.team = {team}, .storeVersion = version, .text = text});
+                                                                 },
                                                          });
     this->configuration->start();
     this->instanceList->start();
--- a/Services/briarbendd/Main.cpp
+++ b/Services/briarbendd/Main.cpp
@@ -58,7 +58,10 @@
     });
     std::cout << daemon.listeningLine() << std::endl;
     context.run();
-    return EXIT_SUCCESS;
+    std::cout.flush();
+    // Connections that are still open hold references into the daemon. The operating system takes both back at once, where destructors
+    // would have to be put in order.
+    std::quick_exit(EXIT_SUCCESS);
 }
 
 } // namespace
--- a/Services/briarbendd/OperatorEndpoint.cpp
+++ b/Services/briarbendd/OperatorEndpoint.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr int DUMP_INDENT = 1;
+constexpr std::string_view SECTIONS_PATH{"/sections/"};
 
 using Network::Http::status;
 
@@ -27,9 +28,23 @@
     return this->server.endpoint();
 }
 
+Network::Response OperatorEndpoint::takeSection(const std::string &team, const std::string &body) const
+{
+    try {
+        const auto section = nlohmann::json::parse(body);
+        this->readings.takeSection(team, section.at("version").get<std::uint64_t>(), section.at("text").get<std::string>());
+        return Network::makeResponse(status::ok, "text/plain", "taken\n");
+    } catch (const std::exception &exception) {
+        return Network::makeResponse(status::bad_request, "text/plain", std::string(exception.what()) + "\n");
+    }
+}
+
 Network::Response OperatorEndpoint::answer(const Network::Request &request) const
 {
     const auto path = Network::pathOf({request.target().data(), request.target().size()});
+    if (request.method() == Network::Http::verb::put && path.starts_with(SECTIONS_PATH)) {
+        return this->takeSection(std::string(path.substr(SECTIONS_PATH.size())), request.body());
+    }
     if (request.method() != Network::Http::verb::get) {
         return Network::makeResponse(status::method_not_allowed, "text/plain", "only GET is allowed\n");
     }
