Meta: End all processes when one has ended before

A process that had ended made kill fail, and set -e then left the trap: a measurement whose load was among the processes ended with 1 and left its folder behind, though all bounds were met.

--- a/Meta/cluster.sh
+++ b/Meta/cluster.sh
@@ -8,8 +8,8 @@
 end_all() {
     local pid
     for pid in "${pids[@]}"; do
-        kill -CONT "$pid" 2>/dev/null
-        kill -KILL "$pid" 2>/dev/null
+        kill -CONT "$pid" 2>/dev/null || true
+        kill -KILL "$pid" 2>/dev/null || true
     done
     wait 2>/dev/null
     rm -rf "$work"
