briarctl: Hand an accepted section to instances, and spread leaving news

Causes, found by the proofs of leaving and of outages at once: - parseLoadReport passed over the report's "leaving", so that a target that drains by itself got work until the list said so. A report that says so now ends new work to it. - Peers passed the instance list only to those that have none.

Meta/run-tests.sh takes the failed tests from ctest's own list: it did not match the names of parametrised tests before, so that one of them could fail unseen beside a known red one.

--- a/Libraries/LibRouting/Choice.cpp
+++ b/Libraries/LibRouting/Choice.cpp
@@ -16,7 +16,9 @@
 bool isEligible(const TargetState &target, const ChoiceInput &input)
 {
     const auto &description = target.description;
-    return !description.isLeaving && std::ranges::find(input.dataCentresOut, description.dataCentre) == input.dataCentresOut.end()
+    const bool saysItLeaves = target.evidence && target.evidence->report.isLeaving;
+    return !description.isLeaving && !saysItLeaves
+        && std::ranges::find(input.dataCentresOut, description.dataCentre) == input.dataCentresOut.end()
         && std::ranges::find(input.excluded, description.id) == input.excluded.end();
 }
 
--- a/Libraries/LibRouting/LoadReport.cpp
+++ b/Libraries/LibRouting/LoadReport.cpp
@@ -65,6 +65,7 @@
     report.inFlight = static_cast<std::uint32_t>(*inFlight);
     report.slots = static_cast<std::uint32_t>(numberAt(*metrics, "slots", LARGEST_COUNT).value_or(0));
     report.isCold = numberAt(*metrics, "cold", LARGEST_COUNT).value_or(0) > 0;
+    report.isLeaving = numberAt(*metrics, "leaving", LARGEST_COUNT).value_or(0) > 0;
     if (const auto start = numberAt(*metrics, "start", LARGEST_EXACT_INTEGER)) {
         report.start = Core::TargetStartId{std::to_string(static_cast<std::uint64_t>(*start))};
     }
@@ -76,6 +77,9 @@
 std::string formatLoadReport(const LoadReport &report)
 {
     nlohmann::json metrics{{"in_flight", report.inFlight}, {"slots", report.slots}, {"cold", report.isCold ? 1 : 0}};
+    if (report.isLeaving) {
+        metrics["leaving"] = 1;
+    }
     if (report.start) {
         if (const auto number = decimalOf(report.start->value)) {
             metrics["start"] = *number;
--- a/Libraries/LibRouting/LoadReport.h
+++ b/Libraries/LibRouting/LoadReport.h
@@ -20,6 +20,8 @@
     /// Requests that it runs at once; zero where it does not say.
     std::uint32_t slots{0};
     bool isCold{false};
+    /// The target drains: it wants no new work, whatever the instance list says.
+    bool isLeaving{false};
     /// The start of the target process that wrote the report.
     std::optional<Core::TargetStartId> start{};
     std::optional<double> requestsPerSecond{};
--- a/Meta/run-tests.sh
+++ b/Meta/run-tests.sh
@@ -6,16 +6,15 @@
 build_folder=$1
 shift
 known_red=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null)
-log=$(mktemp)
-trap 'rm -f "$log"' EXIT
 
-ctest --test-dir "$build_folder" --output-on-failure --no-tests=error -j 6 "$@" | tee "$log"
-status=${PIPESTATUS[0]}
+ctest --test-dir "$build_folder" --output-on-failure --no-tests=error -j 6 "$@"
+status=$?
 if [ "$status" -eq 0 ]; then
     exit 0
 fi
 
-failed=$(sed -n 's/^[[:space:]]*[0-9]* - \([^ ]*\) (.*)$/\1/p' "$log" | sort -u)
+# ctest lists the failures by name, one a line, with the parameter of a parametrised test behind its name.
+failed=$(sed 's/^[0-9]*://; s/  *# GetParam.*//' "$build_folder/Testing/Temporary/LastTestsFailed.log" | sort -u)
 if [ -z "$failed" ]; then
     exit "$status"
 fi
--- a/Services/briarbendd/Daemon.cpp
+++ b/Services/briarbendd/Daemon.cpp
@@ -103,26 +103,27 @@
     });
     this->prober = std::make_unique<Prober>(ioContext, this->timers, this->relay);
     this->callers = std::make_unique<Relay::CallerListener>(ioContext, this->settings.instance.callerAddress, this->relay);
-    this->operators = std::make_unique<OperatorEndpoint>(ioContext,
-                                                         this->settings.instance.operatorAddress,
-                                                         OperatorEndpoint::Readings{
-                                                             .isReady =
-                                                                 [this] {
-                                                                     return this->isReady();
-                                                                 },
-                                                             .dump =
-                                                                 [this] {
-                                                                     return this->dump();
-                                                                 },
-                                                             .metrics =
-                                                                 [this] {
-                                                                     return this->metrics();
-                                                                 },
-                                                             .takeSection =
-                                                                 [this](const std::string &team, std::uint64_t version, const std::string &text) {
-                                                                     this->configuration->takeAccepted({.team = {team}, .storeVersion = version, .text = text});
-                                                                 },
-                                                         });
+    this->operators = std::make_unique<OperatorEndpoint>(
+        ioContext,
+        this->settings.instance.operatorAddress,
+        OperatorEndpoint::Readings{
+            .isReady =
+                [this] {
+                    return this->isReady();
+                },
+            .dump =
+                [this] {
+                    return this->dump();
+                },
+            .metrics =
+                [this] {
+                    return this->metrics();
+                },
+            .takeSection =
+                [this](const std::string &team, std::uint64_t version, const std::string &text) {
+                    this->configuration->takeAccepted({.team = {team}, .storeVersion = version, .text = text});
+                },
+        });
     this->configuration->start();
     this->instanceList->start();
     this->subscriptions.push_back(this->timers.every(TICK, [this](Core::TimePoint now) {
--- a/Services/briarbendd/InstanceListFeed.cpp
+++ b/Services/briarbendd/InstanceListFeed.cpp
@@ -18,6 +18,10 @@
 
 /// Peers that an instance without a list asks each time.
 constexpr std::size_t PEERS_ASKED = 2;
+/// Begins a message that names an instance which a peer saw leaving.
+const std::string LEAVING_MARK{"!"};
+/// A platform that still lists an instance as live this long after a peer saw it leaving has taken it back.
+constexpr std::chrono::seconds LEAVING_NEWS_LIFETIME{30};
 
 } // namespace
 
@@ -64,11 +68,23 @@
 
 void InstanceListFeed::take(std::vector<Store::ListedInstance> newList)
 {
-    if (this->hasList && newList == this->current) {
+    const auto now = Core::Clock::now();
+    std::erase_if(this->heardLeaving, [now](const auto &entry) {
+        return now - entry.second > LEAVING_NEWS_LIFETIME;
+    });
+    this->tellLeaving(newList);
+    this->platformList = std::move(newList);
+    this->apply();
+}
+
+void InstanceListFeed::apply()
+{
+    auto list = this->effectiveList();
+    if (this->hasList && list == this->current) {
         return;
     }
     this->hasList = true;
-    this->current = std::move(newList);
+    this->current = std::move(list);
     std::set<Membership::PeerAddress> live;
     for (const auto &instance : this->current) {
         if (instance.service.value == Store::ENTRY_SERVICE && instance.state == Store::InstanceState::Live) {
@@ -79,6 +95,42 @@
     this->callback(this->current);
 }
 
+std::vector<Store::ListedInstance> InstanceListFeed::effectiveList() const
+{
+    auto list = this->platformList;
+    for (auto &instance : list) {
+        if (this->heardLeaving.contains(instance.address)) {
+            instance.state = Store::InstanceState::Leaving;
+        }
+    }
+    return list;
+}
+
+void InstanceListFeed::tellLeaving(const std::vector<Store::ListedInstance> &newList)
+{
+    for (const auto &instance : newList) {
+        const auto known = std::ranges::find(this->current, instance.address, &Store::ListedInstance::address);
+        const bool isNews
+            = known != this->current.end() && known->state == Store::InstanceState::Live && instance.state == Store::InstanceState::Leaving;
+        if (!isNews) {
+            continue;
+        }
+        for (const auto &[id, member] : this->peers.state().members.members) {
+            if (id != this->peers.state().members.self && member.news.state == Membership::MemberState::Alive) {
+                this->peers.send(Channel::InstanceList, member.news.address.value, LEAVING_MARK + instance.address);
+            }
+        }
+    }
+}
+
+void InstanceListFeed::hearLeaving(const std::string &address)
+{
+    this->heardLeaving.insert_or_assign(address, Core::Clock::now());
+    if (this->hasList) {
+        this->apply();
+    }
+}
+
 void InstanceListFeed::askPeers()
 {
     const auto &members = this->peers.state().members;
@@ -95,6 +147,10 @@
 
 void InstanceListFeed::receive(const std::string &, std::string_view bytes)
 {
+    if (bytes.starts_with(LEAVING_MARK)) {
+        this->hearLeaving(std::string(bytes.substr(LEAVING_MARK.size())));
+        return;
+    }
     const bool isQuestion = bytes.starts_with('?');
     if (isQuestion && this->hasList) {
         this->peers.send(Channel::InstanceList, std::string(bytes.substr(1)), encodeInstanceList(this->current));
--- a/Services/briarbendd/InstanceListFeed.h
+++ b/Services/briarbendd/InstanceListFeed.h
@@ -5,6 +5,7 @@
 #include <LibStore/ObjectStore.h>
 
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -33,13 +34,23 @@
     void take(std::vector<Store::ListedInstance> newList);
     void receive(const std::string &peer, std::string_view bytes);
     void askPeers();
+    /// The platform's list with what peers said of leaving instances.
+    std::vector<Store::ListedInstance> effectiveList() const;
+    void tellLeaving(const std::vector<Store::ListedInstance> &newList);
+    void hearLeaving(const std::string &address);
+    void apply();
 
     boost::asio::io_context &context;
     Store::ObjectStore &store;
     PeerLink &peers;
     std::chrono::milliseconds interval;
     ListCallback callback;
+    /// As the platform told it last.
+    std::vector<Store::ListedInstance> platformList;
+    /// With the peers' news; what the instance decides by.
     std::vector<Store::ListedInstance> current;
+    /// Addresses that a peer saw leaving, and when it said so.
+    std::map<std::string, Core::TimePoint> heardLeaving;
     bool hasList{false};
 };
 
--- a/Utilities/briarctl/EditCommands.cpp
+++ b/Utilities/briarctl/EditCommands.cpp
@@ -2,7 +2,9 @@
 
 #include <LibConfiguration/ConfigurationDocument.h>
 #include <LibConfiguration/ConfigurationKeys.h>
+#include <LibConfiguration/StoredSection.h>
 #include <LibDocument/TableReader.h>
+#include <LibOperations/SectionPush.h>
 #include <LibOperations/VersionMarker.h>
 
 namespace Briarbend::Briarctl
@@ -12,6 +14,7 @@
 {
 
 constexpr std::chrono::milliseconds RETRY_PAUSE{250};
+constexpr std::chrono::milliseconds PUSH_TIMEOUT{500};
 
 Operations::RetryPolicy retryPolicy(const Arguments &arguments)
 {
@@ -40,10 +43,39 @@
     return Operations::OnlyAbsent{};
 }
 
+/// The text of the accepted version: as applied, or as the store holds it. Empty where the store does not answer any more.
+boost::asio::awaitable<std::string> acceptedText(Session &session, const EditSummary &summary, Store::Version version)
+{
+    if (!summary.text.empty()) {
+        co_return summary.text;
+    }
+    const auto read = co_await session.store->read(Configuration::sectionKey(summary.team));
+    const auto *object = std::get_if<Store::Object>(&read);
+    if (object == nullptr || object->version != version) {
+        co_return std::string{};
+    }
+    co_return Configuration::parseStoredSection(object->value, "the stored section").text;
+}
+
+boost::asio::awaitable<void> push(Session &session, const EditSummary &summary, Store::Version version)
+{
+    if (session.arguments.instances.empty()) {
+        co_return;
+    }
+    auto text = co_await acceptedText(session, summary, version);
+    if (!text.empty()) {
+        Operations::AcceptedSection section{.team = summary.team, .version = version, .text = std::move(text)};
+        co_await Operations::pushSection(session.arguments.instances, std::move(section), PUSH_TIMEOUT);
+    }
+}
+
 boost::asio::awaitable<ExitCode> finish(Session &session, Operations::EditResult result, EditSummary summary)
 {
-    const auto code = printEdit(session, result, summary);
     const auto *accepted = std::get_if<Operations::EditAccepted>(&result);
+    if (accepted != nullptr && accepted->isChanged) {
+        co_await push(session, summary, accepted->version);
+    }
+    const auto code = printEdit(session, result, summary);
     if (accepted == nullptr || !session.arguments.isWaiting) {
         co_return code;
     }
