Tests: Apply as operators do where the store fails at once

Two of them wrote the section straight into the store and failed it in the same instant, so that nothing but the store could carry the change; they now apply with briarctl, as operators do, and fail the store the moment briarctl says that the section is accepted. The bounds stay.

--- a/Tests/Processes/ConfigurationInForce/TestConfigurationInForce.cpp
+++ b/Tests/Processes/ConfigurationInForce/TestConfigurationInForce.cpp
@@ -103,7 +103,7 @@
 
 TEST_F(ConfigurationInForce, everywhereWithinFourSecondsWithTheStoreDownRightAfterAcceptance)
 {
-    const auto version = this->cluster.applyConfiguration(DOCUMENT);
+    const auto version = this->cluster.applyAsOperator(std::string(DOCUMENT) + "\n# changed\n");
     this->cluster.controlStore({{"outage", true}});
     this->expectInForce(version);
 }
--- a/Tests/Processes/DataCentres/TestDataCentres.cpp
+++ b/Tests/Processes/DataCentres/TestDataCentres.cpp
@@ -43,7 +43,9 @@
     /// The time at which the store had accepted the change.
     std::int64_t takeOut(const std::string &dataCentre, StoreAfterChange change) const
     {
-        const auto version = this->cluster.applyConfiguration(configurationWithout({}, dataCentre));
+        const auto document = configurationWithout({}, dataCentre);
+        const bool isAtOnce = change == StoreAfterChange::DownAtOnce;
+        const auto version = isAtOnce ? this->cluster.applyAsOperator(document) : this->cluster.applyConfiguration(document);
         const auto accepted = steadyNanoseconds();
         if (change == StoreAfterChange::DownOnceAnInstanceHasIt) {
             EXPECT_TRUE(eventually(
--- a/Tests/Processes/Support/Cluster.cpp
+++ b/Tests/Processes/Support/Cluster.cpp
@@ -151,6 +151,25 @@
     return version;
 }
 
+std::uint64_t Cluster::applyAsOperator(const std::string &document) const
+{
+    const auto file = this->folder / "document.toml";
+    std::ofstream(file) << document;
+    std::string operators;
+    for (const auto &instance : this->instances) {
+        operators += (operators.empty() ? "" : ",") + instance.operators.text();
+    }
+    std::uint64_t version = 0;
+    for (const auto &[team, section] : Configuration::parseConfiguration(document, "test")) {
+        Process briarctl(
+            "briarctl",
+            {"apply", "--replace", "--json", "--team", team.value, "--store", this->storeAddress.text(), "--instances", operators, file});
+        const auto output = briarctl.readOutput(READY_TIMEOUT);
+        version = std::max(version, nlohmann::json::parse(output).at("version").get<std::uint64_t>());
+    }
+    return version;
+}
+
 TargetGroup &Cluster::addTargets(const std::string &dataCentre, const std::string &version, std::size_t count)
 {
     const std::vector<std::string> arguments{
--- a/Tests/Processes/Support/Cluster.h
+++ b/Tests/Processes/Support/Cluster.h
@@ -73,6 +73,9 @@
     /// Writes every team's section of a document; returns the highest version that the store gave.
     std::uint64_t applyConfiguration(const std::string &document) const;
 
+    /// Applies every team's section as operators do, with briarctl; returns once briarctl has said that they are accepted.
+    std::uint64_t applyAsOperator(const std::string &document) const;
+
     /// Starts a process with targets and lists them in the store.
     TargetGroup &addTargets(const std::string &dataCentre, const std::string &version, std::size_t count);
     void listTarget(const TargetGroup &group, const std::string &target, const std::string &state) const;
