briarbendd: Watch targets' processes, and part the request handler

An instance that had no connection to a target when it restarted took its next, cold start for the warm one it knew. One silent connection to each target shows the end of its process at once; it comes out of the instance's share of the target's connections.

--- a/Libraries/LibRelay/RequestHandler.cpp
+++ b/Libraries/LibRelay/RequestHandler.cpp
@@ -1,18 +1,17 @@
-#include <LibClaims/IdempotencyKey.h>
 #include <LibRelay/AnswerForwarder.h>
 #include <LibRelay/Answers.h>
 #include <LibRelay/CallerWatch.h>
 #include <LibRelay/HeaderRules.h>
 #include <LibRelay/HedgedOpening.h>
+#include <LibRelay/RequestBody.h>
+#include <LibRelay/RequestFields.h>
 #include <LibRelay/RequestHandler.h>
+#include <LibRelay/TargetSelection.h>
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <charconv>
 
 namespace Briarbend::Relay
 {
@@ -27,32 +26,9 @@
 /// Bodies up to this length are read before sending, so that the request can be sent again.
 constexpr std::uint64_t BUFFERED_BODY_BYTES = 64ULL * 1024;
 constexpr unsigned FIRST_SERVER_ERROR = 500;
-constexpr std::size_t READ_BYTES = 16UL * 1024;
-constexpr std::size_t REQUEST_ID_DIGITS = 16;
-constexpr std::size_t MAXIMUM_REQUEST_ID_BYTES = 128;
 /// Wait before no target is asked for again while targets are cold or at their connection limit.
 constexpr std::chrono::milliseconds NO_TARGET_RETRY_AFTER{1000};
 
-std::optional<std::string> idempotencyKeyOf(const Http::request_header<> &head)
-{
-    std::vector<std::string_view> values;
-    const auto range = head.equal_range("Idempotency-Key");
-    std::transform(range.first, range.second, std::back_inserter(values), [](const auto &field) {
-        return std::string_view(field.value().data(), field.value().size());
-    });
-    return Claims::parseIdempotencyKey(values);
-}
-
-std::string hexadecimal(std::uint64_t value)
-{
-    std::string text(REQUEST_ID_DIGITS, '0');
-    std::array<char, REQUEST_ID_DIGITS> digits{};
-    const auto written = std::to_chars(digits.data(), digits.data() + digits.size(), value, 16);
-    const auto length = static_cast<std::size_t>(written.ptr - digits.data());
-    std::copy(digits.data(), written.ptr, text.end() - static_cast<std::ptrdiff_t>(length));
-    return text;
-}
-
 } // namespace
 
 RequestHandler::RequestHandler(RelayState &relayState, CallerSide callerSide)
@@ -67,8 +43,8 @@
 
 Asio::awaitable<bool> RequestHandler::handle()
 {
-    this->takeRequestId();
     const auto &head = this->caller.parser.get();
+    this->forwarded->requestId = requestIdOf(head, this->relay.random);
     if (auto problem = findHeadProblem(head)) {
         // Where the request ends is in doubt, so nothing after it may be read as another request.
         this->caller.keepsAlive = false;
@@ -87,7 +63,7 @@
         co_return co_await this->refuse(Reason::NoTarget);
     }
     this->service = found->second;
-    this->forwarded->deadline = this->deadlineOf(*this->matched.route);
+    this->forwarded->deadline = deadlineOf(head, *this->matched.route, this->arrivedAt);
     co_return co_await this->serve();
 }
 
@@ -99,24 +75,23 @@
         this->copy.emplace();
     }
     if (expectsContinue(this->caller.parser.get())) {
-        co_await this->sendContinue();
+        co_await sendContinue(this->caller.stream);
     }
     const auto maximumBytes = isOnce ? this->relay.limits.claimedBodyBytes : BUFFERED_BODY_BYTES;
     const auto length = this->caller.parser.content_length();
     this->forwarded->isStreamed = !isOnce && !this->caller.parser.is_done() && (!length || *length > maximumBytes);
-    bool isBodyRead = true;
+    auto bodyRead = BodyRead::Whole;
     if (!this->forwarded->isStreamed) {
-        isBodyRead = co_await this->readWholeBody(maximumBytes);
+        bodyRead = co_await readWholeBody(this->caller, maximumBytes, this->relay.limits.idleTimeout, this->forwarded->body);
+    }
+    if (bodyRead == BodyRead::TooLong) {
+        co_return co_await this->refuse(Reason::BodyTooLarge);
     }
-    if (!isBodyRead) {
+    if (bodyRead == BodyRead::Cut) {
         co_return false;
     }
     this->prepareForwardedHead();
-    const auto &head = this->forwarded->head;
-    this->fingerprint = Quarantine::fingerprintOf({head.method_string().data(), head.method_string().size()},
-                                                  {head.target().data(), head.target().size()},
-                                                  length.value_or(0),
-                                                  this->forwarded->body);
+    this->fingerprint = fingerprintOf(*this->forwarded, length.value_or(0));
     AdmissionTurn turn(this->relay, this->service, this->matched.route->trafficClass, this->forwarded->deadline);
     if (!co_await turn.enter()) {
         co_return co_await this->refuse(Reason::Overloaded, turn.retryAfter());
@@ -171,7 +146,7 @@
 
 Asio::awaitable<RequestHandler::Next> RequestHandler::attemptOnce(AdmissionTurn &turn)
 {
-    auto choice = this->choose();
+    auto choice = selectTarget(this->relay, *this->service, this->matched.route->pathPrefix, this->tried);
     while (!choice.target) {
         const bool canWait = choice.obstacle == Routing::ChoiceObstacle::Cold || choice.obstacle == Routing::ChoiceObstacle::Connections;
         bool isTurn = false;
@@ -183,7 +158,7 @@
             this->refusal.retryAfter = canWait ? turn.retryAfter() : Rejection::withJitter(NO_TARGET_RETRY_AFTER, this->relay.random);
             co_return Next::Refuse;
         }
-        choice = this->choose();
+        choice = selectTarget(this->relay, *this->service, this->matched.route->pathPrefix, this->tried);
     }
     const auto verdict = co_await this->askGuard(*choice.target);
     if (verdict == RequestGuard::Verdict::Refuse) {
@@ -245,7 +220,7 @@
     if (this->matched.route->kind != Configuration::RouteKind::Safe) {
         return nullptr;
     }
-    const auto choice = this->choose();
+    const auto choice = selectTarget(this->relay, *this->service, this->matched.route->pathPrefix, this->tried);
     const bool isUsable = choice.target && !choice.isColdTrial;
     if (!isUsable) {
         return nullptr;
@@ -372,37 +347,6 @@
     this->submission.reset();
 }
 
-Routing::Choice RequestHandler::choose()
-{
-    auto versions = this->service->chooseVersions ? this->service->chooseVersions(this->matched.route->pathPrefix) : VersionChoice{};
-    versions.excluded.insert(versions.excluded.end(), this->tried.begin(), this->tried.end());
-    const Routing::ChoiceInput input{
-        .excluded = versions.excluded,
-        .versions = versions.shares,
-        .dataCentresOut = this->service->dataCentresOut,
-        .permission =
-            [this](const Routing::TargetState &target) {
-                return this->permissionFor(target);
-            },
-    };
-    return Routing::chooseTarget(this->service->table, input, Core::Clock::now(), this->relay.random);
-}
-
-Routing::Permission RequestHandler::permissionFor(const Routing::TargetState &target)
-{
-    const auto &id = target.description.id;
-    const auto verdict = Limits::coldVerdict(this->relay.coldGate, id, Core::Clock::now());
-    if (verdict == Limits::ColdVerdict::Refuse) {
-        return Routing::Permission::RefusedCold;
-    }
-    const auto shares = this->service->shares.find(id);
-    const bool hasRoom = shares != this->service->shares.end() && this->relay.pool.open(id) < shares->second.connections;
-    if (!hasRoom && this->relay.pool.idle(id) == 0) {
-        return Routing::Permission::RefusedConnections;
-    }
-    return verdict == Limits::ColdVerdict::MayTry ? Routing::Permission::PermittedCold : Routing::Permission::Permitted;
-}
-
 Asio::awaitable<bool> RequestHandler::refuse(Reason reason, std::optional<std::chrono::milliseconds> retryAfter)
 {
     this->refusal.reason = reason;
@@ -432,36 +376,6 @@
     co_return keepsAlive && !error;
 }
 
-Asio::awaitable<void> RequestHandler::sendContinue()
-{
-    Http::response<Http::empty_body> response{Http::status::continue_, 11};
-    boost::system::error_code ignored;
-    co_await Http::async_write(this->caller.stream, response, Asio::redirect_error(Asio::use_awaitable, ignored));
-}
-
-Asio::awaitable<bool> RequestHandler::readWholeBody(std::uint64_t maximumBytes)
-{
-    auto &parser = this->caller.parser;
-    auto &whole = this->forwarded->body;
-    std::vector<char> chunk(parser.is_done() ? 0 : READ_BYTES);
-    while (!parser.is_done()) {
-        parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
-        this->caller.stream.expires_after(this->relay.limits.idleTimeout);
-        boost::system::error_code error;
-        co_await Http::async_read_some(this->caller.stream, this->caller.buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
-        if (error && error != Http::error::need_buffer) {
-            co_return false;
-        }
-        whole.append(chunk.data(), chunk.size() - parser.get().body().size);
-        if (whole.size() > maximumBytes) {
-            co_await this->refuse(Reason::BodyTooLarge);
-            co_return false;
-        }
-    }
-    co_return true;
-}
-
 void RequestHandler::prepareForwardedHead()
 {
     auto &head = this->forwarded->head;
@@ -475,21 +389,4 @@
     }
 }
 
-void RequestHandler::takeRequestId()
-{
-    const auto given = this->caller.parser.get()[std::string(REQUEST_ID_FIELD)];
-    const bool isUsable = !given.empty() && given.size() <= MAXIMUM_REQUEST_ID_BYTES;
-    this->forwarded->requestId = isUsable ? std::string(given) : hexadecimal(this->relay.random.bits());
-}
-
-Core::TimePoint RequestHandler::deadlineOf(const Configuration::Route &route) const
-{
-    const auto text = this->caller.parser.get()[std::string(DEADLINE_FIELD)];
-    std::uint32_t milliseconds = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
-    const bool isGiven = !text.empty() && parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
-    const auto allowed = isGiven ? std::min(route.deadline, std::chrono::milliseconds(milliseconds)) : route.deadline;
-    return this->arrivedAt + allowed;
-}
-
 } // namespace Briarbend::Relay
--- a/Libraries/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/RequestHandler.h
@@ -32,8 +32,6 @@
     boost::asio::awaitable<bool> refuse(Rejection::Reason reason, std::optional<std::chrono::milliseconds> retryAfter = {});
     boost::asio::awaitable<bool> refuse(Rejection::Refusal answer);
     boost::asio::awaitable<bool> write(Network::Response response);
-    boost::asio::awaitable<bool> readWholeBody(std::uint64_t maximumBytes);
-    boost::asio::awaitable<void> sendContinue();
     boost::asio::awaitable<bool> serve();
     /// Claims the key of a request that runs at most once. False where the caller has its answer already.
     boost::asio::awaitable<bool> claimKey();
@@ -48,11 +46,7 @@
     Next judge(const ExchangeResult &result);
     void observe(const Core::TargetId &target, const Core::VersionName &version, bool wasCold) const;
     void endAnswered(const ExchangeResult &result);
-    Routing::Choice choose();
-    Routing::Permission permissionFor(const Routing::TargetState &target);
     void prepareForwardedHead();
-    void takeRequestId();
-    Core::TimePoint deadlineOf(const Configuration::Route &route) const;
 
     RelayState &relay;
     CallerSide caller;
--- a/Libraries/LibRelay/ServiceState.cpp
+++ b/Libraries/LibRelay/ServiceState.cpp
@@ -14,7 +14,7 @@
 /// Targets that an instance covers at the least, so that its choice stays a choice.
 constexpr std::size_t SMALLEST_SUBSET = 24;
 constexpr std::uint32_t MINIMUM_IN_FLIGHT = 16;
-constexpr std::uint32_t PROBER_CONNECTIONS = 1;
+constexpr std::uint32_t OTHER_CONNECTIONS = 2;
 
 void updateShares(ServiceState &state, const InstancePlace &place)
 {
@@ -25,9 +25,9 @@
         present.insert(id);
         const auto probes = Limits::shareOf(limits.probesPerSecond, place.shares, id);
         const auto [entry, isNew] = state.shares.try_emplace(id);
-        // One connection of the share is the prober's.
+        // The prober and the watch over the target's process have one connection of the share each.
         const auto connections = Limits::shareOf(limits.connections, place.shares, id);
-        entry->second.connections = connections > PROBER_CONNECTIONS ? connections - PROBER_CONNECTIONS : 0;
+        entry->second.connections = connections > OTHER_CONNECTIONS ? connections - OTHER_CONNECTIONS : 0;
         if (isNew) {
             entry->second.probes = Limits::startShareBudget(probes, place.startedAt);
         } else {
--- /dev/null
+++ b/Libraries/LibRelay/TargetSelection.cpp
@@ -0,0 +1,45 @@
+#include <LibRelay/TargetSelection.h>
+
+namespace Briarbend::Relay
+{
+
+namespace
+{
+
+Routing::Permission
+permissionFor(const RelayState &relay, const ServiceState &service, const Routing::TargetState &target, Core::TimePoint now)
+{
+    const auto &id = target.description.id;
+    const auto verdict = Limits::coldVerdict(relay.coldGate, id, now);
+    if (verdict == Limits::ColdVerdict::Refuse) {
+        return Routing::Permission::RefusedCold;
+    }
+    const auto shares = service.shares.find(id);
+    const bool hasRoom = shares != service.shares.end() && relay.pool.open(id) < shares->second.connections;
+    if (!hasRoom && relay.pool.idle(id) == 0) {
+        return Routing::Permission::RefusedConnections;
+    }
+    return verdict == Limits::ColdVerdict::MayTry ? Routing::Permission::PermittedCold : Routing::Permission::Permitted;
+}
+
+} // namespace
+
+Routing::Choice
+selectTarget(RelayState &relay, ServiceState &service, const std::string &routePrefix, const std::vector<Core::TargetId> &tried)
+{
+    const auto now = Core::Clock::now();
+    auto versions = service.chooseVersions ? service.chooseVersions(routePrefix) : VersionChoice{};
+    versions.excluded.insert(versions.excluded.end(), tried.begin(), tried.end());
+    const Routing::ChoiceInput input{
+        .excluded = versions.excluded,
+        .versions = versions.shares,
+        .dataCentresOut = service.dataCentresOut,
+        .permission =
+            [&](const Routing::TargetState &target) {
+                return permissionFor(relay, service, target, now);
+            },
+    };
+    return Routing::chooseTarget(service.table, input, now, relay.random);
+}
+
+} // namespace Briarbend::Relay
--- a/Services/briarbendd/Daemon.cpp
+++ b/Services/briarbendd/Daemon.cpp
@@ -101,6 +101,10 @@
     this->peers->onChanges([this](const Gossip::Changes &changes) {
         this->takeChanges(changes);
     });
+    this->targetWatch = std::make_unique<TargetWatch>(ioContext, [this](const Core::TargetId &target) {
+        Limits::recordConnectionLost(this->relay.coldGate, target);
+        this->relay.pool.closeIdle(target);
+    });
     this->prober = std::make_unique<Prober>(ioContext, this->timers, this->relay);
     this->callers = std::make_unique<Relay::CallerListener>(ioContext, this->settings.instance.callerAddress, this->relay);
     this->operators = std::make_unique<OperatorEndpoint>(
@@ -162,7 +166,9 @@
 void Daemon::update()
 {
     updateServices(this->relay, this->configuration->sections(), this->instanceList->list(), this->place());
-    this->prober->forget(targetsOf(this->relay));
+    const auto targets = targetsOf(this->relay);
+    this->prober->forget(targets);
+    this->targetWatch->watch(targets);
     this->rollouts->update(this->configuration->sections());
     for (const auto &[name, service] : this->relay.services) {
         if (std::ranges::find(service->service.routes, Configuration::RouteKind::Once, &Configuration::Route::kind)
--- a/Services/briarbendd/Daemon.h
+++ b/Services/briarbendd/Daemon.h
@@ -7,6 +7,7 @@
 #include "Prober.h"
 #include "QuarantineLink.h"
 #include "RolloutRunner.h"
+#include "TargetWatch.h"
 #include "WarmthSpread.h"
 
 #include <LibNetwork/AsioTimerService.h>
@@ -59,6 +60,7 @@
     std::unique_ptr<ClaimsRunner> claims;
     std::unique_ptr<QuarantineLink> quarantine;
     std::unique_ptr<RolloutRunner> rollouts;
+    std::unique_ptr<TargetWatch> targetWatch;
     std::unique_ptr<Prober> prober;
     std::unique_ptr<Relay::CallerListener> callers;
     std::unique_ptr<OperatorEndpoint> operators;
--- /dev/null
+++ b/Tests/Processes/ColdTargets/TestColdTargets.cpp
@@ -0,0 +1,67 @@
+#include <Tests/Processes/Support/Cluster.h>
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace Briarbend::Processes
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::seconds LOAD_TIMEOUT{60};
+/// Probes that one target bears in any window of one second, from all instances together.
+constexpr std::uint64_t PROBE_BUDGET = 50;
+/// Connections that one target bears.
+constexpr std::uint64_t CONNECTION_BUDGET = 200;
+
+std::uint64_t largest(const Cluster &cluster, const std::string &counter)
+{
+    std::uint64_t value = 0;
+    for (const auto &group : cluster.targetGroups) {
+        for (const auto &counters : group.counters()) {
+            value = std::max(value, counters.at(counter).get<std::uint64_t>());
+        }
+    }
+    return value;
+}
+
+std::uint64_t runsOf(const TargetGroup &group)
+{
+    std::uint64_t runs = 0;
+    for (const auto &counters : group.counters()) {
+        runs += counters.at("requests").get<std::uint64_t>();
+    }
+    return runs;
+}
+
+} // namespace
+
+TEST(ColdTargets, bearNoMoreThanOneRequestThroughRestartsAFreezeAndAKill)
+{
+    ClusterPlan plan;
+    plan.instances = 5;
+    Cluster cluster(std::move(plan));
+    Process load("briarload", cluster.loadArguments({"--rate", "400", "--duration", "16", "--json", "--route", "1,GET,/x,100"}));
+    const auto &restarted = cluster.targetGroups.front();
+    ASSERT_TRUE(eventually(
+        [&] {
+            return runsOf(restarted) > 50;
+        },
+        10s));
+    restarted.apply({{"restart", true}});
+    cluster.instances.front().process->freeze();
+    const auto runsAtRestart = runsOf(restarted);
+    cluster.targetGroups.back().apply({{"restart", true}});
+    cluster.instances.back().process->kill();
+    cluster.instances.front().process->resume();
+    load.waitForExit(LOAD_TIMEOUT);
+    EXPECT_EQ(cluster.sumOfCounter("violations"), 0U);
+    EXPECT_GT(runsOf(restarted), runsAtRestart) << "the restarted targets came back into service";
+    EXPECT_LE(largest(cluster, "probes_peak_per_second"), PROBE_BUDGET);
+    EXPECT_LE(largest(cluster, "connections_peak"), CONNECTION_BUDGET);
+}
+
+} // namespace Briarbend::Processes
--- a/Tests/StandIns/Target/TargetState.cpp
+++ b/Tests/StandIns/Target/TargetState.cpp
@@ -50,6 +50,7 @@
     fields.read("shed_queue", conditions.shedQueue);
     fields.read("connect_ms", conditions.connectMilliseconds);
     fields.read("mean_ms", conditions.meanMilliseconds);
+    fields.read("spread", conditions.spread);
     fields.read("speed", conditions.speed);
     fields.read("slow", conditions.slow);
     fields.read("cold_requests", conditions.coldRequests);
@@ -155,7 +156,8 @@
     const double coldFactor = state.isCold ? conditions.coldFactor : 1;
     const double faultFactor = isFaulty(state, path) ? conditions.faultSlow : 1;
     const double mean = conditions.meanMilliseconds * conditions.slow * state.shiftFactor * coldFactor * faultFactor / conditions.speed;
-    return std::chrono::duration_cast<Core::Duration>(Milliseconds(random.exponential(mean)));
+    const double drawn = conditions.spread < 0 ? random.exponential(mean) : mean * (1 + conditions.spread * (2 * random.unit() - 1));
+    return std::chrono::duration_cast<Core::Duration>(Milliseconds(drawn));
 }
 
 bool failsByFault(const TargetState &state, std::string_view path, Core::Random &random)
--- a/Tests/StandIns/Target/TargetState.h
+++ b/Tests/StandIns/Target/TargetState.h
@@ -22,8 +22,10 @@
     /// Queue length from which work is shed with 503.
     std::size_t shedQueue{60};
     double connectMilliseconds{1};
-    /// Mean of the exponential service time at speed 1.
+    /// Mean of the service time at speed 1.
     double meanMilliseconds{1};
+    /// Service times are uniform within this part of the mean around it; exponential where negative.
+    double spread{-1};
     double speed{1};
     /// Factor on the service time.
     double slow{1};
