--- a/Libraries/LibRollout/Evidence.cpp
+++ b/Libraries/LibRollout/Evidence.cpp
@@ -26,6 +26,7 @@
 std::vector<std::string> routesOf(const MemberEvidence &evidence)
 {
     std::vector<std::string> routes;
+    routes.reserve(evidence.failures.size() + evidence.latencies.size());
     for (const auto &[key, counts] : evidence.failures) {
         routes.push_back(key.route);
     }
--- a/Services/briarbendd/TargetWatch.cpp
+++ b/Services/briarbendd/TargetWatch.cpp
@@ -3,7 +3,6 @@
 #include <LibNetwork/Endpoint.h>
 
 #include <array>
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/Services/briarbendd/TargetWatch.h
+++ b/Services/briarbendd/TargetWatch.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
--- a/Tests/LibLimits/ColdTargets/Fleet.h
+++ b/Tests/LibLimits/ColdTargets/Fleet.h
@@ -120,6 +120,7 @@
         instance = Instance{};
         instance.id = {"instance-" + std::to_string(this->nextInstance++)};
         std::vector<ColdTargetLimits> limits;
+        limits.reserve(this->targets.size());
         for (const auto &target : this->targets) {
             limits.push_back({target.id, this->coldRequests, WARM_AFTER});
         }
