--- a/Libraries/LibRelay/RequestHandler.cpp
+++ b/Libraries/LibRelay/RequestHandler.cpp
@@ -202,10 +202,13 @@
         opening.cancel();
     });
     const auto delay = Routing::hedgeDelay(this->service->table);
-    const bool mayHedge = this->matched.route->kind == Configuration::RouteKind::Safe && delay.count() > 0 && !choice.isColdTrial;
+    // The other policies are baselines to compare with and stay as they are known.
+    const bool isHedging = this->service->service.policy == Configuration::RoutingPolicy::ProbePool;
+    const bool isSafe = this->matched.route->kind == Configuration::RouteKind::Safe;
+    const bool mayHedge = isHedging && isSafe && delay.count() > 0 && !choice.isColdTrial;
     exchange = co_await opening.open(
-        std::move(exchange), mayHedge ? Core::Duration{delay} : Core::Duration{std::chrono::hours{1}}, [this, &watch] {
-            return watch.isGone() ? nullptr : this->makeHedge();
+        std::move(exchange), mayHedge ? Core::Duration{delay} : Core::Duration{std::chrono::hours{1}}, [this, &watch, mayHedge] {
+            return watch.isGone() || !mayHedge ? nullptr : this->makeHedge();
         });
     if (watch.isGone()) {
         exchange->result.isCallerGone = true;
@@ -217,9 +220,6 @@
 std::shared_ptr<Exchange> RequestHandler::makeHedge()
 {
     const auto now = Core::Clock::now();
-    if (this->matched.route->kind != Configuration::RouteKind::Safe) {
-        return nullptr;
-    }
     const auto choice = selectTarget(this->relay, *this->service, this->matched.route->pathPrefix, this->tried);
     const bool isUsable = choice.target && !choice.isColdTrial;
     if (!isUsable) {
