Tests: Let the target stand-in's speed shift within a request

A request kept the speed of its beginning to its end, so that a shift of 5 to 50 ms lasted for a whole request of up to 60 ms. Work now goes on at the speed of each interval.

--- a/Tests/StandIns/Target/Target.cpp
+++ b/Tests/StandIns/Target/Target.cpp
@@ -189,8 +189,13 @@
     }
     const bool fails = failsByFault(this->state, incoming.path, this->random);
     Asio::steady_timer service(this->context);
-    service.expires_after(serviceTime(this->state, incoming.path, begin, this->random));
-    co_await service.async_wait(Asio::use_awaitable);
+    auto work = serviceTime(this->state, incoming.path, this->random);
+    while (work > Core::Duration::zero()) {
+        const auto slice = nextSlice(this->state, work, Core::Clock::now(), this->random);
+        service.expires_after(slice.duration);
+        co_await service.async_wait(Asio::use_awaitable);
+        work -= slice.work;
+    }
     if (this->state.start != start) {
         co_return std::nullopt;
     }
--- a/Tests/StandIns/Target/TargetState.cpp
+++ b/Tests/StandIns/Target/TargetState.cpp
@@ -149,17 +149,28 @@
     state.isCold = state.coldCompleted < state.conditions.coldCompletions && !isTimeOver;
 }
 
-Core::Duration serviceTime(TargetState &state, std::string_view path, Core::TimePoint now, Core::Random &random)
+Core::Duration serviceTime(const TargetState &state, std::string_view path, Core::Random &random)
 {
-    shiftSpeed(state, now, random);
     const auto &conditions = state.conditions;
     const double coldFactor = state.isCold ? conditions.coldFactor : 1;
     const double faultFactor = isFaulty(state, path) ? conditions.faultSlow : 1;
-    const double mean = conditions.meanMilliseconds * conditions.slow * state.shiftFactor * coldFactor * faultFactor / conditions.speed;
+    const double mean = conditions.meanMilliseconds * conditions.slow * coldFactor * faultFactor / conditions.speed;
     const double drawn = conditions.spread < 0 ? random.exponential(mean) : mean * (1 + conditions.spread * (2 * random.unit() - 1));
     return std::chrono::duration_cast<Core::Duration>(Milliseconds(drawn));
 }
 
+WorkSlice nextSlice(TargetState &state, Core::Duration work, Core::TimePoint now, Core::Random &random)
+{
+    shiftSpeed(state, now, random);
+    const auto needed = std::chrono::duration_cast<Core::Duration>(work * state.shiftFactor);
+    const bool isShifting = state.conditions.shiftMaximumMilliseconds > 0;
+    if (!isShifting || now + needed <= state.nextShift) {
+        return {needed, work};
+    }
+    const auto untilShift = state.nextShift - now;
+    return {untilShift, std::chrono::duration_cast<Core::Duration>(untilShift / state.shiftFactor)};
+}
+
 bool failsByFault(const TargetState &state, std::string_view path, Core::Random &random)
 {
     return state.conditions.fail > 0 && isFaulty(state, path) && random.unit() < state.conditions.fail;
--- a/Tests/StandIns/Target/TargetState.h
+++ b/Tests/StandIns/Target/TargetState.h
@@ -109,7 +109,17 @@
 Admission admit(TargetState &state, Core::TimePoint now);
 /// Counts a request that was run to its end, which may end the cold start.
 void complete(TargetState &state, bool isOk, Core::TimePoint now);
-Core::Duration serviceTime(TargetState &state, std::string_view path, Core::TimePoint now, Core::Random &random);
+Core::Duration serviceTime(const TargetState &state, std::string_view path, Core::Random &random);
+
+/// A stretch of work at one speed.
+struct WorkSlice {
+    Core::Duration duration{0};
+    /// What of the work, counted at full speed, is done in it.
+    Core::Duration work{0};
+};
+
+/// The next stretch: to the end of the work, or to the next shift of the target's speed.
+WorkSlice nextSlice(TargetState &state, Core::Duration work, Core::TimePoint now, Core::Random &random);
 /// Whether a request of the path fails because of the version's fault.
 bool failsByFault(const TargetState &state, std::string_view path, Core::Random &random);
 /// The load report, as old as the conditions let it be.
