LibRelay: Read long bodies in large pieces

Ten downloads of 500 MB through one instance took 55.1 s, one of 2 GB 13.0 s (154 MB/s), with 11 MB of memory. Cause: a read fetches no more than the buffer has room for, and after a short head that is about 1.5 KB. Ruled out: the chunk, which has 64 KiB already, and back-pressure, since nothing waited. The buffer now gets room for 64 KiB once an answer is not whole after its first read, and gives it back with its connection; likewise for uploads.

--- a/Libraries/LibRelay/AnswerForwarder.cpp
+++ b/Libraries/LibRelay/AnswerForwarder.cpp
@@ -102,6 +102,9 @@
             this->noteCut();
             co_return false;
         }
+        if (!parser.is_done()) {
+            this->exchange.expectLongBody();
+        }
         if (length == 0 && !parser.is_done()) {
             // Only the head of a chunk came. An empty chunk of our own would end the message.
             continue;
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -150,6 +150,7 @@
     auto &body = this->head.body();
     auto &callerBody = this->caller.parser.get().body();
     std::vector<char> chunk(CHUNK_BYTES);
+    this->caller.buffer.reserve(CHUNK_BYTES);
     boost::system::error_code error;
     do {
         callerBody.data = chunk.data();
@@ -252,6 +253,12 @@
     co_return !error;
 }
 
+void Exchange::expectLongBody()
+{
+    // A read fetches no more than the buffer has room for, which is little after a short head.
+    this->connection->buffer.reserve(CHUNK_BYTES);
+}
+
 bool Exchange::hasBufferedBytes() const
 {
     return this->connection->buffer.size() > 0;
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -82,6 +82,8 @@
     boost::asio::awaitable<void> discardAnswer();
     /// Reads the next part of the answer's body into the chunk. False where the answer is cut.
     boost::asio::awaitable<bool> readSome(std::vector<char> &chunk, std::size_t &length);
+    /// Makes room for large reads; the room is given back with the connection.
+    void expectLongBody();
     /// True where bytes of the answer wait that have been received already.
     bool hasBufferedBytes() const;
     /// Keeps the connection for other requests if the answer came to a clean end.
--- a/Libraries/LibRelay/OnceSubmission.cpp
+++ b/Libraries/LibRelay/OnceSubmission.cpp
@@ -1,3 +1,4 @@
+#include <LibNetwork/WallClock.h>
 #include <LibRelay/HeaderRules.h>
 #include <LibRelay/OnceSubmission.h>
 
@@ -12,11 +13,6 @@
 
 namespace Asio = boost::asio;
 
-Core::WallTime wallNow()
-{
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-}
-
 } // namespace
 
 OnceSubmission::OnceSubmission(const Asio::any_io_executor &executor,
@@ -32,7 +28,7 @@
 
 Asio::awaitable<OnceSubmission::Verdict> OnceSubmission::claim()
 {
-    this->carryOut(Claims::begin(this->request, this->submitter.settings(), Core::Clock::now(), wallNow()));
+    this->carryOut(Claims::begin(this->request, this->submitter.settings(), Core::Clock::now(), Network::wallNow()));
     auto next = co_await this->nextAct();
     if (auto *replay = std::get_if<Claims::Replay>(&next)) {
         co_return std::move(replay->answer);
@@ -51,7 +47,7 @@
         co_await this->timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
         const auto now = Core::Clock::now();
         if (std::holds_alternative<std::monostate>(this->act) && now >= this->wakeAt.value_or(this->request.deadline)) {
-            this->carryOut(Claims::onTimer(this->request, this->submitter.settings(), now, wallNow()));
+            this->carryOut(Claims::onTimer(this->request, this->submitter.settings(), now, Network::wallNow()));
         }
     }
     co_return std::exchange(this->act, std::monostate{});
@@ -59,7 +55,7 @@
 
 std::optional<Rejection::Refusal> OnceSubmission::beginSending()
 {
-    this->carryOut(Claims::beginSending(this->request, Core::Clock::now(), wallNow()));
+    this->carryOut(Claims::beginSending(this->request, Core::Clock::now(), Network::wallNow()));
     const auto next = std::exchange(this->act, std::monostate{});
     if (const auto *refuse = std::get_if<Claims::Refuse>(&next)) {
         return refuse->refusal;
@@ -82,7 +78,7 @@
 
 Rejection::Refusal OnceSubmission::failed(const Rejection::Refusal &refusal)
 {
-    this->carryOut(Claims::onFailed(this->request, refusal, wallNow()));
+    this->carryOut(Claims::onFailed(this->request, refusal, Network::wallNow()));
     const auto next = std::exchange(this->act, std::monostate{});
     const auto *refuse = std::get_if<Claims::Refuse>(&next);
     return refuse == nullptr ? refusal : refuse->refusal;
@@ -90,7 +86,7 @@
 
 void OnceSubmission::callerGone()
 {
-    this->carryOut(Claims::onCallerGone(this->request, wallNow()));
+    this->carryOut(Claims::onCallerGone(this->request, Network::wallNow()));
 }
 
 void OnceSubmission::carryOut(const Claims::RequestDecision &decision)
@@ -107,8 +103,8 @@
     }
     this->submitter.submit(
         this->service, *decision.submit, [self = this->shared_from_this()](const Claims::ClaimResult &result, bool isHolderGone) {
-            self->carryOut(
-                Claims::onClaimResult(self->request, result, isHolderGone, self->submitter.settings(), Core::Clock::now(), wallNow()));
+            self->carryOut(Claims::onClaimResult(
+                self->request, result, isHolderGone, self->submitter.settings(), Core::Clock::now(), Network::wallNow()));
         });
 }
 
--- a/Libraries/LibRelay/TargetConnection.cpp
+++ b/Libraries/LibRelay/TargetConnection.cpp
@@ -88,6 +88,7 @@
     connection->isReused = true;
     connection->idleSince = now;
     connection->stream.expires_never();
+    connection->buffer.shrink_to_fit();
     this->connections[connection->target()].idle.push_back(std::move(connection));
 }
 
--- a/Services/briarbendd/ClaimsRunner.cpp
+++ b/Services/briarbendd/ClaimsRunner.cpp
@@ -4,6 +4,7 @@
 
 #include <LibCore/RendezvousHash.h>
 #include <LibLog/Log.h>
+#include <LibNetwork/WallClock.h>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -33,11 +34,6 @@
     return named;
 }
 
-Core::WallTime wallNow()
-{
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-}
-
 std::vector<std::uint8_t> toBytes(const std::string &text)
 {
     return {text.begin(), text.end()};
@@ -218,7 +214,8 @@
     }
     const auto id = this->nextId++;
     this->localCallbacks.emplace(id, std::move(callback));
-    this->carryOut(commitment, Claims::submit(commitment->committer, id, std::move(operation), giveUpAt, Core::Clock::now(), wallNow()));
+    this->carryOut(commitment,
+                   Claims::submit(commitment->committer, id, std::move(operation), giveUpAt, Core::Clock::now(), Network::wallNow()));
 }
 
 void ClaimsRunner::carryOut(const std::shared_ptr<Commitment> &commitment, Claims::CommitterStep step)
@@ -245,11 +242,11 @@
     ++this->calls;
     if (const auto *write = std::get_if<Claims::ConditionalWrite>(&request)) {
         const auto result = co_await this->store.write(commitment->storeKey, toText(write->value), conditionOf(write->expectedVersion));
-        this->carryOut(commitment, Claims::onWritten(commitment->committer, toWriteAnswer(result), Core::Clock::now(), wallNow()));
+        this->carryOut(commitment, Claims::onWritten(commitment->committer, toWriteAnswer(result), Core::Clock::now(), Network::wallNow()));
         co_return;
     }
     const auto result = co_await this->store.read(commitment->storeKey);
-    this->carryOut(commitment, Claims::onRead(commitment->committer, toReadAnswer(result), Core::Clock::now(), wallNow()));
+    this->carryOut(commitment, Claims::onRead(commitment->committer, toReadAnswer(result), Core::Clock::now(), Network::wallNow()));
 }
 
 void ClaimsRunner::armTimer(const std::shared_ptr<Commitment> &commitment, Core::TimePoint wakeAt)
@@ -257,7 +254,7 @@
     commitment->timer.expires_at(wakeAt);
     commitment->timer.async_wait([this, commitment](const boost::system::error_code &error) {
         if (!error) {
-            this->carryOut(commitment, Claims::onTimer(commitment->committer, Core::Clock::now(), wallNow()));
+            this->carryOut(commitment, Claims::onTimer(commitment->committer, Core::Clock::now(), Network::wallNow()));
         }
     });
 }
--- a/Services/briarbendd/RolloutRunner.cpp
+++ b/Services/briarbendd/RolloutRunner.cpp
@@ -1,6 +1,7 @@
 #include "RolloutRunner.h"
 
 #include <LibLog/Log.h>
+#include <LibNetwork/WallClock.h>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -28,11 +29,6 @@
     return named;
 }
 
-Core::WallTime wallNow()
-{
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-}
-
 std::vector<Core::TargetId> targetsOfVersion(const Routing::TargetTable &table, const Core::VersionName &version)
 {
     std::vector<Core::TargetId> targets;
@@ -138,7 +134,7 @@
         return {};
     }
     const auto &running = *found->second;
-    const auto now = wallNow();
+    const auto now = Network::wallNow();
     const auto share = Rollout::shareOfNew(running.state, {routePrefix, running.level}, now);
     Relay::VersionChoice choice{.shares = {{running.state.move.from, 1 - share}, {running.state.move.to, share}}, .excluded = {}};
     const auto allowed = Rollout::allowedTargets(running.state, now);
@@ -165,7 +161,7 @@
         return;
     }
     const auto side = observation.version == move.to ? Rollout::Side::New : Rollout::Side::Old;
-    const auto now = wallNow();
+    const auto now = Network::wallNow();
     Rollout::observe(running.state,
                      {.cell = {observation.routePrefix, running.level},
                       .side = side,
@@ -192,13 +188,13 @@
 
 void RolloutRunner::decide(Running &running)
 {
-    if (const auto status = Rollout::decide(running.state, wallNow())) {
+    if (const auto status = Rollout::decide(running.state, Network::wallNow())) {
         LOG4CXX_INFO(logger(),
                      "the move of " << status->service.value << " is now " << Rollout::nameOf(status->phase) << " at step "
                                     << status->step);
         this->tellStatus(*status);
     }
-    if (Rollout::isEvidenceUrgent(running.state, wallNow())) {
+    if (Rollout::isEvidenceUrgent(running.state, Network::wallNow())) {
         this->sendEvidence(running);
     }
 }
@@ -228,7 +224,7 @@
         }
         const auto &move = running->state.move;
         const auto &table = state->second->table;
-        Rollout::setTargets(running->state, targetsOfVersion(table, move.from), targetsOfVersion(table, move.to), wallNow());
+        Rollout::setTargets(running->state, targetsOfVersion(table, move.from), targetsOfVersion(table, move.to), Network::wallNow());
         state->second->chooseVersions = [this, service = service](const std::string &routePrefix) {
             return this->choose(service, routePrefix);
         };
