Meta: Build without a compiler cache

A fresh clone did not build: the cache handed LibNetwork a precompiled header of another tree (`__FLT32X_MIN_` not defined, -Winvalid-pch), which it may do with the sloppiness that precompiled headers need. Ruled out: the sources, which build where the header is made anew. The cache is gone; headers are still compiled once a target.

--- a/Meta/install-dependencies.sh
+++ b/Meta/install-dependencies.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    g++ cmake ninja-build ccache pkg-config git
+    g++ cmake ninja-build pkg-config git
     clang-format clang-tidy-16
     libboost1.81-dev libwebsocketpp-dev nlohmann-json3-dev libtomlplusplus-dev
     libpopt-dev liblog4cxx-dev libxxhash-dev libssl-dev
