LibRelay: Hold a streamed upload to its route's time

Damaged requests, a new RapidCheck test over the process, found a caller's connection that stayed open for 30 s: after a streamed body the instance waited for the answer's head as long as a body may stay idle, whatever the route allowed, and the stand-in never answered a path that is not UTF-8. Ruled out: the caller watch and the hedged opening; 1,500 damaged requests by hand hung once, on a chunked upload. The head now has the route's time from the end of the upload, and the stand-in answers such paths.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -184,8 +184,7 @@
         }
     } while (!serializer.is_done());
     // A long upload leaves the target as much time as the route gives.
-    const auto allowed = this->request->deadline - Core::Clock::now();
-    this->connection->stream.expires_after(std::max<Core::Duration>(allowed, BODY_IDLE_TIMEOUT));
+    this->connection->stream.expires_after(this->request->timeAllowed);
     co_return true;
 }
 
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -37,6 +37,8 @@
     bool isStreamed{false};
     /// Time of the last chance of an answer's head.
     Core::TimePoint deadline;
+    /// What the deadline allowed in all. A streamed body gets it anew once it has been sent.
+    Core::Duration timeAllowed{0};
     std::string requestId;
 };
 
--- a/Libraries/LibRelay/RequestHandler.cpp
+++ b/Libraries/LibRelay/RequestHandler.cpp
@@ -64,6 +64,7 @@
     }
     this->service = found->second;
     this->forwarded->deadline = deadlineOf(head, *this->matched.route, this->arrivedAt);
+    this->forwarded->timeAllowed = this->forwarded->deadline - this->arrivedAt;
     co_return co_await this->serve();
 }
 
--- a/Tests/Processes/WholePath/TestWholePath.cpp
+++ b/Tests/Processes/WholePath/TestWholePath.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 #include <memory>
+#include <rapidcheck/gtest.h>
 #include <regex>
 
 namespace Briarbend::Processes
@@ -126,6 +127,28 @@
         return parameter.param.name;
     });
 
+TEST_F(WholePath, damagedRequestsGetAnAnswerOfTheirOwnOrAClosedConnection)
+{
+    const bool holds = rc::check([] {
+        std::string bytes
+            = *rc::gen::element<std::string>("GET /a?bytes=10 HTTP/1.1\r\nHost: a\r\nX: y\r\n\r\n",
+                                             "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nabcd",
+                                             "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+        const auto damages = *rc::gen::inRange(1, 6);
+        for (int damage = 0; damage < damages; ++damage) {
+            const auto position = *rc::gen::inRange<std::size_t>(0, bytes.size());
+            bytes[position] = *rc::gen::arbitrary<char>();
+        }
+        RawConnection connection(callersOf(*cluster));
+        connection.send(bytes);
+        connection.endSending();
+        const auto answer = connection.readToEnd();
+        RC_ASSERT(answer.empty() || answer.starts_with("HTTP/1.1 2") || answer.starts_with("HTTP/1.1 4"));
+        RC_ASSERT(isServing());
+    });
+    EXPECT_TRUE(holds);
+}
+
 TEST_F(WholePath, aHalfClosedCallerThatSentAWholeRequestDoesNotHoldTheInstance)
 {
     RawConnection connection(callersOf(*cluster));
--- a/Tests/StandIns/Target/Target.cpp
+++ b/Tests/StandIns/Target/Target.cpp
@@ -228,7 +228,7 @@
                                   {"bytes", incoming.bodyBytes},
                                   {"digest", incoming.bodyDigest}};
         answer.headers += "Content-Type: application/json\r\nx-body-checksum: " + incoming.bodyDigest + "\r\n";
-        answer.body = bodyOf(json.dump());
+        answer.body = bodyOf(json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
     } else {
         constexpr std::uint64_t DEFAULT_BYTES = 64;
         const auto bytes = Network::queryParameter(incoming.target, "bytes");
