LibRelay: Drop a start that nobody reads any more

The exchange stopped passing the target's start on when opening and forwarding were parted; each request still looked it up.

--- a/Libraries/LibRelay/AttemptRecord.cpp
+++ b/Libraries/LibRelay/AttemptRecord.cpp
@@ -12,10 +12,6 @@
     const auto *state = Routing::findTarget(this->service.table, target);
     this->hadFewInFlight
         = state != nullptr && Routing::estimatedInFlight(this->service.table, *state, now) <= this->service.service.limits.slots;
-    const auto known = this->relay.coldGate.targets.find(target);
-    if (known != this->relay.coldGate.targets.end()) {
-        this->start = known->second.start;
-    }
 }
 
 AttemptRecord::~AttemptRecord()
@@ -54,9 +50,4 @@
     this->relay.pool.closeIdle(this->sent.target);
 }
 
-const std::optional<Core::TargetStartId> &AttemptRecord::startAtSend() const
-{
-    return this->start;
-}
-
 } // namespace Briarbend::Relay
--- a/Libraries/LibRelay/AttemptRecord.h
+++ b/Libraries/LibRelay/AttemptRecord.h
@@ -19,14 +19,11 @@
     void answered(const Routing::Outcome &outcome, Core::TimePoint now);
     /// Notes that the connection to the target could not be opened or broke.
     void connectionLost(Core::TimePoint now);
-    /// The start of the target that was known when the request was sent.
-    const std::optional<Core::TargetStartId> &startAtSend() const;
 
 private:
     RelayState &relay;
     ServiceState &service;
     Routing::SentRequest sent;
-    std::optional<Core::TargetStartId> start;
     bool hadFewInFlight{false};
     bool isAnswered{false};
 };
