LibFleet: Plan, directory, beliefs and choice for an instance behind a platform

The users' platform keeps the configuration and the list of targets, and each instance decides alone from what it hears and measures. The new pure library holds that: routes by host and prefix with weighted parts, a list of targets that survives outages of the store, what is believed of each target, and the choice by expected time. The decisions of LibRouting stay for the product's own interface; their time constants were found for work of 5 ms and fade within 20 ms, while work here takes some 200 ms.

--- a/Libraries/LibDocument/ValueType.cpp
+++ b/Libraries/LibDocument/ValueType.cpp
@@ -43,6 +43,13 @@
     return std::chrono::sys_days(date) + timeOfDay(dateTime.time) - std::chrono::minutes(dateTime.offset->minutes);
 }
 
+std::string formatNumber(const double &number)
+{
+    std::ostringstream text;
+    text << number;
+    return text.str();
+}
+
 } // namespace
 
 std::optional<std::chrono::nanoseconds> parseDuration(std::string_view text)
@@ -122,6 +129,31 @@
             .print = formatTime};
 }
 
+ValueType<double> numberType(double minimum, double maximum)
+{
+    return {.allowed = "a number from " + formatNumber(minimum) + " to " + formatNumber(maximum),
+            .read = [minimum, maximum](const toml::node &node) -> std::optional<double> {
+                const auto number = node.value<double>();
+                return number && *number >= minimum && *number <= maximum ? number : std::nullopt;
+            },
+            .print = formatNumber};
+}
+
+ValueType<std::chrono::milliseconds> secondsType(std::chrono::milliseconds minimum, std::chrono::milliseconds maximum)
+{
+    using Seconds = std::chrono::duration<double>;
+    const auto number = numberType(Seconds(minimum).count(), Seconds(maximum).count());
+    return {.allowed = number.allowed + " seconds",
+            .read = [number](const toml::node &node) -> std::optional<std::chrono::milliseconds> {
+                const auto seconds = number.read(node);
+                return seconds ? std::optional(std::chrono::round<std::chrono::milliseconds>(Seconds(*seconds))) : std::nullopt;
+            },
+            .print =
+                [](const std::chrono::milliseconds &duration) {
+                    return formatNumber(Seconds(duration).count());
+                }};
+}
+
 ValueType<double> shareType(double minimum, double maximum)
 {
     std::ostringstream allowed;
@@ -131,12 +163,7 @@
                 const auto number = node.value<double>();
                 return number && *number > minimum && *number <= maximum ? number : std::nullopt;
             },
-            .print =
-                [](const double &number) {
-                    std::ostringstream text;
-                    text << number;
-                    return text.str();
-                }};
+            .print = formatNumber};
 }
 
 } // namespace Briarbend::Document
--- a/Libraries/LibDocument/ValueType.h
+++ b/Libraries/LibDocument/ValueType.h
@@ -43,6 +43,11 @@
 /// A number above the minimum, up to and with the maximum.
 ValueType<double> shareType(double minimum, double maximum);
 
+/// A number of seconds, fractions allowed, from the minimum to the maximum. For files that another program fills in.
+ValueType<std::chrono::milliseconds> secondsType(std::chrono::milliseconds minimum, std::chrono::milliseconds maximum);
+/// A number from the minimum to the maximum, both allowed.
+ValueType<double> numberType(double minimum, double maximum);
+
 /// A name of [a-z0-9-], as one kind of identifier.
 template<typename Identifier>
 ValueType<Identifier> nameType()
--- /dev/null
+++ b/Libraries/LibFleet/Beliefs.cpp
@@ -0,0 +1,152 @@
+#include <LibFleet/Beliefs.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Briarbend::Fleet
+{
+
+namespace
+{
+
+/// Weight of a new speed: about the last fifty statements count.
+constexpr double SPEED_WEIGHT = 0.02;
+constexpr double LOWEST_SLOWNESS = 0.1;
+/// Weight of a new answer in what is typical of a route.
+constexpr double ANSWER_WEIGHT = 0.05;
+/// Weight of a new outcome in a target's share of failures: two failures in a row make half.
+constexpr double OUTCOME_WEIGHT = 0.3;
+/// A shed request did no harm besides its time.
+constexpr double SHED_FAILURE = 0.5;
+/// Time constant with which failures are forgotten: a faulty target is tried again a few times within the length of a usual fault.
+constexpr std::chrono::milliseconds FAILURE_MEMORY{3000};
+/// First time for which an unreachable target is avoided, and the longest. A server that crashed is back after some seconds.
+constexpr std::chrono::milliseconds SHORTEST_AVOIDANCE{250};
+constexpr std::chrono::milliseconds LONGEST_AVOIDANCE{2000};
+constexpr std::uint32_t MOST_DOUBLINGS = 3;
+constexpr double MOST_COLD_TOKENS = 1;
+
+double milliseconds(Core::Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+bool isSameStart(const TargetRecord &one, const TargetRecord &other)
+{
+    return one.name == other.name && one.startedAtMilliseconds == other.startedAtMilliseconds && one.address == other.address;
+}
+
+void addFailure(TargetBelief &target, double failure, Core::TimePoint now)
+{
+    const auto share = failureShare(target, now);
+    target.failureShare = share + OUTCOME_WEIGHT * (failure - share);
+    target.failureShareAt = now;
+}
+
+} // namespace
+
+TargetBelief *findTarget(ServiceBook &book, const std::string &name)
+{
+    const auto found = std::ranges::find(book.targets, name, [](const TargetBelief &target) -> const std::string & {
+        return target.record.name;
+    });
+    return found == book.targets.end() ? nullptr : &*found;
+}
+
+void updateTargets(ServiceBook &book, const std::vector<TargetRecord> &records, Core::TimePoint now, double initialColdTokens)
+{
+    std::vector<TargetBelief> updated;
+    updated.reserve(records.size());
+    for (const auto &record : records) {
+        auto *known = findTarget(book, record.name);
+        const bool isKept = known != nullptr && isSameStart(known->record, record);
+        const bool isSame = isKept && known->record == record;
+        TargetBelief belief = isKept ? std::move(*known) : TargetBelief{};
+        if (!isKept) {
+            belief.coldTokens = initialColdTokens;
+            belief.coldTokensAt = now;
+        }
+        belief.record = record;
+        if (!isSame) {
+            recordCold(belief, record.coldLeft, now);
+        }
+        updated.push_back(std::move(belief));
+    }
+    book.targets = std::move(updated);
+}
+
+void recordLoad(ServiceBook &book, TargetBelief &target, const LoadStatement &load, Core::TimePoint now)
+{
+    target.load = load;
+    target.loadAt = now;
+    target.ownAtStatement = target.ownInFlight;
+    book.typicalSpeed += SPEED_WEIGHT * (1 / std::max(LOWEST_SLOWNESS, load.slowness) - book.typicalSpeed);
+}
+
+void recordCold(TargetBelief &target, std::chrono::milliseconds coldLeft, Core::TimePoint now)
+{
+    target.coldUntil = coldLeft.count() > 0 ? now + coldLeft : Core::TimePoint{};
+}
+
+void recordTrouble(TargetBelief &target, Core::TimePoint now)
+{
+    const auto doublings = std::min(target.troublesInRow, MOST_DOUBLINGS);
+    target.avoidedUntil = now + std::min(LONGEST_AVOIDANCE, SHORTEST_AVOIDANCE * (1U << doublings));
+    ++target.troublesInRow;
+}
+
+void recordHealth(TargetBelief &target, bool takesWork)
+{
+    target.refusesWork = !takesWork;
+    target.troublesInRow = 0;
+    target.avoidedUntil = {};
+}
+
+void recordOutcome(TargetBelief &target, SendOutcome outcome, Core::TimePoint now)
+{
+    switch (outcome) {
+    case SendOutcome::Answered:
+        addFailure(target, 0, now);
+        return;
+    case SendOutcome::Shed:
+        addFailure(target, SHED_FAILURE, now);
+        return;
+    case SendOutcome::Failed:
+    case SendOutcome::Lost:
+        addFailure(target, 1, now);
+        return;
+    }
+}
+
+void recordAnswer(RouteStatistics &route, const ServiceBook &book, Core::Duration elapsed, std::size_t bytes)
+{
+    const auto work = milliseconds(elapsed) / std::max(1.0, typicalSlowness(book));
+    route.workMilliseconds += ANSWER_WEIGHT * (work - route.workMilliseconds);
+    route.answerBytes += ANSWER_WEIGHT * (static_cast<double>(bytes) - route.answerBytes);
+}
+
+double typicalSlowness(const ServiceBook &book)
+{
+    return 1 / book.typicalSpeed;
+}
+
+double failureShare(const TargetBelief &target, Core::TimePoint now)
+{
+    const auto age = milliseconds(now - target.failureShareAt);
+    return target.failureShare * std::exp(-std::max(0.0, age) / milliseconds(FAILURE_MEMORY));
+}
+
+bool takeColdToken(const ServicePlan &plan, TargetBelief &target, std::size_t instances, Core::TimePoint now)
+{
+    const auto rate = plan.coldRequestsPerSecond / static_cast<double>(std::max<std::size_t>(1, instances));
+    const auto earned = rate * milliseconds(now - target.coldTokensAt) / 1000;
+    target.coldTokens = std::min(MOST_COLD_TOKENS, target.coldTokens + earned);
+    target.coldTokensAt = now;
+    if (target.coldTokens < 1) {
+        return false;
+    }
+    target.coldTokens -= 1;
+    return true;
+}
+
+} // namespace Briarbend::Fleet
--- /dev/null
+++ b/Libraries/LibFleet/Beliefs.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <LibFleet/Directory.h>
+#include <LibFleet/Plan.h>
+#include <LibFleet/SendBudget.h>
+
+#include <deque>
+
+namespace Briarbend::Fleet
+{
+
+/// What a target says about its own load, on an answer or on its health path.
+struct LoadStatement {
+    std::uint32_t running{0};
+    std::uint32_t waiting{0};
+    std::uint32_t slots{0};
+    /// How long work takes on the target's host at this moment, as a multiple of the usual.
+    double slowness{1};
+
+    bool operator==(const LoadStatement &) const = default;
+};
+
+/// Everything that one instance believes about one target.
+struct TargetBelief {
+    TargetRecord record;
+    /// Requests of this instance that the target holds.
+    std::uint32_t ownInFlight{0};
+    std::optional<LoadStatement> load;
+    Core::TimePoint loadAt;
+    /// Requests of this instance that were in flight when the load was stated.
+    std::uint32_t ownAtStatement{0};
+    Core::TimePoint coldUntil;
+    /// The target is left alone until then.
+    Core::TimePoint avoidedUntil;
+    std::uint32_t troublesInRow{0};
+    /// Exponentially weighted share of requests that failed or were shed.
+    double failureShare{0};
+    Core::TimePoint failureShareAt;
+    /// The health path says that the target takes no work.
+    bool refusesWork{false};
+    /// Requests that this instance may send to the target while it is cold; below one none.
+    double coldTokens{0};
+    Core::TimePoint coldTokensAt;
+};
+
+/// The targets of one service and what is typical of them.
+struct ServiceBook {
+    Core::ServiceName name;
+    ServicePlan plan;
+    std::vector<TargetBelief> targets;
+    SendBudget budget;
+    /// Exponentially weighted speed over all statements, as a multiple of the usual. Work goes on at this rate on average.
+    double typicalSpeed{1};
+};
+
+/// What is typical of the requests of one route.
+struct RouteStatistics {
+    /// Exponentially weighted time to an answer at usual speed.
+    double workMilliseconds{200};
+    /// Exponentially weighted length of an answer.
+    double answerBytes{4096};
+};
+
+/// How a request at a target ended.
+enum class SendOutcome {
+    Answered,
+    /// An answer that shows a fault of the target.
+    Failed,
+    /// The target shed the request without running it.
+    Shed,
+    /// The connection ended, or nothing came in time.
+    Lost,
+};
+
+/// The belief about the target that registered under the name, or null.
+TargetBelief *findTarget(ServiceBook &book, const std::string &name);
+
+/// Takes over the targets of one service. Beliefs about a target stay for as long as its start stays the same.
+void updateTargets(ServiceBook &book, const std::vector<TargetRecord> &records, Core::TimePoint now, double initialColdTokens);
+
+void recordLoad(ServiceBook &book, TargetBelief &target, const LoadStatement &load, Core::TimePoint now);
+void recordCold(TargetBelief &target, std::chrono::milliseconds coldLeft, Core::TimePoint now);
+/// Notes that the target could not be reached or did not answer its health path. Repeated trouble lengthens the time for which it is
+/// avoided.
+void recordTrouble(TargetBelief &target, Core::TimePoint now);
+/// Notes an answer on the health path.
+void recordHealth(TargetBelief &target, bool takesWork);
+void recordOutcome(TargetBelief &target, SendOutcome outcome, Core::TimePoint now);
+void recordAnswer(RouteStatistics &route, const ServiceBook &book, Core::Duration elapsed, std::size_t bytes);
+
+/// How much longer than usual work takes on average.
+double typicalSlowness(const ServiceBook &book);
+
+/// The share of requests that fail at the target, forgotten with time.
+double failureShare(const TargetBelief &target, Core::TimePoint now);
+
+/// True where the instance may send one request to the cold target; takes it from the instance's part of what the target bears.
+bool takeColdToken(const ServicePlan &plan, TargetBelief &target, std::size_t instances, Core::TimePoint now);
+
+} // namespace Briarbend::Fleet
--- /dev/null
+++ b/Libraries/LibFleet/Choice.cpp
@@ -0,0 +1,156 @@
+#include <LibFleet/Choice.h>
+
+#include <algorithm>
+
+namespace Briarbend::Fleet
+{
+
+namespace
+{
+
+/// The speed of a target's host changes about every 150 ms, so that a figure holds for half of that on average.
+constexpr double SPEED_PERSISTENCE_MS = 75;
+/// A statement decides for this long: a small part of the time for which speeds persist.
+constexpr std::chrono::milliseconds FRESH_STATEMENT{30};
+/// Share of the slots in use from which targets may slow down, and by what part of the work.
+constexpr double NEARLY_FULL = 0.8;
+constexpr double NEARLY_FULL_SLOWDOWN = 0.35;
+/// Requests for each slot, running and waiting, at which a target may reset further ones. Queues hold at least two for each slot.
+constexpr std::uint32_t FULL_PER_SLOT = 2;
+/// What a failure costs beyond the work: the caller's return on another instance.
+constexpr double FAILURE_COST_MS = 600;
+/// A statement's requests no longer count after the time in which about all of them have ended.
+constexpr std::chrono::milliseconds STATEMENT_LIFETIME{1000};
+
+double milliseconds(Core::Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+std::uint32_t occupied(const TargetBelief &target)
+{
+    if (!target.load) {
+        return target.ownInFlight;
+    }
+    const auto since = target.ownInFlight > target.ownAtStatement ? target.ownInFlight - target.ownAtStatement : 0;
+    return target.load->running + target.load->waiting + since;
+}
+
+std::uint32_t slotsOf(const TargetBelief &target)
+{
+    const auto stated = target.load ? target.load->slots : 0;
+    return std::max(1U, stated > 0 ? stated : target.record.slots);
+}
+
+/// Time that the work takes where the host is now so much slower than usual and later as slow as hosts are on average.
+double workTime(double work, double slownessNow, double slownessLater)
+{
+    const auto slowness = std::max(0.1, slownessNow);
+    if (work * slowness <= SPEED_PERSISTENCE_MS) {
+        return work * slowness;
+    }
+    return SPEED_PERSISTENCE_MS + (work - SPEED_PERSISTENCE_MS / slowness) * slownessLater;
+}
+
+std::chrono::microseconds toMicroseconds(double valueMilliseconds)
+{
+    return std::chrono::microseconds(static_cast<std::int64_t>(valueMilliseconds * 1000));
+}
+
+bool isAllowed(const TargetBelief &target, const ChoiceInput &input)
+{
+    const auto &record = target.record;
+    const bool isOfVersion = !input.version || (record.version == *input.version) != input.isVersionExcluded;
+    const bool isSampled = input.sampled.empty() || std::ranges::find(input.sampled, record.name) != input.sampled.end();
+    return !record.isLeaving && isOfVersion && isSampled && !input.dataCentresOut.contains(record.dataCentre)
+        && std::ranges::find(input.excluded, record.name) == input.excluded.end();
+}
+
+} // namespace
+
+Usability usability(const TargetBelief &target, const ChoiceInput &input, Core::TimePoint now)
+{
+    if (!isAllowed(target, input)) {
+        return Usability::Unusable;
+    }
+    if (target.coldUntil > now) {
+        return Usability::Cold;
+    }
+    return target.avoidedUntil > now || target.refusesWork ? Usability::Doubtful : Usability::Usable;
+}
+
+std::vector<std::string> candidates(const ServiceBook &book, const ChoiceInput &input, Core::TimePoint now, Core::Random &random)
+{
+    struct Wish {
+        Usability usability;
+        bool isFar;
+        double order;
+        const std::string *name;
+    };
+    std::vector<Wish> wishes;
+    for (const auto &target : book.targets) {
+        const auto use = usability(target, input, now);
+        if (use == Usability::Unusable || use == Usability::Cold) {
+            continue;
+        }
+        // Random order spreads the instances' choices; what is known to be loaded or faulty comes later.
+        const auto burden = static_cast<double>(target.ownInFlight) / slotsOf(target) + failureShare(target, now) * 2;
+        wishes.push_back({use, target.record.dataCentre != input.ownDataCentre, random.unit() + burden, &target.record.name});
+    }
+    std::ranges::sort(wishes, [](const Wish &one, const Wish &other) {
+        return std::tie(one.usability, one.isFar, one.order) < std::tie(other.usability, other.isFar, other.order);
+    });
+    std::vector<std::string> names;
+    names.reserve(wishes.size());
+    std::ranges::transform(wishes, std::back_inserter(names), [](const Wish &wish) {
+        return *wish.name;
+    });
+    return names;
+}
+
+std::chrono::microseconds expectedTime(
+    const ServiceBook &book, const TargetBelief &target, const RouteStatistics &route, const ChoiceInput &input, Core::TimePoint now)
+{
+    const auto slots = static_cast<double>(slotsOf(target));
+    const bool isUpToDate = target.load && now - target.loadAt < STATEMENT_LIFETIME;
+    const auto holds = static_cast<double>(isUpToDate ? occupied(target) : target.ownInFlight);
+    const bool isSpeedKnown = target.load && milliseconds(now - target.loadAt) < SPEED_PERSISTENCE_MS;
+    const auto slowness = isSpeedKnown ? target.load->slowness : typicalSlowness(book);
+    auto time = workTime(route.workMilliseconds, slowness, typicalSlowness(book));
+    if (holds >= slots) {
+        time += (holds - slots + 1) / slots * route.workMilliseconds * typicalSlowness(book);
+    }
+    if (holds + 1 > NEARLY_FULL * slots) {
+        time += NEARLY_FULL_SLOWDOWN * route.workMilliseconds;
+    }
+    const bool isFar = target.record.dataCentre != input.ownDataCentre;
+    return toMicroseconds(time) + (isFar ? input.distance : std::chrono::microseconds{0});
+}
+
+std::chrono::microseconds
+sendCost(const ServiceBook &book, const TargetBelief &target, const RouteStatistics &route, const ChoiceInput &input, Core::TimePoint now)
+{
+    auto cost = expectedTime(book, target, route, input, now);
+    cost += toMicroseconds(failureShare(target, now) * (FAILURE_COST_MS + route.workMilliseconds));
+    if (target.record.dataCentre != input.ownDataCentre) {
+        cost += toMicroseconds(milliseconds(input.crossingPerKibibyte) * route.answerBytes / 1024);
+    }
+    return cost;
+}
+
+bool isStatementFresh(const TargetBelief &target, Core::TimePoint now)
+{
+    return target.load && now - target.loadAt <= FRESH_STATEMENT;
+}
+
+bool hasFreeSlot(const TargetBelief &target)
+{
+    return occupied(target) < slotsOf(target);
+}
+
+bool isFull(const TargetBelief &target)
+{
+    return occupied(target) >= FULL_PER_SLOT * slotsOf(target);
+}
+
+} // namespace Briarbend::Fleet
--- /dev/null
+++ b/Libraries/LibFleet/Choice.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <LibCore/Random.h>
+#include <LibFleet/Beliefs.h>
+
+namespace Briarbend::Fleet
+{
+
+/// Which targets of a service one request may go to.
+struct ChoiceInput {
+    Core::DataCentreName ownDataCentre;
+    std::set<Core::DataCentreName> dataCentresOut;
+    /// Names of targets that the request was sent to or that are being tried for it.
+    std::vector<std::string> excluded;
+    /// Set while a rollout splits the traffic: only targets of this version, or only those of others.
+    std::optional<Core::VersionName> version;
+    bool isVersionExcluded{false};
+    /// Names of the only targets of the version that may be chosen; empty where all may.
+    std::vector<std::string> sampled;
+    /// Round trip to a target of another data centre beyond that to one of the own.
+    std::chrono::microseconds distance{0};
+    /// Time that one kibibyte of answer between data centres is worth.
+    std::chrono::microseconds crossingPerKibibyte{0};
+};
+
+/// Why a target may or may not be chosen.
+enum class Usability {
+    Usable,
+    /// Bears only few requests.
+    Cold,
+    /// Could not be reached lately or refuses work: only where nothing else is left.
+    Doubtful,
+    Unusable,
+};
+
+Usability usability(const TargetBelief &target, const ChoiceInput &input, Core::TimePoint now);
+
+/// Targets worth asking for their load, the most promising first: those of the own data centre before the others.
+std::vector<std::string> candidates(const ServiceBook &book, const ChoiceInput &input, Core::TimePoint now, Core::Random &random);
+
+/// Expected time from now to the answer of a request with the route's typical work.
+std::chrono::microseconds expectedTime(
+    const ServiceBook &book, const TargetBelief &target, const RouteStatistics &route, const ChoiceInput &input, Core::TimePoint now);
+
+/// Expected time raised by what the crossing between data centres and the target's failures cost; the choice is for the lowest.
+std::chrono::microseconds
+sendCost(const ServiceBook &book, const TargetBelief &target, const RouteStatistics &route, const ChoiceInput &input, Core::TimePoint now);
+
+/// True where the target's statement is recent enough to be decided by.
+bool isStatementFresh(const TargetBelief &target, Core::TimePoint now);
+
+/// True where the target has a slot free for one more request.
+bool hasFreeSlot(const TargetBelief &target);
+
+/// True where the target has about as many requests as it takes before it sheds or resets.
+bool isFull(const TargetBelief &target);
+
+} // namespace Briarbend::Fleet
--- /dev/null
+++ b/Libraries/LibFleet/Directory.cpp
@@ -0,0 +1,75 @@
+#include <LibFleet/Directory.h>
+
+#include <algorithm>
+
+namespace Briarbend::Fleet
+{
+
+namespace
+{
+
+bool mayHaveLapsed(const Directory &directory, Core::TimePoint now)
+{
+    return directory.outageEndedAt && now - *directory.outageEndedAt < REREGISTRATION_TIME;
+}
+
+} // namespace
+
+void recordStoreAnswer(Directory &directory, Core::TimePoint now)
+{
+    if (directory.storeAnsweredAt && now - *directory.storeAnsweredAt >= SHORTEST_LEASE) {
+        directory.outageEndedAt = now;
+    }
+    directory.storeAnsweredAt = now;
+}
+
+void applyListing(Directory &directory, const std::vector<TargetRecord> &listing, Core::TimePoint now)
+{
+    std::set<std::string> listed;
+    for (const auto &record : listing) {
+        listed.insert(record.name);
+        applyRecord(directory, record, now);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[name, entry] : directory.entries) {
+        if (!listed.contains(name)) {
+            missing.push_back(name);
+        }
+    }
+    std::ranges::for_each(missing, [&](const std::string &name) {
+        applyRemoval(directory, name, now);
+    });
+    directory.isKnown = true;
+}
+
+void applyRecord(Directory &directory, const TargetRecord &record, Core::TimePoint now)
+{
+    directory.entries.insert_or_assign(record.name, DirectoryEntry{record, now, std::nullopt});
+}
+
+void applyRemoval(Directory &directory, const std::string &name, Core::TimePoint now)
+{
+    const auto found = directory.entries.find(name);
+    if (found == directory.entries.end()) {
+        return;
+    }
+    if (!mayHaveLapsed(directory, now) || found->second.record.isLeaving) {
+        directory.entries.erase(found);
+    } else if (!found->second.missingSince) {
+        found->second.missingSince = now;
+    }
+}
+
+bool expireMissing(Directory &directory, Core::TimePoint now)
+{
+    if (mayHaveLapsed(directory, now)) {
+        return false;
+    }
+    return std::erase_if(directory.entries,
+                         [](const auto &entry) {
+                             return entry.second.missingSince.has_value();
+                         })
+        > 0;
+}
+
+} // namespace Briarbend::Fleet
--- /dev/null
+++ b/Libraries/LibFleet/Directory.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/Time.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Briarbend::Fleet
+{
+
+/// One target as its entry in the platform's list describes it.
+struct TargetRecord {
+    /// The identifier under which the target registered; it survives a restart.
+    std::string name;
+    /// Wall time of the target's start, which tells two starts under one name apart; zero where it is not stated.
+    std::int64_t startedAtMilliseconds{0};
+    /// "address:port".
+    Core::TargetId address;
+    Core::ServiceName service;
+    Core::DataCentreName dataCentre;
+    Core::VersionName version;
+    /// Requests that the target runs at once.
+    std::uint32_t slots{1};
+    bool isLeaving{false};
+    /// Time for which the target stays cold, counted from the moment at which the entry was read.
+    std::chrono::milliseconds coldLeft{0};
+
+    bool operator==(const TargetRecord &) const = default;
+};
+
+/// An entry of the directory.
+struct DirectoryEntry {
+    TargetRecord record;
+    Core::TimePoint updatedAt;
+    /// Set while the entry is missing from the list for a reason that may be the store's outage and not the target's end.
+    std::optional<Core::TimePoint> missingSince;
+};
+
+/// After an outage entries whose lease lapsed meanwhile come back within this time if their target lives. The platform states about 2 s.
+constexpr std::chrono::milliseconds REREGISTRATION_TIME{2300};
+/// A store that did not answer for this long may have let leases lapse: the shortest lease that the platform grants.
+constexpr std::chrono::milliseconds SHORTEST_LEASE{1000};
+
+/// The list of targets that this instance goes by. It survives outages of the store.
+struct Directory {
+    std::map<std::string, DirectoryEntry> entries;
+    bool isKnown{false};
+    /// The last moment at which the store answered.
+    std::optional<Core::TimePoint> storeAnsweredAt;
+    /// The end of the last outage that was long enough for leases to lapse.
+    std::optional<Core::TimePoint> outageEndedAt;
+};
+
+/// Notes an answer of the store.
+void recordStoreAnswer(Directory &directory, Core::TimePoint now);
+
+/// Takes over the whole list. Entries that it lacks are kept for REREGISTRATION_TIME where an outage has just ended, else they are removed.
+void applyListing(Directory &directory, const std::vector<TargetRecord> &listing, Core::TimePoint now);
+
+/// Takes over one new or changed entry.
+void applyRecord(Directory &directory, const TargetRecord &record, Core::TimePoint now);
+
+/// Takes an entry out, at once or, shortly after an outage, once it has not come back.
+void applyRemoval(Directory &directory, const std::string &name, Core::TimePoint now);
+
+/// Removes entries that were missing for too long. True where any was.
+bool expireMissing(Directory &directory, Core::TimePoint now);
+
+} // namespace Briarbend::Fleet
--- /dev/null
+++ b/Libraries/LibFleet/Plan.cpp
@@ -0,0 +1,52 @@
+#include <LibFleet/Plan.h>
+
+#include <algorithm>
+#include <cctype>
+#include <functional>
+#include <numeric>
+
+namespace Briarbend::Fleet
+{
+
+namespace
+{
+
+bool isSameHost(std::string_view planned, std::string_view given)
+{
+    const auto colon = given.rfind(':');
+    const bool hasPort = colon != std::string_view::npos && given.find(']', colon) == std::string_view::npos;
+    const auto name = hasPort ? given.substr(0, colon) : given;
+    return std::ranges::equal(planned, name, [](char one, char other) {
+        return one == static_cast<char>(std::tolower(static_cast<unsigned char>(other)));
+    });
+}
+
+} // namespace
+
+const RoutePlan *findRoute(const FleetPlan &plan, std::string_view host, std::string_view path)
+{
+    const auto pathOnly = path.substr(0, path.find('?'));
+    const RoutePlan *best = nullptr;
+    for (const auto &route : plan.routes) {
+        const bool isLonger = best == nullptr || route.pathPrefix.size() > best->pathPrefix.size();
+        if (isLonger && pathOnly.starts_with(route.pathPrefix) && isSameHost(route.host, host)) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+Core::ServiceName drawService(const RoutePlan &route, Core::Random &random)
+{
+    const auto sum = std::transform_reduce(route.services.begin(), route.services.end(), 0.0, std::plus{}, [](const WeightedService &part) {
+        return part.weight;
+    });
+    auto rest = random.unit() * sum;
+    const auto drawn = std::ranges::find_if(route.services, [&rest](const WeightedService &part) {
+        rest -= part.weight;
+        return rest < 0;
+    });
+    return drawn == route.services.end() ? route.services.back().service : drawn->service;
+}
+
+} // namespace Briarbend::Fleet
--- a/Libraries/LibNetwork/HttpClient.cpp
+++ b/Libraries/LibNetwork/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include <LibNetwork/HttpClient.h>
 
+#include <LibNetwork/SilenceDetection.h>
+
 #include <array>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -48,6 +50,7 @@
         this->stream->expires_after(timeout);
         co_await this->stream->async_connect(this->remote.tcp(), boost::asio::use_awaitable);
         this->stream->socket().set_option(boost::asio::ip::tcp::no_delay(true));
+        detectSilence(this->stream->socket());
     } catch (const boost::system::system_error &) {
         this->close();
         throw;
--- a/Libraries/LibRejection/Reason.cpp
+++ b/Libraries/LibRejection/Reason.cpp
@@ -24,6 +24,7 @@
     {Reason::OutcomeUnknown, "outcome-unknown", 409, RunRule::MayHaveRun, false, RetryAfterRule::None, "proxy_internal_response", "The outcome of the request is unknown"},
     {Reason::AnswerNotKept, "answer-not-kept", 409, RunRule::MayHaveRun, false, RetryAfterRule::None, "proxy_internal_response", "The request was answered before and its answer was not kept"},
     {Reason::BadRequest, "bad-request", 400, RunRule::FromProgress, false, RetryAfterRule::None, "http_request_error", "The request breaks the protocol"},
+    {Reason::HeaderTooLarge, "header-too-large", 431, RunRule::FromProgress, false, RetryAfterRule::None, "http_request_error", "The request's head is too large"},
     {Reason::BodyTooLarge, "body-too-large", 413, RunRule::FromProgress, false, RetryAfterRule::None, "http_request_error", "The request's body is too large"},
     {Reason::TargetConnectFailed, "target-connect-failed", 503, RunRule::FromProgress, true, RetryAfterRule::Given, "connection_timeout", "No connection to a target could be opened"},
     {Reason::TargetConnectionLost, "target-connection-lost", 502, RunRule::MayHaveRun, true, RetryAfterRule::None, "connection_terminated", "The connection to the target was lost"},
--- a/Libraries/LibRejection/Reason.h
+++ b/Libraries/LibRejection/Reason.h
@@ -41,6 +41,8 @@
     AnswerNotKept,
     /// The request breaks the protocol.
     BadRequest,
+    /// The request's head is larger than the configuration allows.
+    HeaderTooLarge,
     /// The request's body is larger than the route or the claim allows.
     BodyTooLarge,
     /// No connection to a target could be opened in time.
--- /dev/null
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -0,0 +1,163 @@
+#include <LibSettings/GatewaySettings.h>
+
+#include <LibSettings/EndpointType.h>
+#include <LibSettings/ReadGroup.h>
+
+#include <LibDocument/Reference.h>
+
+namespace Briarbend::Settings
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using Document::integerType;
+using Document::key;
+using Document::numberType;
+using Document::Presence;
+using Document::secondsType;
+
+constexpr std::string_view PAGE_HEAD{R"(# Settings of the gateway
+
+A settings file is TOML, named by `--settings FILE`. Every key is checked and all problems are reported together, each with file, line, key,
+what was found and what is allowed; the process then ends with exit code 78. SIGHUP reads the file again: `[budgets]`, `[rollouts]` and
+`[log]` come into force at once, the rest at the next start. A file with problems changes nothing, and a log line says so.
+
+Durations are numbers of seconds, with fractions. Addresses are IP numbers with a port; names are never resolved.
+)"};
+
+/// The platform chooses the names of its data centres, so that any text is allowed.
+Document::ValueType<Core::DataCentreName> dataCentreType()
+{
+    const auto text = Document::textType();
+    return {.allowed = text.allowed,
+            .read = [text](const toml::node &node) -> std::optional<Core::DataCentreName> {
+                const auto name = text.read(node);
+                return name ? std::optional(Core::DataCentreName{*name}) : std::nullopt;
+            },
+            .print =
+                [text](const Core::DataCentreName &name) {
+                    return text.print(name.value);
+                }};
+}
+
+Document::KeyTable<GatewayInstanceSettings> instanceKeys()
+{
+    using I = GatewayInstanceSettings;
+    return {
+        key("name", &I::name, Document::textType(), "Shown in log lines.", Presence::Required),
+        key("data_centre", &I::dataCentre, dataCentreType(), "The data centre that this instance runs in.", Presence::Required),
+        key("caller_address", &I::callerAddress, listenerType(), "Where the balancer connects callers.", Presence::Required),
+        key("ready_address", &I::readyAddress, listenerType(), "Where the balancer reads `/health/ready`.", Presence::Required),
+        key("peer_address", &I::peerAddress, listenerType(), "Where the other instances connect.", Presence::Required),
+        key("metrics_address", &I::metricsAddress, listenerType(), "Where `/metrics` and `/dump` are read.", Presence::Required),
+        key("maximum_descriptors",
+            &I::maximumDescriptors,
+            integerType<std::uint32_t>(64, 10'000'000, "descriptors"),
+            "Descriptors that the process may have open."),
+    };
+}
+
+Document::KeyTable<GatewayStoreSettings> storeKeys()
+{
+    return {key("endpoint", &GatewayStoreSettings::endpoint, remoteType(), "The platform's store.", Presence::Required)};
+}
+
+Document::KeyTable<GatewayPeerSettings> peerKeys()
+{
+    return {key("seeds",
+                &GatewayPeerSettings::seeds,
+                Document::listType(remoteType(), 0),
+                "Peer addresses of some other instances; they may be stale.")};
+}
+
+Document::KeyTable<GatewayStopSettings> stopKeys()
+{
+    return {key("grace", &GatewayStopSettings::grace, secondsType(100ms, 10min), "Time from SIGTERM until the process is killed.")};
+}
+
+Document::KeyTable<GatewayBudgetSettings> budgetKeys()
+{
+    using B = GatewayBudgetSettings;
+    return {
+        key("extra_send_share",
+            &B::extraSendShare,
+            numberType(0, 10),
+            "Sends beyond the first of each request that all instances together may make, for each request in the window."),
+        key("extra_send_allowance",
+            &B::extraSendAllowance,
+            integerType<std::uint32_t>(0, 1'000'000, "sends"),
+            "Sends beyond that share which all instances together may make in the window."),
+        key("extra_send_window", &B::extraSendWindow, secondsType(100ms, 1h), "Length of that window."),
+        key("probes_per_target_and_second",
+            &B::probesPerTargetAndSecond,
+            integerType<std::uint32_t>(0, 1'000'000, "health checks a second"),
+            "Health checks of one target that all instances together may make, on average."),
+    };
+}
+
+Document::KeyTable<GatewayRolloutSettings> rolloutKeys()
+{
+    using R = GatewayRolloutSettings;
+    return {
+        key("exposed_share", &R::exposedShare, numberType(0, 1), "Share of a service's requests that an unproven version may get."),
+        key("exposed_requests",
+            &R::exposedRequests,
+            integerType<std::uint32_t>(0, 1'000'000, "requests"),
+            "Requests that an unproven version may get beyond that share."),
+    };
+}
+
+Document::KeyTable<GatewayLogSettings> logKeys()
+{
+    using L = GatewayLogSettings;
+    return {
+        key("lines_per_second", &L::linesPerSecond, integerType<std::uint32_t>(1, 1'000'000, "lines"), "Log lines a second, on average."),
+        key("sampled_requests",
+            &L::sampledRequests,
+            integerType<std::uint32_t>(1, 1'000'000, "requests"),
+            "One in this many requests without a fault has its decisions logged; a request with a fault always has."),
+    };
+}
+
+} // namespace
+
+GatewaySettings loadGatewaySettings(const std::string &file)
+{
+    return parseGatewaySettings(Document::readFile(file), file);
+}
+
+GatewaySettings parseGatewaySettings(std::string_view text, const std::string &file)
+{
+    const auto document = Document::parseToml(text, file);
+    Document::ProblemList problems(file);
+    const Document::TableReader root(document, "", problems);
+    GatewaySettings settings;
+    readGroup(root, "instance", instanceKeys(), settings.instance);
+    readGroup(root, "store", storeKeys(), settings.store);
+    readGroup(root, "peers", peerKeys(), settings.peers);
+    readGroup(root, "stop", stopKeys(), settings.stop);
+    readGroup(root, "budgets", budgetKeys(), settings.budgets);
+    readGroup(root, "rollouts", rolloutKeys(), settings.rollouts);
+    readGroup(root, "log", logKeys(), settings.log);
+    root.reportUnknownKeys({"instance", "store", "peers", "stop", "budgets", "rollouts", "log"});
+    problems.throwIfAny();
+    return settings;
+}
+
+std::string gatewaySettingsReference()
+{
+    return std::string(PAGE_HEAD)
+        + Document::formatReference({
+            Document::describeTable("[instance]", "Who this instance is and where it listens.", instanceKeys()),
+            Document::describeTable("[store]", "The platform's object store.", storeKeys()),
+            Document::describeTable("[peers]", "The other instances. The whole table may be absent.", peerKeys()),
+            Document::describeTable("[stop]", "How a stop goes. The whole table may be absent.", stopKeys()),
+            Document::describeTable("[budgets]", "What all instances together may send. The whole table may be absent.", budgetKeys()),
+            Document::describeTable("[rollouts]", "Moves between versions. The whole table may be absent.", rolloutKeys()),
+            Document::describeTable("[log]", "Log lines. The whole table may be absent.", logKeys()),
+        });
+}
+
+} // namespace Briarbend::Settings
--- /dev/null
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibNetwork/Endpoint.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The settings of one gateway process: an instance behind a platform that keeps its configuration and its list of targets.
+namespace Briarbend::Settings
+{
+
+struct GatewayInstanceSettings {
+    std::string name;
+    Core::DataCentreName dataCentre;
+    /// Where the platform's balancer connects callers.
+    Network::Endpoint callerAddress;
+    /// Where the balancer asks whether the instance takes callers.
+    Network::Endpoint readyAddress;
+    /// Where the other instances connect.
+    Network::Endpoint peerAddress;
+    /// Where counters and latency histograms are read.
+    Network::Endpoint metricsAddress;
+    std::uint32_t maximumDescriptors{1024};
+};
+
+struct GatewayStoreSettings {
+    Network::Endpoint endpoint;
+};
+
+struct GatewayPeerSettings {
+    /// Addresses of some other instances, which may be stale.
+    std::vector<Network::Endpoint> seeds;
+};
+
+struct GatewayStopSettings {
+    /// Time from the order to stop until the process is killed.
+    std::chrono::milliseconds grace{6000};
+};
+
+struct GatewayBudgetSettings {
+    /// Sends beyond the first of each request that all instances together may make, for each request in the window.
+    double extraSendShare{0.2};
+    /// Sends beyond that share which all instances together may make in the window.
+    std::uint32_t extraSendAllowance{64};
+    std::chrono::milliseconds extraSendWindow{10'000};
+    /// Health checks a second of one target that all instances together may make.
+    std::uint32_t probesPerTargetAndSecond{60};
+};
+
+struct GatewayRolloutSettings {
+    /// Share of a service's requests that a version may get before it is proven.
+    double exposedShare{0.1};
+    /// Requests that it may get beyond that share.
+    std::uint32_t exposedRequests{50};
+};
+
+struct GatewayLogSettings {
+    std::uint32_t linesPerSecond{100};
+    /// One in this many requests without a fault has its decisions logged.
+    std::uint32_t sampledRequests{50};
+};
+
+struct GatewaySettings {
+    GatewayInstanceSettings instance;
+    GatewayStoreSettings store;
+    GatewayPeerSettings peers;
+    GatewayStopSettings stop;
+    GatewayBudgetSettings budgets;
+    GatewayRolloutSettings rollouts;
+    GatewayLogSettings log;
+};
+
+/// Reads and checks a settings file. Throws Document::DocumentError with every problem of the file.
+GatewaySettings loadGatewaySettings(const std::string &file);
+
+/// Checks settings held as text; the file's name is used in problems only. Throws Document::DocumentError.
+GatewaySettings parseGatewaySettings(std::string_view text, const std::string &file);
+
+/// The operators' page of these settings, in Markdown.
+std::string gatewaySettingsReference();
+
+} // namespace Briarbend::Settings
--- a/Libraries/LibSettings/SettingsFile.cpp
+++ b/Libraries/LibSettings/SettingsFile.cpp
@@ -1,5 +1,6 @@
 #include <LibSettings/SettingsFile.h>
 
+#include <LibSettings/ReadGroup.h>
 #include <LibSettings/SettingsKeys.h>
 
 #include <LibDocument/Reference.h>
@@ -27,19 +28,6 @@
 names are never resolved.
 )"};
 
-template<typename Owner>
-void readGroup(const TableReader &root, std::string_view name, const Document::KeyTable<Owner> &keys, Owner &owner)
-{
-    if (const auto table = root.subtable(name)) {
-        Document::readTable(*table, keys, owner);
-    } else if (root.find(name) == nullptr) {
-        // Reports the required keys of a table that is absent as a whole.
-        const toml::table empty;
-        const TableReader absent = TableReader(empty, std::string(name), root.problemList());
-        Document::readTable(absent, keys, owner);
-    }
-}
-
 std::optional<DataCentreDistance> parsePair(std::string_view pair)
 {
     const auto colon = pair.find(':');
--- a/Libraries/LibSettings/SettingsKeys.cpp
+++ b/Libraries/LibSettings/SettingsKeys.cpp
@@ -1,3 +1,4 @@
+#include <LibSettings/EndpointType.h>
 #include <LibSettings/SettingsKeys.h>
 
 namespace Briarbend::Settings
@@ -13,32 +14,6 @@
 using Document::Presence;
 using Milliseconds = std::chrono::milliseconds;
 
-/// An address to listen on: port 0 takes a free one.
-Document::ValueType<Network::Endpoint> listenerType()
-{
-    return {.allowed = "an IP number and a port from 0 to 65535, such as \"10.0.0.7:8080\"; port 0 takes a free one",
-            .read =
-                [](const toml::node &node) {
-                    return Network::parseEndpoint(node.value_exact<std::string>().value_or(""));
-                },
-            .print =
-                [](const Network::Endpoint &endpoint) {
-                    return "\"" + endpoint.text() + "\"";
-                }};
-}
-
-/// An address to connect to.
-Document::ValueType<Network::Endpoint> remoteType()
-{
-    auto type = listenerType();
-    type.allowed = "an IP number and a port from 1 to 65535, such as \"10.0.0.7:8080\"";
-    type.read = [](const toml::node &node) {
-        const auto endpoint = Network::parseEndpoint(node.value_exact<std::string>().value_or(""));
-        return endpoint && endpoint->port != 0 ? endpoint : std::nullopt;
-    };
-    return type;
-}
-
 Document::ValueType<std::string> logLevelType()
 {
     return Document::choiceType<std::string>(
