--- /dev/null
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -0,0 +1,308 @@
+#include <LibGateway/Attempt.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace Briarbend::Gateway
+{
+
+namespace
+{
+
+namespace Asio = boost::asio;
+
+/// Taken off the time that is left for the target, so that its last answer is back in time. Above a round trip between data centres.
+constexpr std::chrono::milliseconds WAY_BACK{10};
+/// Not worth a send: no target answers in less.
+constexpr std::chrono::milliseconds SHORTEST_USEFUL_TIME{20};
+constexpr std::uint32_t LONGEST_ANSWER_HEAD = 64U * 1024;
+constexpr std::size_t MOST_FOREIGN_ANSWERS = 3;
+constexpr std::size_t READ_BYTES = 16UL * 1024;
+constexpr unsigned FIRST_SERVER_ERROR = 500;
+
+std::chrono::milliseconds inMilliseconds(Core::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+bool isSuccess(unsigned status)
+{
+    return status / 100 == 2;
+}
+
+} // namespace
+
+Attempt::Attempt(std::shared_ptr<RequestContext> requestContext, std::function<void()> endedCallback)
+    : context(std::move(requestContext))
+    , onEnded(std::move(endedCallback))
+    , book(this->context->book)
+{
+}
+
+void Attempt::start()
+{
+    spawn(this->context->state, "attempt", runKept(this->shared_from_this()));
+}
+
+void Attempt::cancel()
+{
+    if (this->end != AttemptEnd::Pending) {
+        return;
+    }
+    this->isCancelled = true;
+    if (this->connection) {
+        this->connection->stream.close();
+    }
+}
+
+Asio::awaitable<void> Attempt::runKept(std::shared_ptr<Attempt> self)
+{
+    co_await self->run();
+}
+
+Asio::awaitable<void> Attempt::run()
+{
+    auto found = co_await findTarget(this->context->state, this->wish());
+    if (found.obstacle != Obstacle::None) {
+        this->context->note(found.obstacle == Obstacle::Full ? "all_full" : "no_target",
+                            {{"service", this->book->name.value}, {"probes", found.probes}, {"expected_us", found.expectedTime.count()}});
+        this->end = found.obstacle == Obstacle::Full ? AttemptEnd::Full : AttemptEnd::NoTarget;
+    } else if (this->isCancelled || this->context->isCallerGone || this->context->remaining() < SHORTEST_USEFUL_TIME) {
+        this->context->state.pool.giveBack(std::move(found.connection), Core::Clock::now());
+        this->end = AttemptEnd::NotSent;
+    } else {
+        this->name = found.name;
+        this->version = found.version;
+        this->isCold = found.isCold;
+        this->connection = std::move(found.connection);
+        this->context->tried.push_back(this->name);
+        this->context->note("send",
+                            {{"target", this->name},
+                             {"version", this->version.value},
+                             {"probes", found.probes},
+                             {"expected_us", found.expectedTime.count()},
+                             {"cold", found.isCold}});
+        co_await this->exchange();
+    }
+    this->connection.reset();
+    this->onEnded();
+}
+
+TargetWish Attempt::wish() const
+{
+    auto &state = this->context->state;
+    const auto &route = *this->context->route;
+    TargetWish wish{.book = this->book,
+                    .route = &route,
+                    .input = {.ownDataCentre = state.settings.instance.dataCentre,
+                              .dataCentresOut = state.dataCentresOut,
+                              .excluded = this->context->tried,
+                              .version = {},
+                              .isVersionExcluded = false,
+                              .sampled = {},
+                              .distance = state.distance,
+                              .crossingPerKibibyte = state.crossingPerKibibyte},
+                    .remaining = this->context->remaining(),
+                    .objectiveLeft = route.objective - this->context->elapsed()};
+    const auto split = state.splitOf ? state.splitOf(this->book->name, route.name) : std::nullopt;
+    if (split) {
+        wish.input.version = split->newVersion;
+        wish.input.isVersionExcluded = state.random.unit() >= split->newShare;
+        if (!wish.input.isVersionExcluded) {
+            wish.input.sampled = split->sampled;
+        }
+    }
+    return wish;
+}
+
+Fleet::TargetBelief *Attempt::target()
+{
+    auto *belief = Fleet::findTarget(*this->book, this->name);
+    return belief != nullptr && belief->record.startedAtMilliseconds == this->targetStartedAt ? belief : nullptr;
+}
+
+Asio::awaitable<void> Attempt::exchange()
+{
+    auto &state = this->context->state;
+    this->sentAt = Core::Clock::now();
+    if (auto *belief = Fleet::findTarget(*this->book, this->name)) {
+        this->targetStartedAt = belief->record.startedAtMilliseconds;
+        ++belief->ownInFlight;
+    }
+    ++state.counters.sends;
+    // From the first byte on nobody can tell whether the target got enough to run the request.
+    this->isSent = true;
+    this->end = AttemptEnd::Pending;
+    bool isWhole = co_await this->send();
+    if (isWhole) {
+        isWhole = co_await this->receive();
+    }
+    if (auto *belief = this->target(); belief != nullptr && belief->ownInFlight > 0) {
+        --belief->ownInFlight;
+    }
+    if (!isWhole) {
+        this->end = AttemptEnd::Unknown;
+        if (!this->isCancelled) {
+            this->learn(Fleet::SendOutcome::Lost);
+        }
+    }
+    this->noteEnd();
+}
+
+Asio::awaitable<bool> Attempt::send()
+{
+    auto &state = this->context->state;
+    using Body = Http::span_body<const char>;
+    Http::request<Body> request{Http::request_header<>(this->context->head)};
+    const auto left = std::max(std::chrono::milliseconds{1}, inMilliseconds(this->context->remaining()) - WAY_BACK);
+    state.dialect.addressTarget(request, left, this->name);
+    request.body() = Body::value_type(this->context->body.data(), this->context->body.size());
+    this->connection->stream.expires_after(std::max(Core::Duration{0}, this->context->remaining()));
+    boost::system::error_code error;
+    co_await Http::async_write(this->connection->stream, request, Asio::redirect_error(Asio::use_awaitable, error));
+    if (error) {
+        this->failure = "write: " + error.message();
+    }
+    co_return !error;
+}
+
+Asio::awaitable<bool> Attempt::receive()
+{
+    auto &state = this->context->state;
+    for (std::size_t foreign = 0; foreign <= MOST_FOREIGN_ANSWERS; ++foreign) {
+        Http::response_parser<Http::buffer_body> parser;
+        parser.header_limit(LONGEST_ANSWER_HEAD);
+        parser.body_limit(boost::none);
+        parser.skip(this->context->head.method() == Http::verb::head);
+        boost::system::error_code error;
+        co_await Http::async_read_header(
+            this->connection->stream, this->connection->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        if (error) {
+            this->failure = "read: " + error.message();
+            co_return false;
+        }
+        const auto statement = state.dialect.readTarget(parser.get().base());
+        const bool isForeign = !statement.attemptId.empty() && statement.attemptId != this->context->attemptId;
+        const bool isInterim = parser.get().result_int() / 100 == 1;
+        if (!co_await this->receiveBody(parser, !isForeign && !isInterim)) {
+            co_return false;
+        }
+        if (isForeign || isInterim) {
+            state.counters.foreignAnswers += isForeign ? 1 : 0;
+            continue;
+        }
+        this->answer.head = parser.get().base();
+        this->judge(statement);
+        if (parser.keep_alive() && this->end != AttemptEnd::Unknown && foreign == 0) {
+            keepConnection(state, std::move(this->connection), this->answer.head);
+        }
+        co_return this->end != AttemptEnd::Unknown;
+    }
+    this->failure = "only answers to other requests";
+    co_return false;
+}
+
+Asio::awaitable<bool> Attempt::receiveBody(Http::response_parser<Http::buffer_body> &parser, bool isKept)
+{
+    std::vector<char> chunk(parser.is_done() ? 0 : READ_BYTES);
+    if (isKept && parser.content_length()) {
+        this->answer.body.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(*parser.content_length(), READ_BYTES * 64)));
+    }
+    while (!parser.is_done()) {
+        auto &body = parser.get().body();
+        body.data = chunk.data();
+        body.size = chunk.size();
+        boost::system::error_code error;
+        co_await Http::async_read_some(
+            this->connection->stream, this->connection->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        if (error && error != Http::error::need_buffer) {
+            this->failure = "body: " + error.message();
+            co_return false;
+        }
+        if (isKept) {
+            this->answer.body.append(chunk.data(), chunk.size() - body.size);
+        }
+    }
+    co_return true;
+}
+
+void Attempt::judge(const TargetStatement &statement)
+{
+    const auto now = Core::Clock::now();
+    auto *belief = this->target();
+    if (belief != nullptr && statement.load) {
+        Fleet::recordLoad(*this->book, *belief, *statement.load, now);
+    }
+    if (belief != nullptr && statement.coldLeft) {
+        Fleet::recordCold(*belief, *statement.coldLeft, now);
+    }
+    const auto status = this->answer.head.result_int();
+    if (statement.isMisdirected || (statement.isNotRun && !isSuccess(status))) {
+        this->end = AttemptEnd::NotRun;
+        if (belief != nullptr && statement.isMisdirected) {
+            Fleet::recordTrouble(*belief, now);
+        }
+        this->learn(Fleet::SendOutcome::Shed);
+        return;
+    }
+    // A body with a coding was asked for by nobody, and a success without the target's mark is not its work.
+    const bool isForged = this->answer.head.count(Http::field::content_encoding) > 0 || (isSuccess(status) && !statement.isSigned);
+    if (isForged) {
+        this->failure = "an answer that is not the target's";
+        this->end = AttemptEnd::Unknown;
+        return;
+    }
+    this->end = AttemptEnd::Answered;
+    this->learn(status >= FIRST_SERVER_ERROR ? Fleet::SendOutcome::Failed : Fleet::SendOutcome::Answered);
+}
+
+void Attempt::learn(Fleet::SendOutcome outcome)
+{
+    auto &state = this->context->state;
+    const auto now = Core::Clock::now();
+    const auto elapsed = now - this->sentAt;
+    if (auto *belief = this->target()) {
+        Fleet::recordOutcome(*belief, outcome, now);
+    }
+    if (outcome == Fleet::SendOutcome::Answered) {
+        auto &route = state.routes.at(this->context->route->name);
+        Fleet::recordAnswer(route.statistics, *this->book, elapsed, this->answer.body.size());
+        Routing::addSample(route.lateAnswer, std::chrono::duration<double, std::milli>(elapsed).count());
+    }
+    if (state.onObserved && outcome != Fleet::SendOutcome::Shed) {
+        state.onObserved({.service = this->book->name,
+                          .route = this->context->route->name,
+                          .target = this->name,
+                          .version = this->version,
+                          .isFailure = outcome != Fleet::SendOutcome::Answered,
+                          .wasCold = this->isCold,
+                          .elapsed = elapsed});
+    }
+}
+
+void Attempt::noteEnd()
+{
+    const auto elapsed = Core::Clock::now() - this->sentAt;
+    nlohmann::ordered_json inputs{{"target", this->name}, {"took_ms", inMilliseconds(elapsed).count()}};
+    if (this->end == AttemptEnd::Answered || this->end == AttemptEnd::NotRun) {
+        inputs["status"] = this->answer.head.result_int();
+    }
+    if (!this->failure.empty()) {
+        inputs["failure"] = this->failure;
+    }
+    const bool isAnswered = this->end == AttemptEnd::Answered;
+    const bool isNotRun = this->end == AttemptEnd::NotRun;
+    this->context->note(isAnswered              ? "answered"
+                            : isNotRun          ? "shed_by_target"
+                            : this->isCancelled ? "cancelled"
+                                                : "lost",
+                        std::move(inputs));
+}
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/Attempt.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <LibGateway/RequestContext.h>
+#include <LibGateway/TargetFinder.h>
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace Briarbend::Gateway
+{
+
+/// How an attempt at one target ended.
+enum class AttemptEnd {
+    Pending,
+    /// Nothing was sent: no target takes the request.
+    NoTarget,
+    Full,
+    /// Nothing was sent: the request was given up before.
+    NotSent,
+    /// The target said that it did not run the request and will not.
+    NotRun,
+    /// The request was sent, and whether it ran is not known.
+    Unknown,
+    /// A whole answer has come.
+    Answered,
+};
+
+/// A target's whole answer.
+struct TargetAnswer {
+    Http::response_header<> head;
+    std::string body;
+};
+
+/// Finds one target for a request, sends it there and reads the whole answer. Kept alive by its own coroutine.
+class Attempt : public std::enable_shared_from_this<Attempt>
+{
+public:
+    Attempt(std::shared_ptr<RequestContext> context, std::function<void()> onEnded);
+
+    void start();
+    /// Gives up: a target at work is told so by the end of the connection.
+    void cancel();
+
+    AttemptEnd end{AttemptEnd::Pending};
+    bool isSent{false};
+    TargetAnswer answer;
+
+private:
+    /// Keeps the attempt alive until it has ended.
+    static boost::asio::awaitable<void> runKept(std::shared_ptr<Attempt> self);
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> exchange();
+    boost::asio::awaitable<bool> send();
+    /// Reads up to the end of the answer to this request, over late answers to others.
+    boost::asio::awaitable<bool> receive();
+    boost::asio::awaitable<bool> receiveBody(Http::response_parser<Http::buffer_body> &parser, bool isKept);
+    TargetWish wish() const;
+    void judge(const TargetStatement &statement);
+    void learn(Fleet::SendOutcome outcome);
+    void noteEnd();
+    Fleet::TargetBelief *target();
+
+    std::shared_ptr<RequestContext> context;
+    std::function<void()> onEnded;
+    std::shared_ptr<Fleet::ServiceBook> book;
+    std::string name;
+    Core::VersionName version;
+    std::int64_t targetStartedAt{0};
+    Core::TimePoint sentAt;
+    bool isCold{false};
+    bool isCancelled{false};
+    std::unique_ptr<Relay::TargetConnection> connection;
+    std::string failure;
+};
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -0,0 +1,295 @@
+#include <LibGateway/CallerFrontend.h>
+
+#include <LibGateway/RequestFlow.h>
+#include <LibNetwork/HttpServer.h>
+#include <LibNetwork/SilenceDetection.h>
+#include <LibRelay/CallerWatch.h>
+#include <LibRelay/HeaderRules.h>
+#include <LibRelay/RequestBody.h>
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace Briarbend::Gateway
+{
+
+namespace
+{
+
+namespace Asio = boost::asio;
+using Rejection::Reason;
+
+/// Pause after accept fails for want of descriptors, so that the loop does not spin.
+constexpr std::chrono::milliseconds ACCEPT_PAUSE{20};
+/// Time that a caller may take to receive an answer.
+constexpr std::chrono::seconds WRITE_TIMEOUT{10};
+/// Another instance can answer at once.
+constexpr std::chrono::milliseconds ELSEWHERE_RETRY_AFTER{20};
+/// First room for a request's head; a usual one has a few hundred bytes.
+constexpr std::size_t FIRST_READ_BYTES = 1024;
+/// Waiting time of a caller that states none, on a route that states none.
+constexpr std::chrono::seconds DEFAULT_DEADLINE{30};
+constexpr unsigned HTTP_1_1 = 11;
+constexpr unsigned FIRST_CLIENT_ERROR = 400;
+/// Descriptors that callers' connections may take; the rest is for targets, the store and peers.
+constexpr double CALLER_DESCRIPTOR_SHARE = 0.6;
+
+using RequestParser = Http::request_parser<Http::string_body>;
+
+class Presence
+{
+public:
+    explicit Presence(std::uint32_t &countedBy)
+        : count(countedBy)
+    {
+        ++this->count;
+    }
+
+    Presence(const Presence &) = delete;
+    Presence &operator=(const Presence &) = delete;
+
+    ~Presence()
+    {
+        --this->count;
+    }
+
+private:
+    std::uint32_t &count;
+};
+
+/// The reason for which a request that could not be read is refused, with its status; nothing where the connection just ended.
+std::optional<Reason> readProblem(const boost::system::error_code &error)
+{
+    if (error == Http::error::header_limit) {
+        return Reason::HeaderTooLarge;
+    }
+    if (error == Http::error::body_limit) {
+        return Reason::BodyTooLarge;
+    }
+    return Relay::isProtocolError(error) ? std::optional(Reason::BadRequest) : std::nullopt;
+}
+
+Fleet::CallerLimits limitsOf(const GatewayState &state)
+{
+    return state.plan ? state.plan->limits : Fleet::CallerLimits{};
+}
+
+/// Reads one request. The parser is done where the error is none.
+Asio::awaitable<boost::system::error_code>
+readRequest(const Fleet::CallerLimits &limits, boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, RequestParser &parser)
+{
+    boost::system::error_code error;
+    parser.header_limit(limits.headerBytes);
+    parser.body_limit(limits.bodyBytes);
+    stream.expires_after(limits.headerTimeout);
+    co_await Http::async_read_header(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+    if (error || parser.is_done()) {
+        co_return error;
+    }
+    if (Relay::expectsContinue(parser.get().base())) {
+        co_await Relay::sendContinue(stream);
+    }
+    while (!error && !parser.is_done()) {
+        stream.expires_after(limits.idleTimeout);
+        co_await Http::async_read_some(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+    }
+    co_return error;
+}
+
+/// Waits for the first byte of a request. False where the connection ended or stayed idle too long.
+Asio::awaitable<bool> waitForRequest(const Fleet::CallerLimits &limits, boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer)
+{
+    if (buffer.size() > 0) {
+        co_return true;
+    }
+    boost::system::error_code error;
+    stream.expires_after(limits.idleTimeout);
+    buffer.shrink_to_fit();
+    const auto length = co_await stream.async_read_some(buffer.prepare(FIRST_READ_BYTES), Asio::redirect_error(Asio::use_awaitable, error));
+    buffer.commit(length);
+    co_return !error;
+}
+
+/// Puts the request's head into the form in which it goes to targets.
+void prepareHead(RequestContext &context, Http::request<Http::string_body> &&request)
+{
+    const bool hadBody = request.count(Http::field::transfer_encoding) > 0 || request.count(Http::field::content_length) > 0;
+    context.body = std::move(request.body());
+    context.head = std::move(request.base());
+    Relay::removeConnectionFields(context.head);
+    context.head.erase(Http::field::transfer_encoding);
+    context.head.erase(Http::field::trailer);
+    context.head.version(HTTP_1_1);
+    if (hadBody) {
+        context.head.set(Http::field::content_length, std::to_string(context.body.size()));
+    }
+}
+
+std::string_view viewOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/// Finds the route and the deadline. The reason for a refusal where the request can not be served here.
+std::optional<Reason> admit(RequestContext &context, const CallerStatement &statement)
+{
+    if (!context.plan) {
+        return Reason::NotConfigured;
+    }
+    context.route = Fleet::findRoute(*context.plan, viewOf(context.head[Http::field::host]), viewOf(context.head.target()));
+    if (context.route == nullptr || context.route->services.empty()) {
+        return Reason::NoRoute;
+    }
+    auto &state = context.state;
+    const auto service = state.services.find(Fleet::drawService(*context.route, state.random));
+    if (service == state.services.end()) {
+        return Reason::NoTarget;
+    }
+    context.book = service->second;
+    state.routes[context.route->name];
+    const auto timeout = context.route->timeout;
+    const auto waits = statement.remaining.value_or(timeout.count() > 0 ? timeout : DEFAULT_DEADLINE);
+    context.allowed = timeout.count() > 0 ? std::min(waits, timeout) : waits;
+    return std::nullopt;
+}
+
+void logRequest(RequestContext &context, unsigned status, bool isCallerGone)
+{
+    auto &state = context.state;
+    const bool isLate = context.route != nullptr && context.elapsed() > context.route->objective;
+    const bool isNotable = status >= FIRST_CLIENT_ERROR || isCallerGone || isLate;
+    if (!isNotable && state.random.below(state.settings.log.sampledRequests) != 0) {
+        return;
+    }
+    const auto importance = isNotable ? Log::Importance::Notable : Log::Importance::Routine;
+    nlohmann::ordered_json summary{{"request", context.attemptId},
+                                   {"route", context.route == nullptr ? "" : context.route->name},
+                                   {"configuration", context.plan ? context.plan->version : 0},
+                                   {"status", status},
+                                   {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(context.elapsed()).count()},
+                                   {"allowed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(context.allowed).count()},
+                                   {"caller_gone", isCallerGone}};
+    for (auto &decision : context.decisions) {
+        decision["request"] = context.attemptId;
+        state.log.write(importance, "decision", decision);
+    }
+    state.log.write(importance, "request", summary);
+}
+
+void countResult(GatewayState &state, const FlowResult &result)
+{
+    if (result.isCallerGone) {
+        ++state.counters.callersGone;
+        return;
+    }
+    const auto status = result.response.result();
+    auto &counter = status == Http::status::service_unavailable             ? state.counters.refused
+        : Http::to_status_class(status) == Http::status_class::server_error ? state.counters.failed
+                                                                            : state.counters.answered;
+    ++counter;
+}
+
+} // namespace
+
+CallerFrontend::CallerFrontend(Asio::io_context &context, GatewayState &gatewayState)
+    : state(gatewayState)
+    , acceptor(Network::openAcceptor(context, gatewayState.settings.instance.callerAddress))
+{
+    spawn(this->state, "accept", this->acceptLoop());
+}
+
+void CallerFrontend::stopListening()
+{
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+}
+
+void CallerFrontend::refuseNewRequests()
+{
+    this->isRefusing = true;
+}
+
+Asio::awaitable<void> CallerFrontend::acceptLoop()
+{
+    const auto most = static_cast<std::uint32_t>(this->state.settings.instance.maximumDescriptors * CALLER_DESCRIPTOR_SHARE);
+    while (this->acceptor.is_open()) {
+        boost::system::error_code error;
+        auto socket = co_await this->acceptor.async_accept(Asio::redirect_error(Asio::use_awaitable, error));
+        if (!error && this->state.callerConnections < most) {
+            spawn(this->state, "caller", this->serve(std::move(socket)));
+        } else if (error && this->acceptor.is_open()) {
+            Asio::steady_timer pause(this->acceptor.get_executor(), ACCEPT_PAUSE);
+            co_await pause.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
+        }
+    }
+}
+
+Asio::awaitable<void> CallerFrontend::serve(Asio::ip::tcp::socket socket)
+{
+    const Presence connection(this->state.callerConnections);
+    boost::beast::tcp_stream stream(std::move(socket));
+    boost::beast::flat_buffer buffer;
+    boost::system::error_code error;
+    stream.socket().set_option(Asio::ip::tcp::no_delay(true), error);
+    bool isUsable = co_await waitForRequest(limitsOf(this->state), stream, buffer);
+    while (isUsable) {
+        const Presence inFlight(this->state.requestsInFlight);
+        RequestParser parser;
+        error = co_await readRequest(limitsOf(this->state), stream, buffer, parser);
+        const auto problem = error ? readProblem(error) : std::nullopt;
+        if (error && !problem) {
+            co_return;
+        }
+        ++this->state.counters.requests;
+        auto context = std::make_shared<RequestContext>(this->state);
+        const auto statement = this->state.dialect.readCaller(parser.get().base());
+        context->attemptId = statement.attemptId;
+        const auto headProblem = problem ? std::nullopt : Relay::findHeadProblem(parser.get().base());
+        const bool keepsAlive = !problem && !headProblem && parser.keep_alive() && parser.get().version() >= HTTP_1_1;
+        std::optional<Reason> refusal = problem;
+        if (headProblem) {
+            refusal = Reason::BadRequest;
+        }
+        if (!refusal) {
+            prepareHead(*context, parser.release());
+            refusal = this->isRefusing ? Reason::Stopping : admit(*context, statement);
+        }
+        FlowResult result;
+        if (refusal) {
+            context->note("refused", {{"reason", Rejection::traits(*refusal).name}});
+            result.response = makeRefusal(this->state,
+                                          context->attemptId,
+                                          {.reason = *refusal, .retryAfter = ELSEWHERE_RETRY_AFTER, .detail = headProblem.value_or("")});
+        } else {
+            RequestFlow flow(context);
+            stream.expires_never();
+            const Relay::CallerWatch watch(stream.socket(), [&flow] {
+                flow.callerGone();
+            });
+            result = co_await flow.run();
+        }
+        countResult(this->state, result);
+        logRequest(*context, result.response.result_int(), result.isCallerGone);
+        if (result.isCallerGone) {
+            co_return;
+        }
+        const bool staysOpen = keepsAlive && !this->state.isStopping;
+        result.response.keep_alive(staysOpen);
+        stream.expires_after(WRITE_TIMEOUT);
+        co_await Http::async_write(stream, result.response, Asio::redirect_error(Asio::use_awaitable, error));
+        isUsable = staysOpen && !error;
+        if (!staysOpen && !error) {
+            stream.socket().shutdown(Asio::ip::tcp::socket::shutdown_send, error);
+        }
+        if (isUsable) {
+            isUsable = co_await waitForRequest(limitsOf(this->state), stream, buffer);
+        }
+    }
+}
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/Dialect.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibFleet/Beliefs.h>
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Briarbend::Gateway
+{
+
+namespace Http = boost::beast::http;
+
+/// What a caller states about one attempt.
+struct CallerStatement {
+    /// Identifies the attempt; empty where the caller sent none.
+    std::string attemptId;
+    /// How long the caller waits.
+    std::optional<std::chrono::milliseconds> remaining;
+};
+
+/// What a target states with an answer.
+struct TargetStatement {
+    /// The attempt that the answer belongs to; empty where the target sent none.
+    std::string attemptId;
+    /// The target's own mark that the answer is its work.
+    bool isSigned{false};
+    /// The target did not run the request and will not.
+    bool isNotRun{false};
+    /// Another target has the address.
+    bool isMisdirected{false};
+    std::optional<Fleet::LoadStatement> load;
+    std::optional<std::chrono::milliseconds> coldLeft;
+    /// The name under which the target registered, on its health path.
+    std::string targetName;
+};
+
+/// How callers and targets word what the protocol of HTTP leaves open.
+struct Dialect {
+    CallerStatement (*readCaller)(const Http::fields &head);
+    TargetStatement (*readTarget)(const Http::response_header<> &head);
+    /// Sets what only a target reads: the time left for it and the name that it must have.
+    void (*addressTarget)(Http::fields &head, std::chrono::milliseconds remaining, std::string_view targetName);
+    /// Removes from an answer what only instances read.
+    void (*removeInternalFields)(Http::fields &head);
+    /// Names an answer of this instance with the attempt that it belongs to.
+    void (*nameAttempt)(Http::fields &head, std::string_view attemptId);
+    /// Tells the caller when to come back.
+    void (*setRetryAfter)(Http::fields &head, std::chrono::milliseconds delay);
+};
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/GatewayState.cpp
@@ -0,0 +1,77 @@
+#include <LibGateway/GatewayState.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace Briarbend::Gateway
+{
+
+namespace
+{
+
+/// Part of the budgets that instances plan with; the rest covers requests that the platform counts otherwise.
+constexpr double PLANNED_PART = 0.85;
+/// Instances that the allowance beyond the share is divided by: several times as many as run, since each start has its part anew.
+constexpr double STARTS_PER_INSTANCE = 4;
+/// An instance that knows no others yet must not take the whole allowance for itself.
+constexpr double MOST_ALLOWANCE = 1;
+
+} // namespace
+
+GatewayState::GatewayState(boost::asio::any_io_executor ioExecutor,
+                           Settings::GatewaySettings gatewaySettings,
+                           Dialect platformDialect,
+                           std::uint64_t seed)
+    : executor(ioExecutor)
+    , settings(std::move(gatewaySettings))
+    , dialect(platformDialect)
+    , log(STDOUT_FILENO, this->settings.instance.name, {.linesPerSecond = static_cast<double>(this->settings.log.linesPerSecond)})
+    , random(seed)
+    , pool(std::move(ioExecutor))
+{
+}
+
+void spawn(GatewayState &state, std::string_view name, boost::asio::awaitable<void> coroutine)
+{
+    boost::asio::co_spawn(state.executor, std::move(coroutine), [&state, name = std::string(name)](const std::exception_ptr &problem) {
+        if (!problem) {
+            return;
+        }
+        try {
+            std::rethrow_exception(problem);
+        } catch (const std::exception &exception) {
+            state.log.write(Log::Importance::Notable, "unexpected_error", {{"part", name}, {"error", exception.what()}});
+        }
+    });
+}
+
+void refreshBooks(GatewayState &state, Core::TimePoint now)
+{
+    if (!state.plan) {
+        return;
+    }
+    std::map<Core::ServiceName, std::vector<Fleet::TargetRecord>> records;
+    for (const auto &[name, entry] : state.directory.entries) {
+        records[entry.record.service].push_back(entry.record);
+    }
+    const auto &budgets = state.settings.budgets;
+    for (const auto &[name, plan] : state.plan->services) {
+        auto &book = state.services[name];
+        if (!book) {
+            book = std::make_shared<Fleet::ServiceBook>();
+            book->name = name;
+        }
+        book->plan = plan;
+        const auto instances = static_cast<double>(std::max<std::size_t>(1, state.instances));
+        book->budget.parameters = {.window = budgets.extraSendWindow,
+                                   .share = budgets.extraSendShare * PLANNED_PART,
+                                   .allowance = std::min(MOST_ALLOWANCE, budgets.extraSendAllowance / (instances * STARTS_PER_INSTANCE))};
+        Fleet::updateTargets(*book, records[name], now, state.random.unit());
+    }
+    std::erase_if(state.services, [&state](const auto &entry) {
+        return !state.plan->services.contains(entry.first);
+    });
+}
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/Instance.cpp
@@ -0,0 +1,295 @@
+#include <LibGateway/Instance.h>
+
+#include <LibGateway/Metrics.h>
+#include <LibNetwork/WallClock.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Briarbend::Gateway
+{
+
+namespace
+{
+
+namespace Asio = boost::asio;
+using Log::Importance;
+
+constexpr std::chrono::milliseconds LOG_FLUSH{50};
+constexpr std::chrono::milliseconds TICK{100};
+/// A gap between two ticks above this shows that the process stood still; a busy host delays ticks by less.
+constexpr std::chrono::milliseconds FREEZE_LIMIT{600};
+constexpr std::chrono::seconds IDLE_SWEEP{5};
+/// Longer than targets keep idle connections.
+constexpr std::chrono::seconds IDLE_LIFETIME{20};
+constexpr std::chrono::milliseconds STOP_CHECK{50};
+/// The balancer asks once a second and moves on after two misses.
+constexpr std::chrono::milliseconds BALANCER_PATIENCE{3000};
+/// The end of the grace that a request taken late must leave free.
+constexpr std::chrono::milliseconds STOP_MARGIN{300};
+/// An instance that woke while the store is away serves with what it knows after this time.
+constexpr std::chrono::milliseconds WAKE_PATIENCE{2000};
+
+constexpr std::string_view READY_PATH{"/health/ready"};
+
+} // namespace
+
+Instance::Instance(
+    Asio::io_context &ioContext, Settings::GatewaySettings settings, Dialect dialect, PlatformStore &platformStore, std::uint64_t seed)
+    : context(ioContext)
+    , state(ioContext.get_executor(), std::move(settings), dialect, seed)
+    , store(platformStore)
+    , timers(ioContext)
+    , lastTick(Core::Clock::now())
+    , lastTickAtBoot(Network::bootNow())
+{
+    const auto &addresses = this->state.settings.instance;
+    this->callers = std::make_unique<CallerFrontend>(ioContext, this->state);
+    this->readyServer = std::make_unique<Network::HttpServer>(ioContext, addresses.readyAddress, [this](Network::Request request) {
+        return this->answerReady(std::move(request));
+    });
+    this->operatorServer = std::make_unique<Network::HttpServer>(ioContext, addresses.metricsAddress, [this](Network::Request request) {
+        return this->answerOperator(std::move(request));
+    });
+    for (const auto kind : {ObjectKind::Plan, ObjectKind::Targets, ObjectKind::Rollouts, ObjectKind::DataCentresOut}) {
+        this->followers.push_back(this->makeFollower(kind));
+        spawn(this->state, "follower", this->followers.back()->follow());
+    }
+    this->subscriptions.push_back(this->timers.every(LOG_FLUSH, [this](Core::TimePoint) {
+        this->state.log.flush();
+    }));
+    this->subscriptions.push_back(this->timers.every(TICK, [this](Core::TimePoint now) {
+        this->watchForFreeze(now);
+        this->expireTargets(now);
+    }));
+    this->subscriptions.push_back(this->timers.every(IDLE_SWEEP, [this](Core::TimePoint now) {
+        this->state.pool.closeIdle(now, IDLE_LIFETIME);
+    }));
+    this->state.log.write(Importance::Notable,
+                          "started",
+                          {{"callers", addresses.callerAddress.text()},
+                           {"ready", addresses.readyAddress.text()},
+                           {"metrics", addresses.metricsAddress.text()},
+                           {"data_centre", addresses.dataCentre.value}});
+}
+
+void Instance::reload(const std::string &file)
+{
+    try {
+        const auto settings = Settings::loadGatewaySettings(file);
+        this->state.settings.budgets = settings.budgets;
+        this->state.settings.rollouts = settings.rollouts;
+        this->state.settings.log = settings.log;
+    } catch (const std::exception &exception) {
+        this->state.log.write(Importance::Notable, "settings_refused", {{"file", file}, {"problem", exception.what()}});
+        return;
+    }
+    refreshBooks(this->state, this->timers.now());
+    this->state.log.write(Importance::Notable, "settings_reloaded", {{"file", file}});
+}
+
+std::unique_ptr<Follower> Instance::makeFollower(ObjectKind kind)
+{
+    return std::make_unique<Follower>(this->context,
+                                      this->store,
+                                      this->state.random,
+                                      kind,
+                                      Follower::Callbacks{
+                                          .onListing =
+                                              [this, kind](const Listing &listing) {
+                                                  this->takeListing(kind, listing);
+                                              },
+                                          .onChanges =
+                                              [this](const Changes &changes) {
+                                                  this->takeChanges(changes);
+                                              },
+                                          .onAnswer =
+                                              [this] {
+                                                  this->noteStoreAnswer();
+                                              },
+                                          .onFailure =
+                                              [this](const std::string &reason) {
+                                                  this->noteStoreFailure(reason);
+                                              },
+                                      });
+}
+
+void Instance::takeListing(ObjectKind kind, const Listing &listing)
+{
+    const auto now = this->timers.now();
+    this->noteStoreAnswer();
+    if (kind == ObjectKind::Targets) {
+        std::vector<Fleet::TargetRecord> records;
+        for (const auto &object : listing.objects) {
+            if (const auto *record = std::get_if<Fleet::TargetRecord>(&object.content)) {
+                records.push_back(*record);
+            }
+        }
+        Fleet::applyListing(this->state.directory, records, now);
+        refreshBooks(this->state, now);
+        return;
+    }
+    if (kind == ObjectKind::DataCentresOut) {
+        this->state.dataCentresOut.clear();
+    }
+    std::ranges::for_each(listing.objects, [this](const StoredObject &object) {
+        this->takeObject(object, false);
+    });
+}
+
+void Instance::takeChanges(const Changes &changes)
+{
+    std::ranges::for_each(changes.changes, [this](const Change &change) {
+        this->takeObject(change.object, change.isRemoved);
+    });
+    refreshBooks(this->state, this->timers.now());
+}
+
+void Instance::takeObject(const StoredObject &object, bool isRemoved)
+{
+    const auto now = this->timers.now();
+    if (const auto *unreadable = std::get_if<Unreadable>(&object.content)) {
+        // The entry of another writer: what was known under the name no longer holds.
+        Fleet::applyRemoval(this->state.directory, object.name, now);
+        if (!isRemoved) {
+            this->state.log.write(Importance::Notable, "unreadable_object", {{"object", object.name}, {"reason", unreadable->reason}});
+        }
+    } else if (const auto *plan = std::get_if<Fleet::FleetPlan>(&object.content)) {
+        if (!isRemoved) {
+            this->takePlan(*plan);
+        }
+    } else if (const auto *record = std::get_if<Fleet::TargetRecord>(&object.content)) {
+        this->state.log.write(Importance::Routine,
+                              "target",
+                              {{"target", record->name},
+                               {"service", record->service.value},
+                               {"version", record->version.value},
+                               {"leaving", record->isLeaving},
+                               {"cold_ms", record->coldLeft.count()},
+                               {"removed", isRemoved},
+                               {"revision", object.revision}});
+        if (isRemoved) {
+            Fleet::applyRemoval(this->state.directory, object.name, now);
+        } else {
+            Fleet::applyRecord(this->state.directory, *record, now);
+        }
+    } else if (const auto *dataCentre = std::get_if<Core::DataCentreName>(&object.content)) {
+        if (isRemoved) {
+            this->state.dataCentresOut.erase(*dataCentre);
+        } else {
+            this->state.dataCentresOut.insert(*dataCentre);
+        }
+        this->state.log.write(
+            Importance::Notable, "data_centre", {{"data_centre", dataCentre->value}, {"out", !isRemoved}, {"revision", object.revision}});
+    }
+}
+
+void Instance::takePlan(const Fleet::FleetPlan &plan)
+{
+    if (this->state.plan && plan.version <= this->state.plan->version) {
+        return;
+    }
+    this->state.plan = std::make_shared<const Fleet::FleetPlan>(plan);
+    refreshBooks(this->state, this->timers.now());
+    this->state.log.write(Importance::Notable, "configuration_in_force", {{"version", plan.version}, {"routes", plan.routes.size()}});
+}
+
+void Instance::noteStoreAnswer()
+{
+    Fleet::recordStoreAnswer(this->state.directory, this->timers.now());
+    if (std::exchange(this->isStoreLost, false)) {
+        this->state.log.write(Importance::Notable, "store_regained", {});
+    }
+}
+
+void Instance::noteStoreFailure(const std::string &reason)
+{
+    ++this->state.counters.storeFailures;
+    if (!std::exchange(this->isStoreLost, true)) {
+        this->state.log.write(Importance::Notable, "store_lost", {{"reason", reason}});
+    }
+}
+
+void Instance::watchForFreeze(Core::TimePoint now)
+{
+    const auto boot = Network::bootNow();
+    const auto gap = std::max(std::chrono::nanoseconds(now - this->lastTick), boot - this->lastTickAtBoot);
+    this->lastTick = now;
+    this->lastTickAtBoot = boot;
+    if (gap >= FREEZE_LIMIT) {
+        this->afterFreeze(std::chrono::duration_cast<std::chrono::milliseconds>(gap));
+    }
+}
+
+void Instance::afterFreeze(std::chrono::milliseconds length)
+{
+    this->state.log.write(Importance::Notable, "woke_after_freeze", {{"length_ms", length.count()}});
+    this->wokeAt = this->timers.now();
+    this->state.pool.closeIdle(this->wokeAt, Core::Duration{0});
+    std::ranges::for_each(this->followers, [](const auto &follower) {
+        follower->listAgain();
+    });
+    this->store.dropConnections();
+}
+
+void Instance::expireTargets(Core::TimePoint now)
+{
+    if (Fleet::expireMissing(this->state.directory, now)) {
+        refreshBooks(this->state, now);
+    }
+}
+
+void Instance::beginStop(std::function<void()> callback)
+{
+    this->state.log.write(Importance::Notable, "stop_began", {{"in_flight", this->state.requestsInFlight}});
+    this->onStopped = std::move(callback);
+    this->state.isStopping = true;
+    this->stopBegan = this->timers.now();
+    this->subscriptions.push_back(this->timers.every(STOP_CHECK, [this](Core::TimePoint now) {
+        this->finishStopWhenIdle(now);
+    }));
+}
+
+void Instance::finishStopWhenIdle(Core::TimePoint now)
+{
+    const auto sinceStop = now - this->stopBegan;
+    if (sinceStop < std::min(BALANCER_PATIENCE, this->state.settings.stop.grace / 2)) {
+        return;
+    }
+    this->callers->refuseNewRequests();
+    const bool isOverdue = sinceStop >= this->state.settings.stop.grace - STOP_MARGIN;
+    if ((this->state.requestsInFlight == 0 || isOverdue) && this->onStopped) {
+        this->callers->stopListening();
+        this->state.log.write(Importance::Notable, "stopped", {{"in_flight", this->state.requestsInFlight}});
+        this->state.log.flush();
+        std::exchange(this->onStopped, nullptr)();
+    }
+}
+
+bool Instance::isReady() const
+{
+    const bool isCurrent = std::ranges::all_of(this->followers, &Follower::isCurrent, &std::unique_ptr<Follower>::operator*);
+    const bool isPatient = this->timers.now() - this->wokeAt >= WAKE_PATIENCE;
+    return !this->state.isStopping && this->state.plan && this->state.directory.isKnown && (isCurrent || isPatient);
+}
+
+Asio::awaitable<Network::Response> Instance::answerReady(Network::Request request)
+{
+    if (Network::pathOf({request.target().data(), request.target().size()}) != READY_PATH) {
+        co_return Network::makeResponse(Network::Http::status::not_found, "text/plain", "only /health/ready is known\n");
+    }
+    const bool ready = this->isReady();
+    co_return Network::makeResponse(
+        ready ? Network::Http::status::ok : Network::Http::status::service_unavailable, "text/plain", ready ? "ready\n" : "not ready\n");
+}
+
+Asio::awaitable<Network::Response> Instance::answerOperator(Network::Request request)
+{
+    const auto path = Network::pathOf({request.target().data(), request.target().size()});
+    if (path == "/metrics") {
+        co_return Network::makeResponse(Network::Http::status::ok, "text/plain; version=0.0.4", formatMetrics(this->state));
+    }
+    co_return Network::makeResponse(Network::Http::status::not_found, "text/plain", "known paths: /metrics\n");
+}
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/Instance.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibGateway/CallerFrontend.h>
+#include <LibGateway/Follower.h>
+#include <LibNetwork/AsioTimerService.h>
+#include <LibNetwork/HttpServer.h>
+
+namespace Briarbend::Gateway
+{
+
+/// One gateway process: builds the parts, connects them, and stops them in order.
+class Instance
+{
+public:
+    /// Listens at once on all addresses. Throws std::exception where an address is taken. The store must outlive the instance.
+    Instance(
+        boost::asio::io_context &context, Settings::GatewaySettings settings, Dialect dialect, PlatformStore &store, std::uint64_t seed);
+
+    /// Takes over what may change while the process runs. A file with problems changes nothing.
+    void reload(const std::string &file);
+    /// Begins a planned stop: not ready at once, then until the balancer has moved on and the last request has its answer.
+    void beginStop(std::function<void()> onStopped);
+
+private:
+    std::unique_ptr<Follower> makeFollower(ObjectKind kind);
+    void takeListing(ObjectKind kind, const Listing &listing);
+    void takeChanges(const Changes &changes);
+    void takeObject(const StoredObject &object, bool isRemoved);
+    void takePlan(const Fleet::FleetPlan &plan);
+    void noteStoreAnswer();
+    void noteStoreFailure(const std::string &reason);
+    void watchForFreeze(Core::TimePoint now);
+    void afterFreeze(std::chrono::milliseconds length);
+    void expireTargets(Core::TimePoint now);
+    void finishStopWhenIdle(Core::TimePoint now);
+    bool isReady() const;
+    boost::asio::awaitable<Network::Response> answerReady(Network::Request request);
+    boost::asio::awaitable<Network::Response> answerOperator(Network::Request request);
+
+    boost::asio::io_context &context;
+    GatewayState state;
+    PlatformStore &store;
+    Network::AsioTimerService timers;
+    std::vector<std::unique_ptr<Follower>> followers;
+    std::unique_ptr<CallerFrontend> callers;
+    std::unique_ptr<Network::HttpServer> readyServer;
+    std::unique_ptr<Network::HttpServer> operatorServer;
+    std::vector<std::unique_ptr<Core::TimerSubscription>> subscriptions;
+    std::function<void()> onStopped;
+    Core::TimePoint stopBegan;
+    Core::TimePoint lastTick;
+    std::chrono::nanoseconds lastTickAtBoot{0};
+    Core::TimePoint wokeAt;
+    bool isStoreLost{false};
+};
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/Metrics.cpp
@@ -0,0 +1,49 @@
+#include <LibGateway/Metrics.h>
+
+#include <array>
+#include <sstream>
+
+namespace Briarbend::Gateway
+{
+
+namespace
+{
+
+struct Counter {
+    std::string_view name;
+    std::string_view help;
+    std::uint64_t GatewayCounters::*value;
+};
+
+constexpr std::array COUNTERS{
+    Counter{"requests_total", "Requests read from callers.", &GatewayCounters::requests},
+    Counter{"answered_total", "Requests answered with a target's answer.", &GatewayCounters::answered},
+    Counter{"refused_total", "Requests refused as not run.", &GatewayCounters::refused},
+    Counter{"failed_total", "Requests answered with a server error.", &GatewayCounters::failed},
+    Counter{"callers_gone_total", "Requests whose caller went away.", &GatewayCounters::callersGone},
+    Counter{"probes_total", "Health checks sent to targets.", &GatewayCounters::probes},
+    Counter{"sends_total", "Requests sent to targets.", &GatewayCounters::sends},
+    Counter{"resends_total", "Requests sent again after a failure.", &GatewayCounters::resends},
+    Counter{"hedges_total", "Requests sent to a second target because the first was late.", &GatewayCounters::hedges},
+    Counter{"foreign_answers_total", "Answers of targets that belonged to no waiting request.", &GatewayCounters::foreignAnswers},
+    Counter{"connections_opened_total", "Connections opened to targets.", &GatewayCounters::connectionsOpened},
+    Counter{"store_failures_total", "Calls to the store without a usable answer.", &GatewayCounters::storeFailures},
+};
+
+} // namespace
+
+std::string formatMetrics(const GatewayState &state)
+{
+    std::ostringstream text;
+    for (const auto &counter : COUNTERS) {
+        text << "# HELP briarbend_" << counter.name << ' ' << counter.help << "\n# TYPE briarbend_" << counter.name
+             << " counter\nbriarbend_" << counter.name << ' ' << state.counters.*counter.value << '\n';
+    }
+    text << "# TYPE briarbend_requests_in_flight gauge\nbriarbend_requests_in_flight " << state.requestsInFlight
+         << "\n# TYPE briarbend_caller_connections gauge\nbriarbend_caller_connections " << state.callerConnections
+         << "\n# TYPE briarbend_configuration_version gauge\nbriarbend_configuration_version " << (state.plan ? state.plan->version : 0)
+         << "\n# TYPE briarbend_log_lines_dropped_total counter\nbriarbend_log_lines_dropped_total " << state.log.droppedLines() << '\n';
+    return text.str();
+}
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/PlatformStore.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <LibFleet/Directory.h>
+#include <LibFleet/Plan.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// The request path of an instance behind a platform that keeps its configuration and its list of targets, and the I/O around it.
+namespace Briarbend::Gateway
+{
+
+/// Revision of the whole store; grows with every change.
+using Revision = std::uint64_t;
+
+enum class ObjectKind {
+    /// The configuration in force: one object.
+    Plan,
+    Targets,
+    Rollouts,
+    /// Data centres that receive no new work.
+    DataCentresOut,
+};
+
+enum class RolloutState {
+    /// Nobody has taken the order up.
+    Ordered,
+    Running,
+    Completed,
+    RolledBack,
+};
+
+/// What the instances have written about a rollout.
+struct RolloutProgress {
+    RolloutState state{RolloutState::Ordered};
+    Core::VersionName version;
+    /// Wall time at which the first instance took the order up.
+    Core::WallTime startedAt;
+    /// Part of the service's requests that the version gets.
+    double share{0};
+
+    bool operator==(const RolloutProgress &) const = default;
+};
+
+/// An operator's order to move a service's traffic to a version.
+struct RolloutOrder {
+    Core::ServiceName service;
+    Core::VersionName version;
+    /// Time from the order in which a good version is to carry all traffic.
+    std::chrono::milliseconds ramp{0};
+    RolloutProgress progress;
+};
+
+/// Content that this program can not read: it stands for nothing.
+struct Unreadable {
+    std::string reason;
+};
+
+using Content = std::variant<Unreadable, Fleet::FleetPlan, Fleet::TargetRecord, RolloutOrder, Core::DataCentreName>;
+
+struct StoredObject {
+    std::string name;
+    /// The store's revision of the object's last change.
+    Revision revision{0};
+    Content content;
+};
+
+/// All objects of one kind. Watching after the revision misses nothing.
+struct Listing {
+    std::vector<StoredObject> objects;
+    Revision revision{0};
+};
+
+struct Change {
+    StoredObject object;
+    bool isRemoved{false};
+};
+
+/// Changes since the revision that was watched after, in order; none where the wait has passed.
+struct Changes {
+    std::vector<Change> changes;
+    Revision revision{0};
+};
+
+/// The store no longer has the history after the revision that was watched after.
+struct HistoryGone {
+};
+
+/// No usable answer. A write may have been done nevertheless.
+struct StoreFailure {
+    std::string reason;
+};
+
+/// The object has another revision than the one stated.
+struct RevisionConflict {
+};
+
+struct Written {
+    Revision revision{0};
+};
+
+enum class Freshness {
+    /// Reflects every change that was acknowledged before the call.
+    Linearizable,
+    /// May be some seconds behind; cheaper and not limited in rate.
+    Relaxed,
+};
+
+using ListResult = std::variant<Listing, StoreFailure>;
+using WatchResult = std::variant<Changes, HistoryGone, StoreFailure>;
+using WriteResult = std::variant<Written, RevisionConflict, StoreFailure>;
+
+/// The platform's store as the instance uses it. Failures are results.
+class PlatformStore
+{
+public:
+    virtual ~PlatformStore() = default;
+
+    virtual boost::asio::awaitable<ListResult> list(ObjectKind kind, Freshness freshness) = 0;
+    /// Answers as soon as there is a change after the revision, at the latest after the wait.
+    virtual boost::asio::awaitable<WatchResult> watch(ObjectKind kind, Revision after, std::chrono::milliseconds wait, Freshness freshness)
+        = 0;
+    /// Replaces what the instances say about a rollout, where the object still has the revision.
+    virtual boost::asio::awaitable<WriteResult> writeProgress(std::string service, Revision revision, RolloutProgress progress) = 0;
+    /// Closes all connections; calls under way fail. For an instance that was frozen and can not tell which connections still live.
+    virtual void dropConnections() = 0;
+};
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -0,0 +1,334 @@
+#include <LibGateway/TargetFinder.h>
+
+#include <LibNetwork/Http.h>
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+
+namespace Briarbend::Gateway
+{
+
+namespace
+{
+
+namespace Asio = boost::asio;
+
+/// Targets that are asked at once: of three hosts of which a quarter is slow, one and a half in a hundred times all are.
+constexpr std::size_t PROBES_AT_ONCE = 3;
+/// Further targets are asked where none of the first serves well.
+constexpr std::size_t MOST_PROBES = 9;
+/// Time from the first answer for the others to come: about a round trip between data centres.
+constexpr std::chrono::milliseconds LATER_ANSWERS{6};
+/// Time after which further targets are asked although none has answered: well above a round trip to a busy host.
+constexpr std::chrono::milliseconds ANSWER_PATIENCE{40};
+/// Time for connecting and an answer on the health path, after which the target counts as silent.
+constexpr std::chrono::milliseconds HEALTH_TIMEOUT{250};
+constexpr std::uint64_t LONGEST_HEALTH_ANSWER = 16ULL * 1024;
+constexpr std::size_t MOST_FOREIGN_ANSWERS = 3;
+constexpr unsigned HTTP_1_1 = 11;
+/// A connection is not used in the last part of the time for which its target keeps it idle, or beyond the default where that is unknown.
+constexpr std::chrono::milliseconds IDLE_MARGIN{1000};
+constexpr std::chrono::milliseconds DEFAULT_IDLE{3000};
+
+using HealthParser = Http::response_parser<Http::string_body>;
+
+std::optional<std::chrono::seconds> keepAliveTimeout(const Http::response_header<> &head)
+{
+    constexpr std::string_view PARAMETER{"timeout="};
+    const auto value = head[Http::field::keep_alive];
+    const auto at = std::string_view(value.data(), value.size()).find(PARAMETER);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    unsigned seconds = 0;
+    const auto *begin = value.data() + at + PARAMETER.size();
+    const auto parsed = std::from_chars(begin, value.data() + value.size(), seconds);
+    return parsed.ec == std::errc{} ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
+/// Sends the question and reads its answer. False where the connection did not carry it.
+Asio::awaitable<bool>
+exchangeHealth(GatewayState &state, Relay::TargetConnection &connection, const std::string &path, std::optional<HealthParser> &parser)
+{
+    Http::request<Http::empty_body> request{Http::verb::get, path, HTTP_1_1};
+    request.set(Http::field::host, connection.target().value);
+    connection.stream.expires_after(HEALTH_TIMEOUT);
+    boost::system::error_code error;
+    co_await Http::async_write(connection.stream, request, Asio::redirect_error(Asio::use_awaitable, error));
+    for (std::size_t foreign = 0; !error && foreign <= MOST_FOREIGN_ANSWERS; ++foreign) {
+        parser.emplace();
+        parser->body_limit(LONGEST_HEALTH_ANSWER);
+        co_await Http::async_read(connection.stream, connection.buffer, *parser, Asio::redirect_error(Asio::use_awaitable, error));
+        // Answers to requests bear the identifier of an attempt; one here is the late second answer to an earlier request.
+        if (!error && state.dialect.readTarget(parser->get().base()).attemptId.empty()) {
+            co_return true;
+        }
+        ++state.counters.foreignAnswers;
+    }
+    co_return false;
+}
+
+Asio::awaitable<std::unique_ptr<Relay::TargetConnection>> connectTo(GatewayState &state, const Core::TargetId &address)
+{
+    try {
+        ++state.counters.connectionsOpened;
+        co_return co_await state.pool.connect(address, Core::Clock::now() + HEALTH_TIMEOUT);
+    } catch (const boost::system::system_error &) {
+        // The caller notes the trouble with the target.
+        co_return nullptr;
+    }
+}
+
+/// Takes over what the health path says. False where another target answered.
+bool learnHealth(GatewayState &state, Fleet::ServiceBook &book, Fleet::TargetBelief &target, const Http::response_header<> &head)
+{
+    const auto now = Core::Clock::now();
+    const auto statement = state.dialect.readTarget(head);
+    if (!statement.targetName.empty() && statement.targetName != target.record.name) {
+        Fleet::recordTrouble(target, now);
+        return false;
+    }
+    if (statement.load) {
+        Fleet::recordLoad(book, target, *statement.load, now);
+    }
+    Fleet::recordHealth(target, Http::to_status_class(head.result()) == Http::status_class::successful);
+    if (statement.coldLeft || target.coldUntil > now) {
+        Fleet::recordCold(target, statement.coldLeft.value_or(std::chrono::milliseconds{0}), now);
+    }
+    return true;
+}
+
+/// The probes of one search that are under way.
+struct Search {
+    explicit Search(const Asio::any_io_executor &executor)
+        : changed(executor)
+    {
+    }
+
+    /// The connection of each target that answered.
+    std::map<std::string, std::unique_ptr<Relay::TargetConnection>> answered;
+    std::size_t pending{0};
+    Asio::steady_timer changed;
+    bool isOver{false};
+};
+
+Asio::awaitable<void> probe(GatewayState &state, std::shared_ptr<Search> search, std::shared_ptr<Fleet::ServiceBook> book, std::string name)
+{
+    auto connection = co_await askHealth(state, std::move(book), name);
+    --search->pending;
+    if (connection && search->isOver) {
+        state.pool.giveBack(std::move(connection), Core::Clock::now());
+    } else if (connection) {
+        search->answered.emplace(name, std::move(connection));
+    }
+    search->changed.cancel();
+}
+
+Asio::awaitable<void> waitForAnswers(Search &search, std::size_t answersBefore)
+{
+    auto until = Core::Clock::now() + ANSWER_PATIENCE;
+    bool hasAnswer = false;
+    while (search.pending > 0 && Core::Clock::now() < until) {
+        search.changed.expires_at(until);
+        boost::system::error_code ignored;
+        co_await search.changed.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+        if (!hasAnswer && search.answered.size() > answersBefore) {
+            hasAnswer = true;
+            until = Core::Clock::now() + LATER_ANSWERS;
+        }
+    }
+}
+
+struct Ranked {
+    const std::string *name{nullptr};
+    std::chrono::microseconds cost{0};
+    std::chrono::microseconds expectedTime{0};
+    bool isFull{false};
+    /// The target says that it takes no work.
+    bool isDoubtful{false};
+};
+
+/// The answered target with the lowest cost among those that are still allowed.
+std::optional<Ranked> rank(const GatewayState &state, const TargetWish &wish, const Search &search)
+{
+    const auto now = Core::Clock::now();
+    const auto &statistics = state.routes.at(wish.route->name).statistics;
+    std::optional<Ranked> best;
+    for (const auto &[name, connection] : search.answered) {
+        const auto *target = Fleet::findTarget(*wish.book, name);
+        const auto use = target == nullptr ? Fleet::Usability::Unusable : Fleet::usability(*target, wish.input, now);
+        if (use != Fleet::Usability::Usable && use != Fleet::Usability::Doubtful) {
+            continue;
+        }
+        const Ranked ranked{&name,
+                            Fleet::sendCost(*wish.book, *target, statistics, wish.input, now),
+                            Fleet::expectedTime(*wish.book, *target, statistics, wish.input, now),
+                            Fleet::isFull(*target),
+                            use == Fleet::Usability::Doubtful};
+        const bool isBetter
+            = !best || std::tie(ranked.isDoubtful, ranked.isFull, ranked.cost) < std::tie(best->isDoubtful, best->isFull, best->cost);
+        best = isBetter ? ranked : *best;
+    }
+    return best;
+}
+
+bool servesWell(const TargetWish &wish, const Ranked &ranked)
+{
+    return !ranked.isDoubtful && !ranked.isFull && (ranked.expectedTime <= wish.objectiveLeft || wish.objectiveLeft.count() <= 0);
+}
+
+/// A cold target that this instance may send one request to; empty where there is none.
+std::string takeColdTarget(GatewayState &state, const TargetWish &wish)
+{
+    const auto now = Core::Clock::now();
+    const auto found = std::ranges::find_if(wish.book->targets, [&](Fleet::TargetBelief &target) {
+        return Fleet::usability(target, wish.input, now) == Fleet::Usability::Cold && target.avoidedUntil <= now && !target.refusesWork
+            && Fleet::takeColdToken(wish.book->plan, target, state.instances, now);
+    });
+    return found == wish.book->targets.end() ? std::string{} : found->record.name;
+}
+
+Asio::awaitable<FoundTarget> findColdTarget(GatewayState &state, const TargetWish &wish)
+{
+    FoundTarget found{.obstacle = Obstacle::NoTarget, .name = {}, .version = {}, .connection = nullptr};
+    const auto name = takeColdTarget(state, wish);
+    if (name.empty()) {
+        co_return found;
+    }
+    found.connection = co_await askHealth(state, wish.book, name);
+    const auto *target = Fleet::findTarget(*wish.book, name);
+    const bool isAllowed = found.connection && target != nullptr
+        && Fleet::usability(*target, wish.input, Core::Clock::now()) <= Fleet::Usability::Cold && !target->refusesWork;
+    if (isAllowed) {
+        found.obstacle = Obstacle::None;
+        found.name = name;
+        found.version = target->record.version;
+        found.isCold = true;
+    }
+    co_return found;
+}
+
+} // namespace
+
+void keepConnection(GatewayState &state, std::unique_ptr<Relay::TargetConnection> connection, const Http::response_header<> &lastAnswer)
+{
+    if (connection->buffer.size() > 0) {
+        // Bytes after a whole answer belong to no request.
+        ++state.counters.foreignAnswers;
+        return;
+    }
+    const auto now = Core::Clock::now();
+    const auto stated = keepAliveTimeout(lastAnswer);
+    connection->usableUntil = now + (stated ? std::max(std::chrono::milliseconds{0}, *stated - IDLE_MARGIN) : DEFAULT_IDLE);
+    state.pool.giveBack(std::move(connection), now);
+}
+
+Asio::awaitable<std::unique_ptr<Relay::TargetConnection>>
+askHealth(GatewayState &state, std::shared_ptr<Fleet::ServiceBook> book, std::string targetName)
+{
+    const auto *known = Fleet::findTarget(*book, targetName);
+    if (known == nullptr) {
+        co_return nullptr;
+    }
+    const auto address = known->record.address;
+    const auto path = book->plan.healthPath;
+    ++state.counters.probes;
+    std::optional<HealthParser> parser;
+    auto connection = state.pool.takeIdle(address);
+    bool isAnswered = false;
+    if (connection) {
+        isAnswered = co_await exchangeHealth(state, *connection, path, parser);
+    }
+    if (!isAnswered) {
+        // A kept connection may have ended meanwhile without a word.
+        connection = co_await connectTo(state, address);
+    }
+    if (!isAnswered && connection) {
+        isAnswered = co_await exchangeHealth(state, *connection, path, parser);
+    }
+    auto *target = Fleet::findTarget(*book, targetName);
+    if (target == nullptr) {
+        co_return nullptr;
+    }
+    if (!isAnswered) {
+        Fleet::recordTrouble(*target, Core::Clock::now());
+        co_return nullptr;
+    }
+    const bool isIt = learnHealth(state, *book, *target, parser->get().base());
+    const bool isReusable = parser->keep_alive() && connection->buffer.size() == 0;
+    if (!isIt) {
+        co_return nullptr;
+    }
+    if (!isReusable) {
+        connection = co_await connectTo(state, address);
+    }
+    if (connection) {
+        connection->stream.expires_never();
+        const auto stated = keepAliveTimeout(parser->get().base());
+        connection->usableUntil
+            = Core::Clock::now() + (stated ? std::max(std::chrono::milliseconds{0}, *stated - IDLE_MARGIN) : DEFAULT_IDLE);
+    }
+    co_return connection;
+}
+
+Asio::awaitable<FoundTarget> findTarget(GatewayState &state, TargetWish wish)
+{
+    const auto names = Fleet::candidates(*wish.book, wish.input, Core::Clock::now(), state.random);
+    if (names.empty()) {
+        co_return co_await findColdTarget(state, wish);
+    }
+    const auto search = std::make_shared<Search>(state.executor);
+    std::optional<Ranked> best;
+    std::size_t asked = 0;
+    const auto most = std::min(names.size(), MOST_PROBES);
+    while (asked < most && !(best && servesWell(wish, *best))) {
+        const auto answersBefore = search->answered.size();
+        const auto until = std::min(most, asked + PROBES_AT_ONCE);
+        for (; asked < until; ++asked) {
+            ++search->pending;
+            spawn(state, "probe", probe(state, search, wish.book, names[asked]));
+        }
+        co_await waitForAnswers(*search, answersBefore);
+        best = rank(state, wish, *search);
+    }
+    if (!best && search->pending > 0) {
+        // Nothing else is left than to wait for the slow ones.
+        while (search->pending > 0 && search->answered.empty()) {
+            search->changed.expires_after(HEALTH_TIMEOUT);
+            boost::system::error_code ignored;
+            co_await search->changed.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+        }
+        best = rank(state, wish, *search);
+    }
+    search->isOver = true;
+    FoundTarget found{.obstacle = Obstacle::NoTarget, .name = {}, .version = {}, .connection = nullptr};
+    found.probes = static_cast<std::uint32_t>(asked);
+    if (best) {
+        const bool isServable = !best->isFull && best->expectedTime < wish.remaining;
+        found.obstacle = isServable ? Obstacle::None : Obstacle::Full;
+        found.expectedTime = best->expectedTime;
+    }
+    if (found.obstacle == Obstacle::None) {
+        found.name = *best->name;
+        found.version = Fleet::findTarget(*wish.book, found.name)->record.version;
+        found.connection = std::move(search->answered[found.name]);
+    }
+    for (auto &[name, connection] : search->answered) {
+        if (connection) {
+            state.pool.giveBack(std::move(connection), Core::Clock::now());
+        }
+    }
+    search->answered.clear();
+    if (found.obstacle == Obstacle::NoTarget) {
+        co_return co_await findColdTarget(state, wish);
+    }
+    co_return found;
+}
+
+} // namespace Briarbend::Gateway
--- a/Libraries/LibRelay/TargetConnection.cpp
+++ b/Libraries/LibRelay/TargetConnection.cpp
@@ -1,4 +1,5 @@
 #include <LibNetwork/Endpoint.h>
+#include <LibNetwork/SilenceDetection.h>
 #include <LibRelay/TargetConnection.h>
 
 #include <boost/asio/use_awaitable.hpp>
@@ -62,7 +63,8 @@
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (connection->isQuiet()) {
+        const bool isExpired = connection->usableUntil && Core::Clock::now() >= *connection->usableUntil;
+        if (!isExpired && connection->isQuiet()) {
             return connection;
         }
     }
@@ -80,6 +82,7 @@
     connection->stream.expires_at(deadline);
     co_await connection->stream.async_connect(endpoint->tcp(), boost::asio::use_awaitable);
     connection->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true));
+    Network::detectSilence(connection->stream.socket());
     co_return connection;
 }
 
--- a/Libraries/LibRelay/TargetConnection.h
+++ b/Libraries/LibRelay/TargetConnection.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace Briarbend::Relay
@@ -36,6 +37,8 @@
     /// True once an exchange ended cleanly on this connection.
     bool isReused{false};
     Core::TimePoint idleSince{};
+    /// Where the target states how long it keeps an idle connection: not to be used again after this moment.
+    std::optional<Core::TimePoint> usableUntil;
 
 private:
     TargetConnectionPool &pool;
