--- a/Services/briarbendd/PeerLink.cpp
+++ b/Libraries/LibCoordination/PeerLink.cpp
@@ -1,19 +1,11 @@
-#include "PeerLink.h"
+#include <LibCoordination/PeerLink.h>
 
-#include <LibLog/Log.h>
-
-namespace Briarbend::Daemon
+namespace Briarbend::Coordination
 {
 
 namespace
 {
 
-const auto &logger()
-{
-    static const auto named = Log::logger("peers");
-    return named;
-}
-
 std::string framed(Channel channel, std::string_view bytes)
 {
     std::string message;
@@ -50,6 +42,18 @@
     this->changesCallback = std::move(callback);
 }
 
+void PeerLink::onNote(NoteCallback callback)
+{
+    this->noteCallback = std::move(callback);
+}
+
+void PeerLink::note(const std::string &text) const
+{
+    if (this->noteCallback) {
+        this->noteCallback(text);
+    }
+}
+
 void PeerLink::onMessage(Channel channel, MessageCallback callback)
 {
     this->messageCallbacks[static_cast<char>(channel)] = std::move(callback);
@@ -117,7 +121,7 @@
             found->second(peer, bytes);
         }
     } catch (const std::exception &exception) {
-        LOG4CXX_WARN(logger(), "dropped a message from " << peer << ": " << exception.what());
+        this->note("dropped a message from " + peer + ": " + exception.what());
     }
 }
 
@@ -133,4 +137,4 @@
     }
 }
 
-} // namespace Briarbend::Daemon
+} // namespace Briarbend::Coordination
--- a/Services/briarbendd/PeerLink.h
+++ b/Libraries/LibCoordination/PeerLink.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Briarbend::Daemon
+namespace Briarbend::Coordination
 {
 
 /// What a message between instances belongs to; the first byte of each message.
@@ -31,10 +31,14 @@
 public:
     using ChangesCallback = std::function<void(const Gossip::Changes &)>;
     using MessageCallback = std::function<void(const std::string &peer, std::string_view bytes)>;
+    using NoteCallback = std::function<void(const std::string &text)>;
 
     PeerLink(Core::TimerService &timers, Peers::Transport &transport, Gossip::State initialState, Core::Random &random);
 
     void onChanges(ChangesCallback callback);
+    /// Takes notes for people: what was dropped and why.
+    void onNote(NoteCallback callback);
+    void note(const std::string &text) const;
     /// Registers the receiver of one channel other than gossip.
     void onMessage(Channel channel, MessageCallback callback);
     void send(Channel channel, const std::string &peer, std::string_view bytes);
@@ -61,8 +65,9 @@
     Gossip::State gossip;
     Core::Random &random;
     ChangesCallback changesCallback;
+    NoteCallback noteCallback;
     std::unordered_map<char, MessageCallback> messageCallbacks;
     std::unique_ptr<Core::TimerSubscription> ticking;
 };
 
-} // namespace Briarbend::Daemon
+} // namespace Briarbend::Coordination
--- a/Services/briarbendd/QuarantineLink.cpp
+++ b/Libraries/LibCoordination/QuarantineLink.cpp
@@ -1,12 +1,10 @@
-#include "QuarantineLink.h"
-
-#include <LibLog/Log.h>
+#include <LibCoordination/QuarantineLink.h>
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace Briarbend::Daemon
+namespace Briarbend::Coordination
 {
 
 namespace
@@ -22,12 +20,6 @@
 /// Reports that repair lost ones; told to one peer in turn each tick.
 constexpr std::size_t REPAIR_REPORTS = 32;
 
-const auto &logger()
-{
-    static const auto named = Log::logger("quarantine");
-    return named;
-}
-
 } // namespace
 
 QuarantineLink::QuarantineLink(Asio::io_context &ioContext, Core::TimerService &timerService, PeerLink &peerLink)
@@ -59,7 +51,7 @@
             co_return Permission{Verdict::Send};
         }
         if (decision.admission == Quarantine::Admission::Refuse) {
-            LOG4CXX_WARN(logger(), "refused a request that broke targets, for " << decision.retryAfter.count() << " ms");
+            this->peers.note("refused a request that broke targets, for " + std::to_string(decision.retryAfter.count()) + " ms");
             co_return Permission{Verdict::Refuse, decision.retryAfter};
         }
         const auto start = this->startOf(target);
@@ -92,7 +84,7 @@
 Asio::awaitable<void> QuarantineLink::broke(Quarantine::Fingerprint fingerprint, Core::TargetId target, bool isTrial)
 {
     const auto start = this->startOf(target);
-    LOG4CXX_INFO(logger(), "the connection to " << start.value << " died with a request on it");
+    this->peers.note("the connection to " + start.value + " died with a request on it");
     this->doubtful.insert(start);
     auto reports = Quarantine::onConnectionLost(this->state, fingerprint, start, isTrial, this->timers.now());
     if (!reports.isEmpty()) {
@@ -227,4 +219,4 @@
     return known == this->starts.end() ? Core::TargetStartId{target.value + "/"} : known->second;
 }
 
-} // namespace Briarbend::Daemon
+} // namespace Briarbend::Coordination
--- a/Services/briarbendd/QuarantineLink.h
+++ b/Libraries/LibCoordination/QuarantineLink.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "PeerLink.h"
-#include "QuarantineMessage.h"
+#include <LibCoordination/PeerLink.h>
+#include <LibCoordination/QuarantineMessage.h>
 
 #include <LibQuarantine/Quarantine.h>
 #include <LibRelay/RequestGuard.h>
@@ -12,7 +12,7 @@
 #include <set>
 #include <unordered_map>
 
-namespace Briarbend::Daemon
+namespace Briarbend::Coordination
 {
 
 /// Connects the quarantine's state to the peers: evidence and trials go to all live members and are acknowledged.
@@ -68,4 +68,4 @@
     std::unique_ptr<Core::TimerSubscription> ticking;
 };
 
-} // namespace Briarbend::Daemon
+} // namespace Briarbend::Coordination
--- a/Services/briarbendd/QuarantineMessage.cpp
+++ b/Libraries/LibCoordination/QuarantineMessage.cpp
@@ -1,8 +1,8 @@
-#include "QuarantineMessage.h"
+#include <LibCoordination/QuarantineMessage.h>
 
 #include <nlohmann/json.hpp>
 
-namespace Briarbend::Daemon
+namespace Briarbend::Coordination
 {
 
 using nlohmann::json;
@@ -40,4 +40,4 @@
     return news;
 }
 
-} // namespace Briarbend::Daemon
+} // namespace Briarbend::Coordination
--- a/Services/briarbendd/QuarantineMessage.h
+++ b/Libraries/LibCoordination/QuarantineMessage.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <variant>
 
-namespace Briarbend::Daemon
+namespace Briarbend::Coordination
 {
 
 /// Something that peers should know about requests that break targets. Where `replyTo` is set, the receiver acknowledges it there.
@@ -30,4 +30,4 @@
 /// Throws std::exception where the bytes are no such message.
 QuarantineMessage decodeQuarantineMessage(std::string_view bytes);
 
-} // namespace Briarbend::Daemon
+} // namespace Briarbend::Coordination
--- a/Services/briarbendd/RolloutMessage.cpp
+++ b/Libraries/LibCoordination/RolloutMessage.cpp
@@ -1,8 +1,8 @@
-#include "RolloutMessage.h"
+#include <LibCoordination/RolloutMessage.h>
 
 #include <nlohmann/json.hpp>
 
-namespace Briarbend::Daemon
+namespace Briarbend::Coordination
 {
 
 using nlohmann::json;
@@ -15,6 +15,8 @@
                            evidence->start.time_since_epoch().count(),
                            evidence->member.value,
                            json::binary(Rollout::encodeEvidence(evidence->evidence))});
+    } else if (const auto *confirmation = std::get_if<RolloutConfirmation>(&message)) {
+        row = json::array({confirmation->service.value, confirmation->start.time_since_epoch().count(), confirmation->member.value});
     } else {
         row = json::array({Rollout::encodeStatus(std::get<Rollout::Status>(message))});
     }
@@ -29,10 +31,15 @@
     if (row.size() == 1) {
         return Rollout::decodeStatus(row.at(0).get<std::string>());
     }
+    if (row.size() == 3) {
+        return RolloutConfirmation{.service = {row.at(0).get<std::string>()},
+                                   .start = Core::WallTime{std::chrono::milliseconds{row.at(1).get<std::int64_t>()}},
+                                   .member = {row.at(2).get<std::string>()}};
+    }
     return RolloutEvidence{.service = {row.at(0).get<std::string>()},
                            .start = Core::WallTime{std::chrono::milliseconds{row.at(1).get<std::int64_t>()}},
                            .member = {row.at(2).get<std::string>()},
                            .evidence = Rollout::decodeEvidence(row.at(3).get_binary())};
 }
 
-} // namespace Briarbend::Daemon
+} // namespace Briarbend::Coordination
--- a/Services/briarbendd/RolloutMessage.h
+++ b/Libraries/LibCoordination/RolloutMessage.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <variant>
 
-namespace Briarbend::Daemon
+namespace Briarbend::Coordination
 {
 
 /// One member's evidence about a move, for its judges.
@@ -18,7 +18,14 @@
     Rollout::MemberEvidence evidence;
 };
 
-using RolloutMessage = std::variant<RolloutEvidence, Rollout::Status>;
+/// A member sends nothing more to the old version, and what it had sent there has ended.
+struct RolloutConfirmation {
+    Core::ServiceName service;
+    Core::WallTime start;
+    Core::InstanceId member;
+};
+
+using RolloutMessage = std::variant<RolloutEvidence, Rollout::Status, RolloutConfirmation>;
 
 /// CBOR (RFC 8949).
 std::string encodeRolloutMessage(const RolloutMessage &message);
@@ -26,4 +33,4 @@
 /// Throws std::exception where the bytes are no such message.
 RolloutMessage decodeRolloutMessage(std::string_view bytes);
 
-} // namespace Briarbend::Daemon
+} // namespace Briarbend::Coordination
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -68,7 +68,15 @@
 
 Asio::awaitable<void> Attempt::run()
 {
-    auto found = co_await findTarget(this->context->state, this->wish());
+    auto wish = this->wish();
+    const auto split = this->drawVersion(wish);
+    auto found = co_await findTarget(this->context->state, wish);
+    const bool mayFallBack = split && !wish.input.isVersionExcluded && split->fallback == VersionFallback::ToOld;
+    if (found.obstacle != Obstacle::None && mayFallBack) {
+        wish.input.isVersionExcluded = true;
+        wish.input.sampled.clear();
+        found = co_await findTarget(this->context->state, wish);
+    }
     if (found.obstacle != Obstacle::None) {
         this->context->note(found.obstacle == Obstacle::Full ? "all_full" : "no_target",
                             {{"service", this->book->name.value}, {"probes", found.probes}, {"expected_us", found.expectedTime.count()}});
@@ -110,17 +118,26 @@
                               .crossingPerKibibyte = state.crossingPerKibibyte},
                     .remaining = this->context->remaining(),
                     .objectiveLeft = route.objective - this->context->elapsed()};
-    const auto split = state.splitOf ? state.splitOf(this->book->name, route.name) : std::nullopt;
-    if (split) {
-        wish.input.version = split->newVersion;
-        wish.input.isVersionExcluded = state.random.unit() >= split->newShare;
-        if (!wish.input.isVersionExcluded) {
-            wish.input.sampled = split->sampled;
-        }
-    }
     return wish;
 }
 
+std::optional<VersionSplit> Attempt::drawVersion(TargetWish &wish) const
+{
+    auto &state = this->context->state;
+    auto split = state.splitOf ? state.splitOf(this->book->name, this->context->route->name) : std::nullopt;
+    if (!split) {
+        return std::nullopt;
+    }
+    // A second send is for the caller's sake, not for the evidence: as long as there are two versions it goes to the proven one.
+    const bool isRepeat = !this->context->tried.empty() && split->newShare < 1;
+    wish.input.version = split->newVersion;
+    wish.input.isVersionExcluded = isRepeat || state.random.unit() >= split->newShare;
+    if (!wish.input.isVersionExcluded) {
+        wish.input.sampled = split->sampled;
+    }
+    return split;
+}
+
 Fleet::TargetBelief *Attempt::target()
 {
     auto *belief = Fleet::findTarget(*this->book, this->name);
@@ -282,7 +299,8 @@
                           .version = this->version,
                           .isFailure = outcome != Fleet::SendOutcome::Answered,
                           .wasCold = this->isCold,
-                          .elapsed = elapsed});
+                          .elapsed = elapsed,
+                          .objective = this->context->route->objective});
     }
 }
 
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -55,6 +55,8 @@
     boost::asio::awaitable<bool> receive();
     boost::asio::awaitable<bool> receiveBody(Http::response_parser<Http::buffer_body> &parser, bool isKept);
     TargetWish wish() const;
+    /// Restricts the wish to one of two versions while a rollout splits the traffic.
+    std::optional<VersionSplit> drawVersion(TargetWish &wish) const;
     void judge(const TargetStatement &statement);
     void learn(Fleet::SendOutcome outcome);
     void noteEnd();
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -34,14 +34,21 @@
     std::uint64_t storeFailures{0};
 };
 
+/// Where a request goes that finds no target of the version drawn for it.
+enum class VersionFallback {
+    /// To the other versions where it was drawn for the new one, else nowhere.
+    ToOld,
+    /// Nowhere: the old version may end at any moment.
+    None,
+};
+
 /// Which versions of a service a request may go to.
 struct VersionSplit {
     Core::VersionName newVersion;
     double newShare{0};
     /// Names of the only targets of the new version that may be chosen; empty where all may.
     std::vector<std::string> sampled;
-    /// The other versions may take what finds no target of the new one, and the reverse.
-    bool isNewProven{false};
+    VersionFallback fallback{VersionFallback::ToOld};
 };
 
 /// What became of one request at one target, for whoever judges versions.
@@ -53,6 +60,8 @@
     bool isFailure{false};
     bool wasCold{false};
     Core::Duration elapsed{0};
+    /// The route's objective.
+    std::chrono::microseconds objective{0};
 };
 
 struct RouteState {
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace Briarbend::Gateway
 {
@@ -44,6 +45,8 @@
     , lastTickAtBoot(Network::bootNow())
 {
     const auto &addresses = this->state.settings.instance;
+    this->startPeers(seed);
+    this->rollouts = std::make_unique<RolloutDriver>(this->state, this->timers, this->store, *this->peers);
     this->callers = std::make_unique<CallerFrontend>(ioContext, this->state);
     this->readyServer = std::make_unique<Network::HttpServer>(ioContext, addresses.readyAddress, [this](Network::Request request) {
         return this->answerReady(std::move(request));
@@ -60,6 +63,7 @@
     }));
     this->subscriptions.push_back(this->timers.every(TICK, [this](Core::TimePoint now) {
         this->watchForFreeze(now);
+        this->countInstances();
         this->expireTargets(now);
     }));
     this->subscriptions.push_back(this->timers.every(IDLE_SWEEP, [this](Core::TimePoint now) {
@@ -73,6 +77,43 @@
                            {"data_centre", addresses.dataCentre.value}});
 }
 
+void Instance::startPeers(std::uint64_t seed)
+{
+    const auto &settings = this->state.settings;
+    const auto &address = settings.instance.peerAddress;
+    this->transport = Peers::makeWebSocketTransport(this->context);
+    this->transport->listen(address.address, address.port);
+    std::ostringstream name;
+    name << settings.instance.name << '-' << std::hex << seed;
+    const Membership::MemberNews self{
+        .id = {name.str()}, .address = {address.text()}, .dataCentre = settings.instance.dataCentre, .incarnation = 0};
+    std::set<Membership::PeerAddress> seeds;
+    for (const auto &endpoint : settings.peers.seeds) {
+        if (endpoint != address) {
+            seeds.insert({endpoint.text()});
+        }
+    }
+    this->peers = std::make_unique<Coordination::PeerLink>(
+        this->timers, *this->transport, Gossip::makeState(self, seeds, this->timers.now()), this->state.random);
+    this->peers->onNote([this](const std::string &text) {
+        this->state.log.write(Importance::Notable, "peers", {{"note", text}});
+    });
+    this->peers->onChanges([this](const Gossip::Changes &changes) {
+        for (const auto &change : changes.members) {
+            this->state.log.write(Importance::Routine,
+                                  "member",
+                                  {{"member", change.news.id.value},
+                                   {"address", change.news.address.value},
+                                   {"state", Membership::nameOf(change.news.state)}});
+        }
+    });
+}
+
+void Instance::countInstances()
+{
+    this->state.instances = std::max<std::size_t>(1, Membership::aliveMembers(this->peers->state().members).size());
+}
+
 void Instance::reload(const std::string &file)
 {
     try {
@@ -173,6 +214,12 @@
         } else {
             Fleet::applyRecord(this->state.directory, *record, now);
         }
+    } else if (const auto *order = std::get_if<RolloutOrder>(&object.content)) {
+        if (isRemoved) {
+            this->rollouts->forget(object.name);
+        } else {
+            this->rollouts->take(*order, object.revision);
+        }
     } else if (const auto *dataCentre = std::get_if<Core::DataCentreName>(&object.content)) {
         if (isRemoved) {
             this->state.dataCentresOut.erase(*dataCentre);
@@ -260,6 +307,7 @@
     const bool isOverdue = sinceStop >= this->state.settings.stop.grace - STOP_MARGIN;
     if ((this->state.requestsInFlight == 0 || isOverdue) && this->onStopped) {
         this->callers->stopListening();
+        this->peers->leave();
         this->state.log.write(Importance::Notable, "stopped", {{"in_flight", this->state.requestsInFlight}});
         this->state.log.flush();
         std::exchange(this->onStopped, nullptr)();
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/CallerFrontend.h>
 #include <LibGateway/Follower.h>
+#include <LibGateway/RolloutDriver.h>
 #include <LibNetwork/AsioTimerService.h>
 #include <LibNetwork/HttpServer.h>
 
@@ -32,6 +33,8 @@
     void watchForFreeze(Core::TimePoint now);
     void afterFreeze(std::chrono::milliseconds length);
     void expireTargets(Core::TimePoint now);
+    void startPeers(std::uint64_t seed);
+    void countInstances();
     void finishStopWhenIdle(Core::TimePoint now);
     bool isReady() const;
     boost::asio::awaitable<Network::Response> answerReady(Network::Request request);
@@ -42,6 +45,9 @@
     PlatformStore &store;
     Network::AsioTimerService timers;
     std::vector<std::unique_ptr<Follower>> followers;
+    std::unique_ptr<Peers::Transport> transport;
+    std::unique_ptr<Coordination::PeerLink> peers;
+    std::unique_ptr<RolloutDriver> rollouts;
     std::unique_ptr<CallerFrontend> callers;
     std::unique_ptr<Network::HttpServer> readyServer;
     std::unique_ptr<Network::HttpServer> operatorServer;
--- /dev/null
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -0,0 +1,460 @@
+#include <LibGateway/RolloutDriver.h>
+
+#include <LibCore/RendezvousHash.h>
+#include <LibNetwork/WallClock.h>
+
+#include <algorithm>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+namespace Briarbend::Gateway
+{
+
+namespace
+{
+
+using Coordination::Channel;
+using Log::Importance;
+
+constexpr std::chrono::milliseconds TICK{100};
+constexpr std::chrono::milliseconds EVIDENCE_INTERVAL{300};
+/// Time that an instance leaves to each one before it to write what is due, so that one write does for all.
+constexpr std::chrono::milliseconds TURN{400};
+constexpr std::size_t MOST_TURNS = 6;
+/// Part of the time between order and deadline by which a good version is to have everything; the rest is for confirmations and the write.
+constexpr double FINISH_PART = 0.95;
+/// Part of the exposure that is planned with; the rest is for the steps before the version is proven and for requests that are on their
+/// way.
+constexpr double TRIAL_PART = 0.6;
+constexpr const char *OLD_VERSION{"previous"};
+
+/// The course of a move whose deadline is binding: targets are few and requests per instance too, so that evidence is kept for ten seconds.
+Rollout::Settings courseSettings()
+{
+    Rollout::Settings settings;
+    settings.retainedBlocks = 40;
+    settings.trialFraction = 0.55;
+    settings.latestRampFraction = 0.65;
+    settings.doneFraction = 0.8;
+    settings.steps = {0.2, 0.4, 0.7};
+    settings.sufficientAnswers = 15;
+    return settings;
+}
+
+Rollout::LoadLevel levelOf(const Fleet::ServiceBook &book)
+{
+    std::uint32_t slots = 0;
+    std::uint32_t running = 0;
+    for (const auto &target : book.targets) {
+        slots += target.record.slots;
+        running += target.load ? target.load->running : target.ownInFlight;
+    }
+    return Rollout::loadLevelOf(running, std::max(1U, slots));
+}
+
+std::string_view nameOf(RolloutState state)
+{
+    switch (state) {
+    case RolloutState::Ordered:
+        return "ordered";
+    case RolloutState::Running:
+        return "running";
+    case RolloutState::Completed:
+        return "completed";
+    case RolloutState::RolledBack:
+        return "rolled_back";
+    }
+    return "";
+}
+
+bool isFinal(RolloutState state)
+{
+    return state == RolloutState::Completed || state == RolloutState::RolledBack;
+}
+
+} // namespace
+
+RolloutDriver::RolloutDriver(GatewayState &gatewayState,
+                             Core::TimerService &timers,
+                             PlatformStore &platformStore,
+                             Coordination::PeerLink &peerLink)
+    : state(gatewayState)
+    , store(platformStore)
+    , peers(peerLink)
+{
+    this->peers.onMessage(Channel::Rollout, [this](const std::string &, std::string_view bytes) {
+        this->receive(bytes);
+    });
+    this->state.splitOf = [this](const Core::ServiceName &service, const std::string &route) {
+        return this->split(service, route);
+    };
+    this->state.onObserved = [this](const SendObservation &observation) {
+        this->observe(observation);
+    };
+    this->subscriptions.push_back(timers.every(TICK, [this](Core::TimePoint now) {
+        this->tick(now);
+    }));
+    this->subscriptions.push_back(timers.every(EVIDENCE_INTERVAL, [this](Core::TimePoint) {
+        std::ranges::for_each(this->moves, [this](auto &entry) {
+            this->sendEvidence(entry.second);
+            this->sendConfirmation(entry.second);
+        });
+        this->tellStatuses();
+    }));
+}
+
+void RolloutDriver::take(const RolloutOrder &order, Revision revision)
+{
+    auto &move = this->moves[order.service.value];
+    if (revision < move.revision) {
+        return;
+    }
+    const bool isNew = move.revision == 0 || move.order.version != order.version;
+    const bool isProgress = isNew || move.order.progress != order.progress;
+    if (isNew) {
+        move = Move{};
+        move.seenAt = Core::Clock::now();
+    }
+    move.order = order;
+    move.revision = revision;
+    if (isFinal(order.progress.state)) {
+        move.state.reset();
+        move.dueSince.reset();
+    } else if (order.progress.state == RolloutState::Running) {
+        this->beginRunning(move);
+    }
+    if (isProgress) {
+        this->state.log.write(Importance::Notable,
+                              "rollout",
+                              {{"service", order.service.value},
+                               {"version", order.version.value},
+                               {"state", nameOf(order.progress.state)},
+                               {"revision", revision}});
+    }
+}
+
+void RolloutDriver::forget(const std::string &service)
+{
+    this->moves.erase(service);
+}
+
+void RolloutDriver::beginRunning(Move &move)
+{
+    const auto start = move.order.progress.startedAt;
+    if (move.state && move.state->move.start == start) {
+        return;
+    }
+    const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(move.order.ramp * FINISH_PART);
+    const Configuration::Rollout configured{.service = move.order.service,
+                                            .from = {OLD_VERSION},
+                                            .to = move.order.version,
+                                            .start = start,
+                                            .finishBy = start + whole,
+                                            .trialShare = this->state.settings.rollouts.exposedShare * TRIAL_PART};
+    move.state = std::make_unique<Rollout::RolloutState>(configured, this->peers.state().members.self, courseSettings());
+    this->refreshTargets(move);
+}
+
+std::optional<VersionSplit> RolloutDriver::split(const Core::ServiceName &service, const std::string &route) const
+{
+    const auto found = this->moves.find(service.value);
+    if (found == this->moves.end()) {
+        return std::nullopt;
+    }
+    const auto &move = found->second;
+    VersionSplit split{.newVersion = move.order.version, .newShare = 0, .sampled = {}, .fallback = VersionFallback::ToOld};
+    if (move.order.progress.state == RolloutState::Completed) {
+        split.newShare = 1;
+        split.fallback = VersionFallback::None;
+        return split;
+    }
+    if (!move.state) {
+        return split;
+    }
+    const auto now = Network::wallNow();
+    split.newShare = Rollout::shareOfNew(*move.state, {route, move.level}, now);
+    if (move.state->status.phase == Rollout::Phase::Done) {
+        split.fallback = VersionFallback::None;
+    }
+    if (const auto allowed = Rollout::allowedTargets(*move.state, now)) {
+        std::ranges::transform(*allowed, std::back_inserter(split.sampled), &Core::TargetId::value);
+    }
+    return split;
+}
+
+void RolloutDriver::observe(const SendObservation &observation)
+{
+    const auto found = this->moves.find(observation.service.value);
+    if (found == this->moves.end() || !found->second.state) {
+        return;
+    }
+    auto &move = found->second;
+    Rollout::observe(*move.state,
+                     {.cell = {observation.route, move.level},
+                      .side = observation.version == move.order.version ? Rollout::Side::New : Rollout::Side::Old,
+                      .target = {observation.target},
+                      .isFailure = observation.isFailure,
+                      .latency = std::chrono::duration_cast<std::chrono::microseconds>(observation.elapsed),
+                      .isCold = observation.wasCold,
+                      .slowThreshold = observation.objective},
+                     Network::wallNow());
+    if (observation.isFailure && observation.version == move.order.version) {
+        this->decide(move);
+    }
+}
+
+void RolloutDriver::tick(Core::TimePoint now)
+{
+    for (auto &[service, move] : this->moves) {
+        if (move.state) {
+            this->refreshTargets(move);
+            this->decide(move);
+        }
+        this->writeWhenDue(service, move, now);
+    }
+}
+
+void RolloutDriver::decide(Move &move)
+{
+    const auto status = Rollout::decide(*move.state, Network::wallNow());
+    if (status) {
+        this->state.log.write(Importance::Notable,
+                              "rollout_step",
+                              {{"service", status->service.value},
+                               {"version", status->to.value},
+                               {"phase", Rollout::nameOf(status->phase)},
+                               {"step", status->step},
+                               {"fault", Rollout::nameOf(status->fault)},
+                               {"route", status->faultRoute},
+                               {"requests", move.state->requests},
+                               {"requests_to_new", move.state->requestsToNew}});
+    }
+    if (status && status->phase == Rollout::Phase::TakenBack) {
+        const auto bytes = Coordination::encodeRolloutMessage(*status);
+        for (const auto &address : this->addressesOf(Membership::aliveMembers(this->peers.state().members))) {
+            this->peers.send(Channel::Rollout, address, bytes);
+        }
+    }
+    if (Rollout::isEvidenceUrgent(*move.state, Network::wallNow())) {
+        this->sendEvidence(move);
+    }
+}
+
+void RolloutDriver::refreshTargets(Move &move) const
+{
+    const auto book = this->state.services.find(move.order.service);
+    if (book == this->state.services.end()) {
+        return;
+    }
+    std::vector<Core::TargetId> oldTargets;
+    std::vector<Core::TargetId> newTargets;
+    const auto now = Core::Clock::now();
+    for (const auto &target : book->second->targets) {
+        const bool isNew = target.record.version == move.order.version;
+        const bool isUsable = !target.record.isLeaving && target.coldUntil <= now;
+        if (isUsable) {
+            (isNew ? newTargets : oldTargets).push_back({target.record.name});
+        }
+    }
+    Rollout::setTargets(*move.state, oldTargets, newTargets, Network::wallNow());
+    move.level = levelOf(*book->second);
+}
+
+void RolloutDriver::sendEvidence(Move &move)
+{
+    if (!move.state) {
+        return;
+    }
+    const auto phase = move.state->status.phase;
+    if (phase != Rollout::Phase::Trial && phase != Rollout::Phase::Ramping) {
+        return;
+    }
+    const auto &members = this->peers.state().members;
+    const auto bytes = Coordination::encodeRolloutMessage(Coordination::RolloutEvidence{.service = move.order.service,
+                                                                                        .start = move.state->move.start,
+                                                                                        .member = members.self,
+                                                                                        .evidence = Rollout::nextEvidence(*move.state)});
+    for (const auto &judge : this->addressesOf(Rollout::judges(*move.state, Membership::aliveMembers(members)))) {
+        this->peers.send(Channel::Rollout, judge, bytes);
+    }
+}
+
+bool RolloutDriver::hasOldInFlight(const Move &move) const
+{
+    const auto book = this->state.services.find(move.order.service);
+    return book != this->state.services.end() && std::ranges::any_of(book->second->targets, [&move](const Fleet::TargetBelief &target) {
+               return target.ownInFlight > 0 && target.record.version != move.order.version;
+           });
+}
+
+void RolloutDriver::sendConfirmation(Move &move)
+{
+    const bool isDone = move.state && move.state->status.phase == Rollout::Phase::Done;
+    if (!isDone || this->hasOldInFlight(move)) {
+        return;
+    }
+    const auto &members = this->peers.state().members;
+    move.confirmed.insert(members.self);
+    const auto bytes
+        = Coordination::encodeRolloutMessage(Coordination::RolloutConfirmation{move.order.service, move.state->move.start, members.self});
+    for (const auto &address : this->addressesOf(Membership::aliveMembers(members))) {
+        this->peers.send(Channel::Rollout, address, bytes);
+    }
+}
+
+void RolloutDriver::tellStatuses()
+{
+    const auto addresses = this->addressesOf(Membership::aliveMembers(this->peers.state().members));
+    if (addresses.empty()) {
+        return;
+    }
+    const auto &peer = addresses[this->nextPeer++ % addresses.size()];
+    for (const auto &[service, move] : this->moves) {
+        if (move.state) {
+            this->peers.send(Channel::Rollout, peer, Coordination::encodeRolloutMessage(move.state->status));
+        }
+    }
+}
+
+void RolloutDriver::receive(std::string_view bytes)
+{
+    const auto message = Coordination::decodeRolloutMessage(bytes);
+    if (const auto *status = std::get_if<Rollout::Status>(&message)) {
+        this->takeStatus(*status);
+        return;
+    }
+    const auto *confirmation = std::get_if<Coordination::RolloutConfirmation>(&message);
+    const auto *evidence = std::get_if<Coordination::RolloutEvidence>(&message);
+    const auto &service = confirmation != nullptr ? confirmation->service : evidence->service;
+    const auto &start = confirmation != nullptr ? confirmation->start : evidence->start;
+    const auto found = this->moves.find(service.value);
+    if (found == this->moves.end() || !found->second.state || found->second.state->move.start != start) {
+        return;
+    }
+    if (confirmation != nullptr) {
+        found->second.confirmed.insert(confirmation->member);
+        return;
+    }
+    Rollout::mergeEvidence(*found->second.state, evidence->member, evidence->evidence);
+    this->decide(found->second);
+}
+
+void RolloutDriver::takeStatus(const Rollout::Status &status)
+{
+    const auto found = this->moves.find(status.service.value);
+    // Steps follow from the time; only a verdict is taken from peers.
+    if (found == this->moves.end() || !found->second.state || status.phase != Rollout::Phase::TakenBack) {
+        return;
+    }
+    if (Rollout::mergeStatus(*found->second.state, status)) {
+        this->state.log.write(Importance::Notable,
+                              "rollout_verdict_heard",
+                              {{"service", status.service.value},
+                               {"version", status.to.value},
+                               {"fault", Rollout::nameOf(status.fault)},
+                               {"route", status.faultRoute}});
+    }
+}
+
+std::optional<RolloutState> RolloutDriver::wantedState(const Move &move) const
+{
+    const auto stored = move.order.progress.state;
+    if (isFinal(stored)) {
+        return std::nullopt;
+    }
+    if (stored == RolloutState::Ordered) {
+        return RolloutState::Running;
+    }
+    if (move.state && move.state->status.phase == Rollout::Phase::TakenBack) {
+        return RolloutState::RolledBack;
+    }
+    const bool isDone = move.state && move.state->status.phase == Rollout::Phase::Done && this->isConfirmedByAll(move);
+    return isDone ? std::optional(RolloutState::Completed) : std::nullopt;
+}
+
+bool RolloutDriver::isConfirmedByAll(const Move &move) const
+{
+    const auto &members = this->peers.state().members;
+    const auto alive = Membership::aliveMembers(members);
+    const bool isEverybody = std::ranges::all_of(alive, [&move](const Core::InstanceId &member) {
+        return move.confirmed.contains(member);
+    });
+    // An instance that is cut off from the others must not speak for them.
+    const auto known = std::ranges::count_if(members.members, [](const auto &entry) {
+        return entry.second.news.state != Membership::MemberState::Leaving && !entry.second.isReplaced;
+    });
+    return isEverybody && 2 * alive.size() > static_cast<std::size_t>(known);
+}
+
+std::size_t RolloutDriver::ownRank(const std::string &service) const
+{
+    const auto &members = this->peers.state().members;
+    std::vector<std::string> names;
+    std::ranges::transform(Membership::aliveMembers(members), std::back_inserter(names), &Core::InstanceId::value);
+    const auto order = Core::rendezvousOrder(names, "rollout/" + service, names.size());
+    const auto own = std::ranges::find(order, members.self.value);
+    return std::min<std::size_t>(MOST_TURNS, static_cast<std::size_t>(own - order.begin()));
+}
+
+void RolloutDriver::writeWhenDue(const std::string &service, Move &move, Core::TimePoint now)
+{
+    const auto wanted = this->wantedState(move);
+    if (!wanted || move.isWriting) {
+        move.dueSince = wanted ? move.dueSince : std::nullopt;
+        return;
+    }
+    if (!move.dueSince) {
+        move.dueSince = now;
+    }
+    if (now - *move.dueSince < TURN * this->ownRank(service)) {
+        return;
+    }
+    move.isWriting = true;
+    RolloutProgress progress{
+        .state = *wanted, .version = move.order.version, .startedAt = move.state ? move.state->move.start : Network::wallNow()};
+    spawn(this->state, "rollout", this->write(service, progress));
+}
+
+boost::asio::awaitable<void> RolloutDriver::write(std::string service, RolloutProgress progress)
+{
+    const auto revision = this->moves.at(service).revision;
+    const auto result = co_await this->store.writeProgress(service, revision, progress);
+    const auto *written = std::get_if<Written>(&result);
+    const auto *failure = std::get_if<StoreFailure>(&result);
+    this->state.log.write(Importance::Notable,
+                          "rollout_written",
+                          {{"service", service},
+                           {"state", nameOf(progress.state)},
+                           {"revision", revision},
+                           {"outcome",
+                            written != nullptr       ? "written"
+                                : failure != nullptr ? failure->reason
+                                                     : "another instance was first"}});
+    const auto found = this->moves.find(service);
+    if (found == this->moves.end()) {
+        co_return;
+    }
+    found->second.isWriting = false;
+    // The next try is due a turn later; by then the store has told what it holds.
+    found->second.dueSince = Core::Clock::now() + TURN;
+    if (written != nullptr && found->second.revision == revision) {
+        auto order = found->second.order;
+        order.progress = progress;
+        this->take(order, written->revision);
+    }
+}
+
+std::vector<std::string> RolloutDriver::addressesOf(const std::vector<Core::InstanceId> &members) const
+{
+    const auto &known = this->peers.state().members;
+    std::vector<std::string> addresses;
+    for (const auto &member : members) {
+        const auto *row = Membership::find(known, member);
+        if (row != nullptr && member != known.self) {
+            addresses.push_back(row->news.address.value);
+        }
+    }
+    return addresses;
+}
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/RolloutDriver.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <LibCoordination/PeerLink.h>
+#include <LibCoordination/RolloutMessage.h>
+#include <LibGateway/GatewayState.h>
+#include <LibRollout/Rollout.h>
+
+namespace Briarbend::Gateway
+{
+
+/// Carries out operators' orders to move a service to another version. Every instance moves by the time that passed since the order was
+/// taken up and by the evidence of all; the store holds what was decided.
+class RolloutDriver
+{
+public:
+    RolloutDriver(GatewayState &state, Core::TimerService &timers, PlatformStore &store, Coordination::PeerLink &peers);
+
+    /// Takes an order as the store holds it.
+    void take(const RolloutOrder &order, Revision revision);
+    /// The order is gone.
+    void forget(const std::string &service);
+
+private:
+    struct Move {
+        RolloutOrder order;
+        Revision revision{0};
+        Core::TimePoint seenAt;
+        /// Set while the order runs.
+        std::unique_ptr<Rollout::RolloutState> state;
+        Rollout::LoadLevel level{Rollout::LoadLevel::Low};
+        /// When this instance saw that there is something to write.
+        std::optional<Core::TimePoint> dueSince;
+        bool isWriting{false};
+        /// Members that send nothing more to the old version.
+        std::set<Core::InstanceId> confirmed;
+    };
+
+    std::optional<VersionSplit> split(const Core::ServiceName &service, const std::string &route) const;
+    void observe(const SendObservation &observation);
+    void beginRunning(Move &move);
+    void tick(Core::TimePoint now);
+    void decide(Move &move);
+    void refreshTargets(Move &move) const;
+    void sendEvidence(Move &move);
+    void sendConfirmation(Move &move);
+    void tellStatuses();
+    void receive(std::string_view bytes);
+    void takeStatus(const Rollout::Status &status);
+    /// What the store should hold beyond what it holds; nothing where it is up to date.
+    std::optional<RolloutState> wantedState(const Move &move) const;
+    bool isConfirmedByAll(const Move &move) const;
+    void writeWhenDue(const std::string &service, Move &move, Core::TimePoint now);
+    boost::asio::awaitable<void> write(std::string service, RolloutProgress progress);
+    std::size_t ownRank(const std::string &service) const;
+    std::vector<std::string> addressesOf(const std::vector<Core::InstanceId> &members) const;
+    bool hasOldInFlight(const Move &move) const;
+
+    GatewayState &state;
+    PlatformStore &store;
+    Coordination::PeerLink &peers;
+    std::map<std::string, Move> moves;
+    std::vector<std::unique_ptr<Core::TimerSubscription>> subscriptions;
+    std::size_t nextPeer{0};
+};
+
+} // namespace Briarbend::Gateway
--- a/Libraries/LibMembership/Member.h
+++ b/Libraries/LibMembership/Member.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 /// Which instances take part, judged by gossip and failure detection. A hint that saves work: nothing that must be unique rests on it.
 namespace Briarbend::Membership
@@ -23,6 +24,22 @@
     Gone,
 };
 
+/// The state's name in logs.
+constexpr std::string_view nameOf(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Leaving:
+        return "leaving";
+    case MemberState::Gone:
+        return "gone";
+    }
+    return "";
+}
+
 /// What instances tell one another about a member. A higher incarnation wins; at the same incarnation the later state wins.
 struct MemberNews {
     Core::InstanceId id;
--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -69,7 +69,7 @@
     if (observation.side == Side::Old) {
         reference.add(observation.latency, now);
     }
-    const auto threshold = reference.slowThreshold();
+    const auto threshold = observation.slowThreshold ? observation.slowThreshold : reference.slowThreshold();
     const auto &sampled = observation.side == Side::Old ? state.sampledOld : state.sampledNew;
     if (!threshold || std::ranges::find(sampled, observation.target) == sampled.end()) {
         return;
--- a/Libraries/LibRollout/Rollout.h
+++ b/Libraries/LibRollout/Rollout.h
@@ -66,6 +66,9 @@
     std::chrono::microseconds latency{};
     /// The target was cold when the request was sent: its latency says nothing about the version.
     bool isCold{false};
+    /// Latency above which the answer counts as slow. Where it is not stated, twice the median of this instance's answers of the old
+    /// version, which takes tens of answers a second to be known.
+    std::optional<std::chrono::microseconds> slowThreshold{};
 };
 
 /// State of one move at one instance.
--- a/Services/briarbendd/ClaimsRunner.cpp
+++ b/Services/briarbendd/ClaimsRunner.cpp
@@ -79,7 +79,7 @@
 
 ClaimsRunner::ClaimsRunner(Asio::io_context &ioContext,
                            Store::ObjectStore &objectStore,
-                           PeerLink &peerLink,
+                           Coordination::PeerLink &peerLink,
                            Claims::Settings settings,
                            Claims::BucketLayout layout)
     : context(ioContext)
@@ -89,7 +89,7 @@
     , ownLayout(layout)
     , startedAt(Core::Clock::now())
 {
-    this->peers.onMessage(Channel::Claims, [this](const std::string &peer, std::string_view bytes) {
+    this->peers.onMessage(Coordination::Channel::Claims, [this](const std::string &peer, std::string_view bytes) {
         this->receive(peer, bytes);
     });
 }
@@ -183,7 +183,7 @@
     this->passedCallbacks.emplace(id, std::move(callback));
     const auto &members = this->peers.state().members;
     const auto &self = members.members.at(members.self).news.address.value;
-    this->peers.send(Channel::Claims, owner, encodeClaimsMessage(ClaimsRequest{id, self, storeKey, operation}));
+    this->peers.send(Coordination::Channel::Claims, owner, encodeClaimsMessage(ClaimsRequest{id, self, storeKey, operation}));
     this->watchOutcome(id, storeKey, operation);
 }
 
@@ -276,7 +276,7 @@
                      std::move(request.operation),
                      Core::Clock::now() + CLAIM_PATIENCE,
                      [this, id = request.id, replyTo = request.replyTo](const Claims::OperationResult &result) {
-                         this->peers.send(Channel::Claims, replyTo, encodeClaimsMessage(ClaimsReply{id, result}));
+                         this->peers.send(Coordination::Channel::Claims, replyTo, encodeClaimsMessage(ClaimsReply{id, result}));
                      });
 }
 
--- a/Services/briarbendd/ClaimsRunner.h
+++ b/Services/briarbendd/ClaimsRunner.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "PeerLink.h"
+#include <LibCoordination/PeerLink.h>
 
 #include <LibClaims/BucketCommitter.h>
 #include <LibClaims/BucketLayout.h>
@@ -21,7 +21,7 @@
 public:
     ClaimsRunner(boost::asio::io_context &context,
                  Store::ObjectStore &store,
-                 PeerLink &peers,
+                 Coordination::PeerLink &peers,
                  Claims::Settings settings,
                  Claims::BucketLayout ownLayout);
 
@@ -64,7 +64,7 @@
 
     boost::asio::io_context &context;
     Store::ObjectStore &store;
-    PeerLink &peers;
+    Coordination::PeerLink &peers;
     Claims::Settings claimSettings;
     Claims::BucketLayout ownLayout;
     Core::TimePoint startedAt;
--- a/Services/briarbendd/ConfigurationFeed.cpp
+++ b/Services/briarbendd/ConfigurationFeed.cpp
@@ -36,7 +36,7 @@
 
 ConfigurationFeed::ConfigurationFeed(boost::asio::io_context &ioContext,
                                      Store::ObjectStore &objectStore,
-                                     PeerLink &peerLink,
+                                     Coordination::PeerLink &peerLink,
                                      SectionsCallback sectionsCallback)
     : context(ioContext)
     , store(objectStore)
--- a/Services/briarbendd/ConfigurationFeed.h
+++ b/Services/briarbendd/ConfigurationFeed.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "PeerLink.h"
+#include <LibCoordination/PeerLink.h>
 
 #include <LibConfiguration/Model.h>
 #include <LibStore/ObjectStore.h>
@@ -17,7 +17,10 @@
 public:
     using SectionsCallback = std::function<void(const Configuration::Sections &)>;
 
-    ConfigurationFeed(boost::asio::io_context &context, Store::ObjectStore &store, PeerLink &peers, SectionsCallback callback);
+    ConfigurationFeed(boost::asio::io_context &context,
+                      Store::ObjectStore &store,
+                      Coordination::PeerLink &peers,
+                      SectionsCallback callback);
     /// Starts watching; goes on until the io_context stops.
     void start();
     /// Takes the sections that gossip brought.
@@ -38,7 +41,7 @@
 
     boost::asio::io_context &context;
     Store::ObjectStore &store;
-    PeerLink &peers;
+    Coordination::PeerLink &peers;
     SectionsCallback callback;
     Configuration::Sections inForce;
     Store::Version revision{0};
--- a/Services/briarbendd/Daemon.cpp
+++ b/Services/briarbendd/Daemon.cpp
@@ -75,8 +75,8 @@
     }
     const Membership::MemberNews self{
         .id = this->instance, .address = {advertised.text()}, .dataCentre = this->settings.instance.dataCentre};
-    this->peers
-        = std::make_unique<PeerLink>(this->timers, *this->transport, Gossip::makeState(self, seeds, this->startedAt), this->relay.random);
+    this->peers = std::make_unique<Coordination::PeerLink>(
+        this->timers, *this->transport, Gossip::makeState(self, seeds, this->startedAt), this->relay.random);
     this->relay.isCurrent = [this] {
         return Gossip::isConfirmed(this->peers->state(), Core::Clock::now());
     };
@@ -94,10 +94,13 @@
                                                   Claims::BucketLayout{this->settings.claims.buckets, this->settings.claims.window});
     this->relay.claims = this->claims.get();
     this->relay.instance = this->instance;
-    this->quarantine = std::make_unique<QuarantineLink>(ioContext, this->timers, *this->peers);
+    this->quarantine = std::make_unique<Coordination::QuarantineLink>(ioContext, this->timers, *this->peers);
     this->relay.guard = this->quarantine.get();
     this->rollouts = std::make_unique<RolloutRunner>(ioContext, this->timers, this->store, *this->peers, this->relay);
     this->warmth = std::make_unique<WarmthSpread>(*this->peers, this->relay.coldGate);
+    this->peers->onNote([](const std::string &text) {
+        LOG4CXX_INFO(logger(), text);
+    });
     this->peers->onChanges([this](const Gossip::Changes &changes) {
         this->takeChanges(changes);
     });
--- a/Services/briarbendd/Daemon.h
+++ b/Services/briarbendd/Daemon.h
@@ -5,10 +5,10 @@
 #include "InstanceListFeed.h"
 #include "OperatorEndpoint.h"
 #include "Prober.h"
-#include "QuarantineLink.h"
 #include "RolloutRunner.h"
 #include "TargetWatch.h"
 #include "WarmthSpread.h"
+#include <LibCoordination/QuarantineLink.h>
 
 #include <LibNetwork/AsioTimerService.h>
 #include <LibRelay/CallerListener.h>
@@ -53,12 +53,12 @@
     Store::HttpObjectStore store;
     std::unique_ptr<Peers::Transport> transport;
     Network::Endpoint peerEndpoint;
-    std::unique_ptr<PeerLink> peers;
+    std::unique_ptr<Coordination::PeerLink> peers;
     std::unique_ptr<ConfigurationFeed> configuration;
     std::unique_ptr<InstanceListFeed> instanceList;
     std::unique_ptr<WarmthSpread> warmth;
     std::unique_ptr<ClaimsRunner> claims;
-    std::unique_ptr<QuarantineLink> quarantine;
+    std::unique_ptr<Coordination::QuarantineLink> quarantine;
     std::unique_ptr<RolloutRunner> rollouts;
     std::unique_ptr<TargetWatch> targetWatch;
     std::unique_ptr<Prober> prober;
--- a/Services/briarbendd/Dump.cpp
+++ b/Services/briarbendd/Dump.cpp
@@ -15,21 +15,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - then).count();
 }
 
-std::string_view nameOf(Membership::MemberState state)
-{
-    switch (state) {
-    case Membership::MemberState::Alive:
-        return "alive";
-    case Membership::MemberState::Suspect:
-        return "suspect";
-    case Membership::MemberState::Leaving:
-        return "leaving";
-    case Membership::MemberState::Gone:
-        return "gone";
-    }
-    return "unknown";
-}
-
 std::string_view nameOf(Limits::ColdVerdict verdict)
 {
     switch (verdict) {
@@ -103,7 +88,7 @@
               {"broken_off", counters.brokenOff}}}};
 }
 
-json dumpPeers(const PeerLink &peers, Core::TimePoint now)
+json dumpPeers(const Coordination::PeerLink &peers, Core::TimePoint now)
 {
     auto members = json::object();
     for (const auto &[id, member] : peers.state().members.members) {
--- a/Services/briarbendd/Dump.h
+++ b/Services/briarbendd/Dump.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "PeerLink.h"
+#include <LibCoordination/PeerLink.h>
 
 #include <LibConfiguration/Model.h>
 #include <LibRelay/RelayState.h>
@@ -14,7 +14,7 @@
 nlohmann::json dumpRelay(const Relay::RelayState &relay, Core::TimePoint now);
 
 /// Members, sections and the counters of gossip.
-nlohmann::json dumpPeers(const PeerLink &peers, Core::TimePoint now);
+nlohmann::json dumpPeers(const Coordination::PeerLink &peers, Core::TimePoint now);
 
 /// Store version of each team's section in force.
 nlohmann::json dumpVersions(const Configuration::Sections &sections);
--- a/Services/briarbendd/InstanceListFeed.cpp
+++ b/Services/briarbendd/InstanceListFeed.cpp
@@ -27,7 +27,7 @@
 
 InstanceListFeed::InstanceListFeed(boost::asio::io_context &ioContext,
                                    Store::ObjectStore &objectStore,
-                                   PeerLink &peerLink,
+                                   Coordination::PeerLink &peerLink,
                                    std::chrono::milliseconds pollInterval,
                                    ListCallback listCallback)
     : context(ioContext)
@@ -36,7 +36,7 @@
     , interval(pollInterval)
     , callback(std::move(listCallback))
 {
-    this->peers.onMessage(Channel::InstanceList, [this](const std::string &peer, std::string_view bytes) {
+    this->peers.onMessage(Coordination::Channel::InstanceList, [this](const std::string &peer, std::string_view bytes) {
         this->receive(peer, bytes);
     });
 }
@@ -117,7 +117,7 @@
         }
         for (const auto &[id, member] : this->peers.state().members.members) {
             if (id != this->peers.state().members.self && member.news.state == Membership::MemberState::Alive) {
-                this->peers.send(Channel::InstanceList, member.news.address.value, LEAVING_MARK + instance.address);
+                this->peers.send(Coordination::Channel::InstanceList, member.news.address.value, LEAVING_MARK + instance.address);
             }
         }
     }
@@ -140,7 +140,8 @@
             continue;
         }
         // The question names the asker's own address, since a connection does not tell where its peer listens.
-        this->peers.send(Channel::InstanceList, member.news.address.value, "?" + members.members.at(members.self).news.address.value);
+        this->peers.send(
+            Coordination::Channel::InstanceList, member.news.address.value, "?" + members.members.at(members.self).news.address.value);
         ++asked;
     }
 }
@@ -153,7 +154,7 @@
     }
     const bool isQuestion = bytes.starts_with('?');
     if (isQuestion && this->hasList) {
-        this->peers.send(Channel::InstanceList, std::string(bytes.substr(1)), encodeInstanceList(this->current));
+        this->peers.send(Coordination::Channel::InstanceList, std::string(bytes.substr(1)), encodeInstanceList(this->current));
     }
     if (!isQuestion && !this->hasList) {
         this->take(decodeInstanceList(bytes));
--- a/Services/briarbendd/InstanceListFeed.h
+++ b/Services/briarbendd/InstanceListFeed.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "PeerLink.h"
+#include <LibCoordination/PeerLink.h>
 
 #include <LibStore/ObjectStore.h>
 
@@ -21,7 +21,7 @@
 
     InstanceListFeed(boost::asio::io_context &context,
                      Store::ObjectStore &store,
-                     PeerLink &peers,
+                     Coordination::PeerLink &peers,
                      std::chrono::milliseconds interval,
                      ListCallback callback);
     /// Starts polling; goes on until the io_context stops.
@@ -42,7 +42,7 @@
 
     boost::asio::io_context &context;
     Store::ObjectStore &store;
-    PeerLink &peers;
+    Coordination::PeerLink &peers;
     std::chrono::milliseconds interval;
     ListCallback callback;
     /// As the platform told it last.
--- a/Services/briarbendd/RolloutRunner.cpp
+++ b/Services/briarbendd/RolloutRunner.cpp
@@ -58,14 +58,14 @@
 RolloutRunner::RolloutRunner(Asio::io_context &ioContext,
                              Core::TimerService &timers,
                              Store::ObjectStore &objectStore,
-                             PeerLink &peerLink,
+                             Coordination::PeerLink &peerLink,
                              Relay::RelayState &relayState)
     : context(ioContext)
     , store(objectStore)
     , peers(peerLink)
     , relay(relayState)
 {
-    this->peers.onMessage(Channel::Rollout, [this](const std::string &, std::string_view bytes) {
+    this->peers.onMessage(Coordination::Channel::Rollout, [this](const std::string &, std::string_view bytes) {
         this->receive(bytes);
     });
     this->relay.onObserved = [this](const Relay::ExchangeObservation &observation) {
@@ -206,12 +206,12 @@
         return;
     }
     const auto &members = this->peers.state().members;
-    const auto bytes = encodeRolloutMessage(RolloutEvidence{.service = running.state.move.service,
-                                                            .start = running.state.move.start,
-                                                            .member = members.self,
-                                                            .evidence = Rollout::nextEvidence(running.state)});
+    const auto bytes = Coordination::encodeRolloutMessage(Coordination::RolloutEvidence{.service = running.state.move.service,
+                                                                                        .start = running.state.move.start,
+                                                                                        .member = members.self,
+                                                                                        .evidence = Rollout::nextEvidence(running.state)});
     for (const auto &judge : this->addressesOf(Rollout::judges(running.state, Membership::aliveMembers(members)))) {
-        this->peers.send(Channel::Rollout, judge, bytes);
+        this->peers.send(Coordination::Channel::Rollout, judge, bytes);
     }
 }
 
@@ -233,9 +233,9 @@
 
 void RolloutRunner::tellStatus(const Rollout::Status &status)
 {
-    const auto bytes = encodeRolloutMessage(status);
+    const auto bytes = Coordination::encodeRolloutMessage(status);
     for (const auto &address : this->addressesOf(Membership::aliveMembers(this->peers.state().members))) {
-        this->peers.send(Channel::Rollout, address, bytes);
+        this->peers.send(Coordination::Channel::Rollout, address, bytes);
     }
 }
 
@@ -247,13 +247,13 @@
     }
     const auto &peer = addresses[this->nextPeer++ % addresses.size()];
     for (const auto &[service, running] : this->moves) {
-        this->peers.send(Channel::Rollout, peer, encodeRolloutMessage(running->state.status));
+        this->peers.send(Coordination::Channel::Rollout, peer, Coordination::encodeRolloutMessage(running->state.status));
     }
 }
 
 void RolloutRunner::receive(std::string_view bytes)
 {
-    const auto message = decodeRolloutMessage(bytes);
+    const auto message = Coordination::decodeRolloutMessage(bytes);
     if (const auto *status = std::get_if<Rollout::Status>(&message)) {
         const auto found = this->moves.find(status->service);
         if (found != this->moves.end()) {
@@ -261,7 +261,10 @@
         }
         return;
     }
-    const auto &evidence = std::get<RolloutEvidence>(message);
+    if (std::holds_alternative<Coordination::RolloutConfirmation>(message)) {
+        return;
+    }
+    const auto &evidence = std::get<Coordination::RolloutEvidence>(message);
     const auto found = this->moves.find(evidence.service);
     if (found != this->moves.end() && found->second->state.move.start == evidence.start) {
         Rollout::mergeEvidence(found->second->state, evidence.member, evidence.evidence);
--- a/Services/briarbendd/RolloutRunner.h
+++ b/Services/briarbendd/RolloutRunner.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "PeerLink.h"
-#include "RolloutMessage.h"
+#include <LibCoordination/PeerLink.h>
+#include <LibCoordination/RolloutMessage.h>
 
 #include <LibConfiguration/Model.h>
 #include <LibRelay/RelayState.h>
@@ -20,8 +20,11 @@
 class RolloutRunner
 {
 public:
-    RolloutRunner(
-        boost::asio::io_context &context, Core::TimerService &timers, Store::ObjectStore &store, PeerLink &peers, Relay::RelayState &relay);
+    RolloutRunner(boost::asio::io_context &context,
+                  Core::TimerService &timers,
+                  Store::ObjectStore &store,
+                  Coordination::PeerLink &peers,
+                  Relay::RelayState &relay);
 
     /// Takes over the moves of the sections in force. A move that stays the same keeps its state.
     void update(const Configuration::Sections &sections);
@@ -54,7 +57,7 @@
 
     boost::asio::io_context &context;
     Store::ObjectStore &store;
-    PeerLink &peers;
+    Coordination::PeerLink &peers;
     Relay::RelayState &relay;
     std::map<Core::ServiceName, std::shared_ptr<Running>> moves;
     std::vector<std::unique_ptr<Core::TimerSubscription>> subscriptions;
--- a/Services/briarbendd/WarmthSpread.cpp
+++ b/Services/briarbendd/WarmthSpread.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-WarmthSpread::WarmthSpread(PeerLink &peerLink, Limits::ColdGate &coldGate)
+WarmthSpread::WarmthSpread(Coordination::PeerLink &peerLink, Limits::ColdGate &coldGate)
     : peers(peerLink)
     , gate(coldGate)
 {
--- a/Services/briarbendd/WarmthSpread.h
+++ b/Services/briarbendd/WarmthSpread.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "PeerLink.h"
+#include <LibCoordination/PeerLink.h>
 
 #include <LibLimits/ColdGate.h>
 
@@ -13,7 +13,7 @@
 class WarmthSpread
 {
 public:
-    WarmthSpread(PeerLink &peers, Limits::ColdGate &gate);
+    WarmthSpread(Coordination::PeerLink &peers, Limits::ColdGate &gate);
 
     /// Publishes the statements that changed since the last call.
     void publishChanges();
@@ -23,7 +23,7 @@
     void learn(const Gossip::WarmMark &mark);
 
 private:
-    PeerLink &peers;
+    Coordination::PeerLink &peers;
     Limits::ColdGate &gate;
     std::uint64_t toldRevision{0};
 };
