LibRelay: Bind a target's answer to the request that it names

Cause: Exchange::finish gave a connection back once the answer was whole and the buffer empty.

An answer counts only with the identifier of its request; on a fresh connection one without any counts too, but the connection is not kept. A target that sent bytes nobody asked for gets one request a connection. Ruled out: looking for bytes before the next send, which isQuiet did already and which cannot see what has not come yet.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -203,10 +203,26 @@
         this->fail(error);
         co_return false;
     }
+    if (!this->isOwnAnswer()) {
+        this->fail(Http::error::unexpected_body);
+        co_return false;
+    }
     this->noteHead();
     co_return true;
 }
 
+bool Exchange::isOwnAnswer()
+{
+    const auto named = this->parser->get()[std::string(REQUEST_ID_FIELD)];
+    this->isAnswerNamed = named == this->request->requestId;
+    if (this->isAnswerNamed || (named.empty() && !this->connection->isReused)) {
+        return true;
+    }
+    // A late second answer to an earlier request. Whatever follows on the connection can not be told apart either.
+    this->relay.pool.distrust(this->targetId);
+    return false;
+}
+
 void Exchange::noteHead()
 {
     const auto &answerHead = this->parser->get();
@@ -265,8 +281,13 @@
 
 void Exchange::finish()
 {
-    const bool isClean = this->parser->is_done() && this->parser->keep_alive() && this->connection->buffer.size() == 0;
-    if (isClean) {
+    const bool isWhole = this->parser->is_done() && this->parser->keep_alive();
+    const bool hasMore = this->connection->buffer.size() > 0;
+    if (isWhole && hasMore) {
+        this->relay.pool.distrust(this->targetId);
+    }
+    // Only answers that name their request can be told from a second answer to the one before.
+    if (isWhole && !hasMore && this->isAnswerNamed) {
         this->relay.pool.giveBack(std::move(this->connection), Core::Clock::now());
     }
     this->connection.reset();
--- a/Libraries/LibRelay/Exchange.h
+++ b/Libraries/LibRelay/Exchange.h
@@ -101,6 +101,8 @@
     boost::asio::awaitable<bool> send();
     boost::asio::awaitable<bool> sendStreamedBody(Http::request_serializer<Http::buffer_body> &serializer);
     boost::asio::awaitable<bool> receiveHead();
+    /// False where the answer belongs to another request.
+    bool isOwnAnswer();
     void noteHead();
     void fail(const boost::system::error_code &error);
 
@@ -115,6 +117,8 @@
     std::unique_ptr<TargetConnection> connection;
     std::optional<AnswerParser> parser;
     bool isCancelled{false};
+    /// The answer bore the identifier of the request.
+    bool isAnswerNamed{false};
 };
 
 } // namespace Briarbend::Relay
--- a/Libraries/LibRelay/TargetConnection.cpp
+++ b/Libraries/LibRelay/TargetConnection.cpp
@@ -86,8 +86,17 @@
     co_return connection;
 }
 
+void TargetConnectionPool::distrust(const Core::TargetId &target)
+{
+    this->distrusted.insert(target);
+    this->closeIdle(target);
+}
+
 void TargetConnectionPool::giveBack(std::unique_ptr<TargetConnection> connection, Core::TimePoint now)
 {
+    if (this->distrusted.contains(connection->target())) {
+        return;
+    }
     connection->isReused = true;
     connection->idleSince = now;
     connection->stream.expires_never();
--- a/Libraries/LibRelay/TargetConnection.h
+++ b/Libraries/LibRelay/TargetConnection.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Briarbend::Relay
 {
@@ -60,6 +61,8 @@
     boost::asio::awaitable<std::unique_ptr<TargetConnection>> connect(const Core::TargetId &target, Core::TimePoint deadline);
     /// Keeps a connection whose exchange ended cleanly.
     void giveBack(std::unique_ptr<TargetConnection> connection, Core::TimePoint now);
+    /// The target sent bytes that nobody asked for: its connections carry one request each from now on.
+    void distrust(const Core::TargetId &target);
     /// Closes idle connections that have been unused for the duration.
     void closeIdle(Core::TimePoint now, Core::Duration unusedFor);
     /// Closes every idle connection to one target.
@@ -78,6 +81,7 @@
 
     boost::asio::any_io_executor executor;
     std::unordered_map<Core::TargetId, TargetConnections> connections;
+    std::unordered_set<Core::TargetId> distrusted;
 };
 
 } // namespace Briarbend::Relay
--- a/Tests/Processes/WholeAnswers/TestWholeAnswers.cpp
+++ b/Tests/Processes/WholeAnswers/TestWholeAnswers.cpp
@@ -34,4 +34,20 @@
     EXPECT_GT(outcomes.at("answered").get<std::uint64_t>(), REQUESTS / 2) << result;
 }
 
+// A target's second answer that comes when the next request of the kept connection is already on its way looks like the answer to it.
+TEST(WholeAnswers, aSecondAnswerThatComesWithTheNextRequestIsTakenForNobodys)
+{
+    Cluster cluster({});
+    for (const auto &group : cluster.targetGroups) {
+        group.apply({{"trailing_with_next", 0.05}});
+    }
+    LoadRun load(
+        cluster,
+        {"--rate", "500", "--duration", "4", "--timeout", "2000", "--route", "3,GET,/a,2000", "--route", "1,POST,/once/x,300,once"});
+    const auto result = load.result();
+    const auto &outcomes = result.at("outcomes");
+    EXPECT_EQ(outcomes.at("wrong_answer"), 0) << result;
+    EXPECT_GT(outcomes.at("answered").get<std::uint64_t>(), result.at("attempts").get<std::uint64_t>() * 9 / 10) << result;
+}
+
 } // namespace Briarbend::Processes
--- a/Tests/StandIns/Target/Exchange.cpp
+++ b/Tests/StandIns/Target/Exchange.cpp
@@ -104,6 +104,12 @@
     co_return incoming;
 }
 
+Asio::awaitable<void> Target::writeSecondAnswer(Connection &connection)
+{
+    boost::system::error_code error;
+    co_await Asio::async_write(connection.socket, Asio::buffer(SECOND_ANSWER), Asio::redirect_error(Asio::use_awaitable, error));
+}
+
 Asio::awaitable<bool> Target::write(Connection &connection, const Incoming &incoming, const Answer &answer)
 {
     const auto head
@@ -128,8 +134,9 @@
         sent += size;
     }
     if (!error && this->happens(this->state.conditions.trailing)) {
-        co_await Asio::async_write(connection.socket, Asio::buffer(SECOND_ANSWER), token);
+        co_await this->writeSecondAnswer(connection);
     }
+    connection.owesSecondAnswer = this->happens(this->state.conditions.trailingWithNext);
     co_return !error && !cutsOff;
 }
 
--- a/Tests/StandIns/Target/Target.cpp
+++ b/Tests/StandIns/Target/Target.cpp
@@ -93,6 +93,9 @@
             break;
         }
         co_await this->thaw();
+        if (std::exchange(connection->owesSecondAnswer, false)) {
+            co_await this->writeSecondAnswer(*connection);
+        }
         const auto answer = co_await this->answerTo(connection, *incoming);
         co_await this->thaw();
         if (!answer || !connection->socket.is_open()) {
--- a/Tests/StandIns/Target/Target.h
+++ b/Tests/StandIns/Target/Target.h
@@ -47,6 +47,8 @@
 struct Connection {
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
+    /// A second answer to the last request is still to be sent.
+    bool owesSecondAnswer{false};
 };
 
 /// A request that waits for a slot.
@@ -95,6 +97,7 @@
     boost::asio::awaitable<std::optional<Answer>> run(const Incoming &incoming);
     boost::asio::awaitable<void> waitForSlot(std::shared_ptr<Connection> connection, std::shared_ptr<Waiting> waiting);
     boost::asio::awaitable<Answer> finish(const Incoming &incoming, std::string runName);
+    boost::asio::awaitable<void> writeSecondAnswer(Connection &connection);
     boost::asio::awaitable<bool> write(Connection &connection, const Incoming &incoming, const Answer &answer);
     boost::asio::awaitable<void> thaw();
     boost::asio::awaitable<void> reopen();
--- a/Tests/StandIns/Target/TargetState.cpp
+++ b/Tests/StandIns/Target/TargetState.cpp
@@ -68,6 +68,7 @@
     fields.read("late_ms", conditions.lateMilliseconds);
     fields.read("truncate", conditions.truncate);
     fields.read("trailing", conditions.trailing);
+    fields.read("trailing_with_next", conditions.trailingWithNext);
     fields.read("close_mid_body", conditions.closeMidBody);
     fields.read("report_lag_ms", conditions.reportLagMilliseconds);
     fields.read("reported_in_flight", conditions.reportedInFlight);
--- a/Tests/StandIns/Target/TargetState.h
+++ b/Tests/StandIns/Target/TargetState.h
@@ -54,6 +54,8 @@
     /// Probability that the last byte of a body is never sent, that a second answer follows, or that the connection ends in mid-body.
     double truncate{0};
     double trailing{0};
+    /// Probability that a second answer is held back until the connection's next request has come.
+    double trailingWithNext{0};
     double closeMidBody{0};
     double reportLagMilliseconds{0};
     /// Requests in flight that load reports claim; negative for the truth.
