LibGateway: Let a few instances watch the store and tell the others

Two instances of each data centre watch now, by rendezvous hash over the live members; they tell their data centre and the other watchers what changed, and regularly how far they are. Who hears of no watcher watches itself; who missed something asks for just that; the plan, which may be long, each reads itself when it hears of a new one.

Ruled out: gossip of one section an object; 40 changes a second pass its 2.4 KB/s.

Also mended: the directory took 28 s without an answer on a quiet watch for an outage, so that removed entries were kept for 2.3 s too long. An outage is a failure that lasts now, or the removal of 40% of the entries at once.

--- a/Libraries/LibCoordination/PeerLink.h
+++ b/Libraries/LibCoordination/PeerLink.h
@@ -23,6 +23,8 @@
     Rollout = 'r',
     /// Evidence about requests that break targets, and trials of such requests.
     Quarantine = 'q',
+    /// What instances that watch the platform's store tell the others.
+    News = 'n',
 };
 
 /// Connects the gossip state to the transport and the timer service.
--- a/Libraries/LibFleet/Directory.cpp
+++ b/Libraries/LibFleet/Directory.cpp
@@ -17,10 +17,24 @@
 
 void recordStoreAnswer(Directory &directory, Core::TimePoint now)
 {
-    if (directory.storeAnsweredAt && now - *directory.storeAnsweredAt >= SHORTEST_LEASE) {
+    if (directory.storeLostSince && now - *directory.storeLostSince >= SHORTEST_LEASE) {
+        directory.outageEndedAt = now;
+    }
+    directory.storeLostSince.reset();
+}
+
+void recordStoreFailure(Directory &directory, Core::TimePoint now)
+{
+    if (!directory.storeLostSince) {
+        directory.storeLostSince = now;
+    }
+}
+
+void expectRemovals(Directory &directory, std::size_t removals, Core::TimePoint now)
+{
+    if (removals > 0 && static_cast<double>(removals) >= LAPSED_SHARE * static_cast<double>(directory.entries.size())) {
         directory.outageEndedAt = now;
     }
-    directory.storeAnsweredAt = now;
 }
 
 void applyListing(Directory &directory, const std::vector<TargetRecord> &listing, Core::TimePoint now)
@@ -36,6 +50,7 @@
             missing.push_back(name);
         }
     }
+    expectRemovals(directory, missing.size(), now);
     std::ranges::for_each(missing, [&](const std::string &name) {
         applyRemoval(directory, name, now);
     });
--- a/Libraries/LibFleet/Directory.h
+++ b/Libraries/LibFleet/Directory.h
@@ -45,20 +45,29 @@
 constexpr std::chrono::milliseconds REREGISTRATION_TIME{2300};
 /// A store that did not answer for this long may have let leases lapse: the shortest lease that the platform grants.
 constexpr std::chrono::milliseconds SHORTEST_LEASE{1000};
+/// Share of all entries whose removal at once shows that leases lapsed in an outage that was not seen from here. The loss of a data centre
+/// is a third; what its targets are asked then shows by itself that they are gone.
+constexpr double LAPSED_SHARE = 0.4;
 
 /// The list of targets that this instance goes by. It survives outages of the store.
 struct Directory {
     std::map<std::string, DirectoryEntry> entries;
     bool isKnown{false};
-    /// The last moment at which the store answered.
-    std::optional<Core::TimePoint> storeAnsweredAt;
+    /// Since when the store has not answered, while it does not.
+    std::optional<Core::TimePoint> storeLostSince;
     /// The end of the last outage that was long enough for leases to lapse.
     std::optional<Core::TimePoint> outageEndedAt;
 };
 
-/// Notes an answer of the store.
+/// Notes that the store answered, or is known to answer others.
 void recordStoreAnswer(Directory &directory, Core::TimePoint now);
 
+/// Notes that the store did not answer.
+void recordStoreFailure(Directory &directory, Core::TimePoint now);
+
+/// Tells how many entries are about to be removed at once.
+void expectRemovals(Directory &directory, std::size_t removals, Core::TimePoint now);
+
 /// Takes over the whole list. Entries that it lacks are kept for REREGISTRATION_TIME where an outage has just ended, else they are removed.
 void applyListing(Directory &directory, const std::vector<TargetRecord> &listing, Core::TimePoint now);
 
--- a/Libraries/LibGateway/Follower.cpp
+++ b/Libraries/LibGateway/Follower.cpp
@@ -13,8 +13,16 @@
 
 namespace Asio = boost::asio;
 
-/// Length of one watch: just below the longest that the platform allows, since each call is paid for.
-constexpr std::chrono::milliseconds WATCH_WAIT{28'000};
+/// The longest watch that the platform allows is 30 s; each call is paid for.
+constexpr std::chrono::milliseconds LONGEST_WATCH{28'000};
+/// Part of the store's history that a watch may last: after a quiet one the next still goes on from what is there.
+constexpr double HISTORY_PART = 0.75;
+/// Time for which a replica that was behind in a catch-up is not asked again.
+constexpr std::chrono::milliseconds CATCH_UP_DOUBT{500};
+/// A catch-up takes what is there and does not wait.
+constexpr std::chrono::milliseconds CATCH_UP_WAIT{1};
+/// How often a follower that hears from peers looks whether it still does.
+constexpr std::chrono::milliseconds IDLE_POLL{100};
 /// Pause after changes, so that one call brings several. A small part of the 2 s within which changes must be in force.
 constexpr std::chrono::milliseconds GATHERING_PAUSE{100};
 /// First pause after a failure, doubled up to the longest; both are stretched by up to half at random.
@@ -27,16 +35,32 @@
 
 } // namespace
 
-Follower::Follower(
-    Asio::io_context &ioContext, PlatformStore &platformStore, Core::Random &randomSource, ObjectKind objectKind, Callbacks eventCallbacks)
+Follower::Follower(Asio::io_context &ioContext,
+                   PlatformStore &platformStore,
+                   Core::Random &randomSource,
+                   ObjectKind objectKind,
+                   std::chrono::milliseconds storeHistory,
+                   Callbacks eventCallbacks)
     : context(ioContext)
     , store(platformStore)
     , random(randomSource)
     , kind(objectKind)
+    , watchWait(std::min(LONGEST_WATCH, std::chrono::duration_cast<std::chrono::milliseconds>(storeHistory * HISTORY_PART)))
     , callbacks(std::move(eventCallbacks))
+    , waking(ioContext)
 {
 }
 
+Revision Follower::position() const
+{
+    return this->revision;
+}
+
+void Follower::advanceTo(Revision newRevision)
+{
+    this->revision = std::max(this->revision, newRevision);
+}
+
 void Follower::listAgain()
 {
     this->needsListing = true;
@@ -50,11 +74,17 @@
 Asio::awaitable<void> Follower::follow()
 {
     while (true) {
+        const auto mode = this->callbacks.mode(this->revision);
         bool isDone = false;
         if (this->needsListing) {
             isDone = co_await this->list();
+        } else if (mode == FollowMode::Watch) {
+            isDone = co_await this->watch(this->watchWait);
+        } else if (mode == FollowMode::CatchUp) {
+            isDone = co_await this->watch(CATCH_UP_WAIT);
         } else {
-            isDone = co_await this->watch();
+            co_await this->idle();
+            continue;
         }
         if (isDone) {
             this->failuresInRow = 0;
@@ -72,7 +102,8 @@
 {
     // Set before the call, so that a listAgain during it is not lost.
     this->needsListing = false;
-    const auto result = co_await this->store.list(this->kind, Freshness::Linearizable);
+    const bool isDoubtful = Core::Clock::now() < this->doubtfulUntil || this->failuresInRow > 0;
+    const auto result = co_await this->store.list(this->kind, isDoubtful ? Freshness::Linearizable : Freshness::Relaxed);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         this->needsListing = true;
         this->callbacks.onFailure(failure->reason);
@@ -80,15 +111,20 @@
     }
     const auto &listing = std::get<Listing>(result);
     this->revision = listing.revision;
+    this->known.clear();
+    this->listedAt = listing.revision;
+    for (const auto &object : listing.objects) {
+        this->known[object.name] = object.revision;
+    }
     this->callbacks.onListing(listing);
     co_return true;
 }
 
-Asio::awaitable<bool> Follower::watch()
+Asio::awaitable<bool> Follower::watch(std::chrono::milliseconds wait)
 {
     const bool isDoubtful = Core::Clock::now() < this->doubtfulUntil || this->failuresInRow > 0;
     const auto result
-        = co_await this->store.watch(this->kind, this->revision, WATCH_WAIT, isDoubtful ? Freshness::Linearizable : Freshness::Relaxed);
+        = co_await this->store.watch(this->kind, this->revision, wait, isDoubtful ? Freshness::Linearizable : Freshness::Relaxed);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         this->callbacks.onFailure(failure->reason);
         co_return false;
@@ -99,15 +135,56 @@
         co_return true;
     }
     const auto &changes = std::get<Changes>(result);
+    const auto previous = this->revision;
+    if (wait == CATCH_UP_WAIT && changes.changes.empty() && !isDoubtful) {
+        // The replica does not have yet what peers know of.
+        this->doubtfulUntil = Core::Clock::now() + CATCH_UP_DOUBT;
+    }
+    const auto newer = this->takeNewer(changes);
     // A relaxed answer may come from a replica that is behind.
     this->revision = std::max(this->revision, changes.revision);
-    if (!changes.changes.empty()) {
-        this->callbacks.onChanges(changes);
+    if (!newer.changes.empty()) {
+        this->callbacks.onChanges(previous, newer);
+    }
+    if (!newer.changes.empty() || wait == CATCH_UP_WAIT) {
         co_await this->pause(GATHERING_PAUSE);
     }
     co_return true;
 }
 
+Changes Follower::takeNewer(const Changes &changes)
+{
+    Changes newer{.changes = {}, .revision = changes.revision};
+    for (const auto &change : changes.changes) {
+        auto &revisionOfObject = this->known[change.object.name];
+        if (change.object.revision > std::max(revisionOfObject, this->listedAt)) {
+            revisionOfObject = change.object.revision;
+            newer.changes.push_back(change);
+        }
+    }
+    return newer;
+}
+
+bool Follower::takeFromPeer(Revision previous, const Changes &changes)
+{
+    const auto newer = this->takeNewer(changes);
+    if (previous <= this->revision && !changes.changes.empty()) {
+        this->revision = std::max(this->revision, changes.revision);
+    }
+    if (!newer.changes.empty()) {
+        this->callbacks.onChanges(previous, newer);
+    }
+    this->waking.cancel();
+    return !newer.changes.empty();
+}
+
+Asio::awaitable<void> Follower::idle()
+{
+    this->waking.expires_after(IDLE_POLL);
+    boost::system::error_code ignored;
+    co_await this->waking.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+}
+
 Asio::awaitable<void> Follower::pause(std::chrono::milliseconds duration)
 {
     Asio::steady_timer timer(this->context, duration);
--- a/Libraries/LibGateway/Follower.h
+++ b/Libraries/LibGateway/Follower.h
@@ -5,24 +5,44 @@
 #include <LibGateway/PlatformStore.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 
 namespace Briarbend::Gateway
 {
 
-/// Keeps up with the objects of one kind: lists them once, then watches, and lists again only where the store has dropped its history.
+/// How a follower keeps up.
+enum class FollowMode {
+    /// By a watch of its own.
+    Watch,
+    /// Something is missing that the store has by now.
+    CatchUp,
+    /// By what peers tell.
+    Wait,
+};
+
+/// Keeps up with the objects of one kind: lists them once, then watches or hears from peers, and lists again only where the store has
+/// dropped its history.
 class Follower
 {
 public:
     struct Callbacks {
         std::function<void(const Listing &)> onListing;
-        std::function<void(const Changes &)> onChanges;
+        /// Only what is newer than what was told before.
+        std::function<void(Revision previous, const Changes &)> onChanges;
+        std::function<FollowMode(Revision revision)> mode;
         /// Any usable answer of the store.
         std::function<void()> onAnswer;
         std::function<void(const std::string &reason)> onFailure;
     };
 
-    Follower(boost::asio::io_context &context, PlatformStore &store, Core::Random &random, ObjectKind kind, Callbacks callbacks);
+    Follower(boost::asio::io_context &context,
+             PlatformStore &store,
+             Core::Random &random,
+             ObjectKind kind,
+             std::chrono::milliseconds storeHistory,
+             Callbacks callbacks);
 
     /// Follows for as long as the follower lives. To be spawned once.
     boost::asio::awaitable<void> follow();
@@ -30,18 +50,33 @@
     void listAgain();
     /// True once a listing has come that was asked for after the last listAgain.
     bool isCurrent() const;
+    /// The store's revision up to which all changes are known.
+    Revision position() const;
+    /// Everything up to the revision is known: peers have told that nothing else came.
+    void advanceTo(Revision revision);
+    /// Takes changes that a peer heard of. True where there was something new in them.
+    bool takeFromPeer(Revision previous, const Changes &changes);
 
 private:
     boost::asio::awaitable<bool> list();
-    boost::asio::awaitable<bool> watch();
+    boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait);
+    boost::asio::awaitable<void> idle();
+    /// What is newer than what is known of its object; notes it as known.
+    Changes takeNewer(const Changes &changes);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds duration);
 
     boost::asio::io_context &context;
     PlatformStore &store;
     Core::Random &random;
     ObjectKind kind;
+    std::chrono::milliseconds watchWait;
     Callbacks callbacks;
     Revision revision{0};
+    /// The revision of the last change of each object, also of removed ones.
+    std::map<std::string, Revision> known;
+    /// Changes up to the listing's revision are in the listing, also the removals that it cannot show.
+    Revision listedAt{0};
+    boost::asio::steady_timer waking;
     bool needsListing{true};
     std::uint32_t failuresInRow{0};
     /// Until then answers must not come from a replica that may be behind.
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -46,6 +46,7 @@
 {
     const auto &addresses = this->state.settings.instance;
     this->startPeers(seed);
+    this->makeNews();
     this->rollouts = std::make_unique<RolloutDriver>(this->state, this->timers, this->store, *this->peers);
     this->callers = std::make_unique<CallerFrontend>(ioContext, this->state);
     this->readyServer = std::make_unique<Network::HttpServer>(ioContext, addresses.readyAddress, [this](Network::Request request) {
@@ -135,14 +136,19 @@
                                       this->store,
                                       this->state.random,
                                       kind,
+                                      this->state.settings.store.history,
                                       Follower::Callbacks{
                                           .onListing =
                                               [this, kind](const Listing &listing) {
                                                   this->takeListing(kind, listing);
                                               },
                                           .onChanges =
-                                              [this](const Changes &changes) {
-                                                  this->takeChanges(changes);
+                                              [this, kind](Revision previous, const Changes &changes) {
+                                                  this->takeChanges(kind, previous, changes);
+                                              },
+                                          .mode =
+                                              [this, kind](Revision revision) {
+                                                  return this->news->modeFor(kind, revision);
                                               },
                                           .onAnswer =
                                               [this] {
@@ -178,8 +184,43 @@
     });
 }
 
-void Instance::takeChanges(const Changes &changes)
+void Instance::makeNews()
 {
+    this->news = std::make_unique<NewsSpread>(this->timers,
+                                              *this->peers,
+                                              NewsSpread::Callbacks{
+                                                  .onChanges =
+                                                      [this](ObjectKind kind, Revision previous, const Changes &changes) {
+                                                          this->followerOf(kind).takeFromPeer(previous, changes);
+                                                      },
+                                                  .onPosition =
+                                                      [this](ObjectKind kind, Revision position) {
+                                                          this->followerOf(kind).advanceTo(position);
+                                                      },
+                                                  .onStoreSeen =
+                                                      [this](bool answers) {
+                                                          (answers ? Fleet::recordStoreAnswer
+                                                                   : Fleet::recordStoreFailure)(this->state.directory, this->timers.now());
+                                                      },
+                                                  .position =
+                                                      [this](ObjectKind kind) {
+                                                          return this->followerOf(kind).position();
+                                                      },
+                                              });
+}
+
+Follower &Instance::followerOf(ObjectKind kind)
+{
+    return *this->followers.at(static_cast<std::size_t>(kind));
+}
+
+void Instance::takeChanges(ObjectKind kind, Revision previous, const Changes &changes)
+{
+    this->news->publish(kind, previous, changes);
+    const auto removals = std::ranges::count_if(changes.changes, &Change::isRemoved);
+    if (kind == ObjectKind::Targets) {
+        Fleet::expectRemovals(this->state.directory, static_cast<std::size_t>(removals), this->timers.now());
+    }
     std::ranges::for_each(changes.changes, [this](const Change &change) {
         this->takeObject(change.object, change.isRemoved);
     });
@@ -244,6 +285,7 @@
 void Instance::noteStoreAnswer()
 {
     Fleet::recordStoreAnswer(this->state.directory, this->timers.now());
+    this->news->noteStore(true);
     if (std::exchange(this->isStoreLost, false)) {
         this->state.log.write(Importance::Notable, "store_regained", {});
     }
@@ -252,6 +294,8 @@
 void Instance::noteStoreFailure(const std::string &reason)
 {
     ++this->state.counters.storeFailures;
+    Fleet::recordStoreFailure(this->state.directory, this->timers.now());
+    this->news->noteStore(false);
     if (!std::exchange(this->isStoreLost, true)) {
         this->state.log.write(Importance::Notable, "store_lost", {{"reason", reason}});
     }
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/CallerFrontend.h>
 #include <LibGateway/Follower.h>
+#include <LibGateway/NewsSpread.h>
 #include <LibGateway/RolloutDriver.h>
 #include <LibNetwork/AsioTimerService.h>
 #include <LibNetwork/HttpServer.h>
@@ -25,7 +26,9 @@
 private:
     std::unique_ptr<Follower> makeFollower(ObjectKind kind);
     void takeListing(ObjectKind kind, const Listing &listing);
-    void takeChanges(const Changes &changes);
+    void takeChanges(ObjectKind kind, Revision previous, const Changes &changes);
+    Follower &followerOf(ObjectKind kind);
+    void makeNews();
     void takeObject(const StoredObject &object, bool isRemoved);
     void takePlan(const Fleet::FleetPlan &plan);
     void noteStoreAnswer();
@@ -47,6 +50,7 @@
     std::vector<std::unique_ptr<Follower>> followers;
     std::unique_ptr<Peers::Transport> transport;
     std::unique_ptr<Coordination::PeerLink> peers;
+    std::unique_ptr<NewsSpread> news;
     std::unique_ptr<RolloutDriver> rollouts;
     std::unique_ptr<CallerFrontend> callers;
     std::unique_ptr<Network::HttpServer> readyServer;
--- /dev/null
+++ b/Libraries/LibGateway/NewsMessage.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <LibGateway/PlatformStore.h>
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace Briarbend::Gateway
+{
+
+/// What one instance that watches the store tells those that don't.
+struct ChangesNews {
+    ObjectKind kind{ObjectKind::Plan};
+    /// The changes are all that came after this revision, up to the one of the changes.
+    Revision previous{0};
+    /// Without content for the plan, which each instance reads itself: it may be long.
+    Changes changes;
+};
+
+/// A revision for each kind of object, in the order of the enumeration.
+using KindRevisions = std::array<Revision, OBJECT_KINDS>;
+
+/// Sent regularly by instances that watch the store.
+struct NewsHeartbeat {
+    /// Of the last change that the sender knows of.
+    KindRevisions latest{};
+    /// Revisions of the store up to which the sender knows of all changes.
+    KindRevisions positions{};
+    /// Time since the store was known to answer the sender, or another watcher that told the sender so.
+    std::chrono::milliseconds storeSilence{0};
+};
+
+using NewsMessage = std::variant<ChangesNews, NewsHeartbeat>;
+
+/// CBOR (RFC 8949).
+std::string encodeNews(const NewsMessage &message);
+
+/// Throws std::exception where the bytes are no such message.
+NewsMessage decodeNews(std::string_view bytes);
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/NewsSpread.cpp
@@ -0,0 +1,195 @@
+#include <LibGateway/NewsSpread.h>
+
+#include <LibCore/RendezvousHash.h>
+
+#include <algorithm>
+#include <map>
+
+namespace Briarbend::Gateway
+{
+
+namespace
+{
+
+using Coordination::Channel;
+
+/// Watchers of each data centre: one may fail without notice.
+constexpr std::size_t WATCHERS_PER_DATA_CENTRE = 2;
+constexpr std::chrono::milliseconds HEARTBEAT{500};
+constexpr std::chrono::milliseconds MEMBERSHIP_TICK{200};
+/// Silence of all watchers after which an instance watches itself: two heartbeats and a late one, well within the 2 s for changes.
+constexpr std::chrono::milliseconds WATCHER_SILENCE{1200};
+/// Time in which an instance that has just started hears of the others.
+constexpr std::chrono::milliseconds JOINING_TIME{3000};
+/// Time for a change that is known of to arrive by itself before the store is asked.
+constexpr std::chrono::milliseconds DELIVERY_TIME{250};
+
+std::size_t indexOf(ObjectKind kind)
+{
+    return static_cast<std::size_t>(kind);
+}
+
+/// The watchers of each data centre, by rendezvous hash over its live members.
+std::map<Core::DataCentreName, std::vector<std::string>> watchersOf(const Membership::State &members)
+{
+    std::map<Core::DataCentreName, std::vector<std::string>> names;
+    for (const auto &id : Membership::aliveMembers(members)) {
+        names[Membership::find(members, id)->news.dataCentre].push_back(id.value);
+    }
+    for (auto &[dataCentre, members_] : names) {
+        members_ = Core::rendezvousOrder(members_, "watchers", WATCHERS_PER_DATA_CENTRE);
+    }
+    return names;
+}
+
+} // namespace
+
+NewsSpread::NewsSpread(Core::TimerService &timerService, Coordination::PeerLink &peerLink, Callbacks eventCallbacks)
+    : timers(timerService)
+    , peers(peerLink)
+    , callbacks(std::move(eventCallbacks))
+    , startedAt(timerService.now())
+    , storeSeenAt(this->startedAt)
+{
+    this->peers.onMessage(Channel::News, [this](const std::string &, std::string_view bytes) {
+        this->receive(bytes);
+    });
+    this->subscriptions.push_back(this->timers.every(MEMBERSHIP_TICK, [this](Core::TimePoint) {
+        this->updateWatchers();
+    }));
+    this->subscriptions.push_back(this->timers.every(HEARTBEAT, [this](Core::TimePoint now) {
+        this->sendHeartbeat(now);
+    }));
+}
+
+FollowMode NewsSpread::modeFor(ObjectKind kind, Revision revision) const
+{
+    const auto now = this->timers.now();
+    const bool hearsWatchers = this->heardAt && now - *this->heardAt < WATCHER_SILENCE;
+    const bool isJoining = now - this->startedAt < JOINING_TIME;
+    const bool isAlone = Membership::aliveMembers(this->peers.state().members).size() <= 1;
+    if (!hearsWatchers && isJoining && isAlone) {
+        return FollowMode::Wait;
+    }
+    if (this->isWatching || (!hearsWatchers && !isJoining)) {
+        return FollowMode::Watch;
+    }
+    const bool isBehind = this->latest[indexOf(kind)] > revision;
+    // The plan's content is never delivered.
+    const auto patience = kind == ObjectKind::Plan ? std::chrono::milliseconds{0} : DELIVERY_TIME;
+    return isBehind && now - this->announcedAt[indexOf(kind)] >= patience ? FollowMode::CatchUp : FollowMode::Wait;
+}
+
+void NewsSpread::publish(ObjectKind kind, Revision previous, const Changes &changes)
+{
+    this->noteChange(kind, changes.revision);
+    if (!this->isWatching) {
+        return;
+    }
+    ChangesNews news{.kind = kind, .previous = previous, .changes = changes};
+    if (kind == ObjectKind::Plan) {
+        news.changes.changes.clear();
+    }
+    this->send(encodeNews(news));
+}
+
+void NewsSpread::noteChange(ObjectKind kind, Revision revision)
+{
+    auto &known = this->latest[indexOf(kind)];
+    if (revision > known) {
+        known = revision;
+        this->announcedAt[indexOf(kind)] = this->timers.now();
+    }
+}
+
+void NewsSpread::noteStore(bool answers)
+{
+    this->doesStoreAnswer = answers;
+}
+
+bool NewsSpread::isWatcher() const
+{
+    return this->isWatching;
+}
+
+void NewsSpread::receive(std::string_view bytes)
+{
+    const auto message = decodeNews(bytes);
+    this->heardAt = this->timers.now();
+    if (const auto *news = std::get_if<ChangesNews>(&message)) {
+        this->takeChanges(*news);
+    } else {
+        this->takeHeartbeat(std::get<NewsHeartbeat>(message));
+    }
+}
+
+void NewsSpread::takeChanges(const ChangesNews &news)
+{
+    const bool isNew = news.changes.revision > this->latest[indexOf(news.kind)];
+    this->noteChange(news.kind, news.changes.revision);
+    this->callbacks.onChanges(news.kind, news.previous, news.changes);
+    if (isNew && this->isWatching) {
+        // The store may refuse this watcher while it serves the one of another data centre.
+        this->send(encodeNews(news));
+    }
+}
+
+void NewsSpread::takeHeartbeat(const NewsHeartbeat &heartbeat)
+{
+    const auto now = this->timers.now();
+    for (std::size_t index = 0; index < OBJECT_KINDS; ++index) {
+        const auto kind = static_cast<ObjectKind>(index);
+        this->noteChange(kind, heartbeat.latest[index]);
+        if (this->callbacks.position(kind) >= this->latest[index]) {
+            this->callbacks.onPosition(kind, heartbeat.positions[index]);
+        }
+    }
+    this->storeSeenAt = std::max(this->storeSeenAt, now - heartbeat.storeSilence);
+    this->callbacks.onStoreSeen(now - this->storeSeenAt < WATCHER_SILENCE);
+}
+
+void NewsSpread::sendHeartbeat(Core::TimePoint now)
+{
+    if (this->doesStoreAnswer) {
+        this->storeSeenAt = now;
+    }
+    if (this->isWatching && !this->audience.empty()) {
+        NewsHeartbeat heartbeat{.latest = this->latest,
+                                .positions = {},
+                                .storeSilence = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->storeSeenAt)};
+        for (std::size_t index = 0; index < OBJECT_KINDS; ++index) {
+            heartbeat.positions[index] = this->callbacks.position(static_cast<ObjectKind>(index));
+        }
+        this->send(encodeNews(heartbeat));
+    }
+}
+
+void NewsSpread::updateWatchers()
+{
+    const auto &members = this->peers.state().members;
+    const auto watchers = watchersOf(members);
+    const auto &ownDataCentre = members.members.at(members.self).news.dataCentre;
+    const auto own = watchers.find(ownDataCentre);
+    this->isWatching = own != watchers.end() && std::ranges::find(own->second, members.self.value) != own->second.end();
+    this->audience.clear();
+    if (!this->isWatching) {
+        return;
+    }
+    for (const auto &id : Membership::aliveMembers(members)) {
+        const auto &news = Membership::find(members, id)->news;
+        const auto &theirs = watchers.at(news.dataCentre);
+        const bool isTold = news.dataCentre == ownDataCentre || std::ranges::find(theirs, id.value) != theirs.end();
+        if (id != members.self && isTold) {
+            this->audience.push_back(news.address.value);
+        }
+    }
+}
+
+void NewsSpread::send(const std::string &bytes)
+{
+    std::ranges::for_each(this->audience, [this, &bytes](const std::string &peer) {
+        this->peers.send(Channel::News, peer, bytes);
+    });
+}
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/NewsSpread.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <LibCoordination/PeerLink.h>
+#include <LibGateway/Follower.h>
+#include <LibGateway/NewsMessage.h>
+
+namespace Briarbend::Gateway
+{
+
+/// Spares the store: a few instances of each data centre watch it and tell the others what changed. An instance that hears from no watcher
+/// watches itself, and one that missed something asks the store for just that.
+class NewsSpread
+{
+public:
+    struct Callbacks {
+        /// Changes that a watcher heard of. An empty list of them only tells how far it is.
+        std::function<void(ObjectKind kind, Revision previous, const Changes &changes)> onChanges;
+        /// Nothing that this instance lacks came up to the revision.
+        std::function<void(ObjectKind kind, Revision position)> onPosition;
+        /// Whether the store is known to answer some watcher.
+        std::function<void(bool answers)> onStoreSeen;
+        /// Up to where this instance's own follower of the kind knows of all changes.
+        std::function<Revision(ObjectKind kind)> position;
+    };
+
+    NewsSpread(Core::TimerService &timers, Coordination::PeerLink &peers, Callbacks callbacks);
+
+    /// What the follower of a kind does next, being at a revision.
+    FollowMode modeFor(ObjectKind kind, Revision revision) const;
+    /// Tells the others, where this instance watches, what its own watch brought.
+    void publish(ObjectKind kind, Revision previous, const Changes &changes);
+    /// Notes a change that this instance knows of, from wherever it came.
+    void noteChange(ObjectKind kind, Revision revision);
+    /// Notes whether the store answers this instance.
+    void noteStore(bool answers);
+    bool isWatcher() const;
+
+private:
+    void receive(std::string_view bytes);
+    void takeChanges(const ChangesNews &news);
+    void takeHeartbeat(const NewsHeartbeat &heartbeat);
+    void sendHeartbeat(Core::TimePoint now);
+    void updateWatchers();
+    void send(const std::string &bytes);
+
+    Core::TimerService &timers;
+    Coordination::PeerLink &peers;
+    Callbacks callbacks;
+    bool isWatching{true};
+    /// Peers that this instance tells, while it watches.
+    std::vector<std::string> audience;
+    KindRevisions latest{};
+    /// Since when this instance has known of a change without having it.
+    std::array<Core::TimePoint, OBJECT_KINDS> announcedAt{};
+    Core::TimePoint startedAt;
+    std::optional<Core::TimePoint> heardAt;
+    bool doesStoreAnswer{true};
+    /// The last moment at which the store was known to answer a watcher.
+    Core::TimePoint storeSeenAt;
+    std::vector<std::unique_ptr<Core::TimerSubscription>> subscriptions;
+};
+
+} // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/PlatformStore.h
+++ b/Libraries/LibGateway/PlatformStore.h
@@ -26,6 +26,8 @@
     DataCentresOut,
 };
 
+constexpr std::size_t OBJECT_KINDS = 4;
+
 enum class RolloutState {
     /// Nobody has taken the order up.
     Ordered,
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -61,7 +61,14 @@
 
 Document::KeyTable<GatewayStoreSettings> storeKeys()
 {
-    return {key("endpoint", &GatewayStoreSettings::endpoint, remoteType(), "The platform's store.", Presence::Required)};
+    using S = GatewayStoreSettings;
+    return {
+        key("endpoint", &S::endpoint, remoteType(), "The platform's store.", Presence::Required),
+        key("history",
+            &S::history,
+            secondsType(1s, 24h),
+            "How long the store keeps the history that watches go on from. A watch waits for three quarters of it at the most."),
+    };
 }
 
 Document::KeyTable<GatewayPeerSettings> peerKeys()
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -29,6 +29,8 @@
 
 struct GatewayStoreSettings {
     Network::Endpoint endpoint;
+    /// Time for which the store keeps the history that watches go on from.
+    std::chrono::milliseconds history{20'000};
 };
 
 struct GatewayPeerSettings {
--- a/Tests/LibFleet/TestDirectory.cpp
+++ b/Tests/LibFleet/TestDirectory.cpp
@@ -18,12 +18,12 @@
     return target;
 }
 
-/// A directory that has known two targets since the given moment.
+/// A directory that has known four targets since the given moment.
 Directory knownDirectory(Core::TimePoint now)
 {
     Directory directory;
     recordStoreAnswer(directory, now);
-    applyListing(directory, {record("one"), record("two")}, now);
+    applyListing(directory, {record("one"), record("two"), record("three"), record("four")}, now);
     return directory;
 }
 
@@ -44,10 +44,11 @@
     const Core::TimePoint now{100s};
     auto directory = knownDirectory(now);
     const auto back = now + 5s;
+    recordStoreFailure(directory, now + 1s);
     recordStoreAnswer(directory, back);
     applyRemoval(directory, "one", back);
     applyRemoval(directory, "two", back);
-    EXPECT_EQ(directory.entries.size(), 2U);
+    EXPECT_EQ(directory.entries.size(), 4U);
     applyRecord(directory, record("one"), back + 1500ms);
     EXPECT_FALSE(expireMissing(directory, back + REREGISTRATION_TIME - 1ms));
     EXPECT_TRUE(expireMissing(directory, back + REREGISTRATION_TIME));
@@ -60,8 +61,9 @@
     const Core::TimePoint now{100s};
     auto directory = knownDirectory(now);
     const auto back = now + 5s;
+    recordStoreFailure(directory, now + 1s);
     recordStoreAnswer(directory, back);
-    applyListing(directory, {record("two")}, back);
+    applyListing(directory, {record("two"), record("three"), record("four")}, back);
     EXPECT_TRUE(directory.entries.contains("one"));
     EXPECT_TRUE(expireMissing(directory, back + REREGISTRATION_TIME));
     EXPECT_FALSE(directory.entries.contains("one"));
@@ -72,17 +74,44 @@
     const Core::TimePoint now{100s};
     auto directory = knownDirectory(now);
     applyRecord(directory, record("one", true), now);
+    recordStoreFailure(directory, now + 1s);
     recordStoreAnswer(directory, now + 5s);
     applyRemoval(directory, "one", now + 5s);
     EXPECT_FALSE(directory.entries.contains("one"));
 }
 
-TEST(Directory, aShortPauseBetweenAnswersIsNoOutage)
+TEST(Directory, aShortFailureIsNoOutage)
 {
     const Core::TimePoint now{100s};
     auto directory = knownDirectory(now);
+    recordStoreFailure(directory, now);
+    recordStoreFailure(directory, now + 800ms);
     recordStoreAnswer(directory, now + SHORTEST_LEASE - 1ms);
-    EXPECT_FALSE(directory.outageEndedAt.has_value());
+    applyRemoval(directory, "one", now + SHORTEST_LEASE);
+    EXPECT_FALSE(directory.entries.contains("one"));
+}
+
+// A watch is answered only when something changes: half a minute without an answer is no outage.
+TEST(Directory, aLongSilenceOfAQuietStoreIsNoOutage)
+{
+    const Core::TimePoint now{100s};
+    auto directory = knownDirectory(now);
+    recordStoreAnswer(directory, now + 28s);
+    applyRemoval(directory, "one", now + 28s);
+    EXPECT_FALSE(directory.entries.contains("one"));
+}
+
+TEST(Directory, theRemovalOfManyAtOnceShowsAnOutageThatWasNotSeen)
+{
+    const Core::TimePoint now{100s};
+    auto directory = knownDirectory(now);
+    expectRemovals(directory, 1, now);
+    applyRemoval(directory, "one", now);
+    EXPECT_FALSE(directory.entries.contains("one")) << "a quarter of the entries is no outage";
+    applyListing(directory, {record("two")}, now);
+    EXPECT_EQ(directory.entries.size(), 3U);
+    EXPECT_TRUE(expireMissing(directory, now + REREGISTRATION_TIME));
+    EXPECT_EQ(directory.entries.size(), 1U);
 }
 
 } // namespace Briarbend::Fleet
--- a/Tests/LibGateway/TestFollower.cpp
+++ b/Tests/LibGateway/TestFollower.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <functional>
 #include <gtest/gtest.h>
 
 namespace Briarbend::Gateway
@@ -42,14 +43,19 @@
                    this->store,
                    this->random,
                    ObjectKind::Targets,
+                   20s,
                    {.onListing =
                         [this](const Listing &listing) {
                             this->heard.push_back("list@" + std::to_string(listing.revision));
                         },
                     .onChanges =
-                        [this](const Changes &changes) {
+                        [this](Revision, const Changes &changes) {
                             this->heard.push_back("changes@" + std::to_string(changes.revision));
                         },
+                    .mode =
+                        [this](Revision revision) {
+                            return this->mode(revision);
+                        },
                     .onAnswer =
                         [this] {
                             this->heard.push_back("answer");
@@ -77,6 +83,9 @@
     NiceMock<MockPlatformStore> store;
     Core::Random random{5};
     std::vector<std::string> heard;
+    std::function<FollowMode(Revision revision)> mode = [](Revision) {
+        return FollowMode::Watch;
+    };
     Follower follower;
 };
 
@@ -99,6 +108,17 @@
     EXPECT_TRUE(this->follower.isCurrent());
 }
 
+TEST_F(FollowerTest, aWatchIsShorterThanTheHistoryThatTheNextOneGoesOnFrom)
+{
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+    });
+    EXPECT_CALL(this->store, watch(_, 5, 15'000ms, _)).WillOnce([] {
+        return never();
+    });
+    this->runFor(50ms);
+}
+
 TEST_F(FollowerTest, afterLostHistoryItListsAndTrustsNoReplicaThatMayBeBehind)
 {
     const InSequence order;
@@ -164,4 +184,41 @@
     EXPECT_FALSE(this->follower.isCurrent());
 }
 
+TEST_F(FollowerTest, whatPeersTellNeedsNoCallAndIsTakenOnce)
+{
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+    });
+    EXPECT_CALL(this->store, watch).Times(0);
+    this->mode = [](Revision) {
+        return FollowMode::Wait;
+    };
+    this->runFor(50ms);
+    EXPECT_TRUE(this->follower.takeFromPeer(5, changesAt(8)));
+    EXPECT_FALSE(this->follower.takeFromPeer(5, changesAt(8))) << "from a second watcher";
+    EXPECT_FALSE(this->follower.takeFromPeer(5, changesAt(7))) << "older than what is known";
+    EXPECT_FALSE(this->follower.takeFromPeer(2, changesAt(4))) << "older than the listing, which may lack the object";
+    EXPECT_EQ(this->heard, (std::vector<std::string>{"list@5", "answer", "changes@8"}));
+}
+
+TEST_F(FollowerTest, whatIsMissingIsFetchedFromTheLastRevisionWithoutAGap)
+{
+    const InSequence order;
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+    });
+    EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Relaxed)).WillOnce([] {
+        return now<WatchResult>(Changes{.changes = {}, .revision = 5});
+    });
+    EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Linearizable)).WillOnce([] {
+        return now<WatchResult>(changesAt(9));
+    });
+    this->mode = [](Revision revision) {
+        return revision < 9 ? FollowMode::CatchUp : FollowMode::Wait;
+    };
+    this->runFor(500ms);
+    this->follower.takeFromPeer(7, changesAt(9));
+    EXPECT_EQ(this->heard.back(), "answer");
+}
+
 } // namespace Briarbend::Gateway
