LibGateway: Tell peers what a listing brought

A listing is turned into changes against what was known, removals included, and told like a watch's. A listing of a replica that is behind is not taken.

--- a/Libraries/LibFleet/Directory.cpp
+++ b/Libraries/LibFleet/Directory.cpp
@@ -1,7 +1,5 @@
 #include <LibFleet/Directory.h>
 
-#include <algorithm>
-
 namespace Briarbend::Fleet
 {
 
@@ -37,26 +35,6 @@
     }
 }
 
-void applyListing(Directory &directory, const std::vector<TargetRecord> &listing, Core::TimePoint now)
-{
-    std::set<std::string> listed;
-    for (const auto &record : listing) {
-        listed.insert(record.name);
-        applyRecord(directory, record, now);
-    }
-    std::vector<std::string> missing;
-    for (const auto &[name, entry] : directory.entries) {
-        if (!listed.contains(name)) {
-            missing.push_back(name);
-        }
-    }
-    expectRemovals(directory, missing.size(), now);
-    std::ranges::for_each(missing, [&](const std::string &name) {
-        applyRemoval(directory, name, now);
-    });
-    directory.isKnown = true;
-}
-
 void applyRecord(Directory &directory, const TargetRecord &record, Core::TimePoint now)
 {
     directory.entries.insert_or_assign(record.name, DirectoryEntry{record, now, std::nullopt});
--- a/Libraries/LibFleet/Directory.h
+++ b/Libraries/LibFleet/Directory.h
@@ -68,9 +68,6 @@
 /// Tells how many entries are about to be removed at once.
 void expectRemovals(Directory &directory, std::size_t removals, Core::TimePoint now);
 
-/// Takes over the whole list. Entries that it lacks are kept for REREGISTRATION_TIME where an outage has just ended, else they are removed.
-void applyListing(Directory &directory, const std::vector<TargetRecord> &listing, Core::TimePoint now);
-
 /// Takes over one new or changed entry.
 void applyRecord(Directory &directory, const TargetRecord &record, Core::TimePoint now);
 
--- a/Libraries/LibGateway/Follower.cpp
+++ b/Libraries/LibGateway/Follower.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <set>
 
 namespace Briarbend::Gateway
 {
@@ -110,16 +111,44 @@
         co_return false;
     }
     const auto &listing = std::get<Listing>(result);
+    const auto previous = this->revision;
+    if (listing.revision < previous) {
+        // A replica that is behind may lack what is known already.
+        this->needsListing = true;
+        this->doubtfulUntil = Core::Clock::now() + CATCH_UP_DOUBT;
+        co_return true;
+    }
+    const auto changes = this->difference(listing);
     this->revision = listing.revision;
-    this->known.clear();
     this->listedAt = listing.revision;
+    this->known.clear();
     for (const auto &object : listing.objects) {
         this->known[object.name] = object.revision;
     }
-    this->callbacks.onListing(listing);
+    this->callbacks.onChanges(previous, changes);
     co_return true;
 }
 
+Changes Follower::difference(const Listing &listing) const
+{
+    Changes changes{.changes = {}, .revision = listing.revision};
+    std::set<std::string_view> listed;
+    for (const auto &object : listing.objects) {
+        listed.insert(object.name);
+        const auto found = this->known.find(object.name);
+        if (found == this->known.end() || object.revision > found->second) {
+            changes.changes.push_back({object, false});
+        }
+    }
+    for (const auto &[name, revisionOfObject] : this->known) {
+        if (!listed.contains(name)) {
+            changes.changes.push_back(
+                {{.name = name, .revision = listing.revision, .content = Unreadable{"missing in the listing"}}, true});
+        }
+    }
+    return changes;
+}
+
 Asio::awaitable<bool> Follower::watch(std::chrono::milliseconds wait)
 {
     const bool isDoubtful = Core::Clock::now() < this->doubtfulUntil || this->failuresInRow > 0;
--- a/Libraries/LibGateway/Follower.h
+++ b/Libraries/LibGateway/Follower.h
@@ -28,8 +28,7 @@
 {
 public:
     struct Callbacks {
-        std::function<void(const Listing &)> onListing;
-        /// Only what is newer than what was told before.
+        /// What is newer than what was told before; after a listing also what it lacks, as removed. Previous is zero for the first listing.
         std::function<void(Revision previous, const Changes &)> onChanges;
         std::function<FollowMode(Revision revision)> mode;
         /// Any usable answer of the store.
@@ -59,6 +58,8 @@
 
 private:
     boost::asio::awaitable<bool> list();
+    /// The changes that lead from what is known to the listing.
+    Changes difference(const Listing &listing) const;
     boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait);
     boost::asio::awaitable<void> idle();
     /// What is newer than what is known of its object; notes it as known.
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -33,6 +33,21 @@
 
 constexpr std::string_view READY_PATH{"/health/ready"};
 
+std::string_view nameOf(ObjectKind kind)
+{
+    switch (kind) {
+    case ObjectKind::Plan:
+        return "plan";
+    case ObjectKind::Targets:
+        return "target";
+    case ObjectKind::Rollouts:
+        return "rollout";
+    case ObjectKind::DataCentresOut:
+        return "data_centre_out";
+    }
+    return "";
+}
+
 } // namespace
 
 Instance::Instance(
@@ -138,10 +153,6 @@
                                       kind,
                                       this->state.settings.store.history,
                                       Follower::Callbacks{
-                                          .onListing =
-                                              [this, kind](const Listing &listing) {
-                                                  this->takeListing(kind, listing);
-                                              },
                                           .onChanges =
                                               [this, kind](Revision previous, const Changes &changes) {
                                                   this->takeChanges(kind, previous, changes);
@@ -161,29 +172,6 @@
                                       });
 }
 
-void Instance::takeListing(ObjectKind kind, const Listing &listing)
-{
-    const auto now = this->timers.now();
-    this->noteStoreAnswer();
-    if (kind == ObjectKind::Targets) {
-        std::vector<Fleet::TargetRecord> records;
-        for (const auto &object : listing.objects) {
-            if (const auto *record = std::get_if<Fleet::TargetRecord>(&object.content)) {
-                records.push_back(*record);
-            }
-        }
-        Fleet::applyListing(this->state.directory, records, now);
-        refreshBooks(this->state, now);
-        return;
-    }
-    if (kind == ObjectKind::DataCentresOut) {
-        this->state.dataCentresOut.clear();
-    }
-    std::ranges::for_each(listing.objects, [this](const StoredObject &object) {
-        this->takeObject(object, false);
-    });
-}
-
 void Instance::makeNews()
 {
     this->news = std::make_unique<NewsSpread>(this->timers,
@@ -216,70 +204,90 @@
 
 void Instance::takeChanges(ObjectKind kind, Revision previous, const Changes &changes)
 {
-    this->news->publish(kind, previous, changes);
-    const auto removals = std::ranges::count_if(changes.changes, &Change::isRemoved);
+    if (previous > 0) {
+        this->news->publish(kind, previous, changes);
+    }
     if (kind == ObjectKind::Targets) {
+        const auto removals = std::ranges::count_if(changes.changes, &Change::isRemoved);
         Fleet::expectRemovals(this->state.directory, static_cast<std::size_t>(removals), this->timers.now());
+        this->state.directory.isKnown = true;
     }
-    std::ranges::for_each(changes.changes, [this](const Change &change) {
-        this->takeObject(change.object, change.isRemoved);
+    std::ranges::for_each(changes.changes, [this, kind](const Change &change) {
+        if (change.isRemoved) {
+            this->takeRemoval(kind, change.object);
+        } else {
+            std::visit(
+                [this, &change](const auto &content) {
+                    this->take(content, change.object);
+                },
+                change.object.content);
+        }
     });
     refreshBooks(this->state, this->timers.now());
 }
 
-void Instance::takeObject(const StoredObject &object, bool isRemoved)
+void Instance::takeRemoval(ObjectKind kind, const StoredObject &object)
 {
-    const auto now = this->timers.now();
-    if (const auto *unreadable = std::get_if<Unreadable>(&object.content)) {
-        // The entry of another writer: what was known under the name no longer holds.
-        Fleet::applyRemoval(this->state.directory, object.name, now);
-        if (!isRemoved) {
-            this->state.log.write(Importance::Notable, "unreadable_object", {{"object", object.name}, {"reason", unreadable->reason}});
-        }
-    } else if (const auto *plan = std::get_if<Fleet::FleetPlan>(&object.content)) {
-        if (!isRemoved) {
-            this->takePlan(*plan);
-        }
-    } else if (const auto *record = std::get_if<Fleet::TargetRecord>(&object.content)) {
-        this->state.log.write(Importance::Routine,
-                              "target",
-                              {{"target", record->name},
-                               {"service", record->service.value},
-                               {"version", record->version.value},
-                               {"leaving", record->isLeaving},
-                               {"cold_ms", record->coldLeft.count()},
-                               {"removed", isRemoved},
-                               {"revision", object.revision}});
-        if (isRemoved) {
-            Fleet::applyRemoval(this->state.directory, object.name, now);
-        } else {
-            Fleet::applyRecord(this->state.directory, *record, now);
-        }
-    } else if (const auto *order = std::get_if<RolloutOrder>(&object.content)) {
-        if (isRemoved) {
-            this->rollouts->forget(object.name);
-        } else {
-            this->rollouts->take(*order, object.revision);
-        }
-    } else if (const auto *dataCentre = std::get_if<Core::DataCentreName>(&object.content)) {
-        if (isRemoved) {
-            this->state.dataCentresOut.erase(*dataCentre);
-        } else {
-            this->state.dataCentresOut.insert(*dataCentre);
-        }
-        this->state.log.write(
-            Importance::Notable, "data_centre", {{"data_centre", dataCentre->value}, {"out", !isRemoved}, {"revision", object.revision}});
+    switch (kind) {
+    case ObjectKind::Plan:
+        // The configuration stays in force: nothing else says what callers may ask for.
+        break;
+    case ObjectKind::Targets:
+        Fleet::applyRemoval(this->state.directory, object.name, this->timers.now());
+        break;
+    case ObjectKind::Rollouts:
+        this->rollouts->forget(object.name);
+        break;
+    case ObjectKind::DataCentresOut:
+        this->state.dataCentresOut.erase({object.name});
+        break;
     }
+    this->state.log.write(kind == ObjectKind::Targets ? Importance::Routine : Importance::Notable,
+                          "removed",
+                          {{"kind", nameOf(kind)}, {"object", object.name}, {"revision", object.revision}});
 }
 
-void Instance::takePlan(const Fleet::FleetPlan &plan)
+void Instance::take(const Unreadable &unreadable, const StoredObject &object)
+{
+    // The entry of another writer: what was known under the name no longer holds.
+    Fleet::applyRemoval(this->state.directory, object.name, this->timers.now());
+    this->state.log.write(Importance::Notable, "unreadable_object", {{"object", object.name}, {"reason", unreadable.reason}});
+}
+
+void Instance::take(const Fleet::TargetRecord &record, const StoredObject &object)
+{
+    Fleet::applyRecord(this->state.directory, record, this->timers.now());
+    this->state.log.write(Importance::Routine,
+                          "target",
+                          {{"target", record.name},
+                           {"service", record.service.value},
+                           {"version", record.version.value},
+                           {"leaving", record.isLeaving},
+                           {"cold_ms", record.coldLeft.count()},
+                           {"revision", object.revision}});
+}
+
+void Instance::take(const RolloutOrder &order, const StoredObject &object)
+{
+    this->rollouts->take(order, object.revision);
+}
+
+void Instance::take(const Core::DataCentreName &dataCentre, const StoredObject &object)
+{
+    this->state.dataCentresOut.insert(dataCentre);
+    this->state.log.write(Importance::Notable, "data_centre_out", {{"data_centre", dataCentre.value}, {"revision", object.revision}});
+}
+
+void Instance::take(const Fleet::FleetPlan &plan, const StoredObject &object)
 {
     if (this->state.plan && plan.version <= this->state.plan->version) {
         return;
     }
     this->state.plan = std::make_shared<const Fleet::FleetPlan>(plan);
     refreshBooks(this->state, this->timers.now());
-    this->state.log.write(Importance::Notable, "configuration_in_force", {{"version", plan.version}, {"routes", plan.routes.size()}});
+    this->state.log.write(Importance::Notable,
+                          "configuration_in_force",
+                          {{"version", plan.version}, {"routes", plan.routes.size()}, {"revision", object.revision}});
 }
 
 void Instance::noteStoreAnswer()
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -25,12 +25,15 @@
 
 private:
     std::unique_ptr<Follower> makeFollower(ObjectKind kind);
-    void takeListing(ObjectKind kind, const Listing &listing);
     void takeChanges(ObjectKind kind, Revision previous, const Changes &changes);
     Follower &followerOf(ObjectKind kind);
     void makeNews();
-    void takeObject(const StoredObject &object, bool isRemoved);
-    void takePlan(const Fleet::FleetPlan &plan);
+    void takeRemoval(ObjectKind kind, const StoredObject &object);
+    void take(const Unreadable &unreadable, const StoredObject &object);
+    void take(const Fleet::FleetPlan &plan, const StoredObject &object);
+    void take(const Fleet::TargetRecord &record, const StoredObject &object);
+    void take(const RolloutOrder &order, const StoredObject &object);
+    void take(const Core::DataCentreName &dataCentre, const StoredObject &object);
     void noteStoreAnswer();
     void noteStoreFailure(const std::string &reason);
     void watchForFreeze(Core::TimePoint now);
--- a/Tests/LibGateway/TestFollower.cpp
+++ b/Tests/LibGateway/TestFollower.cpp
@@ -44,13 +44,10 @@
                    this->random,
                    ObjectKind::Targets,
                    20s,
-                   {.onListing =
-                        [this](const Listing &listing) {
-                            this->heard.push_back("list@" + std::to_string(listing.revision));
-                        },
-                    .onChanges =
-                        [this](Revision, const Changes &changes) {
-                            this->heard.push_back("changes@" + std::to_string(changes.revision));
+                   {.onChanges =
+                        [this](Revision previous, const Changes &changes) {
+                            this->heard.push_back((previous == 0 ? "list@" : "changes@") + std::to_string(changes.revision));
+                            this->told = changes;
                         },
                     .mode =
                         [this](Revision revision) {
@@ -83,6 +80,7 @@
     NiceMock<MockPlatformStore> store;
     Core::Random random{5};
     std::vector<std::string> heard;
+    Changes told;
     std::function<FollowMode(Revision revision)> mode = [](Revision) {
         return FollowMode::Watch;
     };
@@ -156,6 +154,55 @@
     EXPECT_EQ(this->heard.at(2), "failure status 503");
 }
 
+// Changes that fell into the gap are told as such, so that they reach the peers too.
+TEST_F(FollowerTest, aListingAfterLostHistoryTellsWhatCameAndWhatWentMeanwhile)
+{
+    const auto object = [](std::string name, Revision revision) {
+        return StoredObject{.name = std::move(name), .revision = revision, .content = {}};
+    };
+    const InSequence order;
+    EXPECT_CALL(this->store, list).WillOnce([&] {
+        return now<ListResult>(Listing{.objects = {object("stays", 1), object("changes", 2), object("goes", 3)}, .revision = 5});
+    });
+    EXPECT_CALL(this->store, watch).WillOnce([] {
+        return now<WatchResult>(HistoryGone{});
+    });
+    EXPECT_CALL(this->store, list).WillOnce([&] {
+        return now<ListResult>(Listing{.objects = {object("stays", 1), object("changes", 30), object("comes", 31)}, .revision = 50});
+    });
+    EXPECT_CALL(this->store, watch).WillOnce([] {
+        return never();
+    });
+    this->runFor(300ms);
+    std::map<std::string, bool> isRemoved;
+    for (const auto &change : this->told.changes) {
+        isRemoved[change.object.name] = change.isRemoved;
+    }
+    EXPECT_EQ(isRemoved, (std::map<std::string, bool>{{"changes", false}, {"comes", false}, {"goes", true}}));
+}
+
+TEST_F(FollowerTest, aListingOfAReplicaThatIsBehindIsNotTaken)
+{
+    const InSequence order;
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+    });
+    EXPECT_CALL(this->store, list(_, Freshness::Relaxed)).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 3});
+    });
+    EXPECT_CALL(this->store, list(_, Freshness::Linearizable)).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 6});
+    });
+    this->mode = [](Revision) {
+        return FollowMode::Wait;
+    };
+    this->runFor(50ms);
+    this->follower.listAgain();
+    this->context.run_for(300ms);
+    EXPECT_EQ(this->heard.back(), "answer");
+    EXPECT_EQ(this->told.revision, 6U);
+}
+
 TEST_F(FollowerTest, anAnswerOfAReplicaThatIsBehindDoesNotTakeItBack)
 {
     const InSequence order;
