LibGateway: Notice within seconds that the store swallows watches

Keep-alive does not see it: the store's host is there. The plan's watch lasts a second now, so that its missing answer shows the silence; the other followers hold meanwhile, which also spares refused calls, and once the store answers again all watches under way are dropped. Ruled out: missing news among peers; the others had version 12 at 27.1 s.

--- a/Libraries/LibGateway/Follower.cpp
+++ b/Libraries/LibGateway/Follower.cpp
@@ -14,10 +14,6 @@
 
 namespace Asio = boost::asio;
 
-/// The longest watch that the platform allows is 30 s; each call is paid for.
-constexpr std::chrono::milliseconds LONGEST_WATCH{28'000};
-/// Part of the store's history that a watch may last: after a quiet one the next still goes on from what is there.
-constexpr double HISTORY_PART = 0.75;
 /// Time for which a replica that was behind in a catch-up is not asked again.
 constexpr std::chrono::milliseconds CATCH_UP_DOUBT{500};
 /// A catch-up takes what is there and does not wait.
@@ -28,8 +24,8 @@
 constexpr std::chrono::milliseconds GATHERING_PAUSE{100};
 /// First pause after a failure, doubled up to the longest; both are stretched by up to half at random.
 constexpr std::chrono::milliseconds FIRST_RETRY{100};
-constexpr std::chrono::milliseconds LONGEST_RETRY{800};
-constexpr std::uint32_t MOST_DOUBLINGS = 3;
+constexpr std::chrono::milliseconds LONGEST_RETRY{400};
+constexpr std::uint32_t MOST_DOUBLINGS = 2;
 /// Time after lost history or a failure in which relaxed answers are not trusted: replicas of a store in trouble may be seconds behind. As
 /// long as the history that the platform keeps.
 constexpr std::chrono::seconds DOUBT{20};
@@ -40,13 +36,13 @@
                    PlatformStore &platformStore,
                    Core::Random &randomSource,
                    ObjectKind objectKind,
-                   std::chrono::milliseconds storeHistory,
+                   std::chrono::milliseconds longestWatch,
                    Callbacks eventCallbacks)
     : context(ioContext)
     , store(platformStore)
     , random(randomSource)
     , kind(objectKind)
-    , watchWait(std::min(LONGEST_WATCH, std::chrono::duration_cast<std::chrono::milliseconds>(storeHistory * HISTORY_PART)))
+    , watchWait(longestWatch)
     , callbacks(std::move(eventCallbacks))
     , waking(ioContext)
 {
@@ -77,6 +73,10 @@
     while (true) {
         const auto mode = this->callbacks.mode(this->revision);
         bool isDone = false;
+        if (mode == FollowMode::Hold) {
+            co_await this->idle();
+            continue;
+        }
         if (this->needsListing) {
             isDone = co_await this->list();
         } else if (mode == FollowMode::Watch) {
--- a/Libraries/LibGateway/Follower.h
+++ b/Libraries/LibGateway/Follower.h
@@ -20,6 +20,8 @@
     CatchUp,
     /// By what peers tell.
     Wait,
+    /// Not at all: the store does not answer, and another follower looks whether it does again.
+    Hold,
 };
 
 /// Keeps up with the objects of one kind: lists them once, then watches or hears from peers, and lists again only where the store has
@@ -40,7 +42,7 @@
              PlatformStore &store,
              Core::Random &random,
              ObjectKind kind,
-             std::chrono::milliseconds storeHistory,
+             std::chrono::milliseconds watchWait,
              Callbacks callbacks);
 
     /// Follows for as long as the follower lives. To be spawned once.
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -33,6 +33,20 @@
 
 constexpr std::string_view READY_PATH{"/health/ready"};
 
+/// The watch of the plan is short: that it is answered in time shows every second that the store still does. A store that falls silent
+/// swallows watches, and nothing else tells.
+constexpr std::chrono::milliseconds CANARY_WATCH{1000};
+/// The longest watch that the platform allows is 30 s; each call is paid for.
+constexpr std::chrono::milliseconds LONGEST_WATCH{28'000};
+/// Part of the store's history that a watch may last: after a quiet one the next still goes on from what is there.
+constexpr double HISTORY_PART = 0.75;
+
+std::chrono::milliseconds watchLength(ObjectKind kind, std::chrono::milliseconds history)
+{
+    const auto longest = std::min(LONGEST_WATCH, std::chrono::duration_cast<std::chrono::milliseconds>(history * HISTORY_PART));
+    return kind == ObjectKind::Plan ? std::min(CANARY_WATCH, longest) : longest;
+}
+
 std::string_view nameOf(ObjectKind kind)
 {
     switch (kind) {
@@ -151,7 +165,7 @@
                                       this->store,
                                       this->state.random,
                                       kind,
-                                      this->state.settings.store.history,
+                                      watchLength(kind, this->state.settings.store.history),
                                       Follower::Callbacks{
                                           .onChanges =
                                               [this, kind](Revision previous, const Changes &changes) {
@@ -159,7 +173,9 @@
                                               },
                                           .mode =
                                               [this, kind](Revision revision) {
-                                                  return this->news->modeFor(kind, revision);
+                                                  const bool isCanary = kind == ObjectKind::Plan;
+                                                  return this->isStoreLost && !isCanary ? FollowMode::Hold
+                                                                                        : this->news->modeFor(kind, revision);
                                               },
                                           .onAnswer =
                                               [this] {
@@ -296,6 +312,8 @@
     this->news->noteStore(true);
     if (std::exchange(this->isStoreLost, false)) {
         this->state.log.write(Importance::Notable, "store_regained", {});
+        // Watches that were under way may have been swallowed.
+        this->store.dropConnections();
     }
 }
 
