LibGateway: Keep a watcher that starts again from hiding a change

A herd kill took all watchers within 30 ms of version 91. They started again, listed what was there by then, and told that they know all changes up to the listing; the one survivor of its data centre took that for its own knowledge and went past version 91, which it had never read. A first listing counts as a change now: who is behind it asks. A test over fake peers and manual timers shows it, and found a second fault: an instance that does not watch took itself for a witness of the store.

--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -222,6 +222,9 @@
 {
     if (previous > 0) {
         this->news->publish(kind, previous, changes);
+    } else {
+        // What came before the first listing is not known one by one: whoever is behind it may lack something.
+        this->news->noteChange(kind, changes.revision);
     }
     if (kind == ObjectKind::Targets) {
         const auto removals = std::ranges::count_if(changes.changes, &Change::isRemoved);
--- a/Libraries/LibGateway/NewsSpread.cpp
+++ b/Libraries/LibGateway/NewsSpread.cpp
@@ -150,7 +150,8 @@
 
 void NewsSpread::sendHeartbeat(Core::TimePoint now)
 {
-    if (this->doesStoreAnswer) {
+    // An instance that does not watch asks the store for nothing and cannot tell.
+    if (this->isWatching && this->doesStoreAnswer) {
         this->storeSeenAt = now;
     }
     if (this->isWatching && !this->audience.empty()) {
--- /dev/null
+++ b/Tests/LibGateway/TestNewsSpread.cpp
@@ -0,0 +1,210 @@
+#include <LibGateway/NewsSpread.h>
+#include <Tests/LibGateway/FakePeers.h>
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace Briarbend::Gateway
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto PLAN = ObjectKind::Plan;
+constexpr auto TARGETS = ObjectKind::Targets;
+
+/// One instance with followers that only know how far they are.
+struct FakeInstance {
+    FakeInstance(ManualTimers &timers, FakeNetwork &network, const std::string &name, const std::string &dataCentre, Revision listedAt)
+        : transport(network.makeTransport(name))
+        , link(timers,
+               *this->transport,
+               Gossip::makeState({.id = {name}, .address = {name}, .dataCentre = {dataCentre}}, {{"a1"}, {"b1"}}, timers.now()),
+               this->random)
+        , news(timers,
+               this->link,
+               {.onChanges =
+                    [this](ObjectKind kind, Revision previous, const Changes &changes) {
+                        auto &position = this->positions[static_cast<std::size_t>(kind)];
+                        if (previous <= position && !changes.changes.empty()) {
+                            position = std::max(position, changes.revision);
+                        }
+                    },
+                .onPosition =
+                    [this](ObjectKind kind, Revision position) {
+                        auto &own = this->positions[static_cast<std::size_t>(kind)];
+                        own = std::max(own, position);
+                    },
+                .onStoreSeen =
+                    [this](bool answers) {
+                        this->doesStoreAnswer = answers;
+                    },
+                .position =
+                    [this](ObjectKind kind) {
+                        return this->positions[static_cast<std::size_t>(kind)];
+                    }})
+    {
+        this->positions.fill(listedAt);
+        for (std::size_t kind = 0; kind < OBJECT_KINDS; ++kind) {
+            this->news.noteChange(static_cast<ObjectKind>(kind), listedAt);
+        }
+    }
+
+    FollowMode mode(ObjectKind kind) const
+    {
+        return this->news.modeFor(kind, this->positions[static_cast<std::size_t>(kind)]);
+    }
+
+    Core::Random random{9};
+    KindRevisions positions{};
+    bool doesStoreAnswer{true};
+    std::unique_ptr<Peers::Transport> transport;
+    Coordination::PeerLink link;
+    NewsSpread news;
+};
+
+/// Two data centres of four instances each, which have known each other for some seconds.
+class NewsSpreadTest : public testing::Test
+{
+protected:
+    NewsSpreadTest()
+    {
+        for (const auto *name : {"a1", "a2", "a3", "a4"}) {
+            this->start(name, "a", 10);
+        }
+        for (const auto *name : {"b1", "b2", "b3", "b4"}) {
+            this->start(name, "b", 10);
+        }
+        this->timers.runFor(8s);
+    }
+
+    void start(const std::string &name, const std::string &dataCentre, Revision listedAt)
+    {
+        this->instances[name] = std::make_unique<FakeInstance>(this->timers, this->network, name, dataCentre, listedAt);
+    }
+
+    std::vector<std::string> watchersOf(const std::string &dataCentre) const
+    {
+        std::vector<std::string> watchers;
+        for (const auto &[name, instance] : this->instances) {
+            if (name.starts_with(dataCentre) && instance->news.isWatcher()) {
+                watchers.push_back(name);
+            }
+        }
+        return watchers;
+    }
+
+    std::string otherThan(const std::vector<std::string> &watchers, const std::string &dataCentre) const
+    {
+        const auto found = std::ranges::find_if(this->instances, [&](const auto &entry) {
+            return entry.first.starts_with(dataCentre) && std::ranges::find(watchers, entry.first) == watchers.end();
+        });
+        return found->first;
+    }
+
+    static Changes changeAt(Revision revision)
+    {
+        return {.changes = {{{.name = "one", .revision = revision, .content = Unreadable{}}, false}}, .revision = revision};
+    }
+
+    ManualTimers timers;
+    FakeNetwork network;
+    std::map<std::string, std::unique_ptr<FakeInstance>> instances;
+};
+
+} // namespace
+
+TEST_F(NewsSpreadTest, twoOfEachDataCentreWatchAndTheOthersAskNothing)
+{
+    EXPECT_EQ(this->watchersOf("a").size(), 2U);
+    EXPECT_EQ(this->watchersOf("b").size(), 2U);
+    for (const auto &[name, instance] : this->instances) {
+        EXPECT_EQ(instance->mode(TARGETS), instance->news.isWatcher() ? FollowMode::Watch : FollowMode::Wait) << name;
+    }
+}
+
+TEST_F(NewsSpreadTest, aChangeThatOneWatcherHearsOfReachesEveryInstance)
+{
+    auto &watcher = *this->instances.at(this->watchersOf("a").front());
+    watcher.positions.fill(11);
+    watcher.news.publish(TARGETS, 10, changeAt(11));
+    for (const auto &[name, instance] : this->instances) {
+        EXPECT_GE(instance->positions[static_cast<std::size_t>(TARGETS)], 11U) << name;
+    }
+}
+
+TEST_F(NewsSpreadTest, aNewPlanIsReadByEachInstanceAtOnce)
+{
+    auto &watcher = *this->instances.at(this->watchersOf("a").front());
+    watcher.positions.fill(11);
+    watcher.news.publish(PLAN, 10, changeAt(11));
+    const auto other = this->otherThan(this->watchersOf("b"), "b");
+    EXPECT_EQ(this->instances.at(other)->mode(PLAN), FollowMode::CatchUp);
+}
+
+TEST_F(NewsSpreadTest, whoMissedAChangeAsksForItSoon)
+{
+    const auto watchers = this->watchersOf("a");
+    const auto other = this->otherThan(watchers, "a");
+    for (const auto &name : watchers) {
+        this->instances.at(name)->positions.fill(12);
+        this->instances.at(name)->news.noteChange(TARGETS, 12);
+    }
+    this->timers.runFor(900ms);
+    EXPECT_EQ(this->instances.at(other)->mode(TARGETS), FollowMode::CatchUp);
+}
+
+TEST_F(NewsSpreadTest, whoHearsOfNoWatcherWatchesItself)
+{
+    const auto watchers = this->watchersOf("a");
+    const auto other = this->otherThan(watchers, "a");
+    for (const auto &name : this->watchersOf("b")) {
+        this->instances.erase(name);
+    }
+    for (const auto &name : watchers) {
+        this->instances.erase(name);
+    }
+    EXPECT_EQ(this->instances.at(other)->mode(TARGETS), FollowMode::Wait);
+    this->timers.runFor(1300ms);
+    EXPECT_EQ(this->instances.at(other)->mode(TARGETS), FollowMode::Watch);
+}
+
+// Found by a hunt (benammar-gw, scale-1 --seed 374803475000): all watchers were killed right after a change, started again, listed what was
+// there by then, and their heartbeats took the survivor past the change that it had missed.
+TEST_F(NewsSpreadTest, watchersThatStartAgainDoNotHideAChangeFromWhoMissedIt)
+{
+    const auto other = this->otherThan(this->watchersOf("a"), "a");
+    std::erase_if(this->instances, [&other](const auto &entry) {
+        return entry.first != other;
+    });
+    this->timers.runFor(300ms);
+    for (const auto *name : {"a1", "a2", "a3", "a4", "b1", "b2"}) {
+        if (name != other) {
+            this->start(name, std::string(name).substr(0, 1), 20);
+        }
+    }
+    this->timers.runFor(8s);
+    const auto &survivor = *this->instances.at(other);
+    EXPECT_TRUE(survivor.news.isWatcher() || survivor.mode(PLAN) == FollowMode::CatchUp);
+    EXPECT_EQ(survivor.positions, (KindRevisions{10, 10, 10, 10}));
+}
+
+TEST_F(NewsSpreadTest, aWatcherWithoutTheStoreSaysSoUnlessAnotherHasIt)
+{
+    const auto watchers = this->watchersOf("a");
+    const auto other = this->otherThan(watchers, "a");
+    for (const auto &name : watchers) {
+        this->instances.at(name)->news.noteStore(false);
+    }
+    this->timers.runFor(3s);
+    EXPECT_TRUE(this->instances.at(other)->doesStoreAnswer) << "the watchers of the other data centre have it";
+    for (const auto &name : this->watchersOf("b")) {
+        this->instances.at(name)->news.noteStore(false);
+    }
+    this->timers.runFor(3s);
+    EXPECT_FALSE(this->instances.at(other)->doesStoreAnswer);
+}
+
+} // namespace Briarbend::Gateway
