LibGateway: Guard targets from requests that break them

A request may crash each target that runs it, and comes again at any instance. The product's quarantine, which spreads evidence and trials over the peers, now stands before each send of the gateway: suspects run one at a time over all instances, and after two broken targets the request is refused as not run. Evidence is told before a repeat goes out.

Tests: the request-flow fixture freed targets while their coroutines ran (a hang and a bus error, once each under load; clean under the address sanitizer since).

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -1,9 +1,12 @@
 #include <LibGateway/Attempt.h>
 
+#include <LibRelay/HeaderRules.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
@@ -85,18 +88,7 @@
         this->context->state.pool.giveBack(std::move(found.connection), Core::Clock::now());
         this->end = AttemptEnd::NotSent;
     } else {
-        this->name = found.name;
-        this->version = found.version;
-        this->isCold = found.isCold;
-        this->connection = std::move(found.connection);
-        this->context->tried.push_back(this->name);
-        this->context->note("send",
-                            {{"target", this->name},
-                             {"version", this->version.value},
-                             {"probes", found.probes},
-                             {"expected_us", found.expectedTime.count()},
-                             {"cold", found.isCold}});
-        co_await this->exchange();
+        co_await this->sendGuarded(std::move(found));
     }
     this->connection.reset();
     this->onEnded();
@@ -121,6 +113,56 @@
     return wish;
 }
 
+Asio::awaitable<void> Attempt::sendGuarded(FoundTarget found)
+{
+    auto &state = this->context->state;
+    this->name = found.name;
+    this->version = found.version;
+    this->isCold = found.isCold;
+    this->connection = std::move(found.connection);
+    this->address = this->connection->target();
+    bool isTrial = false;
+    if (state.guard != nullptr && !state.guard->isUnsuspected(this->context->fingerprint)) {
+        const auto deadline = Core::Clock::now() + this->context->remaining();
+        const auto permission = co_await state.guard->permit(this->context->fingerprint, this->address, deadline);
+        isTrial = permission.verdict == Relay::RequestGuard::Verdict::SendOnTrial;
+        if (permission.verdict == Relay::RequestGuard::Verdict::Refuse) {
+            this->context->note("quarantined", {{"retry_after_ms", permission.retryAfter.count()}});
+            this->comeBack = permission.retryAfter;
+            this->end = AttemptEnd::Quarantined;
+            co_return;
+        }
+    }
+    this->context->tried.push_back(this->name);
+    this->context->note("send",
+                        {{"target", this->name},
+                         {"version", this->version.value},
+                         {"probes", found.probes},
+                         {"expected_us", found.expectedTime.count()},
+                         {"cold", found.isCold},
+                         {"trial", isTrial}});
+    co_await this->exchange();
+    if (state.guard != nullptr) {
+        co_await this->tellGuard(isTrial);
+    }
+}
+
+Asio::awaitable<void> Attempt::tellGuard(bool isTrial)
+{
+    auto &guard = *this->context->state.guard;
+    if (this->isConnectionLost && !this->isCancelled) {
+        // The end is told after the peers know: the flow would send again at once.
+        const auto known = std::exchange(this->end, AttemptEnd::Pending);
+        co_await guard.broke(this->context->fingerprint, this->address, isTrial);
+        this->end = known;
+    } else if (this->end == AttemptEnd::Answered) {
+        guard.completed(this->context->fingerprint, this->sentAt);
+    }
+    if (isTrial) {
+        guard.trialEnded(this->context->fingerprint);
+    }
+}
+
 std::optional<VersionSplit> Attempt::drawVersion(TargetWish &wish) const
 {
     auto &state = this->context->state;
@@ -185,6 +227,7 @@
     co_await Http::async_write(this->connection->stream, request, Asio::redirect_error(Asio::use_awaitable, error));
     if (error) {
         this->failure = "write: " + error.message();
+        this->isConnectionLost = error != boost::beast::error::timeout;
     }
     co_return !error;
 }
@@ -202,6 +245,7 @@
             this->connection->stream, this->connection->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
         if (error) {
             this->failure = "read: " + error.message();
+            this->isConnectionLost = error != boost::beast::error::timeout && !Relay::isProtocolError(error);
             co_return false;
         }
         const auto statement = state.dialect.readTarget(parser.get().base());
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -15,6 +15,8 @@
     /// Nothing was sent: no target takes the request.
     NoTarget,
     Full,
+    /// Nothing was sent: the request broke targets lately.
+    Quarantined,
     /// Nothing was sent: the request was given up before.
     NotSent,
     /// The target said that it did not run the request and will not.
@@ -44,11 +46,16 @@
     AttemptEnd end{AttemptEnd::Pending};
     bool isSent{false};
     TargetAnswer answer;
+    /// With Quarantined: when the caller may come back.
+    std::chrono::milliseconds comeBack{0};
 
 private:
     /// Keeps the attempt alive until it has ended.
     static boost::asio::awaitable<void> runKept(std::shared_ptr<Attempt> self);
     boost::asio::awaitable<void> run();
+    /// Sends the request to the target that was found, unless it broke targets lately.
+    boost::asio::awaitable<void> sendGuarded(FoundTarget found);
+    boost::asio::awaitable<void> tellGuard(bool isTrial);
     boost::asio::awaitable<void> exchange();
     boost::asio::awaitable<bool> send();
     /// Reads up to the end of the answer to this request, over late answers to others.
@@ -71,6 +78,9 @@
     Core::TimePoint sentAt;
     bool isCold{false};
     bool isCancelled{false};
+    /// The connection ended under the request: the target may have broken.
+    bool isConnectionLost{false};
+    Core::TargetId address;
     std::unique_ptr<Relay::TargetConnection> connection;
     std::string failure;
 };
--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -115,9 +115,16 @@
     co_return !error;
 }
 
+std::string_view viewOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
 /// Puts the request's head into the form in which it goes to targets.
 void prepareHead(RequestContext &context, Http::request<Http::string_body> &&request)
 {
+    context.fingerprint
+        = Quarantine::fingerprintOf(viewOf(request.method_string()), viewOf(request.target()), request.body().size(), request.body());
     const bool hadBody = request.count(Http::field::transfer_encoding) > 0 || request.count(Http::field::content_length) > 0;
     context.body = std::move(request.body());
     context.head = std::move(request.base());
@@ -130,11 +137,6 @@
     }
 }
 
-std::string_view viewOf(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 /// Finds the route and the deadline. The reason for a refusal where the request can not be served here.
 std::optional<Reason> admit(RequestContext &context, const CallerStatement &statement)
 {
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -6,6 +6,7 @@
 #include <LibGateway/PlatformStore.h>
 #include <LibLog/EventLog.h>
 #include <LibMetrics/LatencySummary.h>
+#include <LibRelay/RequestGuard.h>
 #include <LibRelay/TargetConnection.h>
 #include <LibRouting/LoadEstimate.h>
 #include <LibSettings/GatewaySettings.h>
@@ -98,6 +99,8 @@
     std::chrono::microseconds distance{2000};
     /// Time of a caller that one kibibyte of answer between data centres is worth.
     std::chrono::microseconds crossingPerKibibyte{6000};
+    /// Keeps requests that break targets from breaking more of them; null where nobody does.
+    Relay::RequestGuard *guard{nullptr};
     /// Instances that run, this one among them.
     std::size_t instances{1};
     GatewayCounters counters;
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -76,6 +76,8 @@
     const auto &addresses = this->state.settings.instance;
     this->startPeers(seed);
     this->makeNews();
+    this->quarantine = std::make_unique<Coordination::QuarantineLink>(ioContext, this->timers, *this->peers);
+    this->state.guard = this->quarantine.get();
     this->rollouts = std::make_unique<RolloutDriver>(this->state, this->timers, this->store, *this->peers);
     this->callers = std::make_unique<CallerFrontend>(ioContext, this->state);
     this->readyServer = std::make_unique<Network::HttpServer>(ioContext, addresses.readyAddress, [this](Network::Request request) {
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCoordination/QuarantineLink.h>
 #include <LibGateway/CallerFrontend.h>
 #include <LibGateway/Follower.h>
 #include <LibGateway/NewsSpread.h>
@@ -53,6 +54,7 @@
     std::vector<std::unique_ptr<Follower>> followers;
     std::unique_ptr<Peers::Transport> transport;
     std::unique_ptr<Coordination::PeerLink> peers;
+    std::unique_ptr<Coordination::QuarantineLink> quarantine;
     std::unique_ptr<NewsSpread> news;
     std::unique_ptr<RolloutDriver> rollouts;
     std::unique_ptr<CallerFrontend> callers;
--- a/Libraries/LibGateway/RequestContext.h
+++ b/Libraries/LibGateway/RequestContext.h
@@ -27,6 +27,7 @@
     std::string attemptId;
     Http::request_header<> head;
     std::string body;
+    Quarantine::Fingerprint fingerprint;
     Core::TimePoint arrivedAt;
     std::chrono::nanoseconds arrivedAtBoot;
     /// Time from the arrival to the last chance of an answer.
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -184,6 +184,11 @@
             this->refuse(Reason::Overloaded, FULL_RETRY_AFTER);
         }
         return;
+    case AttemptEnd::Quarantined:
+        if (isLast) {
+            this->refuse(Reason::Quarantined, attempt.comeBack);
+        }
+        return;
     case AttemptEnd::NoTarget:
         if (isLast) {
             this->refuse(Reason::NoTarget, NO_TARGET_RETRY_AFTER);
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -81,8 +81,11 @@
     try {
         ++state.counters.connectionsOpened;
         co_return co_await state.pool.connect(address, Core::Clock::now() + HEALTH_TIMEOUT);
-    } catch (const boost::system::system_error &) {
+    } catch (const boost::system::system_error &error) {
         // The caller notes the trouble with the target.
+        if (error.code() == Asio::error::connection_refused && state.guard != nullptr) {
+            state.guard->targetGone(address);
+        }
         co_return nullptr;
     }
 }
@@ -96,6 +99,10 @@
         Fleet::recordTrouble(target, now);
         return false;
     }
+    if (state.guard != nullptr) {
+        const auto &record = target.record;
+        state.guard->startSeen(record.address, {record.name + "/" + std::to_string(record.startedAtMilliseconds)});
+    }
     if (statement.load) {
         Fleet::recordLoad(book, target, *statement.load, now);
     }
--- a/Tests/LibGateway/TestRequestFlow.cpp
+++ b/Tests/LibGateway/TestRequestFlow.cpp
@@ -26,6 +26,14 @@
     {
     }
 
+    // Coroutines under way hold connections of the pool, so that their frames go before the state; sockets go before the context.
+    ~RequestFlowTest() override
+    {
+        this->state.pool.closeIdle(Core::Clock::now(), Core::Duration{0});
+        this->targets.clear();
+        this->ownedContext.reset();
+    }
+
     static Settings::GatewaySettings settings()
     {
         Settings::GatewaySettings settings;
@@ -106,7 +114,8 @@
         return count;
     }
 
-    boost::asio::io_context context;
+    std::unique_ptr<boost::asio::io_context> ownedContext{std::make_unique<boost::asio::io_context>()};
+    boost::asio::io_context &context{*this->ownedContext};
     GatewayState state;
     std::vector<std::unique_ptr<FakeTarget>> targets;
 };
@@ -246,7 +255,7 @@
     const std::vector<Reaction> bad{{.isCut = true}, {.isUnsigned = true}, {.isEncoded = true}, {.foreignId = "other"}};
     int number = 0;
     for (const auto &reaction : bad) {
-        this->targets.clear();
+        // Coroutines of the former targets still run; the directory is what decides.
         this->state.directory = {};
         this->addTarget("target" + std::to_string(number), [&reaction](const auto &) {
             return always(reaction);
