LibGateway: Refuse suspect requests soon and bear one broken target

A data centre had failed, so that each of its requests in flight had one broken target and became suspect, and trials wait until no target breaks any more. What cannot be served is not to be held back. One broken target is borne now (the platform bears three), and a suspect waits for its trial a quarter of the objective at the most.

--- a/Libraries/LibCoordination/QuarantineLink.cpp
+++ b/Libraries/LibCoordination/QuarantineLink.cpp
@@ -22,10 +22,14 @@
 
 } // namespace
 
-QuarantineLink::QuarantineLink(Asio::io_context &ioContext, Core::TimerService &timerService, PeerLink &peerLink)
+QuarantineLink::QuarantineLink(Asio::io_context &ioContext,
+                               Core::TimerService &timerService,
+                               PeerLink &peerLink,
+                               std::size_t toleratedBreaks)
     : context(ioContext)
     , timers(timerService)
     , peers(peerLink)
+    , tolerated(toleratedBreaks)
 {
     this->peers.onMessage(Channel::Quarantine, [this](const std::string &, std::string_view bytes) {
         this->receive(bytes);
@@ -37,7 +41,8 @@
 
 bool QuarantineLink::isUnsuspected(const Quarantine::Fingerprint &fingerprint) const
 {
-    return this->state.suspicions.empty()
+    const auto found = this->state.suspicions.find(fingerprint);
+    return found == this->state.suspicions.end() || found->second.evidence.size() <= this->tolerated
         || Quarantine::admit(this->state, fingerprint, this->timers.now()).admission == Quarantine::Admission::Allow;
 }
 
--- a/Libraries/LibCoordination/QuarantineLink.h
+++ b/Libraries/LibCoordination/QuarantineLink.h
@@ -19,7 +19,8 @@
 class QuarantineLink final : public Relay::RequestGuard
 {
 public:
-    QuarantineLink(boost::asio::io_context &context, Core::TimerService &timers, PeerLink &peers);
+    /// A request is unsuspected as long as no more targets than the tolerated ones broke under it.
+    QuarantineLink(boost::asio::io_context &context, Core::TimerService &timers, PeerLink &peers, std::size_t toleratedBreaks = 0);
 
     bool isUnsuspected(const Quarantine::Fingerprint &fingerprint) const override;
     boost::asio::awaitable<Permission>
@@ -58,6 +59,7 @@
     boost::asio::io_context &context;
     Core::TimerService &timers;
     PeerLink &peers;
+    std::size_t tolerated;
     Quarantine::QuarantineState state;
     std::unordered_map<Core::TargetId, Core::TargetStartId> starts;
     /// Starts whose connections died and of which it is not known yet whether they live.
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds WAY_BACK{10};
 /// Not worth a send: no target answers in less.
 constexpr std::chrono::milliseconds SHORTEST_USEFUL_TIME{20};
+/// Part of the objective, as its divisor, for which a suspect request waits for its trial.
+constexpr int TRIAL_PATIENCE_DIVISOR = 4;
 constexpr std::uint32_t LONGEST_ANSWER_HEAD = 64U * 1024;
 constexpr std::size_t MOST_FOREIGN_ANSWERS = 3;
 constexpr std::size_t READ_BYTES = 16UL * 1024;
@@ -123,7 +125,9 @@
     this->address = this->connection->target();
     bool isTrial = false;
     if (state.guard != nullptr && !state.guard->isUnsuspected(this->context->fingerprint)) {
-        const auto deadline = Core::Clock::now() + this->context->remaining();
+        // A suspect that cannot be tried soon is refused and not held back.
+        const Core::Duration patience = this->context->route->objective / TRIAL_PATIENCE_DIVISOR;
+        const auto deadline = Core::Clock::now() + std::min(this->context->remaining(), patience);
         const auto permission = co_await state.guard->permit(this->context->fingerprint, this->address, deadline);
         isTrial = permission.verdict == Relay::RequestGuard::Verdict::SendOnTrial;
         if (permission.verdict == Relay::RequestGuard::Verdict::Refuse) {
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -31,6 +31,10 @@
 /// An instance that woke while the store is away serves with what it knows after this time.
 constexpr std::chrono::milliseconds WAKE_PATIENCE{2000};
 
+/// Targets that may break under a request before it is suspect. Many requests lose one target when a data centre fails; they are to be
+/// served elsewhere at once. The platform bears three.
+constexpr std::size_t TOLERATED_BREAKS = 1;
+
 constexpr std::string_view READY_PATH{"/health/ready"};
 
 /// The watch of the plan is short: that it is answered in time shows every second that the store still does. A store that falls silent
@@ -76,7 +80,7 @@
     const auto &addresses = this->state.settings.instance;
     this->startPeers(seed);
     this->makeNews();
-    this->quarantine = std::make_unique<Coordination::QuarantineLink>(ioContext, this->timers, *this->peers);
+    this->quarantine = std::make_unique<Coordination::QuarantineLink>(ioContext, this->timers, *this->peers, TOLERATED_BREAKS);
     this->state.guard = this->quarantine.get();
     this->rollouts = std::make_unique<RolloutDriver>(this->state, this->timers, this->store, *this->peers);
     this->callers = std::make_unique<CallerFrontend>(ioContext, this->state);
--- a/Tests/LibGateway/TestRequestFlow.cpp
+++ b/Tests/LibGateway/TestRequestFlow.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
 
 namespace Briarbend::Gateway
@@ -120,6 +122,44 @@
     std::vector<std::unique_ptr<FakeTarget>> targets;
 };
 
+/// Holds every request until the deadline that it is given, and then refuses it.
+class RefusingGuard final : public Relay::RequestGuard
+{
+public:
+    bool isUnsuspected(const Quarantine::Fingerprint &) const override
+    {
+        return false;
+    }
+
+    boost::asio::awaitable<Permission> permit(Quarantine::Fingerprint, Core::TargetId, Core::TimePoint deadline) override
+    {
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, deadline);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        co_return Permission{Verdict::Refuse, 1s};
+    }
+
+    boost::asio::awaitable<void> broke(Quarantine::Fingerprint, Core::TargetId, bool) override
+    {
+        co_return;
+    }
+
+    void completed(const Quarantine::Fingerprint &, Core::TimePoint) override
+    {
+    }
+
+    void trialEnded(const Quarantine::Fingerprint &) override
+    {
+    }
+
+    void startSeen(const Core::TargetId &, const Core::TargetStartId &) override
+    {
+    }
+
+    void targetGone(const Core::TargetId &) override
+    {
+    }
+};
+
 Reaction always(Reaction reaction)
 {
     return reaction;
@@ -329,6 +369,21 @@
     EXPECT_LT(Core::Clock::now() - before, 100ms);
 }
 
+// Found in the log of tsh-scan, trouble-1: a suspect request was held for its whole 2 s while targets broke elsewhere.
+TEST_F(RequestFlowTest, aSuspectRequestIsRefusedSoonAndNotHeldBack)
+{
+    this->addTarget("one", [](const auto &) {
+        return Reaction{};
+    });
+    this->usePlan(RouteKind::Safe);
+    RefusingGuard guard;
+    this->state.guard = &guard;
+    const auto before = Core::Clock::now();
+    EXPECT_EQ(this->run("a1").response.result_int(), 503U);
+    EXPECT_LT(Core::Clock::now() - before, 150ms) << "half of the objective";
+    EXPECT_EQ(this->runsOf("a1"), 0U);
+}
+
 TEST_F(RequestFlowTest, aFullServiceIsRefusedAtOnce)
 {
     auto &target = this->addTarget("one", [](const auto &) {
