LibGateway: Under overload serve callers who are still in time

Each target's queue held up to as many requests as it runs, and callers who came back after a refusal, late already, took slots from those who could still be served in time.

A request joins a target's queue only where it is still answered within its objective, and the last free slot of a target is left to callers who are still in time; what a caller had waited before shows in the time that it states.

Ruled out: idle targets (none refused with servers free), and a longer Retry-After, as every slot is taken anyway.

--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -143,9 +143,9 @@
     return target.load && now - target.loadAt <= FRESH_STATEMENT;
 }
 
-bool hasFreeSlot(const TargetBelief &target)
+std::uint32_t freeSlots(const TargetBelief &target)
 {
-    return occupied(target) < slotsOf(target);
+    return slotsOf(target) - std::min(slotsOf(target), occupied(target));
 }
 
 bool isFull(const TargetBelief &target)
--- a/Libraries/LibFleet/Choice.h
+++ b/Libraries/LibFleet/Choice.h
@@ -49,8 +49,8 @@
 /// True where the target's statement is recent enough to be decided by.
 bool isStatementFresh(const TargetBelief &target, Core::TimePoint now);
 
-/// True where the target has a slot free for one more request.
-bool hasFreeSlot(const TargetBelief &target);
+/// Slots of the target that no request takes.
+std::uint32_t freeSlots(const TargetBelief &target);
 
 /// True where the target has about as many requests as it takes before it sheds or resets.
 bool isFull(const TargetBelief &target);
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -111,7 +111,7 @@
                               .distance = state.distance,
                               .crossingPerKibibyte = state.crossingPerKibibyte},
                     .remaining = this->context->remaining(),
-                    .objectiveLeft = route.objective - this->context->elapsed()};
+                    .objectiveLeft = route.objective - this->context->waitedBefore - this->context->elapsed()};
     return wish;
 }
 
--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -153,7 +153,11 @@
         return Reason::NoTarget;
     }
     context.book = service->second;
-    state.routes[context.route->name];
+    auto &route = state.routes[context.route->name];
+    if (statement.remaining) {
+        route.longestWait = std::max(route.longestWait, *statement.remaining);
+        context.waitedBefore = route.longestWait - *statement.remaining;
+    }
     const auto timeout = context.route->timeout;
     const auto waits = statement.remaining.value_or(timeout.count() > 0 ? timeout : DEFAULT_DEADLINE);
     context.allowed = timeout.count() > 0 ? std::min(waits, timeout) : waits;
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -66,6 +66,9 @@
 };
 
 struct RouteState {
+    /// The longest time that a caller of the route stated to wait: that of a first attempt. A shorter one shows how long the caller has
+    /// waited.
+    std::chrono::milliseconds longestWait{0};
     Fleet::RouteStatistics statistics;
     /// Time, in milliseconds, within which most answers come.
     Routing::StreamingQuantile lateAnswer{.quantile = 0.85, .estimate = 0};
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds ANSWER_PATIENCE{40};
 /// Time for connecting and an answer on the health path, after which the target counts as silent.
 constexpr std::chrono::milliseconds HEALTH_TIMEOUT{250};
+/// Free slots of a target that a request needs whose objective has passed.
+constexpr std::uint32_t SLOTS_FOR_LATE_REQUESTS = 2;
 /// A request is worth a try as long as the expected time is not beyond this multiple of the time that is left: work varies by half of it.
 constexpr int HOPELESS_FACTOR = 2;
 constexpr std::uint64_t LONGEST_HEALTH_ANSWER = 16ULL * 1024;
@@ -159,6 +161,7 @@
     std::chrono::microseconds cost{0};
     std::chrono::microseconds expectedTime{0};
     bool isFull{false};
+    std::uint32_t freeSlots{0};
     /// The target says that it takes no work.
     bool isDoubtful{false};
 };
@@ -179,6 +182,7 @@
                             Fleet::sendCost(*wish.book, *target, statistics, wish.input, now),
                             Fleet::expectedTime(*wish.book, *target, statistics, wish.input, now),
                             Fleet::isFull(*target),
+                            Fleet::freeSlots(*target),
                             use == Fleet::Usability::Doubtful};
         const bool isBetter
             = !best || std::tie(ranked.isDoubtful, ranked.isFull, ranked.cost) < std::tie(best->isDoubtful, best->isFull, best->cost);
@@ -192,6 +196,21 @@
     return !ranked.isDoubtful && !ranked.isFull && (ranked.expectedTime <= wish.objectiveLeft || wish.objectiveLeft.count() <= 0);
 }
 
+/// The last free slot of a target is left to a request that can still be answered within its objective. Where more come than targets
+/// serve, each slot serves a caller in time then, in place of one who is late already.
+bool mayTakeSlot(const TargetWish &wish, const Ranked &ranked)
+{
+    const bool isLate = wish.objectiveLeft.count() <= 0;
+    return ranked.freeSlots >= (isLate ? SLOTS_FOR_LATE_REQUESTS : 1);
+}
+
+/// A request joins a target's queue only where it is still answered within its objective. Longer queues serve no more requests, and every
+/// one of them late; a caller that is refused comes back to a shorter queue.
+bool servesInTime(const TargetWish &wish, const Ranked &ranked)
+{
+    return !ranked.isFull && ranked.expectedTime <= wish.objectiveLeft;
+}
+
 /// A cold target that this instance may send one request to; empty where there is none.
 std::string takeColdTarget(GatewayState &state, const TargetWish &wish)
 {
@@ -319,7 +338,8 @@
     FoundTarget found{.obstacle = Obstacle::NoTarget, .name = {}, .version = {}, .connection = nullptr};
     found.probes = static_cast<std::uint32_t>(asked);
     if (best) {
-        const bool isServable = !best->isFull && best->expectedTime < HOPELESS_FACTOR * wish.remaining;
+        const bool isServable
+            = mayTakeSlot(wish, *best) ? best->expectedTime < HOPELESS_FACTOR * wish.remaining : servesInTime(wish, *best);
         found.obstacle = isServable ? Obstacle::None : Obstacle::Full;
         found.expectedTime = best->expectedTime;
     }
--- a/Tests/LibFleet/TestChoice.cpp
+++ b/Tests/LibFleet/TestChoice.cpp
@@ -105,7 +105,7 @@
         EXPECT_LT(cost("idle"), cost(name)) << name;
     }
     EXPECT_LT(cost("far"), cost("full")) << "a crossing pays where the own data centre is full";
-    EXPECT_FALSE(hasFreeSlot(*findTarget(book, "full")));
+    EXPECT_EQ(freeSlots(*findTarget(book, "full")), 0U);
     EXPECT_FALSE(isFull(*findTarget(book, "full")));
     state(book, "full", {.running = 6, .waiting = 6, .slots = 6, .slowness = 1});
     EXPECT_TRUE(isFull(*findTarget(book, "full")));
@@ -118,9 +118,9 @@
     auto &target = *findTarget(book, "one");
     target.ownInFlight = 1;
     recordLoad(book, target, {.running = 5, .waiting = 0, .slots = 6, .slowness = 1}, NOW);
-    EXPECT_TRUE(hasFreeSlot(target));
+    EXPECT_EQ(freeSlots(target), 1U);
     ++target.ownInFlight;
-    EXPECT_FALSE(hasFreeSlot(target));
+    EXPECT_EQ(freeSlots(target), 0U);
     EXPECT_TRUE(isStatementFresh(target, NOW + 30ms));
     EXPECT_FALSE(isStatementFresh(target, NOW + 31ms));
 }
--- a/Tests/LibGateway/TestRequestFlow.cpp
+++ b/Tests/LibGateway/TestRequestFlow.cpp
@@ -97,7 +97,12 @@
 
     FlowResult run(const std::string &attemptId, std::chrono::milliseconds allowed = 1s)
     {
-        RequestFlow flow(this->makeContext(attemptId, allowed));
+        return this->run(this->makeContext(attemptId, allowed));
+    }
+
+    FlowResult run(const std::shared_ptr<RequestContext> &request)
+    {
+        RequestFlow flow(request);
         std::optional<FlowResult> result;
         boost::asio::co_spawn(this->context, flow.run(), [&result](const std::exception_ptr &, FlowResult flowResult) {
             result = std::move(flowResult);
@@ -384,6 +389,26 @@
     EXPECT_EQ(this->runsOf("a1"), 0U);
 }
 
+// More requests than targets serve, as on tsh-scan, scale-1, where two of three data centres are away.
+TEST_F(RequestFlowTest, underOverloadTheLastSlotIsLeftToCallersWhoCanStillBeServedInTime)
+{
+    auto &target = this->addTarget("one", [](const auto &) {
+        return Reaction{};
+    });
+    this->usePlan(RouteKind::Once);
+    const auto statusOf = [this](const std::string &id, std::string load, std::chrono::milliseconds waitedBefore) {
+        this->targets.front()->load = std::move(load);
+        const auto request = this->makeContext(id);
+        request->waitedBefore = waitedBefore;
+        return this->run(request).response.result_int();
+    };
+    EXPECT_EQ(statusOf("fresh", "5,0,6,100", 0ms), 200U);
+    EXPECT_EQ(statusOf("late", "5,0,6,100", 400ms), 503U);
+    EXPECT_EQ(statusOf("late-with-room", "4,0,6,100", 400ms), 200U);
+    EXPECT_EQ(statusOf("fresh-in-queue", "6,5,6,100", 0ms), 503U) << "it would be answered after its objective";
+    EXPECT_EQ(target.runs(), (std::vector<std::string>{"fresh", "late-with-room"}));
+}
+
 TEST_F(RequestFlowTest, aFullServiceIsRefusedAtOnce)
 {
     auto &target = this->addTarget("one", [](const auto &) {
