--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/CallerFrontend.h>
 
+#include <LibCore/Presence.h>
 #include <LibGateway/RequestFlow.h>
 #include <LibNetwork/HttpServer.h>
 #include <LibNetwork/SilenceDetection.h>
@@ -39,29 +40,6 @@
 /// Descriptors that callers' connections may take; the rest is for targets, the store and peers.
 constexpr double CALLER_DESCRIPTOR_SHARE = 0.6;
 
-using RequestParser = Http::request_parser<Http::string_body>;
-
-class Presence
-{
-public:
-    explicit Presence(std::uint32_t &countedBy)
-        : count(countedBy)
-    {
-        ++this->count;
-    }
-
-    Presence(const Presence &) = delete;
-    Presence &operator=(const Presence &) = delete;
-
-    ~Presence()
-    {
-        --this->count;
-    }
-
-private:
-    std::uint32_t &count;
-};
-
 /// The reason for which a request that could not be read is refused, with its status; nothing where the connection just ended.
 std::optional<Reason> readProblem(const boost::system::error_code &error)
 {
@@ -237,53 +215,24 @@
 
 Asio::awaitable<void> CallerFrontend::serve(Asio::ip::tcp::socket socket)
 {
-    const Presence connection(this->state.callerConnections);
+    const Core::Presence connection(this->state.callerConnections);
     boost::beast::tcp_stream stream(std::move(socket));
     boost::beast::flat_buffer buffer;
     boost::system::error_code error;
     stream.socket().set_option(Asio::ip::tcp::no_delay(true), error);
     bool isUsable = co_await waitForRequest(limitsOf(this->state), stream, buffer);
     while (isUsable) {
-        const Presence inFlight(this->state.requestsInFlight);
+        const Core::Presence inFlight(this->state.requestsInFlight);
         RequestParser parser;
         error = co_await readRequest(limitsOf(this->state), stream, buffer, parser);
         const auto problem = error ? readProblem(error) : std::nullopt;
         if (error && !problem) {
             co_return;
         }
-        ++this->state.counters.requests;
-        auto context = std::make_shared<RequestContext>(this->state);
-        const auto statement = this->state.dialect.readCaller(parser.get().base());
-        context->attemptId = statement.attemptId;
-        const auto headProblem = problem ? std::nullopt : Relay::findHeadProblem(parser.get().base());
-        const bool keepsAlive = !problem && !headProblem && parser.keep_alive() && parser.get().version() >= HTTP_1_1;
-        std::optional<Reason> refusal = problem;
-        if (headProblem) {
-            refusal = Reason::BadRequest;
-        }
-        if (!refusal) {
-            prepareHead(*context, parser.release());
-            refusal = this->isRefusing ? Reason::Stopping : admit(*context, statement);
-        }
-        FlowResult result;
-        if (refusal) {
-            context->note("refused", {{"reason", Rejection::traits(*refusal).name}});
-            result.response = makeRefusal(this->state,
-                                          context->attemptId,
-                                          {.reason = *refusal, .retryAfter = ELSEWHERE_RETRY_AFTER, .detail = headProblem.value_or("")});
-        } else {
-            RequestFlow flow(context);
-            stream.expires_never();
-            const Relay::CallerWatch watch(stream.socket(), [&flow] {
-                flow.callerGone();
-            });
-            result = co_await flow.run();
-        }
-        countResult(this->state, result);
-        if (context->route != nullptr && !result.isCallerGone) {
-            this->state.routes[context->route->name].latency.add(context->elapsed());
-        }
-        logRequest(*context, result.response.result_int(), result.isCallerGone);
+        const bool isSound = !problem && !Relay::findHeadProblem(parser.get().base());
+        const bool keepsAlive = isSound && parser.keep_alive() && parser.get().version() >= HTTP_1_1;
+        stream.expires_never();
+        auto result = co_await this->answer(stream.socket(), parser, problem);
         if (result.isCallerGone) {
             co_return;
         }
@@ -301,4 +250,36 @@
     }
 }
 
+Asio::awaitable<FlowResult> CallerFrontend::answer(Asio::ip::tcp::socket &socket, RequestParser &parser, std::optional<Reason> problem)
+{
+    ++this->state.counters.requests;
+    auto context = std::make_shared<RequestContext>(this->state);
+    const auto statement = this->state.dialect.readCaller(parser.get().base());
+    context->attemptId = statement.attemptId;
+    const auto headProblem = problem ? std::nullopt : Relay::findHeadProblem(parser.get().base());
+    auto refusal = headProblem ? std::optional(Reason::BadRequest) : problem;
+    if (!refusal) {
+        prepareHead(*context, parser.release());
+        refusal = this->isRefusing ? Reason::Stopping : admit(*context, statement);
+    }
+    FlowResult result;
+    if (refusal) {
+        context->note("refused", {{"reason", Rejection::traits(*refusal).name}});
+        result.response = makeRefusal(
+            this->state, context->attemptId, {.reason = *refusal, .retryAfter = ELSEWHERE_RETRY_AFTER, .detail = headProblem.value_or("")});
+    } else {
+        RequestFlow flow(context);
+        const Relay::CallerWatch watch(socket, [&flow] {
+            flow.callerGone();
+        });
+        result = co_await flow.run();
+    }
+    countResult(this->state, result);
+    if (context->route != nullptr && !result.isCallerGone) {
+        this->state.routes[context->route->name].latency.add(context->elapsed());
+    }
+    logRequest(*context, result.response.result_int(), result.isCallerGone);
+    co_return result;
+}
+
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/PlatformStore.h
+++ b/Libraries/LibGateway/PlatformStore.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -36,6 +37,28 @@
     RolledBack,
 };
 
+/// The state's name in logs.
+constexpr std::string_view nameOf(RolloutState state)
+{
+    switch (state) {
+    case RolloutState::Ordered:
+        return "ordered";
+    case RolloutState::Running:
+        return "running";
+    case RolloutState::Completed:
+        return "completed";
+    case RolloutState::RolledBack:
+        return "rolled_back";
+    }
+    return "";
+}
+
+/// Nothing follows such a state.
+constexpr bool isFinal(RolloutState state)
+{
+    return state == RolloutState::Completed || state == RolloutState::RolledBack;
+}
+
 /// What the instances have written about a rollout.
 struct RolloutProgress {
     RolloutState state{RolloutState::Ordered};
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -1,10 +1,8 @@
 #include <LibGateway/RolloutDriver.h>
 
-#include <LibCore/RendezvousHash.h>
 #include <LibNetwork/WallClock.h>
 
 #include <algorithm>
-#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 namespace Briarbend::Gateway
@@ -18,9 +16,6 @@
 
 constexpr std::chrono::milliseconds TICK{100};
 constexpr std::chrono::milliseconds EVIDENCE_INTERVAL{300};
-/// Time that an instance leaves to each one before it to write what is due, so that one write does for all.
-constexpr std::chrono::milliseconds TURN{400};
-constexpr std::size_t MOST_TURNS = 6;
 /// Part of the time between order and deadline by which a good version is to have everything; the rest is for confirmations and the write.
 constexpr double FINISH_PART = 0.95;
 /// Part of the exposure that is planned with; the rest is for the steps before the version is proven and for requests that are on their
@@ -52,26 +47,6 @@
     return Rollout::loadLevelOf(running, std::max(1U, slots));
 }
 
-std::string_view nameOf(RolloutState state)
-{
-    switch (state) {
-    case RolloutState::Ordered:
-        return "ordered";
-    case RolloutState::Running:
-        return "running";
-    case RolloutState::Completed:
-        return "completed";
-    case RolloutState::RolledBack:
-        return "rolled_back";
-    }
-    return "";
-}
-
-bool isFinal(RolloutState state)
-{
-    return state == RolloutState::Completed || state == RolloutState::RolledBack;
-}
-
 } // namespace
 
 RolloutDriver::RolloutDriver(GatewayState &gatewayState,
@@ -356,94 +331,6 @@
     }
 }
 
-std::optional<RolloutState> RolloutDriver::wantedState(const Move &move) const
-{
-    const auto stored = move.order.progress.state;
-    if (isFinal(stored)) {
-        return std::nullopt;
-    }
-    if (stored == RolloutState::Ordered) {
-        return RolloutState::Running;
-    }
-    if (move.state && move.state->status.phase == Rollout::Phase::TakenBack) {
-        return RolloutState::RolledBack;
-    }
-    const bool isDone = move.state && move.state->status.phase == Rollout::Phase::Done && this->isConfirmedByAll(move);
-    return isDone ? std::optional(RolloutState::Completed) : std::nullopt;
-}
-
-bool RolloutDriver::isConfirmedByAll(const Move &move) const
-{
-    const auto &members = this->peers.state().members;
-    const auto alive = Membership::aliveMembers(members);
-    const bool isEverybody = std::ranges::all_of(alive, [&move](const Core::InstanceId &member) {
-        return move.confirmed.contains(member);
-    });
-    // An instance that is cut off from the others must not speak for them.
-    const auto known = std::ranges::count_if(members.members, [](const auto &entry) {
-        return entry.second.news.state != Membership::MemberState::Leaving && !entry.second.isReplaced;
-    });
-    return isEverybody && 2 * alive.size() > static_cast<std::size_t>(known);
-}
-
-std::size_t RolloutDriver::ownRank(const std::string &service) const
-{
-    const auto &members = this->peers.state().members;
-    std::vector<std::string> names;
-    std::ranges::transform(Membership::aliveMembers(members), std::back_inserter(names), &Core::InstanceId::value);
-    const auto order = Core::rendezvousOrder(names, "rollout/" + service, names.size());
-    const auto own = std::ranges::find(order, members.self.value);
-    return std::min<std::size_t>(MOST_TURNS, static_cast<std::size_t>(own - order.begin()));
-}
-
-void RolloutDriver::writeWhenDue(const std::string &service, Move &move, Core::TimePoint now)
-{
-    const auto wanted = this->wantedState(move);
-    if (!wanted || move.isWriting) {
-        move.dueSince = wanted ? move.dueSince : std::nullopt;
-        return;
-    }
-    if (!move.dueSince) {
-        move.dueSince = now;
-    }
-    if (now - *move.dueSince < TURN * this->ownRank(service)) {
-        return;
-    }
-    move.isWriting = true;
-    RolloutProgress progress{
-        .state = *wanted, .version = move.order.version, .startedAt = move.state ? move.state->move.start : Network::wallNow()};
-    spawn(this->state, "rollout", this->write(service, progress));
-}
-
-boost::asio::awaitable<void> RolloutDriver::write(std::string service, RolloutProgress progress)
-{
-    const auto revision = this->moves.at(service).revision;
-    const auto result = co_await this->store.writeProgress(service, revision, progress);
-    const auto *written = std::get_if<Written>(&result);
-    const auto *failure = std::get_if<StoreFailure>(&result);
-    this->state.log.write(Importance::Notable,
-                          "rollout_written",
-                          {{"service", service},
-                           {"state", nameOf(progress.state)},
-                           {"revision", revision},
-                           {"outcome",
-                            written != nullptr       ? "written"
-                                : failure != nullptr ? failure->reason
-                                                     : "another instance was first"}});
-    const auto found = this->moves.find(service);
-    if (found == this->moves.end()) {
-        co_return;
-    }
-    found->second.isWriting = false;
-    // The next try is due a turn later; by then the store has told what it holds.
-    found->second.dueSince = Core::Clock::now() + TURN;
-    if (written != nullptr && found->second.revision == revision) {
-        auto order = found->second.order;
-        order.progress = progress;
-        this->take(order, written->revision);
-    }
-}
-
 std::vector<std::string> RolloutDriver::addressesOf(const std::vector<Core::InstanceId> &members) const
 {
     const auto &known = this->peers.state().members;
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -56,6 +56,13 @@
     return parsed.ec == std::errc{} ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
 }
 
+/// When a connection that has just carried this answer is no longer to be used.
+Core::TimePoint usableUntil(const Http::response_header<> &lastAnswer, Core::TimePoint now)
+{
+    const auto stated = keepAliveTimeout(lastAnswer);
+    return now + (stated ? std::max(std::chrono::milliseconds{0}, *stated - IDLE_MARGIN) : DEFAULT_IDLE);
+}
+
 /// Sends the question and reads its answer. False where the connection did not carry it.
 Asio::awaitable<bool>
 exchangeHealth(GatewayState &state, Relay::TargetConnection &connection, const std::string &path, std::optional<HealthParser> &parser)
@@ -211,6 +218,57 @@
     return !ranked.isFull && ranked.expectedTime <= wish.objectiveLeft;
 }
 
+/// Asks a few targets at a time until one serves well or enough were asked, and returns how many were. Where none has answered, waits for
+/// the slow ones.
+Asio::awaitable<std::size_t>
+askInTurns(GatewayState &state, const TargetWish &wish, std::shared_ptr<Search> search, const std::vector<std::string> &names)
+{
+    const auto most = std::min(names.size(), MOST_PROBES);
+    std::size_t asked = 0;
+    std::optional<Ranked> best;
+    while (asked < most && !(best && servesWell(wish, *best))) {
+        const auto answersBefore = search->answered.size();
+        const auto until = std::min(most, asked + PROBES_AT_ONCE);
+        for (; asked < until; ++asked) {
+            ++search->pending;
+            spawn(state, "probe", probe(state, search, wish.book, names[asked]));
+        }
+        co_await waitForAnswers(*search, answersBefore);
+        best = rank(state, wish, *search);
+    }
+    while (search->pending > 0 && search->answered.empty()) {
+        search->changed.expires_after(HEALTH_TIMEOUT);
+        boost::system::error_code ignored;
+        co_await search->changed.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
+    }
+    co_return asked;
+}
+
+/// Ends the search: takes the best target with its connection, where it can serve, and gives the other connections back.
+FoundTarget takeBest(GatewayState &state, const TargetWish &wish, Search &search)
+{
+    search.isOver = true;
+    FoundTarget found{.obstacle = Obstacle::NoTarget, .name = {}, .version = {}, .connection = nullptr};
+    if (const auto best = rank(state, wish, search)) {
+        const bool isServable
+            = mayTakeSlot(wish, *best) ? best->expectedTime < HOPELESS_FACTOR * wish.remaining : servesInTime(wish, *best);
+        found.obstacle = isServable ? Obstacle::None : Obstacle::Full;
+        found.expectedTime = best->expectedTime;
+        found.name = isServable ? *best->name : std::string{};
+    }
+    if (found.obstacle == Obstacle::None) {
+        found.version = Fleet::findTarget(*wish.book, found.name)->record.version;
+        found.connection = std::move(search.answered[found.name]);
+    }
+    for (auto &[name, connection] : search.answered) {
+        if (connection) {
+            state.pool.giveBack(std::move(connection), Core::Clock::now());
+        }
+    }
+    search.answered.clear();
+    return found;
+}
+
 /// A cold target that this instance may send one request to; empty where there is none.
 std::string takeColdTarget(GatewayState &state, const TargetWish &wish)
 {
@@ -252,8 +310,7 @@
         return;
     }
     const auto now = Core::Clock::now();
-    const auto stated = keepAliveTimeout(lastAnswer);
-    connection->usableUntil = now + (stated ? std::max(std::chrono::milliseconds{0}, *stated - IDLE_MARGIN) : DEFAULT_IDLE);
+    connection->usableUntil = usableUntil(lastAnswer, now);
     state.pool.giveBack(std::move(connection), now);
 }
 
@@ -298,9 +355,7 @@
     }
     if (connection) {
         connection->stream.expires_never();
-        const auto stated = keepAliveTimeout(parser->get().base());
-        connection->usableUntil
-            = Core::Clock::now() + (stated ? std::max(std::chrono::milliseconds{0}, *stated - IDLE_MARGIN) : DEFAULT_IDLE);
+        connection->usableUntil = usableUntil(parser->get().base(), Core::Clock::now());
     }
     co_return connection;
 }
@@ -312,48 +367,9 @@
         co_return co_await findColdTarget(state, wish);
     }
     const auto search = std::make_shared<Search>(state.executor);
-    std::optional<Ranked> best;
-    std::size_t asked = 0;
-    const auto most = std::min(names.size(), MOST_PROBES);
-    while (asked < most && !(best && servesWell(wish, *best))) {
-        const auto answersBefore = search->answered.size();
-        const auto until = std::min(most, asked + PROBES_AT_ONCE);
-        for (; asked < until; ++asked) {
-            ++search->pending;
-            spawn(state, "probe", probe(state, search, wish.book, names[asked]));
-        }
-        co_await waitForAnswers(*search, answersBefore);
-        best = rank(state, wish, *search);
-    }
-    if (!best && search->pending > 0) {
-        // Nothing else is left than to wait for the slow ones.
-        while (search->pending > 0 && search->answered.empty()) {
-            search->changed.expires_after(HEALTH_TIMEOUT);
-            boost::system::error_code ignored;
-            co_await search->changed.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
-        }
-        best = rank(state, wish, *search);
-    }
-    search->isOver = true;
-    FoundTarget found{.obstacle = Obstacle::NoTarget, .name = {}, .version = {}, .connection = nullptr};
+    const auto asked = co_await askInTurns(state, wish, search, names);
+    auto found = takeBest(state, wish, *search);
     found.probes = static_cast<std::uint32_t>(asked);
-    if (best) {
-        const bool isServable
-            = mayTakeSlot(wish, *best) ? best->expectedTime < HOPELESS_FACTOR * wish.remaining : servesInTime(wish, *best);
-        found.obstacle = isServable ? Obstacle::None : Obstacle::Full;
-        found.expectedTime = best->expectedTime;
-    }
-    if (found.obstacle == Obstacle::None) {
-        found.name = *best->name;
-        found.version = Fleet::findTarget(*wish.book, found.name)->record.version;
-        found.connection = std::move(search->answered[found.name]);
-    }
-    for (auto &[name, connection] : search->answered) {
-        if (connection) {
-            state.pool.giveBack(std::move(connection), Core::Clock::now());
-        }
-    }
-    search->answered.clear();
     if (found.obstacle == Obstacle::NoTarget) {
         co_return co_await findColdTarget(state, wish);
     }
--- a/Libraries/LibRelay/CallerListener.cpp
+++ b/Libraries/LibRelay/CallerListener.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Presence.h>
 #include <LibNetwork/HttpServer.h>
 #include <LibRelay/Answers.h>
 #include <LibRelay/CallerListener.h>
@@ -26,28 +27,6 @@
 constexpr std::chrono::seconds HEAD_TIMEOUT{10};
 constexpr unsigned HTTP_1_1 = 11;
 
-/// Counts something as present for as long as it lives.
-class Presence
-{
-public:
-    explicit Presence(std::uint32_t &countedBy)
-        : count(countedBy)
-    {
-        ++this->count;
-    }
-
-    Presence(const Presence &) = delete;
-    Presence &operator=(const Presence &) = delete;
-
-    ~Presence()
-    {
-        --this->count;
-    }
-
-private:
-    std::uint32_t &count;
-};
-
 Asio::awaitable<void> refuseBrokenRequest(RelayState &relay, boost::beast::tcp_stream &stream, boost::system::error_code problem)
 {
     ++relay.counters.requests;
@@ -113,14 +92,14 @@
 
 Asio::awaitable<void> CallerListener::serve(RelayState &relay, Asio::ip::tcp::socket socket)
 {
-    const Presence connection(relay.callerConnections);
+    const Core::Presence connection(relay.callerConnections);
     boost::beast::tcp_stream stream(std::move(socket));
     boost::beast::flat_buffer buffer;
     boost::system::error_code error;
     stream.socket().set_option(Asio::ip::tcp::no_delay(true), error);
     bool isUsable = co_await waitForRequest(relay, stream, buffer);
     while (isUsable) {
-        const Presence request(relay.requestsInFlight);
+        const Core::Presence request(relay.requestsInFlight);
         Http::request_parser<Http::buffer_body> parser;
         parser.header_limit(relay.limits.headerBytes);
         parser.body_limit(relay.limits.requestBodyBytes);
