--- a/Tests/LibGateway/TestRequestFlow.cpp
+++ b/Tests/LibGateway/TestRequestFlow.cpp
@@ -29,7 +29,7 @@
     }
 
     // Coroutines under way hold connections of the pool, so that their frames go before the state; sockets go before the context.
-    ~RequestFlowTest() override
+    void TearDown() override
     {
         this->state.pool.closeIdle(Core::Clock::now(), Core::Duration{0});
         this->targets.clear();
