LibGateway: Drop dead state and a second refresh of the books

Reading the whole change again: a counter of store calls and the moment at which an order was seen were written and never read, and a new plan refreshed the books of all services twice, in take() and at the end of takeChanges(), which is take()'s only caller.

--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -31,7 +31,6 @@
     std::uint64_t hedges{0};
     std::uint64_t foreignAnswers{0};
     std::uint64_t connectionsOpened{0};
-    std::uint64_t storeCalls{0};
     std::uint64_t storeFailures{0};
 };
 
--- a/Libraries/LibGateway/InstanceObjects.cpp
+++ b/Libraries/LibGateway/InstanceObjects.cpp
@@ -114,7 +114,6 @@
         return;
     }
     this->state.plan = std::make_shared<const Fleet::FleetPlan>(plan);
-    refreshBooks(this->state, this->timers.now());
     this->state.log.write(Importance::Notable,
                           "configuration_in_force",
                           {{"version", plan.version}, {"routes", plan.routes.size()}, {"revision", object.revision}});
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -88,7 +88,6 @@
     const bool isProgress = isNew || move.order.progress != order.progress;
     if (isNew) {
         move = Move{};
-        move.seenAt = Core::Clock::now();
     }
     move.order = order;
     move.revision = revision;
--- a/Libraries/LibGateway/RolloutDriver.h
+++ b/Libraries/LibGateway/RolloutDriver.h
@@ -24,7 +24,6 @@
     struct Move {
         RolloutOrder order;
         Revision revision{0};
-        Core::TimePoint seenAt;
         /// Set while the order runs.
         std::unique_ptr<Rollout::RolloutState> state;
         Rollout::LoadLevel level{Rollout::LoadLevel::Low};
