LibGateway: Do not wait for idle connections in a planned stop

Cause: the count of requests in flight was held while a connection waited for its next request, so that a stop with any idle caller connected lasted until the end of the grace and refused every caller after the third second. Ruled out: slow targets (none were slow in that time).

--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -187,6 +187,11 @@
     spawn(this->state, "accept", this->acceptLoop());
 }
 
+Asio::ip::tcp::endpoint CallerFrontend::localEndpoint() const
+{
+    return this->acceptor.local_endpoint();
+}
+
 void CallerFrontend::stopListening()
 {
     boost::system::error_code ignored;
@@ -220,34 +225,36 @@
     boost::beast::flat_buffer buffer;
     boost::system::error_code error;
     stream.socket().set_option(Asio::ip::tcp::no_delay(true), error);
-    bool isUsable = co_await waitForRequest(limitsOf(this->state), stream, buffer);
-    while (isUsable) {
-        const Core::Presence inFlight(this->state.requestsInFlight);
-        RequestParser parser;
-        error = co_await readRequest(limitsOf(this->state), stream, buffer, parser);
-        const auto problem = error ? readProblem(error) : std::nullopt;
-        if (error && !problem) {
-            co_return;
-        }
-        const bool isSound = !problem && !Relay::findHeadProblem(parser.get().base());
-        const bool keepsAlive = isSound && parser.keep_alive() && parser.get().version() >= HTTP_1_1;
-        stream.expires_never();
-        auto result = co_await this->answer(stream.socket(), parser, problem);
-        if (result.isCallerGone) {
-            co_return;
-        }
-        const bool staysOpen = keepsAlive && !this->state.isStopping;
-        result.response.keep_alive(staysOpen);
-        stream.expires_after(WRITE_TIMEOUT);
-        co_await Http::async_write(stream, result.response, Asio::redirect_error(Asio::use_awaitable, error));
-        isUsable = staysOpen && !error;
-        if (!staysOpen && !error) {
-            stream.socket().shutdown(Asio::ip::tcp::socket::shutdown_send, error);
-        }
-        if (isUsable) {
-            isUsable = co_await waitForRequest(limitsOf(this->state), stream, buffer);
-        }
+    bool isUsable = true;
+    while (isUsable && co_await waitForRequest(limitsOf(this->state), stream, buffer)) {
+        isUsable = co_await this->serveRequest(stream, buffer);
+    }
+}
+
+Asio::awaitable<bool> CallerFrontend::serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer)
+{
+    const Core::Presence inFlight(this->state.requestsInFlight);
+    RequestParser parser;
+    auto error = co_await readRequest(limitsOf(this->state), stream, buffer, parser);
+    const auto problem = error ? readProblem(error) : std::nullopt;
+    if (error && !problem) {
+        co_return false;
+    }
+    const bool isSound = !problem && !Relay::findHeadProblem(parser.get().base());
+    const bool keepsAlive = isSound && parser.keep_alive() && parser.get().version() >= HTTP_1_1;
+    stream.expires_never();
+    auto result = co_await this->answer(stream.socket(), parser, problem);
+    if (result.isCallerGone) {
+        co_return false;
+    }
+    const bool staysOpen = keepsAlive && !this->state.isStopping;
+    result.response.keep_alive(staysOpen);
+    stream.expires_after(WRITE_TIMEOUT);
+    co_await Http::async_write(stream, result.response, Asio::redirect_error(Asio::use_awaitable, error));
+    if (!staysOpen && !error) {
+        stream.socket().shutdown(Asio::ip::tcp::socket::shutdown_send, error);
     }
+    co_return staysOpen && !error;
 }
 
 Asio::awaitable<FlowResult> CallerFrontend::answer(Asio::ip::tcp::socket &socket, RequestParser &parser, std::optional<Reason> problem)
--- a/Libraries/LibGateway/CallerFrontend.h
+++ b/Libraries/LibGateway/CallerFrontend.h
@@ -18,6 +18,8 @@
     /// Listens at once. Throws boost::system::system_error where the address is taken.
     CallerFrontend(boost::asio::io_context &context, GatewayState &state);
 
+    /// The address on which callers are accepted.
+    boost::asio::ip::tcp::endpoint localEndpoint() const;
     /// Takes no more connections.
     void stopListening();
     /// From now on requests are refused: there is no time left to serve them.
@@ -26,6 +28,8 @@
 private:
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    /// Reads and answers one request whose first byte has come. Whether the connection may carry another.
+    boost::asio::awaitable<bool> serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer);
     /// Answers one request that was read, or could not be for the stated problem.
     boost::asio::awaitable<FlowResult>
     answer(boost::asio::ip::tcp::socket &socket, RequestParser &parser, std::optional<Rejection::Reason> problem);
