--- a/Libraries/LibNetwork/Http.cpp
+++ b/Libraries/LibNetwork/Http.cpp
@@ -1,6 +1,8 @@
 #include <LibNetwork/Http.h>
 
 #include <algorithm>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 #include <ranges>
 
 namespace Briarbend::Network
@@ -46,6 +48,11 @@
     return {};
 }
 
+std::string percentEncode(std::string_view text)
+{
+    return boost::urls::encode(text, boost::urls::unreserved_chars);
+}
+
 std::string_view pathOf(std::string_view target)
 {
     return target.substr(0, target.find('?'));
--- a/Libraries/LibNetwork/Http.h
+++ b/Libraries/LibNetwork/Http.h
@@ -27,6 +27,9 @@
 /// The value of one query parameter of a request target, empty where absent. No percent decoding: the product's own endpoints use none.
 std::string queryParameter(std::string_view target, std::string_view name);
 
+/// The text as it stands in one part of a path or query: all but unreserved characters as %XX (RFC 3986).
+std::string percentEncode(std::string_view text);
+
 /// The request target without its query.
 std::string_view pathOf(std::string_view target);
 
