--- a/Tests/briarctl/TestBriarctl.cpp
+++ b/Tests/briarctl/TestBriarctl.cpp
@@ -124,7 +124,7 @@
 TEST_F(BriarctlTest, helpOfEveryCommand)
 {
     this->run("--help");
-    for (const auto *command : {"check", "apply", "show", "status", "dump", "drain", "undrain"}) {
+    for (const auto *command : {"check", "apply", "show", "status", "dump", "drain", "undrain", "explain"}) {
         this->run(std::string(command) + " --help");
     }
     expectGolden("Tests/Golden/briarctl/help.txt", this->transcript);
@@ -224,6 +224,17 @@
     EXPECT_EQ(loser.find("conflict: team benches is at version 2 in the store, by another edit; nothing was changed"), 0U) << loser;
 }
 
+TEST_F(BriarctlTest, theStoryOfAFailedRequest)
+{
+    this->run("explain --worst Tests/Golden/briarctl/front-1.log Tests/Golden/briarctl/front-2.log");
+    this->run("explain --request a1 Tests/Golden/briarctl/front-1.log Tests/Golden/briarctl/front-2.log");
+    this->run("explain --request a1 --json Tests/Golden/briarctl/front-1.log");
+    this->run("explain --request nobody Tests/Golden/briarctl/front-1.log");
+    this->run("explain Tests/Golden/briarctl/front-1.log");
+    this->run("explain --worst $FOLDER/absent.log");
+    expectGolden("Tests/Golden/briarctl/explain.txt", this->transcript);
+}
+
 TEST_F(BriarctlTest, completionAndManualNameEveryCommandAndOption)
 {
     std::string help = readSource("Tests/Golden/briarctl/help.txt");
--- a/Utilities/briarctl/Arguments.cpp
+++ b/Utilities/briarctl/Arguments.cpp
@@ -106,6 +106,9 @@
     case Option::Replace:
         arguments.isReplacing = true;
         break;
+    case Option::Request:
+        arguments.request = value;
+        break;
     case Option::Settings:
         arguments.isForSettings = true;
         break;
@@ -124,6 +127,9 @@
     case Option::Watch:
         arguments.isWatching = true;
         break;
+    case Option::Worst:
+        arguments.wantsWorst = true;
+        break;
     }
 }
 
@@ -152,6 +158,9 @@
         throw UsageError(name + (arguments.isWaiting ? " --wait" : "")
                          + " needs the instances' operator addresses: --instances ADDRESS,... or BRIARBEND_INSTANCES in the environment");
     }
+    if (command.command == Command::Explain && arguments.wantsWorst == arguments.request.has_value()) {
+        throw UsageError(name + " needs either --request ID or --worst");
+    }
     if (arguments.isReplacing && arguments.basedOn) {
         throw UsageError("--replace and --based-on exclude each other");
     }
--- a/Utilities/briarctl/Arguments.h
+++ b/Utilities/briarctl/Arguments.h
@@ -33,6 +33,8 @@
     bool isForSettings{false};
     bool isWaiting{false};
     bool isWatching{false};
+    bool wantsWorst{false};
+    std::optional<std::string> request;
     std::optional<Store::Version> basedOn;
     std::vector<Network::Endpoint> store;
     std::vector<Network::Endpoint> instances;
--- a/Utilities/briarctl/CommandTable.cpp
+++ b/Utilities/briarctl/CommandTable.cpp
@@ -23,12 +23,14 @@
     OptionDescription{Option::Instances, "instances", "ADDRESS,...", "Operator addresses of the instances; else BRIARBEND_INSTANCES."},
     OptionDescription{Option::Json, "json", "", "Print one JSON object instead of text."},
     OptionDescription{Option::Replace, "replace", "", "Replace whatever version the store holds when the command begins."},
+    OptionDescription{Option::Request, "request", "ID", "The request whose story is told."},
     OptionDescription{Option::Settings, "settings", "", "The files are settings of briarbendd, not configuration documents."},
     OptionDescription{Option::Store, "store", "ADDRESS,...", "Addresses of the store; else BRIARBEND_STORE."},
     OptionDescription{Option::Team, "team", "TEAM", "The team whose section is meant."},
     OptionDescription{Option::Timeout, "timeout", "DURATION", "How long to follow up a lost answer and to wait for instances (\"10s\")."},
     OptionDescription{Option::Wait, "wait", "", "Wait until all instances have the edit in force."},
     OptionDescription{Option::Watch, "watch", "", "Show again every two seconds until interrupted."},
+    OptionDescription{Option::Worst, "worst", "", "List the requests worth asking about, worst first."},
 };
 
 constexpr std::string_view EXIT_CODES{R"(
@@ -37,7 +39,7 @@
    1  shown or accepted, but an instance did not answer or is out of step
   64  the command line can not be understood
   65  the configuration document has problems; nothing was changed
-  66  the section or data centre does not exist; nothing was changed
+  66  the section, data centre or request does not exist; nothing was changed
   69  the store did not answer; nothing was changed
   70  a fault of briarctl itself
   74  the store's answer was lost; the edit may be in force or not
@@ -152,6 +154,14 @@
          .meaning = "Print the page of all keys of the configuration document.",
          .options = {Option::Help},
          .examples = {"briarctl configuration-reference > docs/operators/configuration.md"}},
+        {.command = Command::Explain,
+         .name = "explain",
+         .arguments = "LOG...",
+         .minimumArguments = 1,
+         .maximumArguments = ANY_NUMBER,
+         .meaning = "Tell from the logs of gateways why a request went as it did, or which to ask about; - reads standard input.",
+         .options = {Option::Request, Option::Worst, Option::Json, Option::Help},
+         .examples = {"briarctl explain --worst front-*.log", "briarctl explain --request a07198b1751b65b3 front-*.log"}},
     };
     return table;
 }
--- a/Utilities/briarctl/CommandTable.h
+++ b/Utilities/briarctl/CommandTable.h
@@ -19,6 +19,7 @@
     Undrain,
     SettingsReference,
     ConfigurationReference,
+    Explain,
 };
 
 enum class Option {
@@ -27,12 +28,14 @@
     Instances,
     Json,
     Replace,
+    Request,
     Settings,
     Store,
     Team,
     Timeout,
     Wait,
     Watch,
+    Worst,
 };
 
 struct OptionDescription {
--- a/Utilities/briarctl/Commands.h
+++ b/Utilities/briarctl/Commands.h
@@ -25,6 +25,7 @@
 
 /// Each runs one command; document and system errors are thrown to the caller.
 ExitCode check(Session &session);
+ExitCode explain(Session &session);
 boost::asio::awaitable<ExitCode> apply(Session &session);
 boost::asio::awaitable<ExitCode> show(Session &session);
 boost::asio::awaitable<ExitCode> status(Session &session);
--- a/Utilities/briarctl/EditOutput.cpp
+++ b/Utilities/briarctl/EditOutput.cpp
@@ -107,7 +107,7 @@
             this->session.problems << nothing.reason
                                    << "; nothing was changed\nnext: `briarctl show` prints the sections and their data centres\n";
         }
-        return ExitCode::NothingToEdit;
+        return ExitCode::NotFound;
     }
 
     ExitCode operator()(const Operations::StoreUnavailable &unavailable) const
--- a/Utilities/briarctl/ExitCode.h
+++ b/Utilities/briarctl/ExitCode.h
@@ -12,8 +12,8 @@
     Usage = 64,
     /// The configuration document has problems; nothing was changed.
     BadDocument = 65,
-    /// The section or data centre to be edited does not exist; nothing was changed.
-    NothingToEdit = 66,
+    /// The section, data centre or request that is asked for does not exist; nothing was changed.
+    NotFound = 66,
     /// The store did not answer; nothing was changed.
     Unavailable = 69,
     /// A fault of briarctl itself.
--- a/Utilities/briarctl/ShowCommands.cpp
+++ b/Utilities/briarctl/ShowCommands.cpp
@@ -241,7 +241,7 @@
         });
         if (sections.empty()) {
             session.problems << "team " << session.arguments.team->value << " has no section in the store\n";
-            co_return ExitCode::NothingToEdit;
+            co_return ExitCode::NotFound;
         }
     }
     if (session.arguments.wantsJson) {
--- a/Utilities/briarctl/briarctl.bash
+++ b/Utilities/briarctl/briarctl.bash
@@ -11,6 +11,7 @@
         [dump]='--instances --timeout --json --help'
         [drain]='--team --wait --instances --store --timeout --json --help'
         [undrain]='--team --wait --instances --store --timeout --json --help'
+        [explain]='--request --worst --json --help'
         [settings-reference]='--help'
         [configuration-reference]='--help'
     )
@@ -20,7 +21,7 @@
         return
     fi
     case $previous in
-    --team | --based-on | --instances | --store | --timeout)
+    --team | --based-on | --instances | --request | --store | --timeout)
         return
         ;;
     esac
@@ -29,7 +30,7 @@
         return
     fi
     case $command in
-    check | apply)
+    check | apply | explain)
         mapfile -t COMPREPLY < <(compgen -f -- "$current")
         ;;
     esac
--- a/Utilities/briarctl/main.cpp
+++ b/Utilities/briarctl/main.cpp
@@ -68,6 +68,8 @@
     switch (*arguments.command) {
     case Command::Check:
         return check(session);
+    case Command::Explain:
+        return explain(session);
     case Command::SettingsReference:
         session.output << Settings::settingsReference();
         return ExitCode::Done;
