LibRollout: Complete a version only after it has shown that it serves

The service has 27 requests a second, so that the trial share gave 16 requests; instances were stopped in turn and lost theirs, and the old targets were slow and failed too, which the comparison forgives the new ones. Neither good nor bad was shown, and the share grew by the clock, faster than slow answers come. Ruled out: evidence forgotten too early (it is kept for ten seconds).

After its trial a version must have 15 answers in time, and 0.7 of the old version's share of them; an instance that has been judge for 1.2 s takes it back otherwise. The trial share now also plans with the requests that may go to an unproven version beyond the share (the setting was read and unused).

--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -22,6 +22,12 @@
 /// way.
 constexpr double TRIAL_PART = 0.6;
 constexpr const char *OLD_VERSION{"previous"};
+/// The largest trial share, where hardly any traffic was seen to plan with.
+constexpr double LARGEST_TRIAL_SHARE = 0.25;
+/// Part of the move's time after which a version must have shown that it serves: shortly before the share grows even on thin evidence.
+constexpr double PROOF_FRACTION = 0.62;
+/// Time for which an instance must have been a judge before it misses evidence: a few times the interval in which it is sent.
+constexpr std::chrono::milliseconds JUDGE_EXPERIENCE{1200};
 
 /// The course of a move whose deadline is binding: targets are few and requests per instance too, so that evidence is kept for ten seconds.
 Rollout::Settings courseSettings()
@@ -133,11 +139,53 @@
                                             .to = move.order.version,
                                             .start = start,
                                             .finishBy = start + whole,
-                                            .trialShare = this->state.settings.rollouts.exposedShare * TRIAL_PART};
+                                            .trialShare = this->trialShare(move)};
     move.state = std::make_unique<Rollout::RolloutState>(configured, this->peers.state().members.self, courseSettings());
     this->refreshTargets(move);
 }
 
+double RolloutDriver::trialShare(const Move &move) const
+{
+    const auto &settings = this->state.settings.rollouts;
+    const auto book = this->state.services.find(move.order.service);
+    const auto seen = book == this->state.services.end() ? 0 : book->second->budget.requests.size();
+    if (seen == 0) {
+        return settings.exposedShare * TRIAL_PART;
+    }
+    // Each instance plans with its own traffic; over all instances the requests beyond the share add up to their bound.
+    const std::chrono::duration<double> window = book->second->budget.parameters.window;
+    const std::chrono::duration<double> ramp = move.order.ramp;
+    const auto expected = static_cast<double>(seen) / window.count() * ramp.count() * static_cast<double>(this->state.instances);
+    return std::min(LARGEST_TRIAL_SHARE, TRIAL_PART * (settings.exposedShare + settings.exposedRequests / expected));
+}
+
+void RolloutDriver::noteJudge(Move &move, Core::TimePoint now) const
+{
+    const auto &members = this->peers.state().members;
+    const auto judges = Rollout::judges(*move.state, Membership::aliveMembers(members));
+    const bool isJudge = std::ranges::find(judges, members.self) != judges.end();
+    if (!isJudge) {
+        move.judgeSince.reset();
+    } else if (!move.judgeSince) {
+        move.judgeSince = now;
+    }
+}
+
+void RolloutDriver::requireProof(Move &move, Core::TimePoint now)
+{
+    const auto wallNow = Network::wallNow();
+    const auto &course = move.state->move;
+    const auto due = course.start + std::chrono::duration_cast<std::chrono::milliseconds>((course.finishBy - course.start) * PROOF_FRACTION);
+    const bool isExperienced = move.judgeSince && now - *move.judgeSince >= JUDGE_EXPERIENCE;
+    if (wallNow < due || !isExperienced || !Rollout::isUnproven(*move.state)) {
+        return;
+    }
+    if (const auto status = Rollout::takeBack(*move.state, Rollout::Fault::Unproven, wallNow)) {
+        this->logStep(move, *status);
+        this->tellVerdict(*status);
+    }
+}
+
 std::optional<VersionSplit> RolloutDriver::split(const Core::ServiceName &service, const std::string &route) const
 {
     const auto found = this->moves.find(service.value);
@@ -192,6 +240,8 @@
         if (move.state) {
             this->refreshTargets(move);
             this->decide(move);
+            this->noteJudge(move, now);
+            this->requireProof(move, now);
         }
         this->writeWhenDue(service, move, now);
     }
@@ -201,28 +251,46 @@
 {
     const auto status = Rollout::decide(*move.state, Network::wallNow());
     if (status) {
-        this->state.log.write(Importance::Notable,
-                              "rollout_step",
-                              {{"service", status->service.value},
-                               {"version", status->to.value},
-                               {"phase", Rollout::nameOf(status->phase)},
-                               {"step", status->step},
-                               {"fault", Rollout::nameOf(status->fault)},
-                               {"route", status->faultRoute},
-                               {"requests", move.state->requests},
-                               {"requests_to_new", move.state->requestsToNew}});
+        this->logStep(move, *status);
     }
     if (status && status->phase == Rollout::Phase::TakenBack) {
-        const auto bytes = Coordination::encodeRolloutMessage(*status);
-        for (const auto &address : this->addressesOf(Membership::aliveMembers(this->peers.state().members))) {
-            this->peers.send(Channel::Rollout, address, bytes);
-        }
+        this->tellVerdict(*status);
     }
     if (Rollout::isEvidenceUrgent(*move.state, Network::wallNow())) {
         this->sendEvidence(move);
     }
 }
 
+void RolloutDriver::logStep(const Move &move, const Rollout::Status &status) const
+{
+    Rollout::AnswerCounts sum;
+    for (const auto &[cell, counts] : move.state->answers) {
+        sum.inTimeOfNew += counts.inTimeOfNew;
+        sum.requestsToNew += counts.requestsToNew;
+    }
+    this->state.log.write(Importance::Notable,
+                          "rollout_step",
+                          {{"service", status.service.value},
+                           {"version", status.to.value},
+                           {"phase", Rollout::nameOf(status.phase)},
+                           {"step", status.step},
+                           {"fault", Rollout::nameOf(status.fault)},
+                           {"route", status.faultRoute},
+                           {"requests", move.state->requests},
+                           {"requests_to_new", move.state->requestsToNew},
+                           {"known_to_new", sum.requestsToNew},
+                           {"known_in_time", sum.inTimeOfNew},
+                           {"trial_share", move.state->move.trialShare}});
+}
+
+void RolloutDriver::tellVerdict(const Rollout::Status &status)
+{
+    const auto bytes = Coordination::encodeRolloutMessage(status);
+    for (const auto &address : this->addressesOf(Membership::aliveMembers(this->peers.state().members))) {
+        this->peers.send(Channel::Rollout, address, bytes);
+    }
+}
+
 void RolloutDriver::refreshTargets(Move &move) const
 {
     const auto book = this->state.services.find(move.order.service);
--- a/Libraries/LibGateway/RolloutDriver.h
+++ b/Libraries/LibGateway/RolloutDriver.h
@@ -32,6 +32,8 @@
         /// When this instance saw that there is something to write.
         std::optional<Core::TimePoint> dueSince;
         bool isWriting{false};
+        /// Since when this instance has been one of the judges, who have the evidence of all.
+        std::optional<Core::TimePoint> judgeSince;
         /// Members that send nothing more to the old version.
         std::set<Core::InstanceId> confirmed;
     };
@@ -39,6 +41,13 @@
     std::optional<VersionSplit> split(const Core::ServiceName &service, const std::string &route) const;
     void observe(const SendObservation &observation);
     void beginRunning(Move &move);
+    /// Part of the requests that the new version gets while it is on trial.
+    double trialShare(const Move &move) const;
+    void noteJudge(Move &move, Core::TimePoint now) const;
+    /// Takes the version back where its trial ends without proof that it serves.
+    void requireProof(Move &move, Core::TimePoint now);
+    void logStep(const Move &move, const Rollout::Status &status) const;
+    void tellVerdict(const Rollout::Status &status);
     void tick(Core::TimePoint now);
     void decide(Move &move);
     void refreshTargets(Move &move) const;
--- a/Libraries/LibRollout/Evidence.cpp
+++ b/Libraries/LibRollout/Evidence.cpp
@@ -79,6 +79,10 @@
         auto &total = sum.answers[cell];
         total.ofOld += counts.ofOld;
         total.ofNew += counts.ofNew;
+        total.inTimeOfOld += counts.inTimeOfOld;
+        total.inTimeOfNew += counts.inTimeOfNew;
+        total.requestsToOld += counts.requestsToOld;
+        total.requestsToNew += counts.requestsToNew;
     }
 }
 
@@ -97,7 +101,14 @@
     }
     Json answers = Json::array();
     for (const auto &[cell, counts] : evidence.answers) {
-        answers.push_back(Json::array({positionOf(routes, cell.route), static_cast<unsigned>(cell.level), counts.ofOld, counts.ofNew}));
+        answers.push_back(Json::array({positionOf(routes, cell.route),
+                                       static_cast<unsigned>(cell.level),
+                                       counts.ofOld,
+                                       counts.ofNew,
+                                       counts.inTimeOfOld,
+                                       counts.inTimeOfNew,
+                                       counts.requestsToOld,
+                                       counts.requestsToNew}));
     }
     return Json::to_cbor(Json::array({evidence.revision, routes, std::move(failures), std::move(latencies), std::move(answers)}));
 }
@@ -126,7 +137,12 @@
         }
         for (const auto &entry : json.at(4)) {
             evidence.answers[{.route = routeAt(entry.at(0)), .level = enumerationFromJson(entry.at(1), LoadLevel::High)}]
-                = {entry.at(2).get<std::uint64_t>(), entry.at(3).get<std::uint64_t>()};
+                = {.ofOld = entry.at(2).get<std::uint64_t>(),
+                   .ofNew = entry.at(3).get<std::uint64_t>(),
+                   .inTimeOfOld = entry.at(4).get<std::uint64_t>(),
+                   .inTimeOfNew = entry.at(5).get<std::uint64_t>(),
+                   .requestsToOld = entry.at(6).get<std::uint64_t>(),
+                   .requestsToNew = entry.at(7).get<std::uint64_t>()};
         }
         return evidence;
     } catch (const Json::exception &error) {
--- a/Libraries/LibRollout/Evidence.h
+++ b/Libraries/LibRollout/Evidence.h
@@ -77,10 +77,17 @@
     bool operator==(const LatencyCounts &) const = default;
 };
 
-/// Answers without failure of both versions.
+/// Answers of both versions, those of cold targets left out.
 struct AnswerCounts {
+    /// Answers without failure.
     std::uint64_t ofOld{0};
     std::uint64_t ofNew{0};
+    /// Answers without failure that were not slow, as far as the slow threshold was known.
+    std::uint64_t inTimeOfOld{0};
+    std::uint64_t inTimeOfNew{0};
+    /// All requests, with the failed ones.
+    std::uint64_t requestsToOld{0};
+    std::uint64_t requestsToNew{0};
 
     bool operator==(const AnswerCounts &) const = default;
 };
--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -63,13 +63,26 @@
     return due;
 }
 
-void countLatency(RolloutState &state, const Observation &observation, BlockNumber block, Core::WallTime now)
+/// Latency above which the answer counts as slow, where it is known. Notes answers of the old version for it.
+std::optional<std::chrono::microseconds> slowThreshold(RolloutState &state, const Observation &observation, Core::WallTime now)
 {
     auto &reference = state.references[observation.cell.route];
     if (observation.side == Side::Old) {
         reference.add(observation.latency, now);
     }
-    const auto threshold = observation.slowThreshold ? observation.slowThreshold : reference.slowThreshold();
+    return observation.slowThreshold ? observation.slowThreshold : reference.slowThreshold();
+}
+
+void countAnswer(AnswerCounts &answers, Side side, bool isInTime)
+{
+    ++(side == Side::Old ? answers.ofOld : answers.ofNew);
+    if (isInTime) {
+        ++(side == Side::Old ? answers.inTimeOfOld : answers.inTimeOfNew);
+    }
+}
+
+void countLatency(RolloutState &state, const Observation &observation, BlockNumber block, std::optional<std::chrono::microseconds> threshold)
+{
     const auto &sampled = observation.side == Side::Old ? state.sampledOld : state.sampledNew;
     if (!threshold || std::ranges::find(sampled, observation.target) == sampled.end()) {
         return;
@@ -99,6 +112,10 @@
     const auto block = blockAt(state, now);
     auto &failures = state.own.failures[{block, observation.cell.route, observation.side}];
     ++failures.requests;
+    auto &answers = state.own.answers[observation.cell];
+    if (!observation.isCold) {
+        ++(observation.side == Side::Old ? answers.requestsToOld : answers.requestsToNew);
+    }
     if (observation.isFailure) {
         ++failures.failures;
         state.hasNewFailure = state.hasNewFailure || observation.side == Side::New;
@@ -107,9 +124,9 @@
     if (observation.isCold) {
         return;
     }
-    auto &answers = state.own.answers[observation.cell];
-    ++(observation.side == Side::Old ? answers.ofOld : answers.ofNew);
-    countLatency(state, observation, block, now);
+    const auto threshold = slowThreshold(state, observation, now);
+    countAnswer(answers, observation.side, !threshold || observation.latency <= *threshold);
+    countLatency(state, observation, block, threshold);
 }
 
 bool isEvidenceUrgent(RolloutState &state, Core::WallTime now)
@@ -172,6 +189,34 @@
     return isChanged ? std::optional{state.status} : std::nullopt;
 }
 
+bool isUnproven(const RolloutState &state)
+{
+    AnswerCounts sum;
+    for (const auto &[cell, counts] : state.answers) {
+        sum.inTimeOfOld += counts.inTimeOfOld;
+        sum.inTimeOfNew += counts.inTimeOfNew;
+        sum.requestsToOld += counts.requestsToOld;
+        sum.requestsToNew += counts.requestsToNew;
+    }
+    if (sum.requestsToOld < state.settings.sufficientAnswers) {
+        return false;
+    }
+    const auto shareOfOld = static_cast<double>(sum.inTimeOfOld) / static_cast<double>(sum.requestsToOld);
+    const auto wanted = state.settings.provenPart * shareOfOld * static_cast<double>(sum.requestsToNew);
+    return sum.inTimeOfNew < state.settings.sufficientAnswers || static_cast<double>(sum.inTimeOfNew) < wanted;
+}
+
+std::optional<Status> takeBack(RolloutState &state, Fault fault, Core::WallTime now)
+{
+    if (!isActive(state)) {
+        return std::nullopt;
+    }
+    state.status.phase = Phase::TakenBack;
+    state.status.fault = fault;
+    state.status.since = now;
+    return state.status;
+}
+
 const MemberEvidence &nextEvidence(RolloutState &state)
 {
     ++state.own.revision;
--- a/Libraries/LibRollout/Rollout.h
+++ b/Libraries/LibRollout/Rollout.h
@@ -30,6 +30,9 @@
     std::vector<double> steps{0.1, 0.25, 0.5, 0.98};
     /// Answers of the new version that prove a cell.
     std::uint64_t sufficientAnswers{100};
+    /// Part of the old version's share of answers in time that a proven version has at least. A bad version fails or is slow for a third of
+    /// its requests or more; a good one with a few tens of answers stays above by chance.
+    double provenPart{0.7};
     /// Part of the old version's answers above which a cell must be proven before the share grows.
     double relevantPart{0.02};
     /// Targets of each version that are sampled, and that the trial share goes to.
@@ -130,6 +133,13 @@
 /// push it to the peers, then write it to the store with merge on conflict.
 std::optional<Status> decide(RolloutState &state, Core::WallTime now);
 
+/// True where the old version had traffic and the new one has not shown, by the evidence of the last decision, that it answers about as
+/// well. Only an instance that has the evidence of the others can tell.
+bool isUnproven(const RolloutState &state);
+
+/// Takes the version back for a fault that was found outside of the comparison. The status to spread, nothing where the move has ended.
+std::optional<Status> takeBack(RolloutState &state, Fault fault, Core::WallTime now);
+
 /// This instance's evidence for gossip, with a new revision.
 const MemberEvidence &nextEvidence(RolloutState &state);
 
--- a/Libraries/LibRollout/Share.cpp
+++ b/Libraries/LibRollout/Share.cpp
@@ -31,7 +31,8 @@
 double trialShare(const RolloutState &state, const std::string &route, Core::WallTime now)
 {
     if (isSuspect(state, route, now)) {
-        return std::min(state.settings.largestSuspectShare, state.move.trialShare * state.settings.suspectFactor);
+        const auto most = std::max(state.settings.largestSuspectShare, state.move.trialShare);
+        return std::min(most, state.move.trialShare * state.settings.suspectFactor);
     }
     const std::chrono::duration<double> bursts = state.settings.burstLength * state.sampledNew.size();
     const auto burstPart = bursts / std::chrono::duration<double>{state.settings.burstPeriod};
--- a/Libraries/LibRollout/Status.cpp
+++ b/Libraries/LibRollout/Status.cpp
@@ -15,7 +15,7 @@
 using Json = nlohmann::json;
 
 constexpr std::array PHASE_NAMES{"waiting", "trial", "ramping", "done", "taken back"};
-constexpr std::array FAULT_NAMES{"none", "failures", "slowness"};
+constexpr std::array FAULT_NAMES{"none", "failures", "slowness", "unproven"};
 
 template<typename Enumeration, std::size_t COUNT>
 Enumeration valueOf(const std::array<const char *, COUNT> &names, const std::string &name)
--- a/Libraries/LibRollout/Status.h
+++ b/Libraries/LibRollout/Status.h
@@ -27,6 +27,8 @@
     None = 0,
     Failures = 1,
     Slowness = 2,
+    /// Too few good answers, against those of the old version, by the time at which the share has to grow.
+    Unproven = 3,
 };
 
 /// What is known of one move, kept in the store and spread by peers. Merging is commutative, associative and idempotent: taken back
--- a/Tests/LibRollout/TestStatus.cpp
+++ b/Tests/LibRollout/TestStatus.cpp
@@ -23,7 +23,7 @@
             .phase = static_cast<Phase>(*rc::gen::inRange(0, 5)),
             .step = *rc::gen::inRange<std::uint32_t>(0, 3),
             .since = START + std::chrono::milliseconds{*rc::gen::inRange(0, 3)},
-            .fault = static_cast<Fault>(*rc::gen::inRange(0, 3)),
+            .fault = static_cast<Fault>(*rc::gen::inRange(0, 4)),
             .faultRoute = *rc::gen::element<std::string>("", "/a")};
 }
 
@@ -104,4 +104,71 @@
     EXPECT_EQ(state.status.phase, Phase::Done);
 }
 
+namespace
+{
+
+struct Answers {
+    std::size_t good;
+    std::size_t slow;
+    std::size_t failed;
+};
+
+/// A move after the answers of both versions, targets and times spread over the trial.
+RolloutState afterTrial(const Answers &ofOld, const Answers &ofNew)
+{
+    auto state = stateOf("one");
+    state.settings.sufficientAnswers = 15;
+    const auto add = [&state](Side side, std::size_t count, bool isFailure, std::chrono::milliseconds latency) {
+        for (std::size_t number = 0; number < count; ++number) {
+            observe(state,
+                    {.cell = {.route = "/a"},
+                     .side = side,
+                     .target = {"t" + std::to_string(number % 5)},
+                     .isFailure = isFailure,
+                     .latency = latency,
+                     .slowThreshold = 800ms},
+                    START + 10s);
+        }
+    };
+    decide(state, START + 1s);
+    for (const auto &[side, answers] : {std::pair{Side::Old, ofOld}, std::pair{Side::New, ofNew}}) {
+        add(side, answers.good, false, 300ms);
+        add(side, answers.slow, false, 2300ms);
+        add(side, answers.failed, true, 100ms);
+    }
+    decide(state, START + 12s);
+    return state;
+}
+
+} // namespace
+
+// The comparison forgives the new version what the old one shows too. With few requests in a noisy service that left a slow version
+// neither proven nor found bad, and the move went on to its end.
+TEST(Rollout, aSlowVersionInANoisyServiceIsUnproven)
+{
+    EXPECT_TRUE(isUnproven(afterTrial({160, 70, 20}, {2, 12, 2})));
+}
+
+TEST(Rollout, aVersionThatServesAsWellAsTheOldOneIsProven)
+{
+    EXPECT_FALSE(isUnproven(afterTrial({160, 70, 20}, {20, 8, 3})));
+    EXPECT_FALSE(isUnproven(afterTrial({200, 2, 0}, {16, 0, 0})));
+}
+
+TEST(Rollout, aVersionWithTooFewAnswersIsUnprovenUnlessNobodyAsks)
+{
+    EXPECT_TRUE(isUnproven(afterTrial({200, 2, 0}, {5, 0, 0})));
+    EXPECT_FALSE(isUnproven(afterTrial({10, 0, 0}, {0, 0, 0}))) << "a service with hardly any traffic";
+}
+
+TEST(Rollout, anUnprovenVersionIsTakenBackOnce)
+{
+    auto state = afterTrial({200, 2, 0}, {5, 0, 0});
+    const auto status = takeBack(state, Fault::Unproven, START + 12s);
+    ASSERT_TRUE(status);
+    EXPECT_EQ(status->phase, Phase::TakenBack);
+    EXPECT_EQ(shareOfNew(state, {.route = "/a"}, START + 13s), 0);
+    EXPECT_FALSE(takeBack(state, Fault::Unproven, START + 13s));
+}
+
 } // namespace Briarbend::Rollout
