LibGateway: Keep steps of the time of day out of moves between versions

A driver's clock now starts from the time of day and goes on with the host's clock since its start. Ruled out: one clock for the fleet (nobody has it).

--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -173,7 +173,7 @@
 
 void RolloutDriver::requireProof(Move &move, Core::TimePoint now)
 {
-    const auto wallNow = Network::wallNow();
+    const auto wallNow = this->clock.now();
     const auto &course = move.state->move;
     const auto due = course.start + std::chrono::duration_cast<std::chrono::milliseconds>((course.finishBy - course.start) * PROOF_FRACTION);
     const bool isExperienced = move.judgeSince && now - *move.judgeSince >= JUDGE_EXPERIENCE;
@@ -202,7 +202,7 @@
     if (!move.state) {
         return split;
     }
-    const auto now = Network::wallNow();
+    const auto now = this->clock.now();
     split.newShare = Rollout::shareOfNew(*move.state, {route, move.level}, now);
     if (move.state->status.phase == Rollout::Phase::Done) {
         split.fallback = VersionFallback::None;
@@ -228,7 +228,7 @@
                       .latency = std::chrono::duration_cast<std::chrono::microseconds>(observation.elapsed),
                       .isCold = observation.wasCold,
                       .slowThreshold = observation.objective},
-                     Network::wallNow());
+                     this->clock.now());
     if (observation.isFailure && observation.version == move.order.version) {
         this->decide(move);
     }
@@ -249,14 +249,14 @@
 
 void RolloutDriver::decide(Move &move)
 {
-    const auto status = Rollout::decide(*move.state, Network::wallNow());
+    const auto status = Rollout::decide(*move.state, this->clock.now());
     if (status) {
         this->logStep(move, *status);
     }
     if (status && status->phase == Rollout::Phase::TakenBack) {
         this->tellVerdict(*status);
     }
-    if (Rollout::isEvidenceUrgent(*move.state, Network::wallNow())) {
+    if (Rollout::isEvidenceUrgent(*move.state, this->clock.now())) {
         this->sendEvidence(move);
     }
 }
@@ -307,7 +307,7 @@
             (isNew ? newTargets : oldTargets).push_back({target.record.name});
         }
     }
-    Rollout::setTargets(*move.state, oldTargets, newTargets, Network::wallNow());
+    Rollout::setTargets(*move.state, oldTargets, newTargets, this->clock.now());
     move.level = levelOf(*book->second);
 }
 
--- a/Libraries/LibGateway/RolloutDriver.h
+++ b/Libraries/LibGateway/RolloutDriver.h
@@ -3,6 +3,7 @@
 #include <LibCoordination/PeerLink.h>
 #include <LibCoordination/RolloutMessage.h>
 #include <LibGateway/GatewayState.h>
+#include <LibNetwork/WallClock.h>
 #include <LibRollout/Rollout.h>
 
 namespace Briarbend::Gateway
@@ -68,6 +69,7 @@
     GatewayState &state;
     PlatformStore &store;
     Coordination::PeerLink &peers;
+    Network::SteadyWallClock clock;
     std::map<std::string, Move> moves;
     std::vector<std::unique_ptr<Core::TimerSubscription>> subscriptions;
     std::size_t nextPeer{0};
--- a/Libraries/LibGateway/RolloutWriting.cpp
+++ b/Libraries/LibGateway/RolloutWriting.cpp
@@ -77,7 +77,7 @@
     }
     move.isWriting = true;
     RolloutProgress progress{
-        .state = *wanted, .version = move.order.version, .startedAt = move.state ? move.state->move.start : Network::wallNow()};
+        .state = *wanted, .version = move.order.version, .startedAt = move.state ? move.state->move.start : this->clock.now()};
     spawn(this->state, "rollout", this->write(service, progress));
 }
 
--- a/Libraries/LibNetwork/WallClock.h
+++ b/Libraries/LibNetwork/WallClock.h
@@ -22,4 +22,25 @@
     return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
 }
 
+/// Time of day that goes on with the time since the host started: steps of the host's clock do not show. For courses that several instances
+/// follow by the time of day.
+class SteadyWallClock
+{
+public:
+    explicit SteadyWallClock(Core::WallTime wall = wallNow(), std::chrono::nanoseconds boot = bootNow())
+        : anchor(wall)
+        , bootAtAnchor(boot)
+    {
+    }
+
+    Core::WallTime now(std::chrono::nanoseconds boot = bootNow()) const
+    {
+        return this->anchor + std::chrono::duration_cast<Core::WallTime::duration>(boot - this->bootAtAnchor);
+    }
+
+private:
+    Core::WallTime anchor;
+    std::chrono::nanoseconds bootAtAnchor;
+};
+
 } // namespace Briarbend::Network
