LibRollout: Hold against a version only failures that the old one does not share

The old version's share of failures was taken over ten seconds, the new one's over its worst last blocks: what befell both from one moment on spoke against the new one only. A verdict now also needs more failures than the old version has since the same start. The trial share planned with ten seconds of traffic also where only two were seen, and came out five times too large.

--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -24,6 +24,8 @@
 constexpr const char *OLD_VERSION{"previous"};
 /// The largest trial share, where hardly any traffic was seen to plan with.
 constexpr double LARGEST_TRIAL_SHARE = 0.25;
+/// Traffic over less time than this says little about its rate.
+constexpr std::chrono::milliseconds SHORTEST_RATE_SPAN{1000};
 /// Part of the move's time after which a version must have shown that it serves: shortly before the share grows even on thin evidence.
 constexpr double PROOF_FRACTION = 0.62;
 /// Time for which an instance must have been a judge before it misses evidence: a few times the interval in which it is sent.
@@ -148,14 +150,14 @@
 {
     const auto &settings = this->state.settings.rollouts;
     const auto book = this->state.services.find(move.order.service);
-    const auto seen = book == this->state.services.end() ? 0 : book->second->budget.requests.size();
-    if (seen == 0) {
+    if (book == this->state.services.end() || book->second->budget.requests.empty()) {
         return settings.exposedShare * TRIAL_PART;
     }
     // Each instance plans with its own traffic; over all instances the requests beyond the share add up to their bound.
-    const std::chrono::duration<double> window = book->second->budget.parameters.window;
+    const auto &seen = book->second->budget.requests;
+    const std::chrono::duration<double> span = std::max<Core::Duration>(SHORTEST_RATE_SPAN, Core::Clock::now() - seen.front());
     const std::chrono::duration<double> ramp = move.order.ramp;
-    const auto expected = static_cast<double>(seen) / window.count() * ramp.count() * static_cast<double>(this->state.instances);
+    const auto expected = static_cast<double>(seen.size()) / span.count() * ramp.count() * static_cast<double>(this->state.instances);
     return std::min(LARGEST_TRIAL_SHARE, TRIAL_PART * (settings.exposedShare + settings.exposedRequests / expected));
 }
 
--- a/Libraries/LibRollout/ChangeDetection.cpp
+++ b/Libraries/LibRollout/ChangeDetection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <ranges>
 #include <set>
 #include <utility>
 
@@ -14,6 +15,9 @@
 
 constexpr std::array FAILURE_FACTORS{4.0, 16.0, 64.0};
 constexpr double LARGEST_FAILURE_SHARE = 0.9;
+/// Failures that the old version is taken to have had beside those seen, at the tolerated share: few enough to fade within a second of
+/// traffic, so that a fault of both versions shows in the old one as fast as in the new one.
+constexpr double PRIOR_FAILURES = 0.1;
 constexpr double SLOW_UNIT_SHARE = 0.9;
 constexpr double LARGEST_TOLERATED_SLOW_UNITS = 0.5;
 constexpr double FAILURE_MARGIN = 2.0;
@@ -25,11 +29,14 @@
     double trials{0};
 };
 
-using Series = std::map<BlockNumber, BlockTally>;
+/// Both versions in one block.
+struct BlockPair {
+    BlockTally ofOld;
+    BlockTally ofNew;
+};
 
 struct RouteSeries {
-    Series ofNew;
-    BlockTally ofOld;
+    std::map<BlockNumber, BlockPair> blocks;
     /// Targets of the new version with a block that was judged, and with a slow one.
     std::set<Core::TargetId> seenTargets;
     std::set<Core::TargetId> slowTargets;
@@ -42,14 +49,30 @@
     return tally.events * std::log(alternative / tolerated) + others * std::log((1 - alternative) / (1 - tolerated));
 }
 
-/// The largest sum over blocks from any start to the newest block.
-double largestTail(const Series &series, double tolerated, double alternative)
+void add(BlockTally &sum, const BlockTally &tally)
+{
+    sum.events += tally.events;
+    sum.trials += tally.trials;
+}
+
+/// The largest value of a function of both versions' tallies over the blocks from any start to the newest one.
+template<typename Evidence>
+double largestOverStarts(const RouteSeries &route, Evidence evidence)
 {
-    double sum = 0;
-    for (const auto &[block, tally] : series) {
-        sum = std::max(0.0, sum + logRatio(tally, tolerated, alternative));
+    BlockPair sum;
+    double largest = 0;
+    for (const auto &[block, pair] : std::views::reverse(route.blocks)) {
+        add(sum.ofOld, pair.ofOld);
+        add(sum.ofNew, pair.ofNew);
+        largest = std::max(largest, evidence(sum));
     }
-    return sum;
+    return largest;
+}
+
+BlockTally &tallyOf(RouteSeries &route, BlockNumber block, Side side)
+{
+    auto &pair = route.blocks[block];
+    return side == Side::New ? pair.ofNew : pair.ofOld;
 }
 
 /// Names all routes together.
@@ -61,7 +84,7 @@
     for (const auto &[key, counts] : sum.failures) {
         for (const auto &name : {ALL_ROUTES, key.route}) {
             auto &route = routes[name];
-            auto &tally = key.side == Side::New ? route.ofNew[key.block] : route.ofOld;
+            auto &tally = tallyOf(route, key.block, key.side);
             tally.trials += counts.requests;
             tally.events += counts.failures;
         }
@@ -83,7 +106,7 @@
     }
     const auto isSlow = 2 * unit.slow > unit.requests;
     unit = {};
-    auto &tally = key.side == Side::New ? route.ofNew[key.block] : route.ofOld;
+    auto &tally = tallyOf(route, key.block, key.side);
     tally.trials += 1;
     tally.events += isSlow ? 1 : 0;
     if (key.side == Side::New) {
@@ -119,25 +142,57 @@
     return routes;
 }
 
-/// Largest log likelihood ratio for more failures than the old version has.
-double failureEvidence(const RouteSeries &route, const DetectionSettings &settings)
+BlockTally totalOfOld(const RouteSeries &route)
+{
+    BlockTally total;
+    std::ranges::for_each(route.blocks, [&total](const auto &entry) {
+        add(total, entry.second.ofOld);
+    });
+    return total;
+}
+
+/// Log likelihood ratio for more failures of the new version than the old version's share makes plausible.
+double failureRatio(const BlockTally &ofNew, double shareOfOld, const DetectionSettings &settings)
 {
-    const auto shareOfOld = (route.ofOld.events + 1) / (route.ofOld.trials + 1 / settings.toleratedFailures);
     const auto tolerated = std::min(LARGEST_FAILURE_SHARE / 2, std::max(settings.toleratedFailures, FAILURE_MARGIN * shareOfOld));
     auto largest = 0.0;
     for (const auto factor : FAILURE_FACTORS) {
         const auto alternative = std::min(LARGEST_FAILURE_SHARE, tolerated * factor);
-        largest = std::max(largest, largestTail(route.ofNew, tolerated, alternative));
+        largest = std::max(largest, logRatio(ofNew, tolerated, alternative));
     }
     return largest;
 }
 
-/// Largest log likelihood ratio for more slow units than the old version has.
+/// Largest log likelihood ratio for more failures than the old version has had in all the time that is kept.
+double failureEvidence(const RouteSeries &route, const DetectionSettings &settings)
+{
+    const auto ofOld = totalOfOld(route);
+    const auto shareOfOld = (ofOld.events + 1) / (ofOld.trials + 1 / settings.toleratedFailures);
+    return largestOverStarts(route, [shareOfOld, &settings](const BlockPair &pair) {
+        return failureRatio(pair.ofNew, shareOfOld, settings);
+    });
+}
+
+/// The same against the old version's failures since the same start. What befalls both versions from one moment on does not speak against
+/// the new one.
+double simultaneousFailureEvidence(const RouteSeries &route, const DetectionSettings &settings)
+{
+    return largestOverStarts(route, [&settings](const BlockPair &pair) {
+        const auto trials = pair.ofOld.trials + PRIOR_FAILURES / settings.toleratedFailures;
+        return failureRatio(pair.ofNew, (pair.ofOld.events + PRIOR_FAILURES) / trials, settings);
+    });
+}
+
+/// Largest log likelihood ratio for more slow units than the old version has. Units are few, so that the old version's are taken over all
+/// blocks: over the newest alone its share is a matter of chance.
 double slownessEvidence(const RouteSeries &route, const DetectionSettings &settings)
 {
-    const auto shareOfOld = (route.ofOld.events + 1) / (route.ofOld.trials + 1 / settings.toleratedSlowUnits);
+    const auto ofOld = totalOfOld(route);
+    const auto shareOfOld = (ofOld.events + 1) / (ofOld.trials + 1 / settings.toleratedSlowUnits);
     const auto tolerated = std::clamp(SLOWNESS_MARGIN * shareOfOld, settings.toleratedSlowUnits, LARGEST_TOLERATED_SLOW_UNITS);
-    return largestTail(route.ofNew, tolerated, SLOW_UNIT_SHARE);
+    return largestOverStarts(route, [tolerated](const BlockPair &pair) {
+        return logRatio(pair.ofNew, tolerated, SLOW_UNIT_SHARE);
+    });
 }
 
 bool areTargetsSlow(const RouteSeries &route, const DetectionSettings &settings)
@@ -169,7 +224,7 @@
         if (evidence >= settings.suspicionThreshold) {
             noteSuspicion(comparison, route, Fault::Failures);
         }
-        if (evidence >= settings.failureThreshold) {
+        if (evidence >= settings.failureThreshold && simultaneousFailureEvidence(series, settings) >= settings.failureThreshold) {
             noteFault(comparison, route, Fault::Failures);
         }
     }
--- a/Tests/LibRollout/TestStatus.cpp
+++ b/Tests/LibRollout/TestStatus.cpp
@@ -142,6 +142,35 @@
 
 } // namespace
 
+// Found on benammar-gw, scale-1: answers of both versions began to fail at one moment. The old version's
+// failures were taken over ten seconds and the new one's over the last two.
+TEST(Rollout, failuresOfBothVersionsFromOneMomentOnAreNotHeldAgainstTheNewOne)
+{
+    auto state = stateOf("one");
+    state.settings.retainedBlocks = 40;
+    decide(state, START + 1s);
+    const auto add = [&state](Side side, std::chrono::milliseconds at, bool isFailure) {
+        observe(state,
+                {.cell = {.route = "/a"},
+                 .side = side,
+                 .target = {"t"},
+                 .isFailure = isFailure,
+                 .latency = 300ms,
+                 .slowThreshold = 800ms},
+                START + at);
+    };
+    int number = 0;
+    for (auto at = 0ms; at < 10s; at += 50ms) {
+        ++number;
+        const bool isBad = at >= 9s && number % 5 < 3;
+        add(Side::Old, at, isBad);
+        add(Side::Old, at, isBad);
+        add(Side::New, at, isBad);
+    }
+    decide(state, START + 10s);
+    EXPECT_NE(state.status.phase, Phase::TakenBack) << nameOf(state.status.fault);
+}
+
 // The comparison forgives the new version what the old one shows too. With few requests in a noisy service that left a slow version
 // neither proven nor found bad, and the move went on to its end.
 TEST(Rollout, aSlowVersionInANoisyServiceIsUnproven)
