LibGateway: Tell callers who are late already to come back later

Cause: a refused caller was told to come back after 150 ms whatever it had left, so that its three tries met the same burst within half a second. Once the objective can't be met any more it is told to come back after about a quarter of the time that it waits, within the third that callers honour.

--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -135,6 +135,7 @@
     if (statement.remaining) {
         route.longestWait = std::max(route.longestWait, *statement.remaining);
         context.waitedBefore = route.longestWait - *statement.remaining;
+        context.callerWaits = *statement.remaining;
     }
     const auto timeout = context.route->timeout;
     const auto waits = statement.remaining.value_or(timeout.count() > 0 ? timeout : DEFAULT_DEADLINE);
--- a/Libraries/LibGateway/RequestContext.h
+++ b/Libraries/LibGateway/RequestContext.h
@@ -32,6 +32,8 @@
     std::chrono::nanoseconds arrivedAtBoot;
     /// Time from the arrival to the last chance of an answer.
     Core::Duration allowed{0};
+    /// Time from the arrival for which the caller waits; zero where it did not say.
+    Core::Duration callerWaits{0};
     /// Time that the caller had waited before this attempt, as far as that shows.
     Core::Duration waitedBefore{0};
     /// Names of the targets that the request was sent to.
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -30,6 +30,9 @@
 constexpr std::chrono::milliseconds NO_TARGET_RETRY_AFTER{250};
 /// Another instance takes the caller at once.
 constexpr std::chrono::milliseconds ELSEWHERE_RETRY_AFTER{20};
+/// Part of the time for which a caller still waits after which it is told to come back where it is late already. Callers come back after a
+/// third of that time at the latest; jitter adds up to half.
+constexpr double LATE_RETURN_PART = 0.22;
 constexpr unsigned FIRST_SERVER_ERROR = 500;
 constexpr unsigned HTTP_1_1 = 11;
 
@@ -176,12 +179,12 @@
     case AttemptEnd::NotRun:
         ++this->shedAttempts;
         if (isLast && !(this->shedAttempts < MOST_SHED_ATTEMPTS && this->maySendAgain())) {
-            this->refuse(Reason::RefusedByTarget, FULL_RETRY_AFTER);
+            this->refuse(Reason::RefusedByTarget, this->comeBackAfter(FULL_RETRY_AFTER));
         }
         return;
     case AttemptEnd::Full:
         if (isLast) {
-            this->refuse(Reason::Overloaded, FULL_RETRY_AFTER);
+            this->refuse(Reason::Overloaded, this->comeBackAfter(FULL_RETRY_AFTER));
         }
         return;
     case AttemptEnd::Quarantined:
@@ -191,7 +194,7 @@
         return;
     case AttemptEnd::NoTarget:
         if (isLast) {
-            this->refuse(Reason::NoTarget, NO_TARGET_RETRY_AFTER);
+            this->refuse(Reason::NoTarget, this->comeBackAfter(NO_TARGET_RETRY_AFTER));
         }
         return;
     case AttemptEnd::NotSent:
@@ -267,6 +270,18 @@
     this->finalResponse = std::move(response);
 }
 
+std::chrono::milliseconds RequestFlow::comeBackAfter(std::chrono::milliseconds soonest) const
+{
+    const auto &request = *this->context;
+    const auto &statistics = this->state.routes.at(request.route->name).statistics;
+    const auto work = std::chrono::milliseconds(static_cast<std::int64_t>(statistics.workMilliseconds));
+    if (request.waitedBefore + request.elapsed() + soonest + work <= request.route->objective) {
+        return soonest;
+    }
+    const auto late = (request.callerWaits - request.elapsed()) * LATE_RETURN_PART;
+    return std::max(soonest, std::chrono::duration_cast<std::chrono::milliseconds>(late));
+}
+
 void RequestFlow::refuse(Reason reason, std::chrono::milliseconds retryAfter)
 {
     if (this->failureAnswer) {
--- a/Tests/LibGateway/TestRequestFlow.cpp
+++ b/Tests/LibGateway/TestRequestFlow.cpp
@@ -420,6 +420,28 @@
     EXPECT_EQ(this->runsOf("a1"), 0U);
 }
 
+// In a burst of some seconds three tries within half a second found three full services.
+TEST_F(RequestFlowTest, aCallerWhoIsLateAlreadyIsToldToComeBackWhenTheLoadMayHaveGone)
+{
+    this->addTarget("one", [](const auto &) {
+            return Reaction{};
+        }).load
+        = "6,6,6,100";
+    this->usePlan(RouteKind::Once);
+    this->state.routes["route"].statistics.workMilliseconds = 100;
+    const auto comeBack = [this](const std::string &id, std::chrono::milliseconds waitedBefore) {
+        const auto request = this->makeContext(id);
+        request->waitedBefore = waitedBefore;
+        request->callerWaits = 3s - waitedBefore;
+        const auto response = this->run(request).response;
+        return std::stod(std::string(response[Http::field::retry_after]));
+    };
+    EXPECT_LT(comeBack("fresh", 0ms), 0.23) << "in time for its objective of 0.3 s";
+    const auto late = comeBack("late", 500ms);
+    EXPECT_GT(late, 0.5);
+    EXPECT_LT(late, 2.5 / 3) << "callers come back after a third of the time that is left at the latest";
+}
+
 TEST_F(RequestFlowTest, anAddressThatBelongsToAnotherTargetGetsNothing)
 {
     auto &target = this->addTarget("one", [](const auto &) {
