--- a/Libraries/LibGateway/NewsSpread.cpp
+++ b/Libraries/LibGateway/NewsSpread.cpp
@@ -25,6 +25,9 @@
 constexpr std::chrono::milliseconds JOINING_TIME{3000};
 /// Time for a change that is known of to arrive by itself before the store is asked.
 constexpr std::chrono::milliseconds DELIVERY_TIME{250};
+/// The same for a configuration, which may be long and take a busy instance some hundred milliseconds. With a late heartbeat and a slow store
+/// still within the 2 s for changes.
+constexpr std::chrono::milliseconds PLAN_DELIVERY_TIME{500};
 
 std::size_t indexOf(ObjectKind kind)
 {
@@ -83,7 +86,8 @@
     if (this->isWatching || (!hearsWatchers && !isJoining)) {
         return FollowMode::Watch;
     }
-    const bool mayBeUnderWay = now - this->announcedAt[indexOf(kind)] < DELIVERY_TIME;
+    const auto patience = kind == ObjectKind::Plan ? PLAN_DELIVERY_TIME : DELIVERY_TIME;
+    const bool mayBeUnderWay = now - this->announcedAt[indexOf(kind)] < patience;
     return this->isBehind(kind, revision) && !mayBeUnderWay ? FollowMode::CatchUp : FollowMode::Wait;
 }
 
@@ -98,7 +102,7 @@
     if (!this->isWatching) {
         return;
     }
-    this->send(encodeNews(ChangesNews{.kind = kind, .previous = previous, .changes = changes}));
+    this->tell({.kind = kind, .previous = previous, .changes = changes});
 }
 
 void NewsSpread::noteChange(ObjectKind kind, Revision revision)
@@ -168,7 +172,7 @@
     this->callbacks.onChanges(news.kind, news.previous, news.changes);
     if (isNew && this->isWatching) {
         // The store may refuse this watcher while it serves the one of another data centre.
-        this->send(encodeNews(news));
+        this->tell(news);
     }
 }
 
@@ -192,14 +196,16 @@
     if (this->isWatching && this->doesStoreAnswer) {
         this->storeSeenAt = now;
     }
-    if (this->isWatching && !this->audience.empty()) {
+    if (this->isWatching && !(this->neighbours.empty() && this->farWatchers.empty())) {
         NewsHeartbeat heartbeat{.latest = this->latest,
                                 .positions = {},
                                 .storeSilence = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->storeSeenAt)};
         for (std::size_t index = 0; index < OBJECT_KINDS; ++index) {
             heartbeat.positions[index] = this->callbacks.position(static_cast<ObjectKind>(index));
         }
-        this->send(encodeNews(heartbeat));
+        const auto bytes = encodeNews(heartbeat);
+        this->send(this->neighbours, bytes);
+        this->send(this->farWatchers, bytes);
     }
 }
 
@@ -210,23 +216,39 @@
     const auto &ownDataCentre = members.members.at(members.self).news.dataCentre;
     const auto own = watchers.find(ownDataCentre);
     this->isWatching = own != watchers.end() && std::ranges::find(own->second, members.self.value) != own->second.end();
-    this->audience.clear();
+    this->neighbours.clear();
+    this->farWatchers.clear();
     if (!this->isWatching) {
         return;
     }
     for (const auto &id : Membership::aliveMembers(members)) {
         const auto &news = Membership::find(members, id)->news;
         const auto &theirs = watchers.at(news.dataCentre);
-        const bool isTold = news.dataCentre == ownDataCentre || std::ranges::find(theirs, id.value) != theirs.end();
-        if (id != members.self && isTold) {
-            this->audience.push_back(news.address.value);
+        if (id == members.self) {
+            continue;
         }
+        if (news.dataCentre == ownDataCentre) {
+            this->neighbours.push_back(news.address.value);
+        } else if (std::ranges::find(theirs, id.value) != theirs.end()) {
+            this->farWatchers.push_back(news.address.value);
+        }
+    }
+}
+
+void NewsSpread::tell(const ChangesNews &news)
+{
+    this->send(this->neighbours, encodeNews(news));
+    auto toWatchers = news;
+    if (news.kind == ObjectKind::Plan) {
+        // Long, and every watcher reads it itself: bytes between data centres are dear.
+        toWatchers.changes.changes.clear();
     }
+    this->send(this->farWatchers, encodeNews(toWatchers));
 }
 
-void NewsSpread::send(const std::string &bytes)
+void NewsSpread::send(const std::vector<std::string> &audience, const std::string &bytes)
 {
-    std::ranges::for_each(this->audience, [this, &bytes](const std::string &peer) {
+    std::ranges::for_each(audience, [this, &bytes](const std::string &peer) {
         this->peers.send(Channel::News, peer, bytes);
     });
 }
--- a/Libraries/LibGateway/NewsSpread.h
+++ b/Libraries/LibGateway/NewsSpread.h
@@ -51,15 +51,17 @@
     void askForLacking();
     void sendHeartbeat(Core::TimePoint now);
     void updateWatchers();
-    void send(const std::string &bytes);
+    void tell(const ChangesNews &news);
+    void send(const std::vector<std::string> &audience, const std::string &bytes);
 
     Core::TimerService &timers;
     Coordination::PeerLink &peers;
     Core::Random &random;
     Callbacks callbacks;
     bool isWatching{true};
-    /// Peers that this instance tells, while it watches.
-    std::vector<std::string> audience;
+    /// Peers that this instance tells, while it watches: those of its data centre, and the watchers of the others.
+    std::vector<std::string> neighbours;
+    std::vector<std::string> farWatchers;
     KindRevisions latest{};
     /// Since when this instance has known of a change without having it.
     std::array<Core::TimePoint, OBJECT_KINDS> announcedAt{};
