LibGateway: Refuse at once while no target answers

One request at a time asks them now, the others are refused at once; targets that answer that they are ill are asked as before.

--- a/Libraries/LibFleet/Beliefs.h
+++ b/Libraries/LibFleet/Beliefs.h
@@ -53,6 +53,8 @@
     std::string instance;
     std::vector<TargetBelief> targets;
     SendBudget budget;
+    /// Requests that ask targets of which none answered lately.
+    std::uint32_t searchesInDoubt{0};
     /// Exponentially weighted speed over all statements, as a multiple of the usual. Work goes on at this rate on average.
     double typicalSpeed{1};
 };
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/TargetFinder.h>
 
+#include <LibCore/Presence.h>
 #include <LibNetwork/Http.h>
 
 #include <algorithm>
@@ -269,6 +270,17 @@
     return found;
 }
 
+/// True where none of the targets answered lately. One request at a time asks them then, and the others are refused at once instead of waiting
+/// for what will most likely not come.
+bool areAllSilent(const TargetWish &wish, const std::vector<std::string> &names)
+{
+    const auto now = Core::Clock::now();
+    return std::ranges::all_of(names, [&wish, now](const std::string &name) {
+        const auto *target = Fleet::findTarget(*wish.book, name);
+        return target == nullptr || target->avoidedUntil > now;
+    });
+}
+
 /// A cold target that this instance may send one request to; empty where there is none.
 std::string takeColdTarget(GatewayState &state, const TargetWish &wish)
 {
@@ -363,9 +375,15 @@
 Asio::awaitable<FoundTarget> findTarget(GatewayState &state, TargetWish wish)
 {
     const auto names = Fleet::candidates(*wish.book, wish.input, Core::Clock::now(), state.random);
-    if (names.empty()) {
+    const bool isInDoubt = areAllSilent(wish, names);
+    if (names.empty() || (isInDoubt && wish.book->searchesInDoubt > 0)) {
         co_return co_await findColdTarget(state, wish);
     }
+    const auto book = wish.book;
+    std::optional<Core::Presence> searchInDoubt;
+    if (isInDoubt) {
+        searchInDoubt.emplace(book->searchesInDoubt);
+    }
     const auto search = std::make_shared<Search>(state.executor);
     const auto asked = co_await askInTurns(state, wish, search, names);
     auto found = takeBest(state, wish, *search);
--- a/Tests/LibGateway/FakeTarget.cpp
+++ b/Tests/LibGateway/FakeTarget.cpp
@@ -84,6 +84,9 @@
         if (error) {
             co_return;
         }
+        if (this->isSilent) {
+            continue;
+        }
         std::string text = this->healthAnswer();
         if (request.target() != "/healthz") {
             const auto reaction = this->react(request);
--- a/Tests/LibGateway/FakeTarget.h
+++ b/Tests/LibGateway/FakeTarget.h
@@ -50,6 +50,8 @@
     /// Load as the health path states it.
     std::string load{"0,0,6,100"};
     unsigned healthStatus{200};
+    /// Reads requests and answers none.
+    bool isSilent{false};
     /// The name that the health path states.
     std::string name;
 
--- a/Tests/LibGateway/TestRequestFlow.cpp
+++ b/Tests/LibGateway/TestRequestFlow.cpp
@@ -442,6 +442,36 @@
     EXPECT_LT(late, 2.5 / 3) << "callers come back after a third of the time that is left at the latest";
 }
 
+// A data centre cut off with all its targets: each request waited 250 ms for the silent ones before it was refused.
+TEST_F(RequestFlowTest, whileNoTargetAnswersOneRequestAsksAndTheOthersAreRefusedAtOnce)
+{
+    auto &target = this->addTarget("one", [](const auto &) {
+        return Reaction{};
+    });
+    target.isSilent = true;
+    this->usePlan(RouteKind::Once);
+    EXPECT_EQ(this->run("first").response.result_int(), 503U);
+    std::vector<Core::Duration> took;
+    std::vector<unsigned> statuses;
+    const auto begin = Core::Clock::now();
+    const auto ask = [&](const std::string &id) -> boost::asio::awaitable<void> {
+        RequestFlow flow(this->makeContext(id));
+        statuses.push_back((co_await flow.run()).response.result_int());
+        took.push_back(Core::Clock::now() - begin);
+    };
+    for (const auto *id : {"asks", "two", "three", "four"}) {
+        boost::asio::co_spawn(this->context, ask(id), boost::asio::detached);
+    }
+    this->context.restart();
+    this->context.run_for(600ms);
+    ASSERT_EQ(took.size(), 4U);
+    EXPECT_LT(took[2], 50ms) << "three of four at once";
+    EXPECT_GE(took[3], 200ms) << "the one that asks";
+    EXPECT_EQ(statuses, (std::vector<unsigned>{503, 503, 503, 503}));
+    target.isSilent = false;
+    EXPECT_EQ(this->run("again").response.result_int(), 200U) << "whoever asks finds it back";
+}
+
 TEST_F(RequestFlowTest, anAddressThatBelongsToAnotherTargetGetsNothing)
 {
     auto &target = this->addTarget("one", [](const auto &) {
