LibGateway: Let callers come back soon for a target that is fast

Cause: whether the objective can still be met was judged by the usual work; hosts that are fast at the moment need 0.6 of it.

--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds NO_TARGET_RETRY_AFTER{250};
 /// Another instance takes the caller at once.
 constexpr std::chrono::milliseconds ELSEWHERE_RETRY_AFTER{20};
+/// Work on a host that is fast at the moment, as a part of the usual: a caller who could be served by one in time comes back for it.
+constexpr double FAST_WORK_PART = 0.6;
 /// Part of the time for which a caller still waits after which it is told to come back where it is late already. Callers come back after a
 /// third of that time at the latest; jitter adds up to half.
 constexpr double LATE_RETURN_PART = 0.22;
@@ -274,7 +276,7 @@
 {
     const auto &request = *this->context;
     const auto &statistics = this->state.routes.at(request.route->name).statistics;
-    const auto work = std::chrono::milliseconds(static_cast<std::int64_t>(statistics.workMilliseconds));
+    const auto work = std::chrono::milliseconds(static_cast<std::int64_t>(statistics.workMilliseconds * FAST_WORK_PART));
     if (request.waitedBefore + request.elapsed() + soonest + work <= request.route->objective) {
         return soonest;
     }
