LibGateway: Take late callers to targets that have room

A late caller leaves the last free slot of a target to others, but the search ended with three targets that had one free slot each, though others had more. It goes on now until one has room, and prefers that one. Ruled out: queues (the refused were past their objective).

--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -172,8 +172,15 @@
     std::uint32_t freeSlots{0};
     /// The target says that it takes no work.
     bool isDoubtful{false};
+    /// The request would take a slot that is left to others.
+    bool crowdsOut{false};
 };
 
+bool isLate(const TargetWish &wish)
+{
+    return wish.objectiveLeft.count() <= 0;
+}
+
 /// The answered target with the lowest cost among those that are still allowed.
 std::optional<Ranked> rank(const GatewayState &state, const TargetWish &wish, const Search &search)
 {
@@ -191,9 +198,11 @@
                             Fleet::expectedTime(*wish.book, *target, statistics, wish.input, now),
                             Fleet::isFull(*target),
                             Fleet::freeSlots(*target),
-                            use == Fleet::Usability::Doubtful};
-        const bool isBetter
-            = !best || std::tie(ranked.isDoubtful, ranked.isFull, ranked.cost) < std::tie(best->isDoubtful, best->isFull, best->cost);
+                            use == Fleet::Usability::Doubtful,
+                            isLate(wish) && Fleet::freeSlots(*target) < SLOTS_FOR_LATE_REQUESTS};
+        const bool isBetter = !best
+            || std::tie(ranked.isDoubtful, ranked.isFull, ranked.crowdsOut, ranked.cost)
+                < std::tie(best->isDoubtful, best->isFull, best->crowdsOut, best->cost);
         best = isBetter ? ranked : *best;
     }
     return best;
@@ -201,15 +210,14 @@
 
 bool servesWell(const TargetWish &wish, const Ranked &ranked)
 {
-    return !ranked.isDoubtful && !ranked.isFull && (ranked.expectedTime <= wish.objectiveLeft || wish.objectiveLeft.count() <= 0);
+    return !ranked.isDoubtful && !ranked.isFull && (isLate(wish) ? !ranked.crowdsOut : ranked.expectedTime <= wish.objectiveLeft);
 }
 
 /// The last free slot of a target is left to a request that can still be answered within its objective. Where more come than targets
 /// serve, each slot serves a caller in time then, in place of one who is late already.
-bool mayTakeSlot(const TargetWish &wish, const Ranked &ranked)
+bool mayTakeSlot(const Ranked &ranked)
 {
-    const bool isLate = wish.objectiveLeft.count() <= 0;
-    return ranked.freeSlots >= (isLate ? SLOTS_FOR_LATE_REQUESTS : 1);
+    return ranked.freeSlots > 0 && !ranked.crowdsOut;
 }
 
 /// A request joins a target's queue only where it is still answered within its objective. Longer queues serve no more requests, and every
@@ -252,7 +260,7 @@
     FoundTarget found{.obstacle = Obstacle::NoTarget, .name = {}, .version = {}, .connection = nullptr};
     if (const auto best = rank(state, wish, search)) {
         const bool isServable
-            = mayTakeSlot(wish, *best) ? best->expectedTime < HOPELESS_FACTOR * wish.remaining : servesInTime(wish, *best);
+            = mayTakeSlot(*best) ? best->expectedTime < HOPELESS_FACTOR * wish.remaining : servesInTime(wish, *best);
         found.obstacle = isServable ? Obstacle::None : Obstacle::Full;
         found.expectedTime = best->expectedTime;
         found.name = isServable ? *best->name : std::string{};
--- a/Tests/LibGateway/TestRequestFlow.cpp
+++ b/Tests/LibGateway/TestRequestFlow.cpp
@@ -409,6 +409,23 @@
     EXPECT_EQ(target.runs(), (std::vector<std::string>{"fresh", "late-with-room"}));
 }
 
+// Found by an incident on benammar-gw, a data centre taken out in a busy hour: late callers were refused after three targets with one free
+// slot each, though others had room.
+TEST_F(RequestFlowTest, aLateCallerIsTakenToTheTargetThatHasRoom)
+{
+    for (const auto *name : {"one", "two", "three", "four", "five", "room"}) {
+        this->addTarget(name, [](const auto &) {
+                return Reaction{};
+            }).load
+            = std::string(name) == "room" ? "3,0,6,400" : "5,0,6,100";
+    }
+    this->usePlan(RouteKind::Once);
+    const auto request = this->makeContext("late");
+    request->waitedBefore = 400ms;
+    EXPECT_EQ(this->run(request).response.result_int(), 200U);
+    EXPECT_EQ(this->targets.back()->runs(), (std::vector<std::string>{"late"}));
+}
+
 TEST_F(RequestFlowTest, aFullServiceIsRefusedAtOnce)
 {
     auto &target = this->addTarget("one", [](const auto &) {
