--- a/Libraries/LibGateway/NewsSpread.cpp
+++ b/Libraries/LibGateway/NewsSpread.cpp
@@ -25,8 +25,8 @@
 constexpr std::chrono::milliseconds JOINING_TIME{3000};
 /// Time for a change that is known of to arrive by itself before the store is asked.
 constexpr std::chrono::milliseconds DELIVERY_TIME{250};
-/// The same for a configuration, which may be long and take a busy instance some hundred milliseconds. With a late heartbeat and a slow store
-/// still within the 2 s for changes.
+/// The same for a configuration, which may be long and take a busy instance some hundred milliseconds. With a late heartbeat and a slow
+/// store still within the 2 s for changes.
 constexpr std::chrono::milliseconds PLAN_DELIVERY_TIME{500};
 
 std::size_t indexOf(ObjectKind kind)
--- a/Libraries/LibGateway/PlanMessage.cpp
+++ b/Libraries/LibGateway/PlanMessage.cpp
@@ -102,10 +102,8 @@
 
 Fleet::FleetPlan decodePlan(const nlohmann::json &row)
 {
-    Fleet::FleetPlan plan{.version = row.at(0).get<std::uint64_t>(),
-                          .routes = {},
-                          .services = decodeServices(row.at(2)),
-                          .limits = decodeLimits(row.at(3))};
+    Fleet::FleetPlan plan{
+        .version = row.at(0).get<std::uint64_t>(), .routes = {}, .services = decodeServices(row.at(2)), .limits = decodeLimits(row.at(3))};
     std::ranges::transform(row.at(1), std::back_inserter(plan.routes), decodeRoute);
     return plan;
 }
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -49,8 +49,8 @@
     Core::Duration hedgeDelay() const;
     boost::asio::awaitable<void> waitForChange(Core::Duration longest);
     void answerWith(TargetAnswer answer);
-    /// When the caller is to come back: after the given time while its objective can still be met; later, when the load may have gone, where
-    /// it can't.
+    /// When the caller is to come back: after the given time while its objective can still be met; later, when the load may have gone,
+    /// where it can't.
     std::chrono::milliseconds comeBackAfter(std::chrono::milliseconds soonest) const;
     void refuse(Rejection::Reason reason, std::chrono::milliseconds retryAfter);
     void finishAtDeadline();
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -177,7 +177,8 @@
 {
     const auto wallNow = this->clock.now();
     const auto &course = move.state->move;
-    const auto due = course.start + std::chrono::duration_cast<std::chrono::milliseconds>((course.finishBy - course.start) * PROOF_FRACTION);
+    const auto due
+        = course.start + std::chrono::duration_cast<std::chrono::milliseconds>((course.finishBy - course.start) * PROOF_FRACTION);
     const bool isExperienced = move.judgeSince && now - *move.judgeSince >= JUDGE_EXPERIENCE;
     if (wallNow < due || !isExperienced || !Rollout::isUnproven(*move.state)) {
         return;
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -259,8 +259,7 @@
     search.isOver = true;
     FoundTarget found{.obstacle = Obstacle::NoTarget, .name = {}, .version = {}, .connection = nullptr};
     if (const auto best = rank(state, wish, search)) {
-        const bool isServable
-            = mayTakeSlot(*best) ? best->expectedTime < HOPELESS_FACTOR * wish.remaining : servesInTime(wish, *best);
+        const bool isServable = mayTakeSlot(*best) ? best->expectedTime < HOPELESS_FACTOR * wish.remaining : servesInTime(wish, *best);
         found.obstacle = isServable ? Obstacle::None : Obstacle::Full;
         found.expectedTime = best->expectedTime;
         found.name = isServable ? *best->name : std::string{};
@@ -278,8 +277,8 @@
     return found;
 }
 
-/// True where none of the targets answered lately. One request at a time asks them then, and the others are refused at once instead of waiting
-/// for what will most likely not come.
+/// True where none of the targets answered lately. One request at a time asks them then, and the others are refused at once instead of
+/// waiting for what will most likely not come.
 bool areAllSilent(const TargetWish &wish, const std::vector<std::string> &names)
 {
     const auto now = Core::Clock::now();
--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -81,7 +81,10 @@
     }
 }
 
-void countLatency(RolloutState &state, const Observation &observation, BlockNumber block, std::optional<std::chrono::microseconds> threshold)
+void countLatency(RolloutState &state,
+                  const Observation &observation,
+                  BlockNumber block,
+                  std::optional<std::chrono::microseconds> threshold)
 {
     const auto &sampled = observation.side == Side::Old ? state.sampledOld : state.sampledNew;
     if (!threshold || std::ranges::find(sampled, observation.target) == sampled.end()) {
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -97,10 +97,6 @@
             integerType<std::uint32_t>(0, 1'000'000, "sends"),
             "Sends beyond that share which all instances together may make in the window."),
         key("extra_send_window", &B::extraSendWindow, secondsType(100ms, 1h), "Length of that window."),
-        key("probes_per_target_and_second",
-            &B::probesPerTargetAndSecond,
-            integerType<std::uint32_t>(0, 1'000'000, "health checks a second"),
-            "Health checks of one target that all instances together may make, on average."),
     };
 }
 
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -49,8 +49,6 @@
     /// Sends beyond that share which all instances together may make in the window.
     std::uint32_t extraSendAllowance{64};
     std::chrono::milliseconds extraSendWindow{10'000};
-    /// Health checks a second of one target that all instances together may make.
-    std::uint32_t probesPerTargetAndSecond{60};
 };
 
 struct GatewayRolloutSettings {
--- a/Tests/LibGateway/TestFollower.cpp
+++ b/Tests/LibGateway/TestFollower.cpp
@@ -289,8 +289,8 @@
         return revision < 12 ? FollowMode::Watch : FollowMode::Wait;
     };
     this->runFor(50ms);
-    this->follower.takeSnapshot({.objects = {{.name = "one", .revision = 3, .content = {}}, {.name = "two", .revision = 9, .content = {}}},
-                                 .revision = 10});
+    this->follower.takeSnapshot(
+        {.objects = {{.name = "one", .revision = 3, .content = {}}, {.name = "two", .revision = 9, .content = {}}}, .revision = 10});
     EXPECT_EQ(this->heard.back(), "list@10");
     EXPECT_EQ(this->told.changes.size(), 2U);
     EXPECT_EQ(this->follower.position(), 10U);
--- a/Tests/LibRollout/TestStatus.cpp
+++ b/Tests/LibRollout/TestStatus.cpp
@@ -151,12 +151,7 @@
     decide(state, START + 1s);
     const auto add = [&state](Side side, std::chrono::milliseconds at, bool isFailure) {
         observe(state,
-                {.cell = {.route = "/a"},
-                 .side = side,
-                 .target = {"t"},
-                 .isFailure = isFailure,
-                 .latency = 300ms,
-                 .slowThreshold = 800ms},
+                {.cell = {.route = "/a"}, .side = side, .target = {"t"}, .isFailure = isFailure, .latency = 300ms, .slowThreshold = 800ms},
                 START + at);
     };
     int number = 0;
