--- a/Libraries/LibFleet/Beliefs.cpp
+++ b/Libraries/LibFleet/Beliefs.cpp
@@ -1,10 +1,7 @@
 #include <LibFleet/Beliefs.h>
 
-#include <LibCore/RendezvousHash.h>
-
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace Briarbend::Fleet
 {
@@ -42,11 +39,6 @@
     return one.name == other.name && one.startedAtMilliseconds == other.startedAtMilliseconds && one.address == other.address;
 }
 
-double affinityTo(const std::string &target, const std::string &instance)
-{
-    return static_cast<double>(Core::rendezvousWeight(instance, target)) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-}
-
 void addFailure(TargetBelief &target, double failure, Core::TimePoint now)
 {
     const auto share = failureShare(target, now);
@@ -76,7 +68,6 @@
         if (!isKept) {
             belief.coldTokens = initialColdTokens;
             belief.coldTokensAt = now;
-            belief.affinity = affinityTo(record.name, book.instance);
         }
         belief.record = record;
         if (!isSame) {
--- a/Libraries/LibFleet/Beliefs.h
+++ b/Libraries/LibFleet/Beliefs.h
@@ -41,16 +41,12 @@
     /// Requests that this instance may send to the target while it is cold; below one none.
     double coldTokens{0};
     Core::TimePoint coldTokensAt;
-    /// Place of the target between 0 and 1 in the order in which this instance prefers targets, by rendezvous hash.
-    double affinity{0};
 };
 
 /// The targets of one service and what is typical of them.
 struct ServiceBook {
     Core::ServiceName name;
     ServicePlan plan;
-    /// The instance whose beliefs these are.
-    std::string instance;
     std::vector<TargetBelief> targets;
     SendBudget budget;
     /// Requests that ask targets of which none answered lately.
--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -17,9 +17,6 @@
 constexpr std::uint32_t FULL_PER_SLOT = 2;
 /// What a failure costs beyond the work: the caller's return on another instance.
 constexpr double FAILURE_COST_MS = 600;
-/// Targets of a service and data centre that an instance turns to first, so that connections are used often enough to be kept: more would
-/// make a choice of the best of three hardly better.
-constexpr double PREFERRED_TARGETS = 16;
 /// A statement's requests no longer count after the time in which about all of them have ended.
 constexpr std::chrono::milliseconds STATEMENT_LIFETIME{1000};
 
@@ -67,21 +64,6 @@
         && std::ranges::find(input.excluded, record.name) == input.excluded.end();
 }
 
-/// Targets of the input's data centre, and those of the others.
-std::pair<std::size_t, std::size_t> countTargets(const ServiceBook &book, const ChoiceInput &input)
-{
-    const auto own = std::ranges::count_if(book.targets, [&input](const TargetBelief &target) {
-        return target.record.dataCentre == input.ownDataCentre;
-    });
-    return {static_cast<std::size_t>(own), book.targets.size() - static_cast<std::size_t>(own)};
-}
-
-/// Whether the target belongs to those that the instance turns to first, some of the given number.
-bool isPreferred(const TargetBelief &target, std::size_t targets)
-{
-    return target.affinity * static_cast<double>(targets) <= PREFERRED_TARGETS;
-}
-
 } // namespace
 
 Usability usability(const TargetBelief &target, const ChoiceInput &input, Core::TimePoint now)
@@ -100,12 +82,10 @@
     struct Wish {
         Usability usability;
         bool isFar;
-        bool isUnfamiliar;
         double order;
         const std::string *name;
     };
     std::vector<Wish> wishes;
-    const auto [ownTargets, farTargets] = countTargets(book, input);
     for (const auto &target : book.targets) {
         const auto use = usability(target, input, now);
         if (use == Usability::Unusable || use == Usability::Cold) {
@@ -113,13 +93,10 @@
         }
         // Random order spreads the instances' choices; what is known to be loaded or faulty comes later.
         const auto burden = static_cast<double>(target.ownInFlight) / slotsOf(target) + failureShare(target, now) * 2;
-        const bool isFar = target.record.dataCentre != input.ownDataCentre;
-        const bool isUnfamiliar = !isPreferred(target, isFar ? farTargets : ownTargets);
-        wishes.push_back({use, isFar, isUnfamiliar, random.unit() + burden, &target.record.name});
+        wishes.push_back({use, target.record.dataCentre != input.ownDataCentre, random.unit() + burden, &target.record.name});
     }
     std::ranges::sort(wishes, [](const Wish &one, const Wish &other) {
-        return std::tie(one.usability, one.isFar, one.isUnfamiliar, one.order)
-            < std::tie(other.usability, other.isFar, other.isUnfamiliar, other.order);
+        return std::tie(one.usability, one.isFar, one.order) < std::tie(other.usability, other.isFar, other.order);
     });
     std::vector<std::string> names;
     names.reserve(wishes.size());
--- a/Libraries/LibGateway/GatewayState.cpp
+++ b/Libraries/LibGateway/GatewayState.cpp
@@ -61,7 +61,6 @@
         if (!book) {
             book = std::make_shared<Fleet::ServiceBook>();
             book->name = name;
-            book->instance = state.settings.instance.name;
         }
         book->plan = plan;
         const auto instances = static_cast<double>(std::max<std::size_t>(1, state.instances));
