LibNetwork: One accept loop and one HTTP version for all listeners

The loop that accepts connections and pauses for want of descriptors stood in HttpServer, CallerListener and the gateway's CallerFrontend; it is Network::acceptConnections now. The constant HTTP_1_1 stood in eight files, the gateway's ELSEWHERE_RETRY_AFTER in two. No change of behaviour.

--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -25,17 +24,12 @@
 namespace Asio = boost::asio;
 using Rejection::Reason;
 
-/// Pause after accept fails for want of descriptors, so that the loop does not spin.
-constexpr std::chrono::milliseconds ACCEPT_PAUSE{20};
 /// Time that a caller may take to receive an answer.
 constexpr std::chrono::seconds WRITE_TIMEOUT{10};
-/// Another instance can answer at once.
-constexpr std::chrono::milliseconds ELSEWHERE_RETRY_AFTER{20};
 /// First room for a request's head; a usual one has a few hundred bytes.
 constexpr std::size_t FIRST_READ_BYTES = 1024;
 /// Waiting time of a caller that states none, on a route that states none.
 constexpr std::chrono::seconds DEFAULT_DEADLINE{30};
-constexpr unsigned HTTP_1_1 = 11;
 constexpr unsigned FIRST_CLIENT_ERROR = 400;
 /// Descriptors that callers' connections may take; the rest is for targets, the store and peers.
 constexpr double CALLER_DESCRIPTOR_SHARE = 0.6;
@@ -109,7 +103,7 @@
     Relay::removeConnectionFields(context.head);
     context.head.erase(Http::field::transfer_encoding);
     context.head.erase(Http::field::trailer);
-    context.head.version(HTTP_1_1);
+    context.head.version(Network::HTTP_1_1);
     if (hadBody) {
         context.head.set(Http::field::content_length, std::to_string(context.body.size()));
     }
@@ -207,16 +201,11 @@
 Asio::awaitable<void> CallerFrontend::acceptLoop()
 {
     const auto most = static_cast<std::uint32_t>(this->state.settings.instance.maximumDescriptors * CALLER_DESCRIPTOR_SHARE);
-    while (this->acceptor.is_open()) {
-        boost::system::error_code error;
-        auto socket = co_await this->acceptor.async_accept(Asio::redirect_error(Asio::use_awaitable, error));
-        if (!error && this->state.callerConnections < most) {
+    co_await Network::acceptConnections(this->acceptor, [this, most](Asio::ip::tcp::socket socket) {
+        if (this->state.callerConnections < most) {
             spawn(this->state, "caller", this->serve(std::move(socket)));
-        } else if (error && this->acceptor.is_open()) {
-            Asio::steady_timer pause(this->acceptor.get_executor(), ACCEPT_PAUSE);
-            co_await pause.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
         }
-    }
+    });
 }
 
 Asio::awaitable<void> CallerFrontend::serve(Asio::ip::tcp::socket socket)
@@ -242,7 +231,7 @@
         co_return false;
     }
     const bool isSound = !problem && !Relay::findHeadProblem(parser.get().base());
-    const bool keepsAlive = isSound && parser.keep_alive() && parser.get().version() >= HTTP_1_1;
+    const bool keepsAlive = isSound && parser.keep_alive() && parser.get().version() >= Network::HTTP_1_1;
     stream.expires_never();
     auto result = co_await this->answer(stream.socket(), parser, problem);
     if (result.isCallerGone) {
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -28,15 +28,12 @@
 constexpr std::chrono::milliseconds FULL_RETRY_AFTER{150};
 /// The same where no target can take the request: about the time in which a new list of targets comes.
 constexpr std::chrono::milliseconds NO_TARGET_RETRY_AFTER{250};
-/// Another instance takes the caller at once.
-constexpr std::chrono::milliseconds ELSEWHERE_RETRY_AFTER{20};
 /// Work on a host that is fast at the moment, as a part of the usual: a caller who could be served by one in time comes back for it.
 constexpr double FAST_WORK_PART = 0.6;
 /// Part of the time for which a caller still waits after which it is told to come back where it is late already. Callers come back after a
 /// third of that time at the latest; jitter adds up to half.
 constexpr double LATE_RETURN_PART = 0.22;
 constexpr unsigned FIRST_SERVER_ERROR = 500;
-constexpr unsigned HTTP_1_1 = 11;
 
 bool hasNoBody(unsigned status)
 {
@@ -49,7 +46,7 @@
 {
     const auto answer = Rejection::finalAnswer(refusal, state.settings.instance.name);
     Network::Response response;
-    response.version(HTTP_1_1);
+    response.version(Network::HTTP_1_1);
     response.result(answer.status);
     for (const auto &field : answer.fields) {
         response.insert(field.name, field.value);
@@ -262,7 +259,7 @@
     Relay::removeConnectionFields(response);
     response.erase(Http::field::transfer_encoding);
     this->state.dialect.removeInternalFields(response);
-    response.version(HTTP_1_1);
+    response.version(Network::HTTP_1_1);
     const auto status = response.result_int();
     const bool isHead = this->context->head.method() == Http::verb::head;
     response.body() = std::move(answer.body);
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -9,6 +9,9 @@
 namespace Briarbend::Gateway
 {
 
+/// When a caller comes back whom another instance can serve at once.
+constexpr std::chrono::milliseconds ELSEWHERE_RETRY_AFTER{20};
+
 /// The final answer to a caller.
 struct FlowResult {
     Network::Response response;
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -36,7 +36,6 @@
 constexpr int HOPELESS_FACTOR = 2;
 constexpr std::uint64_t LONGEST_HEALTH_ANSWER = 16ULL * 1024;
 constexpr std::size_t MOST_FOREIGN_ANSWERS = 3;
-constexpr unsigned HTTP_1_1 = 11;
 /// A connection is not used in the last part of the time for which its target keeps it idle, or beyond the default where that is unknown.
 constexpr std::chrono::milliseconds IDLE_MARGIN{1000};
 constexpr std::chrono::milliseconds DEFAULT_IDLE{3000};
@@ -68,7 +67,7 @@
 Asio::awaitable<bool>
 exchangeHealth(GatewayState &state, Relay::TargetConnection &connection, const std::string &path, std::optional<HealthParser> &parser)
 {
-    Http::request<Http::empty_body> request{Http::verb::get, path, HTTP_1_1};
+    Http::request<Http::empty_body> request{Http::verb::get, path, Network::HTTP_1_1};
     request.set(Http::field::host, connection.target().value);
     connection.stream.expires_after(HEALTH_TIMEOUT);
     boost::system::error_code error;
--- a/Libraries/LibNetwork/Http.cpp
+++ b/Libraries/LibNetwork/Http.cpp
@@ -8,13 +8,6 @@
 namespace Briarbend::Network
 {
 
-namespace
-{
-
-constexpr unsigned HTTP_1_1 = 11;
-
-}
-
 Request makeRequest(Http::verb method, std::string_view target, std::string_view host)
 {
     Request request{method, target, HTTP_1_1};
--- a/Libraries/LibNetwork/Http.h
+++ b/Libraries/LibNetwork/Http.h
@@ -15,6 +15,9 @@
 
 namespace Http = boost::beast::http;
 
+/// The protocol version of all messages that the product writes, as Boost.Beast counts.
+constexpr unsigned HTTP_1_1 = 11;
+
 using Request = Http::request<Http::string_body>;
 using Response = Http::response<Http::string_body>;
 
--- a/Libraries/LibNetwork/HttpServer.cpp
+++ b/Libraries/LibNetwork/HttpServer.cpp
@@ -19,7 +19,6 @@
 
 constexpr std::uint64_t MAXIMUM_REQUEST_BYTES = 4ULL * 1024 * 1024;
 constexpr std::chrono::seconds IDLE_TIMEOUT{120};
-/// Pause after accept fails for want of descriptors, so that the loop does not spin.
 constexpr std::chrono::milliseconds ACCEPT_PAUSE{20};
 
 } // namespace
@@ -36,6 +35,20 @@
     bool isStopping{false};
 };
 
+Asio::awaitable<void> acceptConnections(Asio::ip::tcp::acceptor &acceptor, std::function<void(Asio::ip::tcp::socket socket)> take)
+{
+    while (acceptor.is_open()) {
+        boost::system::error_code error;
+        auto socket = co_await acceptor.async_accept(Asio::redirect_error(Asio::use_awaitable, error));
+        if (!error) {
+            take(std::move(socket));
+        } else if (acceptor.is_open()) {
+            Asio::steady_timer pause(acceptor.get_executor(), ACCEPT_PAUSE);
+            co_await pause.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
+        }
+    }
+}
+
 Asio::ip::tcp::acceptor openAcceptor(Asio::io_context &context, const Endpoint &endpoint)
 {
     const auto local = endpoint.tcp();
@@ -68,16 +81,9 @@
 
 Asio::awaitable<void> HttpServer::acceptLoop(std::shared_ptr<State> state)
 {
-    while (!state->isStopping) {
-        boost::system::error_code error;
-        auto socket = co_await state->acceptor.async_accept(Asio::redirect_error(Asio::use_awaitable, error));
-        if (!error) {
-            Asio::co_spawn(state->acceptor.get_executor(), serve(state, std::move(socket)), Asio::detached);
-            continue;
-        }
-        Asio::steady_timer pause(state->acceptor.get_executor(), ACCEPT_PAUSE);
-        co_await pause.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
-    }
+    co_await acceptConnections(state->acceptor, [state](Asio::ip::tcp::socket socket) {
+        Asio::co_spawn(state->acceptor.get_executor(), serve(state, std::move(socket)), Asio::detached);
+    });
 }
 
 Asio::awaitable<void> HttpServer::serve(std::shared_ptr<State> state, Asio::ip::tcp::socket socket)
--- a/Libraries/LibNetwork/HttpServer.h
+++ b/Libraries/LibNetwork/HttpServer.h
@@ -54,6 +54,10 @@
     std::shared_ptr<State> state;
 };
 
+/// Accepts connections until the acceptor is closed. Pauses after an error, such as a want of descriptors, so that the loop does not spin.
+boost::asio::awaitable<void> acceptConnections(boost::asio::ip::tcp::acceptor &acceptor,
+                                               std::function<void(boost::asio::ip::tcp::socket socket)> take);
+
 /// Opens a listening socket with address reuse. Throws boost::system::system_error.
 boost::asio::ip::tcp::acceptor openAcceptor(boost::asio::io_context &context, const Endpoint &endpoint);
 
--- a/Libraries/LibRelay/AnswerForwarder.cpp
+++ b/Libraries/LibRelay/AnswerForwarder.cpp
@@ -1,4 +1,6 @@
 #include <LibRelay/AnswerForwarder.h>
+
+#include <LibNetwork/Http.h>
 #include <LibRelay/HeaderRules.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -17,7 +19,6 @@
 /// Time that a caller may take to receive one chunk.
 constexpr std::chrono::seconds WRITE_TIMEOUT{30};
 constexpr std::size_t CHUNK_BYTES = 64UL * 1024;
-constexpr unsigned HTTP_1_1 = 11;
 
 } // namespace
 
@@ -65,9 +66,9 @@
     message.erase(std::string(LOAD_REPORT_FIELD));
     message.set(std::string(REQUEST_ID_FIELD), this->requestId);
     this->copyHead();
-    message.version(HTTP_1_1);
+    message.version(Network::HTTP_1_1);
     bool endsWithConnection = false;
-    if (this->caller.version < HTTP_1_1 && !parser.content_length()) {
+    if (this->caller.version < Network::HTTP_1_1 && !parser.content_length()) {
         message.chunked(false);
         endsWithConnection = !parser.is_done();
     } else if (!hasLength) {
--- a/Libraries/LibRelay/CallerListener.cpp
+++ b/Libraries/LibRelay/CallerListener.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -21,11 +20,8 @@
 
 namespace Asio = boost::asio;
 
-/// Pause after accept fails for want of descriptors, so that the loop does not spin.
-constexpr std::chrono::milliseconds ACCEPT_PAUSE{20};
 /// Time that a caller has for a request's head once its first byte has come.
 constexpr std::chrono::seconds HEAD_TIMEOUT{10};
-constexpr unsigned HTTP_1_1 = 11;
 
 Asio::awaitable<void> refuseBrokenRequest(RelayState &relay, boost::beast::tcp_stream &stream, boost::system::error_code problem)
 {
@@ -76,18 +72,11 @@
 
 Asio::awaitable<void> CallerListener::acceptLoop()
 {
-    while (this->acceptor.is_open()) {
-        boost::system::error_code error;
-        auto socket = co_await this->acceptor.async_accept(Asio::redirect_error(Asio::use_awaitable, error));
-        if (!error && this->relay.callerConnections < this->relay.limits.callerConnections) {
+    co_await Network::acceptConnections(this->acceptor, [this](Asio::ip::tcp::socket socket) {
+        if (this->relay.callerConnections < this->relay.limits.callerConnections) {
             Asio::co_spawn(this->acceptor.get_executor(), serve(this->relay, std::move(socket)), Asio::detached);
-            continue;
         }
-        if (error && this->acceptor.is_open()) {
-            Asio::steady_timer pause(this->acceptor.get_executor(), ACCEPT_PAUSE);
-            co_await pause.async_wait(Asio::redirect_error(Asio::use_awaitable, error));
-        }
-    }
+    });
 }
 
 Asio::awaitable<void> CallerListener::serve(RelayState &relay, Asio::ip::tcp::socket socket)
@@ -113,7 +102,7 @@
             co_return;
         }
         const auto version = parser.get().version();
-        RequestHandler handler(relay, {stream, buffer, parser, version, parser.keep_alive() && version >= HTTP_1_1});
+        RequestHandler handler(relay, {stream, buffer, parser, version, parser.keep_alive() && version >= Network::HTTP_1_1});
         isUsable = co_await handler.handle();
         if (isUsable) {
             isUsable = co_await waitForRequest(relay, stream, buffer);
--- a/Libraries/LibRelay/HeaderRules.cpp
+++ b/Libraries/LibRelay/HeaderRules.cpp
@@ -1,5 +1,7 @@
 #include <LibRelay/HeaderRules.h>
 
+#include <LibNetwork/Http.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
@@ -14,7 +16,6 @@
 {
 
 constexpr unsigned HTTP_1_0 = 10;
-constexpr unsigned HTTP_1_1 = 11;
 
 /// Fields that Connection may name without effect: removing them would change what the message means or how long it is.
 bool mustStay(std::string_view name)
@@ -59,10 +60,10 @@
 
 std::optional<std::string> findHeadProblem(const Http::request_header<> &head)
 {
-    if (head.version() != HTTP_1_0 && head.version() != HTTP_1_1) {
+    if (head.version() != HTTP_1_0 && head.version() != Network::HTTP_1_1) {
         return "the protocol version is neither HTTP/1.0 nor HTTP/1.1";
     }
-    if (head.version() == HTTP_1_1 && head.count(Http::field::host) != 1) {
+    if (head.version() == Network::HTTP_1_1 && head.count(Http::field::host) != 1) {
         return "an HTTP/1.1 request needs exactly one Host field";
     }
     if (head.count(Http::field::transfer_encoding) > 0 && head.count(Http::field::content_length) > 0) {
@@ -92,7 +93,7 @@
 
 bool expectsContinue(const Http::request_header<> &head)
 {
-    return head.version() == HTTP_1_1 && boost::beast::iequals(head[Http::field::expect], "100-continue");
+    return head.version() == Network::HTTP_1_1 && boost::beast::iequals(head[Http::field::expect], "100-continue");
 }
 
 } // namespace Briarbend::Relay
--- a/Libraries/LibRelay/RequestBody.cpp
+++ b/Libraries/LibRelay/RequestBody.cpp
@@ -1,5 +1,7 @@
 #include <LibRelay/RequestBody.h>
 
+#include <LibNetwork/Http.h>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -16,13 +18,12 @@
 namespace Asio = boost::asio;
 
 constexpr std::size_t READ_BYTES = 16UL * 1024;
-constexpr unsigned HTTP_1_1 = 11;
 
 } // namespace
 
 Asio::awaitable<void> sendContinue(boost::beast::tcp_stream &stream)
 {
-    Http::response<Http::empty_body> response{Http::status::continue_, HTTP_1_1};
+    Http::response<Http::empty_body> response{Http::status::continue_, Network::HTTP_1_1};
     boost::system::error_code ignored;
     co_await Http::async_write(stream, response, Asio::redirect_error(Asio::use_awaitable, ignored));
 }
