LibCoordination: Send to members in one place; sum and encode once

The daemon's and the gateway's roll-outs each turned members into addresses and sent to them one by one: PeerLink::sendTo and sendToAll do it for both, over Membership::addressesOf. No change of behaviour.

--- a/Libraries/LibCoordination/PeerLink.cpp
+++ b/Libraries/LibCoordination/PeerLink.cpp
@@ -64,6 +64,18 @@
     this->transport.send(peer, framed(channel, bytes));
 }
 
+void PeerLink::sendTo(Channel channel, const std::vector<Core::InstanceId> &members, std::string_view bytes)
+{
+    for (const auto &address : Membership::addressesOf(this->gossip.members, members)) {
+        this->send(channel, address, bytes);
+    }
+}
+
+void PeerLink::sendToAll(Channel channel, std::string_view bytes)
+{
+    this->sendTo(channel, Membership::aliveMembers(this->gossip.members), bytes);
+}
+
 void PeerLink::publishSection(const Gossip::SectionText &section)
 {
     this->carryOut(Gossip::publishSection(this->gossip, section, this->timers.now(), this->random));
--- a/Libraries/LibCoordination/PeerLink.h
+++ b/Libraries/LibCoordination/PeerLink.h
@@ -44,6 +44,10 @@
     /// Registers the receiver of one channel other than gossip.
     void onMessage(Channel channel, MessageCallback callback);
     void send(Channel channel, const std::string &peer, std::string_view bytes);
+    /// Sends to each of the members that is known, this instance left out.
+    void sendTo(Channel channel, const std::vector<Core::InstanceId> &members, std::string_view bytes);
+    /// Sends to all members that have certainly run.
+    void sendToAll(Channel channel, std::string_view bytes);
 
     void publishSection(const Gossip::SectionText &section);
     void publish(const Gossip::Record &record, Core::Duration retention = {});
--- a/Libraries/LibCore/Random.cpp
+++ b/Libraries/LibCore/Random.cpp
@@ -33,4 +33,11 @@
     return this->engine();
 }
 
+std::uint64_t deviceSeed()
+{
+    constexpr unsigned WORD_BITS = 32;
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << WORD_BITS) | device();
+}
+
 } // namespace Briarbend::Core
--- a/Libraries/LibCore/Random.h
+++ b/Libraries/LibCore/Random.h
@@ -26,4 +26,7 @@
     std::mt19937_64 engine;
 };
 
+/// A seed from the host's source of randomness.
+std::uint64_t deviceSeed();
+
 } // namespace Briarbend::Core
--- a/Libraries/LibGateway/NewsSpread.cpp
+++ b/Libraries/LibGateway/NewsSpread.cpp
@@ -237,13 +237,15 @@
 
 void NewsSpread::tell(const ChangesNews &news)
 {
-    this->send(this->neighbours, encodeNews(news));
-    auto toWatchers = news;
-    if (news.kind == ObjectKind::Plan) {
-        // Long, and every watcher reads it itself: bytes between data centres are dear.
-        toWatchers.changes.changes.clear();
+    const auto bytes = encodeNews(news);
+    this->send(this->neighbours, bytes);
+    if (news.kind != ObjectKind::Plan) {
+        this->send(this->farWatchers, bytes);
+        return;
     }
-    this->send(this->farWatchers, encodeNews(toWatchers));
+    // A configuration is long, and every watcher reads it itself: bytes between data centres are dear.
+    const Changes withoutContent{.changes = {}, .revision = news.changes.revision};
+    this->send(this->farWatchers, encodeNews(ChangesNews{.kind = news.kind, .previous = news.previous, .changes = withoutContent}));
 }
 
 void NewsSpread::send(const std::vector<std::string> &audience, const std::string &bytes)
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -266,11 +266,7 @@
 
 void RolloutDriver::logStep(const Move &move, const Rollout::Status &status) const
 {
-    Rollout::AnswerCounts sum;
-    for (const auto &[cell, counts] : move.state->answers) {
-        sum.inTimeOfNew += counts.inTimeOfNew;
-        sum.requestsToNew += counts.requestsToNew;
-    }
+    const auto sum = Rollout::totalAnswers(*move.state);
     this->state.log.write(Importance::Notable,
                           "rollout_step",
                           {{"service", status.service.value},
@@ -288,10 +284,7 @@
 
 void RolloutDriver::tellVerdict(const Rollout::Status &status)
 {
-    const auto bytes = Coordination::encodeRolloutMessage(status);
-    for (const auto &address : this->addressesOf(Membership::aliveMembers(this->peers.state().members))) {
-        this->peers.send(Channel::Rollout, address, bytes);
-    }
+    this->peers.sendToAll(Channel::Rollout, Coordination::encodeRolloutMessage(status));
 }
 
 void RolloutDriver::refreshTargets(Move &move) const
@@ -328,9 +321,7 @@
                                                                                         .start = move.state->move.start,
                                                                                         .member = members.self,
                                                                                         .evidence = Rollout::nextEvidence(*move.state)});
-    for (const auto &judge : this->addressesOf(Rollout::judges(*move.state, Membership::aliveMembers(members)))) {
-        this->peers.send(Channel::Rollout, judge, bytes);
-    }
+    this->peers.sendTo(Channel::Rollout, Rollout::judges(*move.state, Membership::aliveMembers(members)), bytes);
 }
 
 bool RolloutDriver::hasOldInFlight(const Move &move) const
@@ -351,14 +342,13 @@
     move.confirmed.insert(members.self);
     const auto bytes
         = Coordination::encodeRolloutMessage(Coordination::RolloutConfirmation{move.order.service, move.state->move.start, members.self});
-    for (const auto &address : this->addressesOf(Membership::aliveMembers(members))) {
-        this->peers.send(Channel::Rollout, address, bytes);
-    }
+    this->peers.sendToAll(Channel::Rollout, bytes);
 }
 
 void RolloutDriver::tellStatuses()
 {
-    const auto addresses = this->addressesOf(Membership::aliveMembers(this->peers.state().members));
+    const auto &members = this->peers.state().members;
+    const auto addresses = Membership::addressesOf(members, Membership::aliveMembers(members));
     if (addresses.empty()) {
         return;
     }
@@ -410,17 +400,4 @@
     }
 }
 
-std::vector<std::string> RolloutDriver::addressesOf(const std::vector<Core::InstanceId> &members) const
-{
-    const auto &known = this->peers.state().members;
-    std::vector<std::string> addresses;
-    for (const auto &member : members) {
-        const auto *row = Membership::find(known, member);
-        if (row != nullptr && member != known.self) {
-            addresses.push_back(row->news.address.value);
-        }
-    }
-    return addresses;
-}
-
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/RolloutDriver.h
+++ b/Libraries/LibGateway/RolloutDriver.h
@@ -63,7 +63,6 @@
     void writeWhenDue(const std::string &service, Move &move, Core::TimePoint now);
     boost::asio::awaitable<void> write(std::string service, RolloutProgress progress);
     std::size_t ownRank(const std::string &service) const;
-    std::vector<std::string> addressesOf(const std::vector<Core::InstanceId> &members) const;
     bool hasOldInFlight(const Move &move) const;
 
     GatewayState &state;
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -222,6 +222,18 @@
     return alive;
 }
 
+std::vector<std::string> addressesOf(const State &state, const std::vector<Core::InstanceId> &members)
+{
+    std::vector<std::string> addresses;
+    for (const auto &id : members) {
+        const auto *member = find(state, id);
+        if (member != nullptr && id != state.self) {
+            addresses.push_back(member->news.address.value);
+        }
+    }
+    return addresses;
+}
+
 const Member *find(const State &state, const Core::InstanceId &id)
 {
     const auto found = state.members.find(id);
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -40,6 +40,9 @@
 /// Members, alive or suspect, that have certainly run; this instance among them unless it leaves. Sorted by identifier.
 std::vector<Core::InstanceId> aliveMembers(const State &state);
 
+/// Peer addresses of the members that are known, this instance left out.
+std::vector<std::string> addressesOf(const State &state, const std::vector<Core::InstanceId> &members);
+
 /// The table's row, or null.
 const Member *find(const State &state, const Core::InstanceId &id);
 
--- a/Libraries/LibRollout/Evidence.cpp
+++ b/Libraries/LibRollout/Evidence.cpp
@@ -63,6 +63,16 @@
     evidence.latencies.erase(evidence.latencies.begin(), evidence.latencies.lower_bound({.block = block, .route = {}, .target = {}}));
 }
 
+void add(AnswerCounts &sum, const AnswerCounts &other)
+{
+    sum.ofOld += other.ofOld;
+    sum.ofNew += other.ofNew;
+    sum.inTimeOfOld += other.inTimeOfOld;
+    sum.inTimeOfNew += other.inTimeOfNew;
+    sum.requestsToOld += other.requestsToOld;
+    sum.requestsToNew += other.requestsToNew;
+}
+
 void add(MemberEvidence &sum, const MemberEvidence &other)
 {
     for (const auto &[key, counts] : other.failures) {
@@ -76,13 +86,7 @@
         total.slow += counts.slow;
     }
     for (const auto &[cell, counts] : other.answers) {
-        auto &total = sum.answers[cell];
-        total.ofOld += counts.ofOld;
-        total.ofNew += counts.ofNew;
-        total.inTimeOfOld += counts.inTimeOfOld;
-        total.inTimeOfNew += counts.inTimeOfNew;
-        total.requestsToOld += counts.requestsToOld;
-        total.requestsToNew += counts.requestsToNew;
+        add(sum.answers[cell], counts);
     }
 }
 
--- a/Libraries/LibRollout/Evidence.h
+++ b/Libraries/LibRollout/Evidence.h
@@ -106,6 +106,9 @@
 /// Drops blocks before the given one.
 void forgetBefore(MemberEvidence &evidence, BlockNumber block);
 
+/// Adds the counts of another cell or member.
+void add(AnswerCounts &sum, const AnswerCounts &other);
+
 /// Adds the counts of another member.
 void add(MemberEvidence &sum, const MemberEvidence &other);
 
--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -192,15 +192,18 @@
     return isChanged ? std::optional{state.status} : std::nullopt;
 }
 
-bool isUnproven(const RolloutState &state)
+AnswerCounts totalAnswers(const RolloutState &state)
 {
     AnswerCounts sum;
     for (const auto &[cell, counts] : state.answers) {
-        sum.inTimeOfOld += counts.inTimeOfOld;
-        sum.inTimeOfNew += counts.inTimeOfNew;
-        sum.requestsToOld += counts.requestsToOld;
-        sum.requestsToNew += counts.requestsToNew;
+        add(sum, counts);
     }
+    return sum;
+}
+
+bool isUnproven(const RolloutState &state)
+{
+    const auto sum = totalAnswers(state);
     if (sum.requestsToOld < state.settings.sufficientAnswers) {
         return false;
     }
--- a/Libraries/LibRollout/Rollout.h
+++ b/Libraries/LibRollout/Rollout.h
@@ -133,6 +133,9 @@
 /// push it to the peers, then write it to the store with merge on conflict.
 std::optional<Status> decide(RolloutState &state, Core::WallTime now);
 
+/// All answers of both versions, by the evidence of the last decision.
+AnswerCounts totalAnswers(const RolloutState &state);
+
 /// True where the old version had traffic and the new one has not shown, by the evidence of the last decision, that it answers about as
 /// well. Only an instance that has the evidence of the others can tell.
 bool isUnproven(const RolloutState &state);
--- a/Services/briarbendd/Main.cpp
+++ b/Services/briarbendd/Main.cpp
@@ -1,5 +1,6 @@
 #include "Daemon.h"
 
+#include <LibCore/Random.h>
 #include <LibDocument/DocumentProblem.h>
 #include <LibLog/Log.h>
 #include <LibSettings/SettingsFile.h>
@@ -9,7 +10,6 @@
 #include <cstdlib>
 #include <iostream>
 #include <popt.h>
-#include <random>
 
 namespace
 {
@@ -35,19 +35,13 @@
     return name;
 }
 
-std::uint64_t randomSeed()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
 int run(Briarbend::Settings::Settings settings)
 {
     Briarbend::Log::configure(settings.instance.logLevel);
     // A caller or target that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context context(1);
-    Briarbend::Daemon::Daemon daemon(context, std::move(settings), randomSeed());
+    Briarbend::Daemon::Daemon daemon(context, std::move(settings), Briarbend::Core::deviceSeed());
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&daemon, &context](const boost::system::error_code &error, int) {
         if (!error) {
--- a/Services/briarbendd/RolloutRunner.cpp
+++ b/Services/briarbendd/RolloutRunner.cpp
@@ -210,9 +210,7 @@
                                                                                         .start = running.state.move.start,
                                                                                         .member = members.self,
                                                                                         .evidence = Rollout::nextEvidence(running.state)});
-    for (const auto &judge : this->addressesOf(Rollout::judges(running.state, Membership::aliveMembers(members)))) {
-        this->peers.send(Coordination::Channel::Rollout, judge, bytes);
-    }
+    this->peers.sendTo(Coordination::Channel::Rollout, Rollout::judges(running.state, Membership::aliveMembers(members)), bytes);
 }
 
 void RolloutRunner::refreshTargets()
@@ -233,15 +231,13 @@
 
 void RolloutRunner::tellStatus(const Rollout::Status &status)
 {
-    const auto bytes = Coordination::encodeRolloutMessage(status);
-    for (const auto &address : this->addressesOf(Membership::aliveMembers(this->peers.state().members))) {
-        this->peers.send(Coordination::Channel::Rollout, address, bytes);
-    }
+    this->peers.sendToAll(Coordination::Channel::Rollout, Coordination::encodeRolloutMessage(status));
 }
 
 void RolloutRunner::tellOnePeer()
 {
-    const auto addresses = this->addressesOf(Membership::aliveMembers(this->peers.state().members));
+    const auto &members = this->peers.state().members;
+    const auto addresses = Membership::addressesOf(members, Membership::aliveMembers(members));
     if (addresses.empty()) {
         return;
     }
@@ -304,17 +300,4 @@
     }
 }
 
-std::vector<std::string> RolloutRunner::addressesOf(const std::vector<Core::InstanceId> &instances) const
-{
-    const auto &members = this->peers.state().members;
-    std::vector<std::string> addresses;
-    for (const auto &instance : instances) {
-        const auto *member = Membership::find(members, instance);
-        if (member != nullptr && instance != members.self) {
-            addresses.push_back(member->news.address.value);
-        }
-    }
-    return addresses;
-}
-
 } // namespace Briarbend::Daemon
--- a/Services/briarbendd/RolloutRunner.h
+++ b/Services/briarbendd/RolloutRunner.h
@@ -53,7 +53,6 @@
     void receive(std::string_view bytes);
     Relay::VersionChoice choose(const Core::ServiceName &service, const std::string &routePrefix) const;
     boost::asio::awaitable<void> keepInStore(std::shared_ptr<Running> running);
-    std::vector<std::string> addressesOf(const std::vector<Core::InstanceId> &instances) const;
 
     boost::asio::io_context &context;
     Store::ObjectStore &store;
