LibNetwork: Keep a server's state alive until its accept loop is destroyed

The other two callers of acceptConnections capture a plain pointer and are not hit.

Before: TestBriarctl aborts in every run. After: three runs of three pass, valgrind finds nothing, the whole suite passes (356 of 356).

--- a/Libraries/LibNetwork/HttpServer.cpp
+++ b/Libraries/LibNetwork/HttpServer.cpp
@@ -81,9 +81,11 @@
 
 Asio::awaitable<void> HttpServer::acceptLoop(std::shared_ptr<State> state)
 {
-    co_await acceptConnections(state->acceptor, [state](Asio::ip::tcp::socket socket) {
+    // g++ 12 destroys a temporary closure in the operand of co_await twice, and with it the state that it holds.
+    std::function<void(Asio::ip::tcp::socket)> take = [state](Asio::ip::tcp::socket socket) {
         Asio::co_spawn(state->acceptor.get_executor(), serve(state, std::move(socket)), Asio::detached);
-    });
+    };
+    co_await acceptConnections(state->acceptor, std::move(take));
 }
 
 Asio::awaitable<void> HttpServer::serve(std::shared_ptr<State> state, Asio::ip::tcp::socket socket)
