LibGateway: Part health checks and the rollouts' messages from their files

TargetFinder held the question on the health path beside the search for a target, RolloutDriver the messages between instances beside the steps; the conversion to fractional milliseconds stood in two files. HealthCheck and RolloutNews hold the former, Core::milliseconds the latter.

--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -14,4 +14,10 @@
 /// Wall clock time, used only where operators state a time of day. Never decides uniqueness or order.
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
+/// For calculations with fractions.
+constexpr double milliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 } // namespace Briarbend::Core
--- a/Libraries/LibFleet/Beliefs.cpp
+++ b/Libraries/LibFleet/Beliefs.cpp
@@ -29,11 +29,6 @@
 /// the rest, and the platform's margin of half the rate, five standard deviations of a Poisson stream are free.
 constexpr double PLANNED_COLD_PART = 0.6;
 
-double milliseconds(Core::Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 bool isSameStart(const TargetRecord &one, const TargetRecord &other)
 {
     return one.name == other.name && one.startedAtMilliseconds == other.startedAtMilliseconds && one.address == other.address;
@@ -123,7 +118,7 @@
 
 void recordAnswer(RouteStatistics &route, const ServiceBook &book, Core::Duration elapsed, std::size_t bytes)
 {
-    const auto work = milliseconds(elapsed) / std::max(1.0, typicalSlowness(book));
+    const auto work = Core::milliseconds(elapsed) / std::max(1.0, typicalSlowness(book));
     route.workMilliseconds += ANSWER_WEIGHT * (work - route.workMilliseconds);
     route.answerBytes += ANSWER_WEIGHT * (static_cast<double>(bytes) - route.answerBytes);
 }
@@ -135,14 +130,14 @@
 
 double failureShare(const TargetBelief &target, Core::TimePoint now)
 {
-    const auto age = milliseconds(now - target.failureShareAt);
-    return target.failureShare * std::exp(-std::max(0.0, age) / milliseconds(FAILURE_MEMORY));
+    const auto age = Core::milliseconds(now - target.failureShareAt);
+    return target.failureShare * std::exp(-std::max(0.0, age) / Core::milliseconds(FAILURE_MEMORY));
 }
 
 bool takeColdToken(const ServicePlan &plan, TargetBelief &target, std::size_t instances, Core::TimePoint now)
 {
     const auto rate = PLANNED_COLD_PART * plan.coldRequestsPerSecond / static_cast<double>(std::max<std::size_t>(1, instances));
-    const auto earned = rate * milliseconds(now - target.coldTokensAt) / 1000;
+    const auto earned = rate * Core::milliseconds(now - target.coldTokensAt) / 1000;
     target.coldTokens = std::min(MOST_COLD_TOKENS, target.coldTokens + earned);
     target.coldTokensAt = now;
     if (target.coldTokens < 1) {
--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -20,11 +20,6 @@
 /// A statement's requests no longer count after the time in which about all of them have ended.
 constexpr std::chrono::milliseconds STATEMENT_LIFETIME{1000};
 
-double milliseconds(Core::Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 std::uint32_t occupied(const TargetBelief &target)
 {
     if (!target.load) {
@@ -112,7 +107,7 @@
     const auto slots = static_cast<double>(slotsOf(target));
     const bool isUpToDate = target.load && now - target.loadAt < STATEMENT_LIFETIME;
     const auto holds = static_cast<double>(isUpToDate ? occupied(target) : target.ownInFlight);
-    const bool isSpeedKnown = target.load && milliseconds(now - target.loadAt) < SPEED_PERSISTENCE_MS;
+    const bool isSpeedKnown = target.load && Core::milliseconds(now - target.loadAt) < SPEED_PERSISTENCE_MS;
     const auto slowness = isSpeedKnown ? target.load->slowness : typicalSlowness(book);
     auto time = workTime(route.workMilliseconds, slowness, typicalSlowness(book));
     if (holds >= slots) {
@@ -131,7 +126,7 @@
     auto cost = expectedTime(book, target, route, input, now);
     cost += toMicroseconds(failureShare(target, now) * (FAILURE_COST_MS + route.workMilliseconds));
     if (target.record.dataCentre != input.ownDataCentre) {
-        cost += toMicroseconds(milliseconds(input.crossingPerKibibyte) * route.answerBytes / 1024);
+        cost += toMicroseconds(Core::milliseconds(input.crossingPerKibibyte) * route.answerBytes / 1024);
     }
     return cost;
 }
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/Attempt.h>
 
+#include <LibGateway/HealthCheck.h>
 #include <LibRelay/HeaderRules.h>
 
 #include <algorithm>
@@ -27,7 +28,6 @@
 /// Part of the objective, as its divisor, for which a suspect request waits for its trial.
 constexpr int TRIAL_PATIENCE_DIVISOR = 4;
 constexpr std::uint32_t LONGEST_ANSWER_HEAD = 64U * 1024;
-constexpr std::size_t MOST_FOREIGN_ANSWERS = 3;
 constexpr std::size_t READ_BYTES = 16UL * 1024;
 constexpr unsigned FIRST_SERVER_ERROR = 500;
 
@@ -338,7 +338,7 @@
     if (outcome == Fleet::SendOutcome::Answered) {
         auto &route = state.routes.at(this->context->route->name);
         Fleet::recordAnswer(route.statistics, *this->book, elapsed, this->answer.body.size());
-        Routing::addSample(route.lateAnswer, std::chrono::duration<double, std::milli>(elapsed).count());
+        Routing::addSample(route.lateAnswer, Core::milliseconds(elapsed));
     }
     if (state.onObserved && outcome != Fleet::SendOutcome::Shed) {
         state.onObserved({.service = this->book->name,
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -1,16 +1,12 @@
 #include <LibGateway/TargetFinder.h>
 
 #include <LibCore/Presence.h>
-#include <LibNetwork/Http.h>
+#include <LibGateway/HealthCheck.h>
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
-#include <charconv>
 
 namespace Briarbend::Gateway
 {
@@ -28,99 +24,10 @@
 constexpr std::chrono::milliseconds LATER_ANSWERS{6};
 /// Time after which further targets are asked although none has answered: well above a round trip to a busy host.
 constexpr std::chrono::milliseconds ANSWER_PATIENCE{40};
-/// Time for connecting and an answer on the health path, after which the target counts as silent.
-constexpr std::chrono::milliseconds HEALTH_TIMEOUT{250};
 /// Free slots of a target that a request needs whose objective has passed.
 constexpr std::uint32_t SLOTS_FOR_LATE_REQUESTS = 2;
 /// A request is worth a try as long as the expected time is not beyond this multiple of the time that is left: work varies by half of it.
 constexpr int HOPELESS_FACTOR = 2;
-constexpr std::uint64_t LONGEST_HEALTH_ANSWER = 16ULL * 1024;
-constexpr std::size_t MOST_FOREIGN_ANSWERS = 3;
-/// A connection is not used in the last part of the time for which its target keeps it idle, or beyond the default where that is unknown.
-constexpr std::chrono::milliseconds IDLE_MARGIN{1000};
-constexpr std::chrono::milliseconds DEFAULT_IDLE{3000};
-
-using HealthParser = Http::response_parser<Http::string_body>;
-
-std::optional<std::chrono::seconds> keepAliveTimeout(const Http::response_header<> &head)
-{
-    constexpr std::string_view PARAMETER{"timeout="};
-    const auto value = head[Http::field::keep_alive];
-    const auto at = std::string_view(value.data(), value.size()).find(PARAMETER);
-    if (at == std::string_view::npos) {
-        return std::nullopt;
-    }
-    unsigned seconds = 0;
-    const auto *begin = value.data() + at + PARAMETER.size();
-    const auto parsed = std::from_chars(begin, value.data() + value.size(), seconds);
-    return parsed.ec == std::errc{} ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
-}
-
-/// When a connection that has just carried this answer is no longer to be used.
-Core::TimePoint usableUntil(const Http::response_header<> &lastAnswer, Core::TimePoint now)
-{
-    const auto stated = keepAliveTimeout(lastAnswer);
-    return now + (stated ? std::max(std::chrono::milliseconds{0}, *stated - IDLE_MARGIN) : DEFAULT_IDLE);
-}
-
-/// Sends the question and reads its answer. False where the connection did not carry it.
-Asio::awaitable<bool>
-exchangeHealth(GatewayState &state, Relay::TargetConnection &connection, const std::string &path, std::optional<HealthParser> &parser)
-{
-    Http::request<Http::empty_body> request{Http::verb::get, path, Network::HTTP_1_1};
-    request.set(Http::field::host, connection.target().value);
-    connection.stream.expires_after(HEALTH_TIMEOUT);
-    boost::system::error_code error;
-    co_await Http::async_write(connection.stream, request, Asio::redirect_error(Asio::use_awaitable, error));
-    for (std::size_t foreign = 0; !error && foreign <= MOST_FOREIGN_ANSWERS; ++foreign) {
-        parser.emplace();
-        parser->body_limit(LONGEST_HEALTH_ANSWER);
-        co_await Http::async_read(connection.stream, connection.buffer, *parser, Asio::redirect_error(Asio::use_awaitable, error));
-        // Answers to requests bear the identifier of an attempt; one here is the late second answer to an earlier request.
-        if (!error && state.dialect.readTarget(parser->get().base()).attemptId.empty()) {
-            co_return true;
-        }
-        ++state.counters.foreignAnswers;
-    }
-    co_return false;
-}
-
-Asio::awaitable<std::unique_ptr<Relay::TargetConnection>> connectTo(GatewayState &state, const Core::TargetId &address)
-{
-    try {
-        ++state.counters.connectionsOpened;
-        co_return co_await state.pool.connect(address, Core::Clock::now() + HEALTH_TIMEOUT);
-    } catch (const boost::system::system_error &error) {
-        // The caller notes the trouble with the target.
-        if (error.code() == Asio::error::connection_refused && state.guard != nullptr) {
-            state.guard->targetGone(address);
-        }
-        co_return nullptr;
-    }
-}
-
-/// Takes over what the health path says. False where another target answered.
-bool learnHealth(GatewayState &state, Fleet::ServiceBook &book, Fleet::TargetBelief &target, const Http::response_header<> &head)
-{
-    const auto now = Core::Clock::now();
-    const auto statement = state.dialect.readTarget(head);
-    if (!statement.targetName.empty() && statement.targetName != target.record.name) {
-        Fleet::recordTrouble(target, now);
-        return false;
-    }
-    if (state.guard != nullptr) {
-        const auto &record = target.record;
-        state.guard->startSeen(record.address, {record.name + "/" + std::to_string(record.startedAtMilliseconds)});
-    }
-    if (statement.load) {
-        Fleet::recordLoad(book, target, *statement.load, now);
-    }
-    Fleet::recordHealth(target, Http::to_status_class(head.result()) == Http::status_class::successful);
-    if (statement.coldLeft || target.coldUntil > now) {
-        Fleet::recordCold(target, statement.coldLeft.value_or(std::chrono::milliseconds{0}), now);
-    }
-    return true;
-}
 
 /// The probes of one search that are under way.
 struct Search {
@@ -320,64 +227,6 @@
 
 } // namespace
 
-void keepConnection(GatewayState &state, std::unique_ptr<Relay::TargetConnection> connection, const Http::response_header<> &lastAnswer)
-{
-    if (connection->buffer.size() > 0) {
-        // Bytes after a whole answer belong to no request.
-        ++state.counters.foreignAnswers;
-        return;
-    }
-    const auto now = Core::Clock::now();
-    connection->usableUntil = usableUntil(lastAnswer, now);
-    state.pool.giveBack(std::move(connection), now);
-}
-
-Asio::awaitable<std::unique_ptr<Relay::TargetConnection>>
-askHealth(GatewayState &state, std::shared_ptr<Fleet::ServiceBook> book, std::string targetName)
-{
-    const auto *known = Fleet::findTarget(*book, targetName);
-    if (known == nullptr) {
-        co_return nullptr;
-    }
-    const auto address = known->record.address;
-    const auto path = book->plan.healthPath;
-    ++state.counters.probes;
-    std::optional<HealthParser> parser;
-    auto connection = state.pool.takeIdle(address);
-    bool isAnswered = false;
-    if (connection) {
-        isAnswered = co_await exchangeHealth(state, *connection, path, parser);
-    }
-    if (!isAnswered) {
-        // A kept connection may have ended meanwhile without a word.
-        connection = co_await connectTo(state, address);
-    }
-    if (!isAnswered && connection) {
-        isAnswered = co_await exchangeHealth(state, *connection, path, parser);
-    }
-    auto *target = Fleet::findTarget(*book, targetName);
-    if (target == nullptr) {
-        co_return nullptr;
-    }
-    if (!isAnswered) {
-        Fleet::recordTrouble(*target, Core::Clock::now());
-        co_return nullptr;
-    }
-    const bool isIt = learnHealth(state, *book, *target, parser->get().base());
-    const bool isReusable = parser->keep_alive() && connection->buffer.size() == 0;
-    if (!isIt) {
-        co_return nullptr;
-    }
-    if (!isReusable) {
-        connection = co_await connectTo(state, address);
-    }
-    if (connection) {
-        connection->stream.expires_never();
-        connection->usableUntil = usableUntil(parser->get().base(), Core::Clock::now());
-    }
-    co_return connection;
-}
-
 Asio::awaitable<FoundTarget> findTarget(GatewayState &state, TargetWish wish)
 {
     const auto names = Fleet::candidates(*wish.book, wish.input, Core::Clock::now(), state.random);
--- a/Libraries/LibGateway/TargetFinder.h
+++ b/Libraries/LibGateway/TargetFinder.h
@@ -40,11 +40,4 @@
 /// who it is and that the connection works, so that hardly any request is sent into the void.
 boost::asio::awaitable<FoundTarget> findTarget(GatewayState &state, TargetWish wish);
 
-/// Asks one target for its load on its health path. Null where it could not be reached in time, or another target has the address.
-boost::asio::awaitable<std::unique_ptr<Relay::TargetConnection>>
-askHealth(GatewayState &state, std::shared_ptr<Fleet::ServiceBook> book, std::string targetName);
-
-/// Keeps a connection whose last answer came to a clean end, or closes it.
-void keepConnection(GatewayState &state, std::unique_ptr<Relay::TargetConnection> connection, const Http::response_header<> &lastAnswer);
-
 } // namespace Briarbend::Gateway
