briarbendd: Tell the cold gate of targets whose service no section names yet

Cause: sections come into force one by one. The gate takes the targets of its first list for known and later ones for new; with the first section its list held that team's targets alone, so that those of the sections after it passed for new, cold targets, which bear one request each after a settling time of 7 s. /dump showed it: two seconds into the load the targets of one or two services warm, all others cold at all instances, none ejected. Ruled out: the targets' speed (answers took 2 ms), budgets of probes and connections, load on the machine.

The gate now hears of every listed target.

--- a/Libraries/LibLimits/ColdGate.h
+++ b/Libraries/LibLimits/ColdGate.h
@@ -100,8 +100,8 @@
     std::uint32_t warmAfterRequests{50};
 };
 
-/// Takes over the list of all targets that this instance may send to. Targets of the first list that is not empty are unknown, later
-/// ones cold. Call it after the first updateMembership.
+/// Takes over the list of all targets that this instance may send to, now or once their service is configured. Targets of the first list
+/// that is not empty are unknown, later ones cold. Call it after the first updateMembership.
 void updateColdTargets(ColdGate &gate, const std::vector<ColdTargetLimits> &targets);
 
 /// Takes over the membership and contacts; call it several times within each `longestPause`, also when nothing changed.
--- a/Services/briarbendd/ServiceUpdater.cpp
+++ b/Services/briarbendd/ServiceUpdater.cpp
@@ -37,9 +37,16 @@
     return {out.begin(), out.end()};
 }
 
-void updateColdGate(Relay::RelayState &relay)
+/// Targets of services that no section names yet are told to the gate as well: sections come into force one by one, and the targets of
+/// a later one would pass for new and cold.
+void updateColdGate(Relay::RelayState &relay, const std::vector<Store::ListedInstance> &list)
 {
     std::vector<Limits::ColdTargetLimits> limits;
+    for (const auto &instance : list) {
+        if (!relay.services.contains(instance.service) && instance.service.value != Store::ENTRY_SERVICE) {
+            limits.push_back({.target = {instance.address}});
+        }
+    }
     for (const auto &[name, service] : relay.services) {
         std::ranges::transform(
             service->table.targets, std::back_inserter(limits), [&service = *service](const Routing::TargetState &target) {
@@ -79,7 +86,7 @@
     });
     relay.routes = std::move(routes);
     if (!list.empty()) {
-        updateColdGate(relay);
+        updateColdGate(relay, list);
     }
 }
 
--- a/Tests/Processes/ColdTargets/TestColdTargets.cpp
+++ b/Tests/Processes/ColdTargets/TestColdTargets.cpp
@@ -64,4 +64,38 @@
     EXPECT_LE(largest(cluster, "connections_peak"), CONNECTION_BUDGET);
 }
 
+TEST(ColdTargets, ofAServiceThatIsConfiguredLaterAreNotTakenForNew)
+{
+    constexpr std::size_t INSTANCES = 3;
+    // Time in which a configuration comes into force everywhere.
+    constexpr std::chrono::seconds IN_FORCE{4};
+    ClusterPlan plan;
+    plan.instances = 0;
+    plan.declaredMaximumInstances = INSTANCES;
+    Cluster cluster(std::move(plan));
+    const auto &later = cluster.targetGroups.back();
+    for (const auto &target : later.targets) {
+        cluster.controlStore({{"upsert_instance",
+                               {{"id", target}, {"service", "later"}, {"data_centre", "sfax-3"}, {"version", "v1"}, {"state", "live"}}}});
+    }
+    for (std::size_t index = 0; index < INSTANCES; ++index) {
+        cluster.addInstance("sfax-3");
+    }
+    ASSERT_TRUE(eventually(
+        [&cluster] {
+            return std::ranges::all_of(cluster.instances, &EntryInstance::isReady);
+        },
+        20s));
+    cluster.applyConfiguration("[[team.newcomers.service.later.route]]\npath = \"/later/\"\nkind = \"idempotent\"\n");
+    const auto isServed = [](const EntryInstance &instance) {
+        const auto request = Network::makeRequest(Network::Http::verb::get, "/later/1", instance.callers.text());
+        return exchange(instance.callers, request).result() == Network::Http::status::ok;
+    };
+    EXPECT_TRUE(eventually(
+        [&] {
+            return std::ranges::all_of(cluster.instances, isServed);
+        },
+        IN_FORCE));
+}
+
 } // namespace Briarbend::Processes
