LibFleet: Ask targets of other data centres while the own one is busy

Cause: candidates came sorted by data centre, and at most nine are asked, so that with nine usable targets at home no other was ever asked. Ruled out: too few slots in all (28% of them are needed), slow instances (1.4% of a core).

Each of the first three candidates is of another data centre with a probability that grows with the share of slots in use at home, as its targets stated within the last second; after the first three every other one is. The cost of the crossing still decides where the request goes.

LopsidedLoad.callersOfABusyDataCentre... and two tests of the choice hold it; with the own data centre first, more than 5% of the model's requests find a nearly full target.

--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -20,6 +20,15 @@
 /// A statement's requests no longer count after the time in which about all of them have ended.
 constexpr std::chrono::milliseconds STATEMENT_LIFETIME{1000};
 
+/// Share of the slots in use in the own data centre up to which its targets are asked first: work there is served at full speed.
+constexpr double FREE_OCCUPANCY = 0.3;
+/// Share from which others are asked as often: few of its targets are below the load at which they slow down.
+constexpr double BUSY_OCCUPANCY = 0.65;
+/// Most of the first candidates that are of other data centres, so that one of the own is nearly always among them.
+constexpr double MOST_FAR_PART = 0.6;
+/// Candidates that are asked at once.
+constexpr std::size_t FIRST_CANDIDATES = 3;
+
 std::uint32_t occupied(const TargetBelief &target)
 {
     if (!target.load) {
@@ -50,6 +59,22 @@
     return std::chrono::microseconds(static_cast<std::int64_t>(valueMilliseconds * 1000));
 }
 
+/// Lets names[farBegin, farEnd) take places among names[0, farBegin): each of the first places with the probability, then every other one.
+void mixIn(std::vector<std::string> &names, std::size_t farBegin, std::size_t farEnd, double farPart, Core::Random &random)
+{
+    std::vector<std::string> mixed;
+    mixed.reserve(farEnd);
+    std::size_t near = 0;
+    std::size_t far = farBegin;
+    while (near < farBegin || far < farEnd) {
+        const bool isFirst = mixed.size() < FIRST_CANDIDATES;
+        const bool wantsFar = isFirst ? random.unit() < farPart : mixed.size() % 2 == 1;
+        const bool takesFar = far < farEnd && (wantsFar || near == farBegin);
+        mixed.push_back(std::move(names[takesFar ? far++ : near++]));
+    }
+    std::ranges::move(mixed, names.begin());
+}
+
 bool isAllowed(const TargetBelief &target, const ChoiceInput &input)
 {
     const auto &record = target.record;
@@ -72,6 +97,20 @@
     return target.avoidedUntil > now || target.refusesWork ? Usability::Doubtful : Usability::Usable;
 }
 
+double occupancy(const ServiceBook &book, const Core::DataCentreName &dataCentre, Core::TimePoint now)
+{
+    double held = 0;
+    double slots = 0;
+    for (const auto &target : book.targets) {
+        const bool isUpToDate = target.load && now - target.loadAt < STATEMENT_LIFETIME;
+        if (isUpToDate && target.record.dataCentre == dataCentre) {
+            held += occupied(target);
+            slots += slotsOf(target);
+        }
+    }
+    return slots > 0 ? held / slots : 0;
+}
+
 std::vector<std::string> candidates(const ServiceBook &book, const ChoiceInput &input, Core::TimePoint now, Core::Random &random)
 {
     struct Wish {
@@ -80,6 +119,8 @@
         double order;
         const std::string *name;
     };
+    const auto busy = occupancy(book, input.ownDataCentre, now);
+    const auto farPart = std::clamp((busy - FREE_OCCUPANCY) / (BUSY_OCCUPANCY - FREE_OCCUPANCY), 0.0, 1.0) * MOST_FAR_PART;
     std::vector<Wish> wishes;
     for (const auto &target : book.targets) {
         const auto use = usability(target, input, now);
@@ -98,6 +139,15 @@
     std::ranges::transform(wishes, std::back_inserter(names), [](const Wish &wish) {
         return *wish.name;
     });
+    // The usable targets of other data centres follow the first few of the own one, or mix with them while the own one is busy.
+    const auto usableEnd = std::ranges::find_if(wishes, [](const Wish &wish) {
+        return wish.usability != Usability::Usable;
+    });
+    const auto farBegin = std::find_if(wishes.begin(), usableEnd, [](const Wish &wish) {
+        return wish.isFar;
+    });
+    mixIn(
+        names, static_cast<std::size_t>(farBegin - wishes.begin()), static_cast<std::size_t>(usableEnd - wishes.begin()), farPart, random);
     return names;
 }
 
--- a/Libraries/LibFleet/Choice.h
+++ b/Libraries/LibFleet/Choice.h
@@ -35,7 +35,11 @@
 
 Usability usability(const TargetBelief &target, const ChoiceInput &input, Core::TimePoint now);
 
-/// Targets worth asking for their load, the most promising first: those of the own data centre before the others.
+/// Share of the slots in use at the data centre's targets, by what they stated lately; zero where none did.
+double occupancy(const ServiceBook &book, const Core::DataCentreName &dataCentre, Core::TimePoint now);
+
+/// Targets worth asking for their load, the most promising first: those of the own data centre, with the more of others among them the
+/// busier it is.
 std::vector<std::string> candidates(const ServiceBook &book, const ChoiceInput &input, Core::TimePoint now, Core::Random &random);
 
 /// Expected time from now to the answer of a request with the route's typical work.
--- a/Tests/LibFleet/TestChoice.cpp
+++ b/Tests/LibFleet/TestChoice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <set>
 
 namespace Briarbend::Fleet
 {
@@ -55,6 +56,59 @@
     EXPECT_EQ(sorted({names[0], names[1]}), (std::vector<std::string>{"near-1", "near-2"}));
 }
 
+TEST(Choice, theBusierTheOwnDataCentreTheMoreOfOthersComeFirst)
+{
+    constexpr int DRAWS = 400;
+    Core::Random random{3};
+    const auto farAmongFirst = [&random](std::uint32_t running) {
+        ServiceBook book;
+        std::vector<TargetRecord> records;
+        for (int index = 0; index < 20; ++index) {
+            records.push_back(record("near-" + std::to_string(index)));
+            records.push_back(record("far-" + std::to_string(index), "there"));
+        }
+        updateTargets(book, records, NOW, 0);
+        for (int index = 0; index < 20; ++index) {
+            state(book, "near-" + std::to_string(index), {.running = running, .waiting = 0, .slots = 6, .slowness = 1});
+        }
+        std::ptrdiff_t far = 0;
+        for (int draw = 0; draw < DRAWS; ++draw) {
+            const auto names = candidates(book, inputHere(), NOW, random);
+            far += std::count_if(names.begin(), names.begin() + 3, [](const std::string &name) {
+                return name.starts_with("far");
+            });
+        }
+        return far;
+    };
+    EXPECT_EQ(farAmongFirst(1), 0);
+    const auto busy = farAmongFirst(3);
+    const auto full = farAmongFirst(6);
+    EXPECT_GT(busy, 0);
+    EXPECT_GT(full, busy);
+    EXPECT_LT(full, 3 * DRAWS) << "the own data centre is still asked";
+}
+
+TEST(Choice, whereTheFirstAreNoGoodOthersFollowSoon)
+{
+    ServiceBook book;
+    std::vector<TargetRecord> records;
+    for (int index = 0; index < 20; ++index) {
+        records.push_back(record("near-" + std::to_string(index)));
+        records.push_back(record("far-" + std::to_string(index), "there"));
+    }
+    updateTargets(book, records, NOW, 0);
+    Core::Random random{3};
+    const auto names = candidates(book, inputHere(), NOW, random);
+    ASSERT_EQ(names.size(), records.size());
+    EXPECT_EQ(std::set<std::string>(names.begin(), names.end()).size(), records.size()) << "each target once";
+    EXPECT_GE(std::count_if(names.begin() + 3,
+                            names.begin() + 9,
+                            [](const std::string &name) {
+                                return name.starts_with("far");
+                            }),
+              3);
+}
+
 TEST(Choice, leavingColdExcludedAndTakenOutTargetsAreNoCandidates)
 {
     ServiceBook book;
--- /dev/null
+++ b/Tests/LibFleet/TestLopsidedLoad.cpp
@@ -0,0 +1,102 @@
+#include <LibFleet/Choice.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+
+namespace Briarbend::Fleet
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t TARGETS_PER_DATA_CENTRE = 10;
+constexpr std::uint32_t SLOTS = 6;
+constexpr std::chrono::milliseconds WORK{400};
+constexpr std::size_t ASKED_AT_ONCE = 3;
+/// Callers of one data centre need four fifths of its slots: its targets would mostly be nearly full.
+constexpr std::chrono::milliseconds BETWEEN_REQUESTS{8};
+
+struct Tally {
+    int sends{0};
+    int nearlyFull{0};
+    int far{0};
+};
+
+/// Sends requests of one instance to the targets of two data centres and counts those that find a target with five of its six slots taken
+/// or more. Every target keeps a request for the same time.
+Tally sendFromOneDataCentre(const std::function<std::vector<std::string>(const ServiceBook &, Core::TimePoint, Core::Random &)> &choose)
+{
+    Core::Random random{5};
+    ServiceBook book;
+    std::vector<TargetRecord> records;
+    for (std::size_t index = 0; index < 2 * TARGETS_PER_DATA_CENTRE; ++index) {
+        TargetRecord record;
+        record.name = std::to_string(index);
+        record.dataCentre = {index < TARGETS_PER_DATA_CENTRE ? "here" : "there"};
+        record.slots = SLOTS;
+        records.push_back(record);
+    }
+    Core::TimePoint now{100s};
+    updateTargets(book, records, now, 0);
+    std::map<std::string, std::deque<Core::TimePoint>> ends;
+    const RouteStatistics route{.workMilliseconds = static_cast<double>(WORK.count()), .answerBytes = 5000};
+    ChoiceInput input;
+    input.ownDataCentre = {"here"};
+    input.distance = 2ms;
+    input.crossingPerKibibyte = 6ms;
+    Tally tally;
+    for (const auto end = now + 10s; now < end; now += BETWEEN_REQUESTS) {
+        for (auto &[name, running] : ends) {
+            std::erase_if(running, [now](Core::TimePoint ending) {
+                return ending <= now;
+            });
+        }
+        auto names = choose(book, now, random);
+        names.resize(ASKED_AT_ONCE);
+        std::ranges::for_each(names, [&](const std::string &name) {
+            const auto running = static_cast<std::uint32_t>(ends[name].size());
+            recordLoad(book,
+                       *findTarget(book, name),
+                       {.running = std::min(running, SLOTS), .waiting = running - std::min(running, SLOTS), .slots = SLOTS, .slowness = 1},
+                       now);
+        });
+        const auto best = *std::ranges::min_element(names, {}, [&](const std::string &name) {
+            return sendCost(book, *findTarget(book, name), route, input, now);
+        });
+        ++tally.sends;
+        tally.nearlyFull += ends[best].size() + 1 >= SLOTS ? 1 : 0;
+        tally.far += findTarget(book, best)->record.dataCentre.value == "there" ? 1 : 0;
+        ends[best].push_back(now + WORK);
+    }
+    return tally;
+}
+
+} // namespace
+
+// All callers are in one data centre, whose targets they would keep nearly full, where work slows down; those of the other are idle.
+TEST(LopsidedLoad, callersOfABusyDataCentreAreServedWhereSlotsAreFree)
+{
+    constexpr double FEW = 0.05;
+    const auto ownFirst = sendFromOneDataCentre([](const ServiceBook &book, Core::TimePoint, Core::Random &random) {
+        std::vector<std::string> names;
+        for (std::size_t index = 0; index < ASKED_AT_ONCE; ++index) {
+            names.push_back(book.targets[random.below(TARGETS_PER_DATA_CENTRE)].record.name);
+        }
+        return names;
+    });
+    const auto chosen = sendFromOneDataCentre([](const ServiceBook &book, Core::TimePoint now, Core::Random &random) {
+        ChoiceInput input;
+        input.ownDataCentre = {"here"};
+        return candidates(book, input, now, random);
+    });
+    EXPECT_GT(ownFirst.nearlyFull, FEW * ownFirst.sends) << "the load is too low to tell";
+    EXPECT_LT(chosen.nearlyFull, FEW * chosen.sends) << "own data centre first: " << ownFirst.nearlyFull;
+    EXPECT_LT(chosen.far, chosen.sends / 2) << "answers stay within the data centre where it has room";
+}
+
+} // namespace Briarbend::Fleet
