LibFleet: Ask targets with a kept connection before most others

Cause: an instance of a large deployment asks some 15 targets a second among 212; in other data centres it comes back to one after the target has closed the idle connection (10 s), so that nearly each question there opened a new one.

Targets without a kept connection are put behind the others, but for a tenth of them at each request, so that the set of known ones keeps changing. The set is as large as the connections that stay in use, and differs between instances.

--- a/Libraries/LibFleet/Beliefs.h
+++ b/Libraries/LibFleet/Beliefs.h
@@ -41,6 +41,8 @@
     /// Requests that this instance may send to the target while it is cold; below one none.
     double coldTokens{0};
     Core::TimePoint coldTokensAt;
+    /// A kept connection to the target is usable until then, unless all are in use.
+    Core::TimePoint connectedUntil;
 };
 
 /// The targets of one service and what is typical of them.
--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -26,6 +26,9 @@
 constexpr double BUSY_OCCUPANCY = 0.65;
 /// Most of the first candidates that are of other data centres, so that one of the own is nearly always among them.
 constexpr double MOST_FAR_PART = 0.6;
+/// Part of the targets without a kept connection that are not put behind those with one. Opening connections costs a target and the caller
+/// time; an instance that never opened any would know no other targets than its first.
+constexpr double EXPLORED_PART = 0.1;
 /// Candidates that are asked at once.
 constexpr std::size_t FIRST_CANDIDATES = 3;
 
@@ -129,7 +132,9 @@
         }
         // Random order spreads the instances' choices; what is known to be loaded or faulty comes later.
         const auto burden = static_cast<double>(target.ownInFlight) / slotsOf(target) + failureShare(target, now) * 2;
-        wishes.push_back({use, target.record.dataCentre != input.ownDataCentre, random.unit() + burden, &target.record.name});
+        const bool isPutBack = target.connectedUntil <= now && random.unit() >= EXPLORED_PART;
+        wishes.push_back(
+            {use, target.record.dataCentre != input.ownDataCentre, random.unit() + burden + (isPutBack ? 1 : 0), &target.record.name});
     }
     std::ranges::sort(wishes, [](const Wish &one, const Wish &other) {
         return std::tie(one.usability, one.isFar, one.order) < std::tie(other.usability, other.isFar, other.order);
--- a/Libraries/LibGateway/HealthCheck.cpp
+++ b/Libraries/LibGateway/HealthCheck.cpp
@@ -161,6 +161,10 @@
     if (connection) {
         connection->stream.expires_never();
         connection->usableUntil = usableUntil(parser->get().base(), Core::Clock::now());
+        // Opening a connection takes time, in which the list of targets may have changed.
+        if (auto *current = Fleet::findTarget(*book, targetName)) {
+            current->connectedUntil = *connection->usableUntil;
+        }
     }
     co_return connection;
 }
--- a/Tests/LibFleet/TestChoice.cpp
+++ b/Tests/LibFleet/TestChoice.cpp
@@ -109,6 +109,28 @@
               3);
 }
 
+TEST(Choice, targetsWithAKeptConnectionComeBeforeMostOthers)
+{
+    constexpr int DRAWS = 400;
+    ServiceBook book;
+    std::vector<TargetRecord> records;
+    for (int index = 0; index < 30; ++index) {
+        records.push_back(record(std::to_string(index)));
+    }
+    updateTargets(book, records, NOW, 0);
+    for (int index = 0; index < 10; ++index) {
+        findTarget(book, std::to_string(index))->connectedUntil = NOW + 1s;
+    }
+    Core::Random random{3};
+    int connected = 0;
+    for (int draw = 0; draw < DRAWS; ++draw) {
+        const auto *first = findTarget(book, candidates(book, inputHere(), NOW, random).front());
+        connected += first->connectedUntil > NOW ? 1 : 0;
+    }
+    EXPECT_GT(connected, DRAWS / 2);
+    EXPECT_LT(connected, DRAWS) << "further targets are still found";
+}
+
 TEST(Choice, leavingColdExcludedAndTakenOutTargetsAreNoCandidates)
 {
     ServiceBook book;
--- a/Tests/Processes/ColdTargets/TestColdTargets.cpp
+++ b/Tests/Processes/ColdTargets/TestColdTargets.cpp
@@ -75,8 +75,8 @@
     Cluster cluster(std::move(plan));
     const auto &later = cluster.targetGroups.back();
     for (const auto &target : later.targets) {
-        cluster.controlStore({{"upsert_instance",
-                               {{"id", target}, {"service", "later"}, {"data_centre", "sfax-3"}, {"version", "v1"}, {"state", "live"}}}});
+        cluster.controlStore(
+            {{"upsert_instance", {{"id", target}, {"service", "later"}, {"data_centre", "sfax-3"}, {"version", "v1"}, {"state", "live"}}}});
     }
     for (std::size_t index = 0; index < INSTANCES; ++index) {
         cluster.addInstance("sfax-3");
