LibGateway: Let one instance of each data centre read the store and one stand by

A change that a watcher hears from another is passed on within its data centre only, as whoever read it has told all watchers.

--- a/Libraries/LibGateway/NewsMessage.cpp
+++ b/Libraries/LibGateway/NewsMessage.cpp
@@ -163,7 +163,8 @@
 
     Json operator()(const NewsHeartbeat &heartbeat) const
     {
-        return Json::array({MessageTag::Heartbeat, heartbeat.latest, heartbeat.positions, heartbeat.storeSilence.count()});
+        return Json::array(
+            {MessageTag::Heartbeat, heartbeat.latest, heartbeat.positions, heartbeat.storeSilence.count(), heartbeat.readsFor.value});
     }
 
     Json operator()(const SnapshotRequest &request) const
@@ -191,7 +192,8 @@
 {
     return {.latest = row.at(1).get<KindRevisions>(),
             .positions = row.at(2).get<KindRevisions>(),
-            .storeSilence = std::chrono::milliseconds(row.at(3).get<std::int64_t>())};
+            .storeSilence = std::chrono::milliseconds(row.at(3).get<std::int64_t>()),
+            .readsFor = {row.at(4).get<std::string>()}};
 }
 
 SnapshotRequest decodeSnapshotRequest(const Json &row)
--- a/Libraries/LibGateway/NewsMessage.h
+++ b/Libraries/LibGateway/NewsMessage.h
@@ -30,6 +30,8 @@
     KindRevisions positions{};
     /// Time since the store was known to answer the sender, or another watcher that told the sender so.
     std::chrono::milliseconds storeSilence{0};
+    /// The data centre for which the sender reads the store; empty where it only stands by or the store does not answer it.
+    Core::DataCentreName readsFor;
 };
 
 /// Asks a peer for objects that the store does not give.
--- a/Libraries/LibGateway/NewsSpread.cpp
+++ b/Libraries/LibGateway/NewsSpread.cpp
@@ -13,7 +13,7 @@
 
 using Coordination::Channel;
 
-/// Watchers of each data centre: one may fail without notice.
+/// Watchers of each data centre: one reads the store, which is priced by the call, and the other stands by.
 constexpr std::size_t WATCHERS_PER_DATA_CENTRE = 2;
 constexpr std::chrono::milliseconds HEARTBEAT{500};
 constexpr std::chrono::milliseconds MEMBERSHIP_TICK{200};
@@ -83,7 +83,7 @@
     if (!hearsWatchers && isJoining && isAlone) {
         return FollowMode::Wait;
     }
-    if (this->isWatching || (!hearsWatchers && !isJoining)) {
+    if (this->isReader() || (!hearsWatchers && !isJoining)) {
         return FollowMode::Watch;
     }
     const auto patience = kind == ObjectKind::Plan ? PLAN_DELIVERY_TIME : DELIVERY_TIME;
@@ -124,6 +124,17 @@
     return this->isWatching;
 }
 
+bool NewsSpread::isReader() const
+{
+    if (!this->isWatching || this->isFirstWatcher) {
+        return this->isWatching;
+    }
+    const auto now = this->timers.now();
+    const bool hearsReader = this->readerHeardAt && now - *this->readerHeardAt < WATCHER_SILENCE;
+    // The store may refuse the reader while it serves others.
+    return !hearsReader || now - this->storeSeenAt >= WATCHER_SILENCE;
+}
+
 void NewsSpread::receive(std::string_view bytes)
 {
     const auto message = decodeNews(bytes);
@@ -171,14 +182,18 @@
     this->noteChange(news.kind, news.changes.revision);
     this->callbacks.onChanges(news.kind, news.previous, news.changes);
     if (isNew && this->isWatching) {
-        // The store may refuse this watcher while it serves the one of another data centre.
-        this->tell(news);
+        // The store may refuse this watcher while it serves the one of another data centre, which tells all watchers itself.
+        this->send(this->neighbours, encodeNews(news));
     }
 }
 
 void NewsSpread::takeHeartbeat(const NewsHeartbeat &heartbeat)
 {
     const auto now = this->timers.now();
+    const auto &members = this->peers.state().members;
+    if (heartbeat.readsFor == members.members.at(members.self).news.dataCentre) {
+        this->readerHeardAt = now;
+    }
     for (std::size_t index = 0; index < OBJECT_KINDS; ++index) {
         const auto kind = static_cast<ObjectKind>(index);
         this->noteChange(kind, heartbeat.latest[index]);
@@ -192,14 +207,20 @@
 
 void NewsSpread::sendHeartbeat(Core::TimePoint now)
 {
-    // An instance that does not watch asks the store for nothing and cannot tell.
-    if (this->isWatching && this->doesStoreAnswer) {
+    // An instance that does not read asks the store for nothing and cannot tell.
+    const bool isReading = this->isReader();
+    if (isReading && this->doesStoreAnswer) {
         this->storeSeenAt = now;
     }
     if (this->isWatching && !(this->neighbours.empty() && this->farWatchers.empty())) {
         NewsHeartbeat heartbeat{.latest = this->latest,
                                 .positions = {},
-                                .storeSilence = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->storeSeenAt)};
+                                .storeSilence = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->storeSeenAt),
+                                .readsFor = {}};
+        if (isReading && this->doesStoreAnswer) {
+            const auto &members = this->peers.state().members;
+            heartbeat.readsFor = members.members.at(members.self).news.dataCentre;
+        }
         for (std::size_t index = 0; index < OBJECT_KINDS; ++index) {
             heartbeat.positions[index] = this->callbacks.position(static_cast<ObjectKind>(index));
         }
@@ -216,6 +237,7 @@
     const auto &ownDataCentre = members.members.at(members.self).news.dataCentre;
     const auto own = watchers.find(ownDataCentre);
     this->isWatching = own != watchers.end() && std::ranges::find(own->second, members.self.value) != own->second.end();
+    this->isFirstWatcher = this->isWatching && own->second.front() == members.self.value;
     this->neighbours.clear();
     this->farWatchers.clear();
     if (!this->isWatching) {
--- a/Libraries/LibGateway/NewsSpread.h
+++ b/Libraries/LibGateway/NewsSpread.h
@@ -41,7 +41,10 @@
     void noteStore(bool answers);
     /// Whether a change of the kind is known that came after the revision.
     bool isBehind(ObjectKind kind, Revision revision) const;
+    /// One of the instances of its data centre that tell the others: its reader, or the one that stands by.
     bool isWatcher() const;
+    /// Reads the store for its data centre: its first watcher, or the one that stands by once the first or the store is silent.
+    bool isReader() const;
 
 private:
     void receive(std::string_view bytes);
@@ -59,6 +62,7 @@
     Core::Random &random;
     Callbacks callbacks;
     bool isWatching{true};
+    bool isFirstWatcher{true};
     /// Peers that this instance tells, while it watches: those of its data centre, and the watchers of the others.
     std::vector<std::string> neighbours;
     std::vector<std::string> farWatchers;
@@ -67,6 +71,8 @@
     std::array<Core::TimePoint, OBJECT_KINDS> announcedAt{};
     Core::TimePoint startedAt;
     std::optional<Core::TimePoint> heardAt;
+    /// When the reader of the own data centre was heard of, other than this instance.
+    std::optional<Core::TimePoint> readerHeardAt;
     bool doesStoreAnswer{true};
     /// The last moment at which the store was known to answer a watcher.
     Core::TimePoint storeSeenAt;
--- a/Tests/LibGateway/TestNewsMessage.cpp
+++ b/Tests/LibGateway/TestNewsMessage.cpp
@@ -48,10 +48,11 @@
 TEST(NewsMessage, heartbeatsComeBackAsTheyWereSent)
 {
     const auto decoded = std::get<NewsHeartbeat>(
-        decodeNews(encodeNews(NewsHeartbeat{.latest = {1, 2, 3, 4}, .positions = {5, 6, 7, 8}, .storeSilence = 250ms})));
+        decodeNews(encodeNews(NewsHeartbeat{.latest = {1, 2, 3, 4}, .positions = {5, 6, 7, 8}, .storeSilence = 250ms, .readsFor = {"a"}})));
     EXPECT_EQ(decoded.latest, (KindRevisions{1, 2, 3, 4}));
     EXPECT_EQ(decoded.positions, (KindRevisions{5, 6, 7, 8}));
     EXPECT_EQ(decoded.storeSilence, 250ms);
+    EXPECT_EQ(decoded.readsFor.value, "a");
 }
 
 TEST(NewsMessage, requestsForSnapshotsComeBackAsTheyWereSent)
