LibGateway: Let a caller whom a target shed with free slots come back at once

A caller was told to come back after 150 ms and more, as if slots had to become free; three such waits and the work of 490 ms pass the objective of 1.2 s.

Where the target that shed the request states free slots, the caller is to come back after 20 ms.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -310,6 +310,7 @@
     const auto status = this->answer.head.result_int();
     if (statement.isMisdirected || (statement.isNotRun && !isSuccess(status))) {
         this->end = AttemptEnd::NotRun;
+        this->wasShedWithRoom = belief != nullptr && Fleet::freeSlots(*belief) > 0;
         if (belief != nullptr && statement.isMisdirected) {
             Fleet::recordTrouble(*belief, now);
         }
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -45,6 +45,8 @@
 
     AttemptEnd end{AttemptEnd::Pending};
     bool isSent{false};
+    /// With NotRun: the target shed the request although it had free slots.
+    bool wasShedWithRoom{false};
     TargetAnswer answer;
     /// With Quarantined: when the caller may come back.
     std::chrono::milliseconds comeBack{0};
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -178,7 +178,8 @@
     case AttemptEnd::NotRun:
         ++this->shedAttempts;
         if (isLast && !(this->shedAttempts < MOST_SHED_ATTEMPTS && this->maySendAgain())) {
-            this->refuse(Reason::RefusedByTarget, this->comeBackAfter(FULL_RETRY_AFTER));
+            // A target that sheds with free slots does so for another reason than its load; there is nothing to wait for.
+            this->refuse(Reason::RefusedByTarget, this->comeBackAfter(attempt.wasShedWithRoom ? ELSEWHERE_RETRY_AFTER : FULL_RETRY_AFTER));
         }
         return;
     case AttemptEnd::Full:
--- a/Tests/LibGateway/TestOverload.cpp
+++ b/Tests/LibGateway/TestOverload.cpp
@@ -80,6 +80,24 @@
     EXPECT_LT(late, 2.5 / 3) << "callers come back after a third of the time that is left at the latest";
 }
 
+// Targets that shed half of what they get although they had free slots, as on tsh-scan-grown, scale-1: each wait for slots, which were free
+// all the while, took a caller closer to its objective.
+TEST_F(RequestFlowTest, aCallerWhomATargetShedWithFreeSlotsComesBackAtOnce)
+{
+    auto &target = this->addTarget("one", [](const auto &) {
+        return Reaction{.status = 503, .isNotRun = true};
+    });
+    this->usePlan(RouteKind::Once);
+    this->state.routes["route"].statistics.workMilliseconds = 100;
+    const auto comeBack = [this, &target](const std::string &id, std::string load) {
+        target.load = std::move(load);
+        this->state.services.at(SERVICE)->budget.parameters = {.window = 10s, .share = 0, .allowance = 0};
+        return std::stod(std::string(this->run(id).response[Http::field::retry_after]));
+    };
+    EXPECT_LT(comeBack("shed-with-room", "2,0,6,100"), 0.05);
+    EXPECT_GT(comeBack("shed-by-a-full-one", "6,0,6,100"), 0.1);
+}
+
 // A data centre cut off with all its targets: each request waited 250 ms for the silent ones before it was refused.
 TEST_F(RequestFlowTest, whileNoTargetAnswersOneRequestAsksAndTheOthersAreRefusedAtOnce)
 {
