LibGateway: Let the instances with the widest links pass configurations on

Ruled out: the reading itself (first in force within 0.1 s of the store).

Members tell the bandwidth of their link, and those with the widest watch. Who stands by repeats only what was read in another data centre.

--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -104,8 +104,10 @@
     this->transport->listen(address.address, address.port);
     std::ostringstream name;
     name << settings.instance.name << '-' << std::hex << seed;
-    const Membership::MemberNews self{
-        .id = {name.str()}, .address = {address.text()}, .dataCentre = settings.instance.dataCentre, .incarnation = 0};
+    const Membership::MemberNews self{.id = {name.str()},
+                                      .address = {address.text()},
+                                      .dataCentre = settings.instance.dataCentre,
+                                      .linkMegabits = static_cast<std::uint32_t>(settings.instance.linkMegabits)};
     std::set<Membership::PeerAddress> seeds;
     for (const auto &endpoint : settings.peers.seeds) {
         if (endpoint != address) {
--- a/Libraries/LibGateway/NewsMessage.cpp
+++ b/Libraries/LibGateway/NewsMessage.cpp
@@ -158,7 +158,7 @@
     {
         auto changes = Json::array();
         std::ranges::transform(news.changes.changes, std::back_inserter(changes), encodeChange);
-        return Json::array({MessageTag::Changes, news.kind, news.previous, news.changes.revision, std::move(changes)});
+        return Json::array({MessageTag::Changes, news.kind, news.previous, news.changes.revision, std::move(changes), news.readIn.value});
     }
 
     Json operator()(const NewsHeartbeat &heartbeat) const
@@ -182,9 +182,10 @@
 
 ChangesNews decodeChangesNews(const Json &row)
 {
-    ChangesNews news{.kind = decodeKind(row.at(1)), .previous = row.at(2).get<Revision>(), .changes = {}};
+    ChangesNews news{.kind = decodeKind(row.at(1)), .previous = row.at(2).get<Revision>(), .changes = {}, .readIn = {}};
     news.changes.revision = row.at(3).get<Revision>();
     std::ranges::transform(row.at(4), std::back_inserter(news.changes.changes), decodeChange);
+    news.readIn = {row.at(5).get<std::string>()};
     return news;
 }
 
--- a/Libraries/LibGateway/NewsMessage.h
+++ b/Libraries/LibGateway/NewsMessage.h
@@ -17,6 +17,8 @@
     /// The changes are all that came after this revision, up to the one of the changes.
     Revision previous{0};
     Changes changes;
+    /// The data centre of the instance that read them from the store.
+    Core::DataCentreName readIn;
 };
 
 /// A revision for each kind of object, in the order of the enumeration.
--- a/Libraries/LibGateway/NewsSpread.cpp
+++ b/Libraries/LibGateway/NewsSpread.cpp
@@ -34,15 +34,21 @@
     return static_cast<std::size_t>(kind);
 }
 
-/// The watchers of each data centre, by rendezvous hash over its live members.
+/// The watchers of each data centre, the reader first: by rendezvous hash over its live members with the widest links. They send each
+/// configuration, which may have hundreds of kibibytes, to all others there.
 std::map<Core::DataCentreName, std::vector<std::string>> watchersOf(const Membership::State &members)
 {
     std::map<Core::DataCentreName, std::vector<std::string>> names;
     for (const auto &id : Membership::aliveMembers(members)) {
         names[Membership::find(members, id)->news.dataCentre].push_back(id.value);
     }
-    for (auto &[dataCentre, members_] : names) {
-        members_ = Core::rendezvousOrder(members_, "watchers", WATCHERS_PER_DATA_CENTRE);
+    const auto width = [&members](const std::string &name) {
+        return Membership::find(members, {name})->news.linkMegabits;
+    };
+    for (auto &[dataCentre, candidates] : names) {
+        candidates = Core::rendezvousOrder(candidates, "watchers", candidates.size());
+        std::ranges::stable_sort(candidates, std::ranges::greater{}, width);
+        candidates.resize(std::min(candidates.size(), WATCHERS_PER_DATA_CENTRE));
     }
     return names;
 }
@@ -102,7 +108,7 @@
     if (!this->isWatching) {
         return;
     }
-    this->tell({.kind = kind, .previous = previous, .changes = changes});
+    this->tell({.kind = kind, .previous = previous, .changes = changes, .readIn = this->ownDataCentre()});
 }
 
 void NewsSpread::noteChange(ObjectKind kind, Revision revision)
@@ -124,6 +130,12 @@
     return this->isWatching;
 }
 
+const Core::DataCentreName &NewsSpread::ownDataCentre() const
+{
+    const auto &members = this->peers.state().members;
+    return members.members.at(members.self).news.dataCentre;
+}
+
 bool NewsSpread::isReader() const
 {
     if (!this->isWatching || this->isFirstWatcher) {
@@ -181,8 +193,8 @@
     const bool isNew = news.changes.revision > this->latest[indexOf(news.kind)];
     this->noteChange(news.kind, news.changes.revision);
     this->callbacks.onChanges(news.kind, news.previous, news.changes);
-    if (isNew && this->isWatching) {
-        // The store may refuse this watcher while it serves the one of another data centre, which tells all watchers itself.
+    if (isNew && this->isWatching && news.readIn != this->ownDataCentre()) {
+        // The store may refuse the reader here while it serves the one of another data centre, which tells all watchers itself.
         this->send(this->neighbours, encodeNews(news));
     }
 }
@@ -190,8 +202,7 @@
 void NewsSpread::takeHeartbeat(const NewsHeartbeat &heartbeat)
 {
     const auto now = this->timers.now();
-    const auto &members = this->peers.state().members;
-    if (heartbeat.readsFor == members.members.at(members.self).news.dataCentre) {
+    if (heartbeat.readsFor == this->ownDataCentre()) {
         this->readerHeardAt = now;
     }
     for (std::size_t index = 0; index < OBJECT_KINDS; ++index) {
@@ -218,8 +229,7 @@
                                 .storeSilence = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->storeSeenAt),
                                 .readsFor = {}};
         if (isReading && this->doesStoreAnswer) {
-            const auto &members = this->peers.state().members;
-            heartbeat.readsFor = members.members.at(members.self).news.dataCentre;
+            heartbeat.readsFor = this->ownDataCentre();
         }
         for (std::size_t index = 0; index < OBJECT_KINDS; ++index) {
             heartbeat.positions[index] = this->callbacks.position(static_cast<ObjectKind>(index));
@@ -234,8 +244,8 @@
 {
     const auto &members = this->peers.state().members;
     const auto watchers = watchersOf(members);
-    const auto &ownDataCentre = members.members.at(members.self).news.dataCentre;
-    const auto own = watchers.find(ownDataCentre);
+    const auto &dataCentre = this->ownDataCentre();
+    const auto own = watchers.find(dataCentre);
     this->isWatching = own != watchers.end() && std::ranges::find(own->second, members.self.value) != own->second.end();
     this->isFirstWatcher = this->isWatching && own->second.front() == members.self.value;
     this->neighbours.clear();
@@ -249,7 +259,7 @@
         if (id == members.self) {
             continue;
         }
-        if (news.dataCentre == ownDataCentre) {
+        if (news.dataCentre == dataCentre) {
             this->neighbours.push_back(news.address.value);
         } else if (std::ranges::find(theirs, id.value) != theirs.end()) {
             this->farWatchers.push_back(news.address.value);
@@ -267,7 +277,8 @@
     }
     // A configuration is long, and every watcher reads it itself: bytes between data centres are dear.
     const Changes withoutContent{.changes = {}, .revision = news.changes.revision};
-    this->send(this->farWatchers, encodeNews(ChangesNews{.kind = news.kind, .previous = news.previous, .changes = withoutContent}));
+    this->send(this->farWatchers,
+               encodeNews(ChangesNews{.kind = news.kind, .previous = news.previous, .changes = withoutContent, .readIn = news.readIn}));
 }
 
 void NewsSpread::send(const std::vector<std::string> &audience, const std::string &bytes)
--- a/Libraries/LibGateway/NewsSpread.h
+++ b/Libraries/LibGateway/NewsSpread.h
@@ -54,6 +54,7 @@
     void askForLacking();
     void sendHeartbeat(Core::TimePoint now);
     void updateWatchers();
+    const Core::DataCentreName &ownDataCentre() const;
     void tell(const ChangesNews &news);
     void send(const std::vector<std::string> &audience, const std::string &bytes);
 
--- a/Libraries/LibGossip/Decode.cpp
+++ b/Libraries/LibGossip/Decode.cpp
@@ -110,6 +110,7 @@
     news.dataCentre.value = fields.text();
     news.incarnation = fields.unsignedNumber<std::uint64_t>();
     news.state = fields.enumerator(Membership::MemberState::Gone);
+    news.linkMegabits = fields.isAtEnd() ? 0 : fields.unsignedNumber<std::uint32_t>();
     fields.finish();
     return news;
 }
--- a/Libraries/LibGossip/Encode.cpp
+++ b/Libraries/LibGossip/Encode.cpp
@@ -40,7 +40,11 @@
 
 Json encodeNews(const Membership::MemberNews &news)
 {
-    return {news.id.value, news.address.value, news.dataCentre.value, news.incarnation, static_cast<int>(news.state)};
+    Json encoded{news.id.value, news.address.value, news.dataCentre.value, news.incarnation, static_cast<int>(news.state)};
+    if (news.linkMegabits > 0) {
+        encoded.push_back(news.linkMegabits);
+    }
+    return encoded;
 }
 
 std::uint8_t encodeAge(std::chrono::milliseconds age)
--- a/Libraries/LibMembership/Member.h
+++ b/Libraries/LibMembership/Member.h
@@ -48,6 +48,8 @@
     /// Raised only by the member itself, to refute a false report about it.
     std::uint64_t incarnation{0};
     MemberState state{MemberState::Alive};
+    /// Bandwidth of the member's own link in Mbit/s; zero where its settings do not state it.
+    std::uint32_t linkMegabits{0};
 
     bool operator==(const MemberNews &) const = default;
 };
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -56,6 +56,10 @@
             &I::maximumDescriptors,
             integerType<std::uint32_t>(64, 10'000'000, "descriptors"),
             "Descriptors that the process may have open."),
+        key("link_megabits",
+            &I::linkMegabits,
+            numberType(0, 1'000'000),
+            "Bandwidth of the instance's link in Mbit/s; 0 where it is not known. Those with the widest links pass configurations on."),
     };
 }
 
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -25,6 +25,8 @@
     /// Where counters and latency histograms are read.
     Network::Endpoint metricsAddress;
     std::uint32_t maximumDescriptors{1024};
+    /// Bandwidth of the instance's own link in Mbit/s; zero where it is not known.
+    double linkMegabits{0};
 };
 
 struct GatewayStoreSettings {
--- a/Tests/LibGateway/TestNewsMessage.cpp
+++ b/Tests/LibGateway/TestNewsMessage.cpp
@@ -28,7 +28,7 @@
                              .ramp = 15s,
                              .progress
                              = {.state = RolloutState::Running, .version = {"v2"}, .startedAt = Core::WallTime(7ms), .share = 0.5}};
-    ChangesNews news{.kind = ObjectKind::Targets, .previous = 4, .changes = {}};
+    ChangesNews news{.kind = ObjectKind::Targets, .previous = 4, .changes = {}, .readIn = {"there"}};
     news.changes.revision = 9;
     news.changes.changes = {{{.name = "one", .revision = 7, .content = record}, false},
                             {{.name = "benches", .revision = 8, .content = order}, false},
@@ -38,6 +38,7 @@
     EXPECT_EQ(decoded.kind, ObjectKind::Targets);
     EXPECT_EQ(decoded.previous, 4U);
     EXPECT_EQ(decoded.changes.revision, 9U);
+    EXPECT_EQ(decoded.readIn.value, "there");
     ASSERT_EQ(decoded.changes.changes.size(), 4U);
     EXPECT_EQ(std::get<Fleet::TargetRecord>(decoded.changes.changes[0].object.content), record);
     EXPECT_EQ(std::get<RolloutOrder>(decoded.changes.changes[1].object.content).progress, order.progress);
--- a/Tests/LibGateway/TestNewsSpread.cpp
+++ b/Tests/LibGateway/TestNewsSpread.cpp
@@ -18,11 +18,18 @@
 
 /// One instance with followers that only know how far they are.
 struct FakeInstance {
-    FakeInstance(ManualTimers &timers, FakeNetwork &network, const std::string &name, const std::string &dataCentre, Revision listedAt)
+    FakeInstance(ManualTimers &timers,
+                 FakeNetwork &network,
+                 const std::string &name,
+                 const std::string &dataCentre,
+                 Revision listedAt,
+                 std::uint32_t linkMegabits)
         : transport(network.makeTransport(name))
         , link(timers,
                *this->transport,
-               Gossip::makeState({.id = {name}, .address = {name}, .dataCentre = {dataCentre}}, {{"a1"}, {"b1"}}, timers.now()),
+               Gossip::makeState({.id = {name}, .address = {name}, .dataCentre = {dataCentre}, .linkMegabits = linkMegabits},
+                                 {{"a1"}, {"b1"}},
+                                 timers.now()),
                this->random)
         , news(timers,
                this->link,
@@ -30,6 +37,7 @@
                {.onChanges =
                     [this](ObjectKind kind, Revision previous, const Changes &changes) {
                         auto &position = this->positions[static_cast<std::size_t>(kind)];
+                        ++this->timesTold;
                         if (previous <= position && !changes.changes.empty()) {
                             position = std::max(position, changes.revision);
                         }
@@ -77,6 +85,7 @@
     bool doesStoreAnswer{true};
     std::vector<ObjectKind> lacking;
     std::size_t timesAsked{0};
+    std::size_t timesTold{0};
     std::unique_ptr<Peers::Transport> transport;
     Coordination::PeerLink link;
     NewsSpread news;
@@ -97,9 +106,9 @@
         this->timers.runFor(8s);
     }
 
-    void start(const std::string &name, const std::string &dataCentre, Revision listedAt)
+    void start(const std::string &name, const std::string &dataCentre, Revision listedAt, std::uint32_t linkMegabits = 0)
     {
-        this->instances[name] = std::make_unique<FakeInstance>(this->timers, this->network, name, dataCentre, listedAt);
+        this->instances[name] = std::make_unique<FakeInstance>(this->timers, this->network, name, dataCentre, listedAt, linkMegabits);
     }
 
     std::vector<std::string> watchersOf(const std::string &dataCentre) const
@@ -196,6 +205,26 @@
     }
 }
 
+// Two watchers that both told their thirty neighbours a configuration of a thousand routes filled links of 10 Mbit/s for seconds.
+TEST_F(NewsSpreadTest, whoStandsByDoesNotRepeatWhatTheReaderTold)
+{
+    const auto watchers = this->watchersOf("a");
+    auto &reader = *this->instances.at(this->instances.at(watchers[0])->news.isReader() ? watchers[0] : watchers[1]);
+    reader.positions.fill(11);
+    reader.news.publish(PLAN, 10, changeAt(11));
+    EXPECT_EQ(this->instances.at(this->otherThan(watchers, "a"))->timesTold, 1U);
+}
+
+TEST_F(NewsSpreadTest, thoseWithTheWidestLinksWatch)
+{
+    this->start("a5", "a", 10, 200);
+    this->timers.runFor(8s);
+    EXPECT_TRUE(this->instances.at("a5")->news.isReader());
+    this->start("a6", "a", 10, 200);
+    this->timers.runFor(8s);
+    EXPECT_EQ(this->watchersOf("a"), (std::vector<std::string>{"a5", "a6"}));
+}
+
 TEST_F(NewsSpreadTest, whoMissedAChangeAsksForItSoon)
 {
     const auto watchers = this->watchersOf("a");
--- a/Tests/LibGossip/TestCodec.cpp
+++ b/Tests/LibGossip/TestCodec.cpp
@@ -32,7 +32,8 @@
             anyName<Membership::PeerAddressTag>(),
             anyName<Core::DataCentreNameTag>(),
             anyNumber<std::uint64_t>(),
-            *rc::gen::element(Membership::MemberState::Alive, Membership::MemberState::Suspect, Membership::MemberState::Gone)};
+            *rc::gen::element(Membership::MemberState::Alive, Membership::MemberState::Suspect, Membership::MemberState::Gone),
+            anyNumber<std::uint32_t>()};
 }
 
 std::vector<Membership::HeardAge> anyAges()
