--- a/Tests/Processes/Support/Process.cpp
+++ b/Tests/Processes/Support/Process.cpp
@@ -54,6 +54,8 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
+    // Listening sockets of the test's own would stay open in the program.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::vector<std::string> texts{path};
     std::ranges::copy(arguments, std::back_inserter(texts));
     std::vector<char *> pointers;
--- /dev/null
+++ b/Tests/Soak/SoakStore.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibNetwork/HttpServer.h>
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace Briarbend::Soak
+{
+
+enum class StoreMode {
+    Serves,
+    /// Every call gets 503.
+    Refuses,
+    /// Every call ends with its connection.
+    Closes,
+    Slow,
+};
+
+/// The platform's store as far as gateways read it: objects of a kind, in lists and watches.
+class SoakStore
+{
+public:
+    explicit SoakStore(boost::asio::io_context &context);
+
+    Network::Endpoint endpoint() const;
+    void put(const std::string &kind, const std::string &name, nlohmann::json spec);
+    void remove(const std::string &kind, const std::string &name);
+
+    StoreMode mode{StoreMode::Serves};
+
+private:
+    struct Event {
+        std::string kind;
+        std::uint64_t revision{0};
+        nlohmann::json event;
+    };
+
+    boost::asio::awaitable<Network::Response> answer(Network::Request request);
+    nlohmann::json list(const std::string &kind) const;
+    nlohmann::json eventsAfter(const std::string &kind, std::uint64_t revision) const;
+    void note(const std::string &kind, const nlohmann::json &object, bool isRemoved);
+
+    boost::asio::io_context &context;
+    std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+    std::vector<Event> history;
+    std::uint64_t revision{1};
+    Network::HttpServer server;
+};
+
+} // namespace Briarbend::Soak
