--- a/Tests/LibFleet/TestChoice.cpp
+++ b/Tests/LibFleet/TestChoice.cpp
@@ -113,10 +113,10 @@
 {
     constexpr int DRAWS = 400;
     ServiceBook book;
-    std::vector<TargetRecord> records;
-    for (int index = 0; index < 30; ++index) {
-        records.push_back(record(std::to_string(index)));
-    }
+    std::vector<TargetRecord> records(30);
+    std::ranges::generate(records, [index = 0]() mutable {
+        return record(std::to_string(index++));
+    });
     updateTargets(book, records, NOW, 0);
     for (int index = 0; index < 10; ++index) {
         findTarget(book, std::to_string(index))->connectedUntil = NOW + 1s;
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -146,10 +146,10 @@
     }
     --this->held;
     auto text = message(200, echo + "Response-Stamp: stamp\r\n", bodyFor(id));
-    co_return this->isGarbling &&this->random.below(GARBLED_EVERY) == 0 ? this->garbled(std::move(text)) : text;
+    co_return this->isGarbling &&this->random.below(GARBLED_EVERY) == 0 ? this->garbled(text) : text;
 }
 
-std::string SoakTarget::garbled(std::string text)
+std::string SoakTarget::garbled(const std::string &text)
 {
     switch (this->random.below(4)) {
     case 0:
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -39,7 +39,7 @@
     /// The answer's bytes; empty where the connection is to end instead.
     boost::asio::awaitable<std::string> answer(const Network::Request &request, std::shared_ptr<boost::asio::ip::tcp::socket> socket);
     std::string healthAnswer() const;
-    std::string garbled(std::string text);
+    std::string garbled(const std::string &text);
 
     boost::asio::io_context &context;
     Ledger &ledger;
