LibFleet: One figure for how many targets are asked at once

The choice mixed targets of other data centres into its first three candidates, the search asked three at once, each with a constant of its own, and a test with a third; they must agree. It is Fleet::ASKED_AT_ONCE now. Two tests of the choice built the same forty targets.

--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -29,8 +29,6 @@
 /// Part of the targets without a kept connection that are not put behind those with one. Opening connections costs a target and the caller
 /// time; an instance that never opened any would know no other targets than its first.
 constexpr double EXPLORED_PART = 0.1;
-/// Candidates that are asked at once.
-constexpr std::size_t FIRST_CANDIDATES = 3;
 
 std::uint32_t occupied(const TargetBelief &target)
 {
@@ -70,7 +68,7 @@
     std::size_t near = 0;
     std::size_t far = farBegin;
     while (near < farBegin || far < farEnd) {
-        const bool isFirst = mixed.size() < FIRST_CANDIDATES;
+        const bool isFirst = mixed.size() < ASKED_AT_ONCE;
         const bool wantsFar = isFirst ? random.unit() < farPart : mixed.size() % 2 == 1;
         const bool takesFar = far < farEnd && (wantsFar || near == farBegin);
         mixed.push_back(std::move(names[takesFar ? far++ : near++]));
--- a/Libraries/LibFleet/Choice.h
+++ b/Libraries/LibFleet/Choice.h
@@ -6,6 +6,9 @@
 namespace Briarbend::Fleet
 {
 
+/// Candidates that are asked at once: of three hosts of which a quarter is slow, one and a half in a hundred times all are.
+constexpr std::size_t ASKED_AT_ONCE = 3;
+
 /// Which targets of a service one request may go to.
 struct ChoiceInput {
     Core::DataCentreName ownDataCentre;
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -16,8 +16,6 @@
 
 namespace Asio = boost::asio;
 
-/// Targets that are asked at once: of three hosts of which a quarter is slow, one and a half in a hundred times all are.
-constexpr std::size_t PROBES_AT_ONCE = 3;
 /// Further targets are asked where none of the first serves well.
 constexpr std::size_t MOST_PROBES = 9;
 /// Time from the first answer for the others to come: about a round trip between data centres.
@@ -143,7 +141,7 @@
     std::optional<Ranked> best;
     while (asked < most && !(best && servesWell(wish, *best))) {
         const auto answersBefore = search->answered.size();
-        const auto until = std::min(most, asked + PROBES_AT_ONCE);
+        const auto until = std::min(most, asked + Fleet::ASKED_AT_ONCE);
         for (; asked < until; ++asked) {
             ++search->pending;
             spawn(state, "probe", probe(state, search, wish.book, names[asked]));
--- a/Tests/LibFleet/TestChoice.cpp
+++ b/Tests/LibFleet/TestChoice.cpp
@@ -39,6 +39,17 @@
     return names;
 }
 
+/// Twenty targets here and twenty in another data centre.
+std::vector<TargetRecord> nearAndFar()
+{
+    std::vector<TargetRecord> records;
+    for (int index = 0; index < 20; ++index) {
+        records.push_back(record("near-" + std::to_string(index)));
+        records.push_back(record("far-" + std::to_string(index), "there"));
+    }
+    return records;
+}
+
 void state(ServiceBook &book, const std::string &name, LoadStatement load)
 {
     recordLoad(book, *findTarget(book, name), load, NOW);
@@ -62,12 +73,7 @@
     Core::Random random{3};
     const auto farAmongFirst = [&random](std::uint32_t running) {
         ServiceBook book;
-        std::vector<TargetRecord> records;
-        for (int index = 0; index < 20; ++index) {
-            records.push_back(record("near-" + std::to_string(index)));
-            records.push_back(record("far-" + std::to_string(index), "there"));
-        }
-        updateTargets(book, records, NOW, 0);
+        updateTargets(book, nearAndFar(), NOW, 0);
         for (int index = 0; index < 20; ++index) {
             state(book, "near-" + std::to_string(index), {.running = running, .waiting = 0, .slots = 6, .slowness = 1});
         }
@@ -91,11 +97,7 @@
 TEST(Choice, whereTheFirstAreNoGoodOthersFollowSoon)
 {
     ServiceBook book;
-    std::vector<TargetRecord> records;
-    for (int index = 0; index < 20; ++index) {
-        records.push_back(record("near-" + std::to_string(index)));
-        records.push_back(record("far-" + std::to_string(index), "there"));
-    }
+    const auto records = nearAndFar();
     updateTargets(book, records, NOW, 0);
     Core::Random random{3};
     const auto names = candidates(book, inputHere(), NOW, random);
--- a/Tests/LibFleet/TestLopsidedLoad.cpp
+++ b/Tests/LibFleet/TestLopsidedLoad.cpp
@@ -17,7 +17,6 @@
 constexpr std::size_t TARGETS_PER_DATA_CENTRE = 10;
 constexpr std::uint32_t SLOTS = 6;
 constexpr std::chrono::milliseconds WORK{400};
-constexpr std::size_t ASKED_AT_ONCE = 3;
 /// Callers of one data centre need four fifths of its slots: its targets would mostly be nearly full.
 constexpr std::chrono::milliseconds BETWEEN_REQUESTS{8};
 
