LibGateway: Believe targets that say that they leave or want quiet

Cause: targets say in their answers that they leave, and how long they want nothing after a 503; nothing read either. And an answer that names no attempt passed for the request's own on a kept connection: a late second copy of a 503 on the health path told a caller that its request, which ran, had not run.

Change: both words are decoded once in platform/ and kept by target and start in the directory, beside the entries, so that neither a lapsed entry, an older listing nor a peer's copy takes them back; only another start does. Choice, questions, trials and cold sends leave such targets out; kept connections to one that leaves end. What was chosen before is looked at again before it is sent. Where all targets want quiet, callers are refused at once and told when the first is back. Retry-After: seconds with fractions; more than an hour counts as one; negative, not finite, not a number, a date: none. Where targets name attempts, an answer without a name is foreign.

Ruled out: a mark on the store's entry only (the next revision of it would take the word back); a connection's own memory of names (the question on the health path comes first on every connection and names nothing).

--- a/Libraries/LibFleet/Beliefs.cpp
+++ b/Libraries/LibFleet/Beliefs.cpp
@@ -73,6 +73,12 @@
     book.targets = std::move(updated);
 }
 
+void applyReport(TargetBelief &target, const SelfReport &report)
+{
+    target.isLeaving = target.isLeaving || report.isLeaving;
+    target.quietUntil = std::max(target.quietUntil, report.quietUntil);
+}
+
 void recordLoad(ServiceBook &book, TargetBelief &target, const LoadStatement &load, Core::TimePoint now)
 {
     target.load = load;
--- a/Libraries/LibFleet/Beliefs.h
+++ b/Libraries/LibFleet/Beliefs.h
@@ -36,6 +36,10 @@
     /// Exponentially weighted share of requests that failed or were shed.
     double failureShare{0};
     Core::TimePoint failureShareAt;
+    /// The target itself said that it leaves.
+    bool isLeaving{false};
+    /// The target asked for nothing before then.
+    Core::TimePoint quietUntil;
     /// The health path says that the target takes no work.
     bool refusesWork{false};
     /// Requests that this instance may send to the target while it is cold; below one none.
@@ -51,6 +55,8 @@
     ServicePlan plan;
     std::vector<TargetBelief> targets;
     SendBudget budget;
+    /// Answers of the service's targets name the attempt that they belong to.
+    bool namesAttempts{false};
     /// Requests that ask targets of which none answered lately.
     std::uint32_t searchesInDoubt{0};
     /// Exponentially weighted speed over all statements, as a multiple of the usual. Work goes on at this rate on average.
@@ -82,6 +88,9 @@
 /// Takes over the targets of one service. Beliefs about a target stay for as long as its start stays the same.
 void updateTargets(ServiceBook &book, const std::vector<TargetRecord> &records, Core::TimePoint now, double initialColdTokens);
 
+/// Takes over what the target said of itself; a report never takes back an earlier one.
+void applyReport(TargetBelief &target, const SelfReport &report);
+
 void recordLoad(ServiceBook &book, TargetBelief &target, const LoadStatement &load, Core::TimePoint now);
 void recordCold(TargetBelief &target, std::chrono::milliseconds coldLeft, Core::TimePoint now);
 /// Notes that the target could not be reached or did not answer its health path. Repeated trouble lengthens the time for which it is
--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -81,7 +81,7 @@
     const auto &record = target.record;
     const bool isOfVersion = !input.version || (record.version == *input.version) != input.isVersionExcluded;
     const bool isSampled = input.sampled.empty() || std::ranges::find(input.sampled, record.name) != input.sampled.end();
-    return !record.isLeaving && isOfVersion && isSampled && !input.dataCentresOut.contains(record.dataCentre)
+    return !record.isLeaving && !target.isLeaving && isOfVersion && isSampled && !input.dataCentresOut.contains(record.dataCentre)
         && std::ranges::find(input.excluded, record.name) == input.excluded.end();
 }
 
@@ -89,7 +89,7 @@
 
 Usability usability(const TargetBelief &target, const ChoiceInput &input, Core::TimePoint now)
 {
-    if (!isAllowed(target, input)) {
+    if (!isAllowed(target, input) || target.quietUntil > now) {
         return Usability::Unusable;
     }
     if (target.coldUntil > now) {
@@ -98,6 +98,17 @@
     return target.avoidedUntil > now || target.refusesWork ? Usability::Doubtful : Usability::Usable;
 }
 
+std::optional<Core::Duration> untilFirstWantsRequests(const ServiceBook &book, const ChoiceInput &input, Core::TimePoint now)
+{
+    std::optional<Core::TimePoint> first;
+    for (const auto &target : book.targets) {
+        if (isAllowed(target, input)) {
+            first = std::min(first.value_or(target.quietUntil), target.quietUntil);
+        }
+    }
+    return first && *first > now ? std::optional(*first - now) : std::nullopt;
+}
+
 double occupancy(const ServiceBook &book, const Core::DataCentreName &dataCentre, Core::TimePoint now)
 {
     double held = 0;
--- a/Libraries/LibFleet/Choice.h
+++ b/Libraries/LibFleet/Choice.h
@@ -38,6 +38,9 @@
 
 Usability usability(const TargetBelief &target, const ChoiceInput &input, Core::TimePoint now);
 
+/// Time until the first of the targets that may be chosen wants requests again; nothing where one of them does now, or there is none.
+std::optional<Core::Duration> untilFirstWantsRequests(const ServiceBook &book, const ChoiceInput &input, Core::TimePoint now);
+
 /// Share of the slots in use at the data centre's targets, by what they stated lately; zero where none did.
 double occupancy(const ServiceBook &book, const Core::DataCentreName &dataCentre, Core::TimePoint now);
 
--- a/Libraries/LibFleet/Directory.cpp
+++ b/Libraries/LibFleet/Directory.cpp
@@ -1,5 +1,8 @@
 #include <LibFleet/Directory.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace Briarbend::Fleet
 {
 
@@ -11,6 +14,21 @@
     return directory.outageEndedAt && now - *directory.outageEndedAt < REREGISTRATION_TIME;
 }
 
+/// The report of the start, begun where there is none; null where a later start of the target has reported.
+SelfReport *reportOfStart(Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, Core::TimePoint now)
+{
+    auto &report = directory.reports[name];
+    if (report.startedAtMilliseconds > startedAtMilliseconds) {
+        return nullptr;
+    }
+    if (report.startedAtMilliseconds < startedAtMilliseconds) {
+        report = SelfReport{};
+        report.startedAtMilliseconds = startedAtMilliseconds;
+    }
+    report.reportedAt = now;
+    return &report;
+}
+
 } // namespace
 
 void recordStoreAnswer(Directory &directory, Core::TimePoint now)
@@ -53,6 +71,35 @@
     }
 }
 
+bool recordLeaving(Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, Core::TimePoint now)
+{
+    auto *report = reportOfStart(directory, name, startedAtMilliseconds, now);
+    return report != nullptr && !std::exchange(report->isLeaving, true);
+}
+
+void recordQuiet(
+    Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, Core::TimePoint quietUntil, Core::TimePoint now)
+{
+    if (auto *report = reportOfStart(directory, name, startedAtMilliseconds, now)) {
+        report->quietUntil = std::max(report->quietUntil, quietUntil);
+    }
+}
+
+const SelfReport *findReport(const Directory &directory, const TargetRecord &record)
+{
+    const auto found = directory.reports.find(record.name);
+    const bool isOfStart = found != directory.reports.end() && found->second.startedAtMilliseconds == record.startedAtMilliseconds;
+    return isOfStart ? &found->second : nullptr;
+}
+
+void forgetOldReports(Directory &directory, Core::TimePoint now)
+{
+    std::erase_if(directory.reports, [&directory, now](const auto &entry) {
+        const auto lastNeeded = std::max(entry.second.reportedAt, entry.second.quietUntil);
+        return !directory.entries.contains(entry.first) && now - lastNeeded >= REPORT_RETENTION;
+    });
+}
+
 bool expireMissing(Directory &directory, Core::TimePoint now)
 {
     if (mayHaveLapsed(directory, now)) {
--- a/Libraries/LibFleet/Directory.h
+++ b/Libraries/LibFleet/Directory.h
@@ -40,6 +40,17 @@
     std::optional<Core::TimePoint> missingSince;
 };
 
+/// What a target said of itself in its answers. It holds for one start, and outlives the target's entry, which may lapse and come back.
+struct SelfReport {
+    std::int64_t startedAtMilliseconds{0};
+    bool isLeaving{false};
+    /// The target wants nothing from this instance before then.
+    Core::TimePoint quietUntil;
+    Core::TimePoint reportedAt;
+
+    bool operator==(const SelfReport &) const = default;
+};
+
 /// After an outage entries whose lease lapsed meanwhile come back within this time if their target lives. The platform states about 2 s.
 constexpr std::chrono::milliseconds REREGISTRATION_TIME{2300};
 /// A store that did not answer for this long may have let leases lapse: the shortest lease that the platform grants.
@@ -48,9 +59,14 @@
 /// is a third; what its targets are asked then shows by itself that they are gone.
 constexpr double LAPSED_SHARE = 0.4;
 
+/// Time for which a report is kept whose target is not listed. A target that leaves serves for some seconds more.
+constexpr std::chrono::minutes REPORT_RETENTION{10};
+
 /// The list of targets that this instance goes by. It survives outages of the store.
 struct Directory {
     std::map<std::string, DirectoryEntry> entries;
+    /// By the target's name.
+    std::map<std::string, SelfReport> reports;
     bool isKnown{false};
     /// Since when the store has not answered, while it does not.
     std::optional<Core::TimePoint> storeLostSince;
@@ -73,6 +89,19 @@
 /// Takes an entry out, at once or, shortly after an outage, once it has not come back.
 void applyRemoval(Directory &directory, const std::string &name, Core::TimePoint now);
 
+/// Notes that the start of the target said that it leaves. True where that is new. No entry of the list takes it back.
+bool recordLeaving(Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, Core::TimePoint now);
+
+/// Notes that the start of the target asked for nothing before the moment.
+void recordQuiet(
+    Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, Core::TimePoint quietUntil, Core::TimePoint now);
+
+/// What the start of the target that the record describes said of itself; null where it said nothing.
+const SelfReport *findReport(const Directory &directory, const TargetRecord &record);
+
+/// Forgets reports of targets that have not been listed for long.
+void forgetOldReports(Directory &directory, Core::TimePoint now);
+
 /// Removes entries that were missing for too long. True where any was.
 bool expireMissing(Directory &directory, Core::TimePoint now);
 
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/Attempt.h>
 
 #include <LibGateway/HealthCheck.h>
+#include <LibGateway/TargetReports.h>
 #include <LibRelay/HeaderRules.h>
 
 #include <algorithm>
@@ -85,6 +86,7 @@
     if (found.obstacle != Obstacle::None) {
         this->context->note(found.obstacle == Obstacle::Full ? "all_full" : "no_target",
                             {{"service", this->book->name.value}, {"probes", found.probes}, {"expected_us", found.expectedTime.count()}});
+        this->comeBack = found.untilRequestsWanted;
         this->end = found.obstacle == Obstacle::Full ? AttemptEnd::Full : AttemptEnd::NoTarget;
     } else if (this->isCancelled || this->context->isCallerGone || this->context->remaining() < SHORTEST_USEFUL_TIME) {
         this->context->state.pool.giveBack(std::move(found.connection), Core::Clock::now());
@@ -136,6 +138,14 @@
             this->end = AttemptEnd::Quarantined;
             co_return;
         }
+        if (!this->isStillWanted()) {
+            this->context->note("target_withdrawn", {{"target", this->name}});
+            if (isTrial) {
+                state.guard->trialEnded(this->context->fingerprint);
+            }
+            this->end = AttemptEnd::NoTarget;
+            co_return;
+        }
     }
     this->context->tried.push_back(this->name);
     this->context->note("send",
@@ -190,6 +200,21 @@
     return belief != nullptr && belief->record.startedAtMilliseconds == this->targetStartedAt ? belief : nullptr;
 }
 
+bool Attempt::isStillWanted() const
+{
+    const auto *belief = Fleet::findTarget(*this->book, this->name);
+    return belief != nullptr && !belief->isLeaving && !belief->record.isLeaving && belief->quietUntil <= Core::Clock::now();
+}
+
+bool Attempt::isForeign(const TargetStatement &statement) const
+{
+    if (statement.attemptId.empty()) {
+        // A second copy of an answer on the health path names nothing.
+        return this->book->namesAttempts && !this->context->attemptId.empty();
+    }
+    return statement.attemptId != this->context->attemptId;
+}
+
 Asio::awaitable<void> Attempt::exchange()
 {
     auto &state = this->context->state;
@@ -253,18 +278,20 @@
             co_return false;
         }
         const auto statement = state.dialect.readTarget(parser.get().base());
-        const bool isForeign = !statement.attemptId.empty() && statement.attemptId != this->context->attemptId;
+        const bool isOfOther = this->isForeign(statement);
         const bool isInterim = parser.get().result_int() / 100 == 1;
-        if (!co_await this->receiveBody(parser, !isForeign && !isInterim)) {
+        learnReport(state, *this->book, this->name, this->targetStartedAt, statement);
+        if (!co_await this->receiveBody(parser, !isOfOther && !isInterim)) {
             co_return false;
         }
-        if (isForeign || isInterim) {
-            state.counters.foreignAnswers += isForeign ? 1 : 0;
+        if (isOfOther || isInterim) {
+            state.counters.foreignAnswers += isOfOther ? 1 : 0;
             continue;
         }
+        this->book->namesAttempts = this->book->namesAttempts || !statement.attemptId.empty();
         this->answer.head = parser.get().base();
         this->judge(statement);
-        if (parser.keep_alive() && this->end != AttemptEnd::Unknown && foreign == 0) {
+        if (parser.keep_alive() && this->end != AttemptEnd::Unknown && foreign == 0 && !statement.isLeaving) {
             keepConnection(state, std::move(this->connection), this->answer.head);
         }
         co_return this->end != AttemptEnd::Unknown;
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -48,7 +48,7 @@
     /// With NotRun: the target shed the request although it had free slots.
     bool wasShedWithRoom{false};
     TargetAnswer answer;
-    /// With Quarantined: when the caller may come back.
+    /// With Quarantined, and with NoTarget where all targets asked for quiet: when the caller may come back.
     std::chrono::milliseconds comeBack{0};
 
 private:
@@ -70,6 +70,10 @@
     void learn(Fleet::SendOutcome outcome);
     void noteEnd();
     Fleet::TargetBelief *target();
+    /// False where the target has asked for quiet, leaves or is gone since it was chosen.
+    bool isStillWanted() const;
+    /// Whether an answer of the target belongs to something else than this attempt.
+    bool isForeign(const TargetStatement &statement) const;
 
     std::shared_ptr<RequestContext> context;
     std::function<void()> onEnded;
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -34,6 +34,10 @@
     bool isMisdirected{false};
     std::optional<Fleet::LoadStatement> load;
     std::optional<std::chrono::milliseconds> coldLeft;
+    /// The target takes no new requests and ends soon.
+    bool isLeaving{false};
+    /// The target turned the request away and wants nothing from this instance for so long.
+    std::optional<std::chrono::milliseconds> quietFor;
     /// The name under which the target registered, on its health path.
     std::string targetName;
 };
--- a/Libraries/LibGateway/GatewayState.cpp
+++ b/Libraries/LibGateway/GatewayState.cpp
@@ -68,6 +68,11 @@
                                    .share = budgets.extraSendShare * PLANNED_PART,
                                    .allowance = std::min(MOST_ALLOWANCE, budgets.extraSendAllowance / (instances * STARTS_PER_INSTANCE))};
         Fleet::updateTargets(*book, records[name], now, state.random.unit());
+        for (auto &target : book->targets) {
+            if (const auto *report = Fleet::findReport(state.directory, target.record)) {
+                Fleet::applyReport(target, *report);
+            }
+        }
     }
     std::erase_if(state.services, [&state](const auto &entry) {
         return !state.plan->services.contains(entry.first);
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -97,6 +97,8 @@
     std::function<std::optional<VersionSplit>(const Core::ServiceName &service, const std::string &route)> splitOf;
     /// Called for each request that a target has answered or lost.
     std::function<void(const SendObservation &)> onObserved;
+    /// Called once for each start of a target of which this instance learned from an answer that it leaves.
+    std::function<void(const std::string &target, std::int64_t startedAtMilliseconds)> onLeaving;
     /// Round trip to a target of another data centre beyond that to one of the own.
     std::chrono::microseconds distance{2000};
     /// Time of a caller that one kibibyte of answer between data centres is worth.
--- a/Libraries/LibGateway/HealthCheck.cpp
+++ b/Libraries/LibGateway/HealthCheck.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/HealthCheck.h>
 
+#include <LibGateway/TargetReports.h>
+
 #include <LibNetwork/Http.h>
 
 #include <algorithm>
@@ -95,6 +97,7 @@
         const auto &record = target.record;
         state.guard->startSeen(record.address, {record.name + "/" + std::to_string(record.startedAtMilliseconds)});
     }
+    learnReport(state, book, target.record.name, target.record.startedAtMilliseconds, statement);
     if (statement.load) {
         Fleet::recordLoad(book, target, *statement.load, now);
     }
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -87,6 +87,7 @@
     }));
     this->subscriptions.push_back(this->timers.every(IDLE_SWEEP, [this](Core::TimePoint now) {
         this->state.pool.closeIdle(now, IDLE_LIFETIME);
+        Fleet::forgetOldReports(this->state.directory, now);
     }));
     this->state.log.write(Importance::Notable,
                           "started",
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -194,7 +194,7 @@
         return;
     case AttemptEnd::NoTarget:
         if (isLast) {
-            this->refuse(Reason::NoTarget, this->comeBackAfter(NO_TARGET_RETRY_AFTER));
+            this->refuse(Reason::NoTarget, std::max(attempt.comeBack, this->comeBackAfter(NO_TARGET_RETRY_AFTER)));
         }
         return;
     case AttemptEnd::NotSent:
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -223,9 +223,16 @@
     co_return found;
 }
 
-} // namespace
+/// Targets that the request was sent to are among those that may want it again later.
+std::chrono::milliseconds untilRequestsWanted(const TargetWish &wish)
+{
+    auto input = wish.input;
+    input.excluded.clear();
+    const auto left = Fleet::untilFirstWantsRequests(*wish.book, input, Core::Clock::now());
+    return std::chrono::ceil<std::chrono::milliseconds>(left.value_or(Core::Duration{0}));
+}
 
-Asio::awaitable<FoundTarget> findTarget(GatewayState &state, TargetWish wish)
+Asio::awaitable<FoundTarget> search(GatewayState &state, const TargetWish &wish)
 {
     const auto names = Fleet::candidates(*wish.book, wish.input, Core::Clock::now(), state.random);
     const bool isInDoubt = areAllSilent(wish, names);
@@ -237,9 +244,9 @@
     if (isInDoubt) {
         searchInDoubt.emplace(book->searchesInDoubt);
     }
-    const auto search = std::make_shared<Search>(state.executor);
-    const auto asked = co_await askInTurns(state, wish, search, names);
-    auto found = takeBest(state, wish, *search);
+    const auto probes = std::make_shared<Search>(state.executor);
+    const auto asked = co_await askInTurns(state, wish, probes, names);
+    auto found = takeBest(state, wish, *probes);
     found.probes = static_cast<std::uint32_t>(asked);
     if (found.obstacle == Obstacle::NoTarget) {
         co_return co_await findColdTarget(state, wish);
@@ -247,4 +254,15 @@
     co_return found;
 }
 
+} // namespace
+
+Asio::awaitable<FoundTarget> findTarget(GatewayState &state, TargetWish wish)
+{
+    auto found = co_await search(state, wish);
+    if (found.obstacle == Obstacle::NoTarget) {
+        found.untilRequestsWanted = untilRequestsWanted(wish);
+    }
+    co_return found;
+}
+
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/TargetFinder.h
+++ b/Libraries/LibGateway/TargetFinder.h
@@ -23,6 +23,8 @@
     /// What decided, for the log.
     std::chrono::microseconds expectedTime{0};
     std::uint32_t probes{0};
+    /// With NoTarget: time until the first target wants requests, where all asked for quiet.
+    std::chrono::milliseconds untilRequestsWanted{0};
 };
 
 /// What is asked for.
--- a/Tests/LibFleet/TestChoice.cpp
+++ b/Tests/LibFleet/TestChoice.cpp
@@ -201,4 +201,19 @@
     EXPECT_EQ(freeSlots(target), 0U);
 }
 
+TEST(Choice, whoLeavesOrAskedForQuietIsNeverACandidate)
+{
+    ServiceBook book;
+    updateTargets(book, {record("good"), record("leaving"), record("quiet")}, NOW, 0);
+    findTarget(book, "leaving")->isLeaving = true;
+    findTarget(book, "quiet")->quietUntil = NOW + 2s;
+    Core::Random random{3};
+    EXPECT_EQ(candidates(book, inputHere(), NOW, random), (std::vector<std::string>{"good"}));
+    EXPECT_EQ(untilFirstWantsRequests(book, inputHere(), NOW), std::nullopt);
+    updateTargets(book, {record("leaving"), record("quiet")}, NOW, 0);
+    EXPECT_TRUE(candidates(book, inputHere(), NOW, random).empty());
+    EXPECT_EQ(untilFirstWantsRequests(book, inputHere(), NOW), 2s);
+    EXPECT_EQ(candidates(book, inputHere(), NOW + 2s, random), (std::vector<std::string>{"quiet"}));
+}
+
 } // namespace Briarbend::Fleet
--- a/Tests/LibFleet/TestDirectory.cpp
+++ b/Tests/LibFleet/TestDirectory.cpp
@@ -105,4 +105,38 @@
     EXPECT_EQ(directory.entries.size(), 1U);
 }
 
+TEST(Directory, aReportHoldsForItsStartAndNotForALaterOne)
+{
+    const Core::TimePoint now{100s};
+    auto directory = knownDirectory(now);
+    EXPECT_TRUE(recordLeaving(directory, "one", 5, now));
+    EXPECT_FALSE(recordLeaving(directory, "one", 5, now)) << "known already";
+    auto entry = record("one");
+    entry.startedAtMilliseconds = 5;
+    ASSERT_NE(findReport(directory, entry), nullptr);
+    EXPECT_TRUE(findReport(directory, entry)->isLeaving);
+    entry.startedAtMilliseconds = 6;
+    EXPECT_EQ(findReport(directory, entry), nullptr);
+    recordQuiet(directory, "one", 6, now + 2s, now);
+    EXPECT_FALSE(findReport(directory, entry)->isLeaving);
+    EXPECT_FALSE(recordLeaving(directory, "one", 5, now)) << "a late word of the earlier start";
+    EXPECT_FALSE(findReport(directory, entry)->isLeaving);
+    recordQuiet(directory, "one", 6, now + 1s, now);
+    EXPECT_EQ(findReport(directory, entry)->quietUntil, now + 2s) << "the longer time counts";
+}
+
+TEST(Directory, reportsOutliveTheEntryForAWhile)
+{
+    const Core::TimePoint now{100s};
+    auto directory = knownDirectory(now);
+    recordLeaving(directory, "one", 0, now);
+    recordLeaving(directory, "two", 0, now);
+    applyRemoval(directory, "one", now);
+    forgetOldReports(directory, now + REPORT_RETENTION - 1s);
+    EXPECT_EQ(directory.reports.size(), 2U);
+    forgetOldReports(directory, now + REPORT_RETENTION);
+    EXPECT_FALSE(directory.reports.contains("one"));
+    EXPECT_TRUE(directory.reports.contains("two")) << "still listed";
+}
+
 } // namespace Briarbend::Fleet
--- a/Tests/LibGateway/FakeTarget.cpp
+++ b/Tests/LibGateway/FakeTarget.cpp
@@ -21,7 +21,10 @@
 {
     const std::string body = "body of " + std::string(request.target());
     std::string text = reaction.before + "HTTP/1.1 " + std::to_string(*reaction.status) + " X\r\n";
-    text += "Attempt-Id: " + (reaction.foreignId.empty() ? std::string(request["Attempt-Id"]) : reaction.foreignId) + "\r\n";
+    if (!reaction.isUnnamed) {
+        text += "Attempt-Id: " + (reaction.foreignId.empty() ? std::string(request["Attempt-Id"]) : reaction.foreignId) + "\r\n";
+    }
+    text += reaction.fields;
     if (reaction.isNotRun) {
         text += "Not-Executed: 1\r\n";
     } else if (!reaction.isUnsigned) {
@@ -59,6 +62,11 @@
     return this->cancelledRuns;
 }
 
+std::size_t FakeTarget::exchanges() const
+{
+    return this->arrived;
+}
+
 Asio::awaitable<void> FakeTarget::acceptLoop()
 {
     while (true) {
@@ -69,8 +77,8 @@
 
 std::string FakeTarget::healthAnswer() const
 {
-    return "HTTP/1.1 " + std::to_string(this->healthStatus) + " X\r\nInstance-Id: " + this->name + "\r\nServer-Load: " + this->load
-        + "\r\nContent-Length: 0\r\n\r\n";
+    return "HTTP/1.1 " + std::to_string(this->healthStatus) + " X\r\nInstance-Id: " + this->name + "\r\nServer-Load: " + this->load + "\r\n"
+        + this->healthFields + "Content-Length: 0\r\n\r\n";
 }
 
 Asio::awaitable<void> FakeTarget::serve(std::shared_ptr<Asio::ip::tcp::socket> socket)
@@ -84,6 +92,7 @@
         if (error) {
             co_return;
         }
+        ++this->arrived;
         if (this->isSilent) {
             continue;
         }
--- a/Tests/LibGateway/FakeTarget.h
+++ b/Tests/LibGateway/FakeTarget.h
@@ -30,6 +30,10 @@
     /// The body ends before its stated length.
     bool isCut{false};
     bool isUnsigned{false};
+    /// The answer names no attempt.
+    bool isUnnamed{false};
+    /// Further lines of the head, each with its end of line.
+    std::string fields{};
     bool isEncoded{false};
 };
 
@@ -44,12 +48,16 @@
     std::string address() const;
     /// Attempts that the target began to work on, in order.
     const std::vector<std::string> &runs() const;
+    /// Requests and health checks that arrived.
+    std::size_t exchanges() const;
     /// Connections that the caller ended while the target was at work.
     std::size_t cancelled() const;
 
     /// Load as the health path states it.
     std::string load{"0,0,6,100"};
     unsigned healthStatus{200};
+    /// Further lines of the head of answers on the health path, each with its end of line.
+    std::string healthFields;
     /// Reads requests and answers none.
     bool isSilent{false};
     /// The name that the health path states.
@@ -64,6 +72,7 @@
     React react;
     std::vector<std::string> begun;
     std::size_t cancelledRuns{0};
+    std::size_t arrived{0};
 };
 
 } // namespace Briarbend::Gateway
--- a/Tests/platform/TestWireDialect.cpp
+++ b/Tests/platform/TestWireDialect.cpp
@@ -41,6 +41,40 @@
     EXPECT_EQ(dialect.readTarget(head).coldLeft, 1250ms);
 }
 
+TEST(WireDialect, readsThatATargetLeaves)
+{
+    const auto dialect = wireDialect();
+    Http::response_header<> head;
+    EXPECT_FALSE(dialect.readTarget(head).isLeaving);
+    head.set("Server-Leaving", "1");
+    EXPECT_TRUE(dialect.readTarget(head).isLeaving);
+    for (const auto *other : {"", "0", "yes", "11"}) {
+        head.set("Server-Leaving", other);
+        EXPECT_FALSE(dialect.readTarget(head).isLeaving) << other;
+    }
+}
+
+TEST(WireDialect, readsForHowLongATargetWantsNothing)
+{
+    const auto dialect = wireDialect();
+    Http::response_header<> head;
+    head.result(Http::status::service_unavailable);
+    EXPECT_FALSE(dialect.readTarget(head).quietFor.has_value()) << "no time is stated";
+    const auto quiet = [&](const char *text) {
+        head.set(Http::field::retry_after, text);
+        return dialect.readTarget(head).quietFor;
+    };
+    EXPECT_EQ(quiet("3"), 3s);
+    EXPECT_EQ(quiet("0.25"), 250ms);
+    EXPECT_EQ(quiet("0.0001"), 1ms) << "never shorter than asked for";
+    EXPECT_EQ(quiet("99999999999999999999"), 1h);
+    for (const auto *unreadable : {"", "0", "-1", "soon", "3 s", "nan", "inf", "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+        EXPECT_FALSE(quiet(unreadable).has_value()) << unreadable;
+    }
+    head.result(Http::status::too_many_requests);
+    EXPECT_FALSE(quiet("3").has_value()) << "only 503 asks for quiet";
+}
+
 TEST(WireDialect, addressesTheTargetAndKeepsWhatIsInternal)
 {
     const auto dialect = wireDialect();
