LibGateway: Bound what targets and callers that send without end may take

Cause: Attempt::receive read bodies with no limit, and those of interim and foreign answers too. Beast bounds heads, but neither chunk extensions nor trailers, and the connections' buffers had no bound of their own: each grew until the request's deadline. Callers' chunk extensions grew the same way, for as long as the caller sent.

Change: one budget of bytes for all bodies of an instance ([memory] bodies, 64 MiB of the smallest instance's 160 MB) and a longest answer ([memory] longest_answer, 16 MiB); unread bytes of a connection are bounded by its longest head and 64 KiB, in both daemons, the store's client and the small servers. The attempt ends at once, the connection with it, the target counts as having lost the request, and the caller is told 502, as the request may have run. A request for whose body there is no room is refused as not run. Interim answers are counted in LibRelay too. A target's silence still ends nothing before the deadline.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -45,7 +45,8 @@
 } // namespace
 
 Attempt::Attempt(std::shared_ptr<RequestContext> requestContext, std::function<void()> endedCallback)
-    : context(std::move(requestContext))
+    : answer(requestContext->state.bodies)
+    , context(std::move(requestContext))
     , onEnded(std::move(endedCallback))
     , book(this->context->book)
 {
@@ -221,9 +222,11 @@
     this->sentAt = Core::Clock::now();
     if (auto *belief = Fleet::findTarget(*this->book, this->name)) {
         this->targetStartedAt = belief->record.startedAtMilliseconds;
+        this->isFar = belief->record.dataCentre != state.settings.instance.dataCentre;
         ++belief->ownInFlight;
     }
     ++state.counters.sends;
+    state.counters.farSends += this->isFar ? 1 : 0;
     // From the first byte on nobody can tell whether the target got enough to run the request.
     this->isSent = true;
     this->end = AttemptEnd::Pending;
@@ -267,7 +270,7 @@
     for (std::size_t foreign = 0; foreign <= MOST_FOREIGN_ANSWERS; ++foreign) {
         Http::response_parser<Http::buffer_body> parser;
         parser.header_limit(LONGEST_ANSWER_HEAD);
-        parser.body_limit(boost::none);
+        parser.body_limit(state.settings.memory.longestAnswer);
         parser.skip(this->context->head.method() == Http::verb::head);
         boost::system::error_code error;
         co_await Http::async_read_header(
@@ -317,6 +320,11 @@
             this->failure = "body: " + error.message();
             co_return false;
         }
+        this->context->state.counters.farAnswerBytes += this->isFar ? chunk.size() - body.size : 0;
+        if (isKept && !this->answer.held.growTo(this->answer.body.size() + chunk.size() - body.size)) {
+            this->failure = "body: no memory left for bodies";
+            co_return false;
+        }
         if (isKept) {
             this->answer.body.append(chunk.data(), chunk.size() - body.size);
         }
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -29,8 +29,14 @@
 
 /// A target's whole answer.
 struct TargetAnswer {
+    explicit TargetAnswer(Core::ByteBudget &budget)
+        : held(budget)
+    {
+    }
+
     Http::response_header<> head;
     std::string body;
+    Core::ByteHold held;
 };
 
 /// Finds one target for a request, sends it there and reads the whole answer. Kept alive by its own coroutine.
@@ -83,6 +89,8 @@
     std::int64_t targetStartedAt{0};
     Core::TimePoint sentAt;
     bool isCold{false};
+    /// The target is of another data centre.
+    bool isFar{false};
     bool isCancelled{false};
     /// The connection ended under the request: the target may have broken.
     bool isConnectionLost{false};
--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -37,6 +37,9 @@
 /// The reason for which a request that could not be read is refused, with its status; nothing where the connection just ended.
 std::optional<Reason> readProblem(const boost::system::error_code &error)
 {
+    if (!error) {
+        return std::nullopt;
+    }
     if (error == Http::error::header_limit) {
         return Reason::HeaderTooLarge;
     }
@@ -51,9 +54,19 @@
     return state.plan ? state.plan->limits : Fleet::CallerLimits{};
 }
 
-/// Reads one request. The parser is done where the error is none.
-Asio::awaitable<boost::system::error_code>
-readRequest(const Fleet::CallerLimits &limits, boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, RequestParser &parser)
+/// How reading a request ended.
+struct ReadEnd {
+    boost::system::error_code error;
+    /// Why the request is refused; nothing where it is whole, or its connection just ended.
+    std::optional<Reason> problem;
+};
+
+/// Reads one request; its body takes its memory from the hold.
+Asio::awaitable<ReadEnd> readRequest(const Fleet::CallerLimits &limits,
+                                     boost::beast::tcp_stream &stream,
+                                     boost::beast::flat_buffer &buffer,
+                                     RequestParser &parser,
+                                     Core::ByteHold &hold)
 {
     boost::system::error_code error;
     parser.header_limit(limits.headerBytes);
@@ -61,7 +74,7 @@
     stream.expires_after(limits.headerTimeout);
     co_await Http::async_read_header(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
     if (error || parser.is_done()) {
-        co_return error;
+        co_return ReadEnd{error, readProblem(error)};
     }
     if (Relay::expectsContinue(parser.get().base())) {
         co_await Relay::sendContinue(stream);
@@ -69,8 +82,11 @@
     while (!error && !parser.is_done()) {
         stream.expires_after(limits.idleTimeout);
         co_await Http::async_read_some(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        if (!hold.growTo(parser.get().body().size())) {
+            co_return ReadEnd{Asio::error::no_memory, Reason::Overloaded};
+        }
     }
-    co_return error;
+    co_return ReadEnd{error, readProblem(error)};
 }
 
 /// Waits for the first byte of a request. False where the connection ended or stayed idle too long.
@@ -212,7 +228,7 @@
 {
     const Core::Presence connection(this->state.callerConnections);
     boost::beast::tcp_stream stream(std::move(socket));
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(Network::unreadLimit(limitsOf(this->state).headerBytes));
     boost::system::error_code error;
     stream.socket().set_option(Asio::ip::tcp::no_delay(true), error);
     bool isUsable = true;
@@ -225,21 +241,23 @@
 {
     const Core::Presence inFlight(this->state.requestsInFlight);
     RequestParser parser;
-    auto error = co_await readRequest(limitsOf(this->state), stream, buffer, parser);
-    const auto problem = error ? readProblem(error) : std::nullopt;
-    if (error && !problem) {
+    ReadRequest request{parser, Core::ByteHold(this->state.bodies)};
+    const auto read = co_await readRequest(limitsOf(this->state), stream, buffer, parser, request.hold);
+    const auto problem = read.problem;
+    if (read.error && !problem) {
         co_return false;
     }
     const bool isSound = !problem && !Relay::findHeadProblem(parser.get().base());
     const bool keepsAlive = isSound && parser.keep_alive() && parser.get().version() >= Network::HTTP_1_1;
     stream.expires_never();
-    auto result = co_await this->answer(stream.socket(), parser, problem);
+    auto result = co_await this->answer(stream.socket(), std::move(request), problem);
     if (result.isCallerGone) {
         co_return false;
     }
     const bool staysOpen = keepsAlive && !this->state.isStopping;
     result.response.keep_alive(staysOpen);
     stream.expires_after(WRITE_TIMEOUT);
+    boost::system::error_code error;
     co_await Http::async_write(stream, result.response, Asio::redirect_error(Asio::use_awaitable, error));
     if (!staysOpen && !error) {
         stream.socket().shutdown(Asio::ip::tcp::socket::shutdown_send, error);
@@ -247,8 +265,9 @@
     co_return staysOpen && !error;
 }
 
-Asio::awaitable<FlowResult> CallerFrontend::answer(Asio::ip::tcp::socket &socket, RequestParser &parser, std::optional<Reason> problem)
+Asio::awaitable<FlowResult> CallerFrontend::answer(Asio::ip::tcp::socket &socket, ReadRequest request, std::optional<Reason> problem)
 {
+    auto &parser = request.parser;
     ++this->state.counters.requests;
     auto context = std::make_shared<RequestContext>(this->state);
     const auto statement = this->state.dialect.readCaller(parser.get().base());
@@ -257,6 +276,7 @@
     auto refusal = headProblem ? std::optional(Reason::BadRequest) : problem;
     if (!refusal) {
         prepareHead(*context, parser.release());
+        context->heldBody = std::move(request.hold);
         refusal = this->isRefusing ? Reason::Stopping : admit(*context, statement);
     }
     FlowResult result;
--- a/Libraries/LibGateway/CallerFrontend.h
+++ b/Libraries/LibGateway/CallerFrontend.h
@@ -11,6 +11,13 @@
 
 using RequestParser = Http::request_parser<Http::string_body>;
 
+/// A request as read from its connection.
+struct ReadRequest {
+    RequestParser &parser;
+    /// Memory of the body.
+    Core::ByteHold hold;
+};
+
 /// Accepts callers, reads their requests and writes the answers.
 class CallerFrontend
 {
@@ -32,7 +39,7 @@
     boost::asio::awaitable<bool> serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer);
     /// Answers one request that was read, or could not be for the stated problem.
     boost::asio::awaitable<FlowResult>
-    answer(boost::asio::ip::tcp::socket &socket, RequestParser &parser, std::optional<Rejection::Reason> problem);
+    answer(boost::asio::ip::tcp::socket &socket, ReadRequest request, std::optional<Rejection::Reason> problem);
 
     GatewayState &state;
     boost::asio::ip::tcp::acceptor acceptor;
--- a/Libraries/LibGateway/GatewayState.cpp
+++ b/Libraries/LibGateway/GatewayState.cpp
@@ -28,6 +28,7 @@
     , dialect(platformDialect)
     , log(STDOUT_FILENO, this->settings.instance.name, {.linesPerSecond = static_cast<double>(this->settings.log.linesPerSecond)})
     , random(seed)
+    , bodies({.limit = this->settings.memory.bodies, .held = 0, .peak = 0})
     , pool(std::move(ioExecutor))
 {
 }
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/ByteBudget.h>
 #include <LibCore/Random.h>
 #include <LibFleet/Choice.h>
 #include <LibGateway/Dialect.h>
@@ -32,6 +33,10 @@
     std::uint64_t foreignAnswers{0};
     std::uint64_t connectionsOpened{0};
     std::uint64_t storeFailures{0};
+    /// Sends and health checks to targets of other data centres, and bytes of bodies that came from there.
+    std::uint64_t farSends{0};
+    std::uint64_t farProbes{0};
+    std::uint64_t farAnswerBytes{0};
 };
 
 /// Where a request goes that finds no target of the version drawn for it.
@@ -86,6 +91,8 @@
     Dialect dialect;
     Log::EventLog log;
     Core::Random random;
+    /// Bodies of requests and answers.
+    Core::ByteBudget bodies;
     Relay::TargetConnectionPool pool;
     /// Null until a configuration has come.
     std::shared_ptr<const Fleet::FleetPlan> plan;
--- a/Libraries/LibGateway/HealthCheck.cpp
+++ b/Libraries/LibGateway/HealthCheck.cpp
@@ -132,6 +132,7 @@
     const auto address = known->record.address;
     const auto path = book->plan.healthPath;
     ++state.counters.probes;
+    state.counters.farProbes += known->record.dataCentre == state.settings.instance.dataCentre ? 0 : 1;
     std::optional<HealthParser> parser;
     auto connection = state.pool.takeIdle(address);
     bool isAnswered = false;
--- a/Libraries/LibGateway/RequestContext.h
+++ b/Libraries/LibGateway/RequestContext.h
@@ -14,6 +14,7 @@
     explicit RequestContext(GatewayState &gatewayState)
         : state(gatewayState)
         , plan(gatewayState.plan)
+        , heldBody(gatewayState.bodies)
         , arrivedAt(Core::Clock::now())
         , arrivedAtBoot(Network::bootNow())
     {
@@ -27,6 +28,7 @@
     std::string attemptId;
     Http::request_header<> head;
     std::string body;
+    Core::ByteHold heldBody;
     Quarantine::Fingerprint fingerprint;
     Core::TimePoint arrivedAt;
     std::chrono::nanoseconds arrivedAtBoot;
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -95,7 +95,7 @@
             tracked.attempt->cancel();
         });
     }
-    FlowResult result{.response = {}, .isCallerGone = this->context->isCallerGone};
+    FlowResult result{.response = {}, .held = std::move(this->finalHeld), .isCallerGone = this->context->isCallerGone};
     if (this->finalResponse) {
         result.response = std::move(*this->finalResponse);
     }
@@ -267,6 +267,7 @@
     if (!isHead && !hasNoBody(status)) {
         response.content_length(response.body().size());
     }
+    this->finalHeld.emplace(std::move(answer.held));
     this->finalResponse = std::move(response);
 }
 
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -15,6 +15,8 @@
 /// The final answer to a caller.
 struct FlowResult {
     Network::Response response;
+    /// Memory of the response's body.
+    std::optional<Core::ByteHold> held;
     /// The caller went away; nobody reads the answer.
     bool isCallerGone{false};
 };
@@ -71,6 +73,7 @@
     /// A target's own failure, delivered where nothing better comes.
     std::optional<TargetAnswer> failureAnswer;
     std::optional<Network::Response> finalResponse;
+    std::optional<Core::ByteHold> finalHeld;
 };
 
 /// The answer of this instance in its own name, in the platform's dialect.
--- a/Libraries/LibNetwork/Http.h
+++ b/Libraries/LibNetwork/Http.h
@@ -18,6 +18,16 @@
 /// The protocol version of all messages that the product writes, as Boost.Beast counts.
 constexpr unsigned HTTP_1_1 = 11;
 
+/// Most bytes of a peer that are held before they are read as part of a message whose head has at most the given length. Nothing else
+/// bounds chunk extensions and trailers.
+constexpr std::size_t unreadLimit(std::size_t longestHead)
+{
+    return longestHead + 64UL * 1024;
+}
+
+/// The same for messages with heads of up to 64 KiB.
+inline constexpr std::size_t MAXIMUM_UNREAD_BYTES = unreadLimit(64UL * 1024);
+
 using Request = Http::request<Http::string_body>;
 using Response = Http::response<Http::string_body>;
 
--- a/Libraries/LibNetwork/HttpClient.h
+++ b/Libraries/LibNetwork/HttpClient.h
@@ -36,7 +36,7 @@
     boost::asio::any_io_executor executor;
     Endpoint remote;
     std::optional<boost::beast::tcp_stream> stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{MAXIMUM_UNREAD_BYTES};
 };
 
 } // namespace Briarbend::Network
--- a/Libraries/LibNetwork/HttpServer.cpp
+++ b/Libraries/LibNetwork/HttpServer.cpp
@@ -91,7 +91,7 @@
 Asio::awaitable<void> HttpServer::serve(std::shared_ptr<State> state, Asio::ip::tcp::socket socket)
 {
     boost::beast::tcp_stream stream(std::move(socket));
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{MAXIMUM_UNREAD_BYTES};
     boost::system::error_code error;
     stream.socket().set_option(Asio::ip::tcp::no_delay(true), error);
     while (!state->isStopping) {
--- a/Libraries/LibRelay/CallerListener.cpp
+++ b/Libraries/LibRelay/CallerListener.cpp
@@ -83,7 +83,7 @@
 {
     const Core::Presence connection(relay.callerConnections);
     boost::beast::tcp_stream stream(std::move(socket));
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(Network::unreadLimit(relay.limits.headerBytes));
     boost::system::error_code error;
     stream.socket().set_option(Asio::ip::tcp::no_delay(true), error);
     bool isUsable = co_await waitForRequest(relay, stream, buffer);
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -26,6 +26,8 @@
 constexpr std::chrono::seconds BODY_IDLE_TIMEOUT{30};
 constexpr std::size_t CHUNK_BYTES = 64UL * 1024;
 constexpr std::uint32_t MAXIMUM_ANSWER_HEAD_BYTES = 64U * 1024;
+/// Interim answers (RFC 9110, section 15.2) to one request. A target that sends more never comes to its answer.
+constexpr std::size_t MAXIMUM_INTERIM_ANSWERS = 16;
 
 bool isNotRunRefusal(const Http::response_header<> &head)
 {
@@ -191,7 +193,12 @@
 Asio::awaitable<bool> Exchange::receiveHead()
 {
     boost::system::error_code error;
+    std::size_t answers = 0;
     do {
+        if (answers++ > MAXIMUM_INTERIM_ANSWERS) {
+            error = Http::error::header_limit;
+            break;
+        }
         this->parser.emplace();
         this->parser->header_limit(MAXIMUM_ANSWER_HEAD_BYTES);
         this->parser->body_limit(boost::none);
--- a/Libraries/LibRelay/TargetConnection.h
+++ b/Libraries/LibRelay/TargetConnection.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibCore/Time.h>
+#include <LibNetwork/Http.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -34,7 +35,7 @@
     bool isQuiet();
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{Network::MAXIMUM_UNREAD_BYTES};
     /// True once an exchange ended cleanly on this connection.
     bool isReused{false};
     Core::TimePoint idleSince{};
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -104,6 +104,20 @@
     };
 }
 
+Document::KeyTable<GatewayMemorySettings> memoryKeys()
+{
+    using M = GatewayMemorySettings;
+    const auto bytes = integerType<std::uint64_t>(64ULL * 1024, 1ULL << 40U, "bytes");
+    return {
+        key("longest_answer", &M::longestAnswer, bytes, "Longest body of an answer; a target that sends more is cut off."),
+        key("bodies",
+            &M::bodies,
+            bytes,
+            "Bodies of requests and answers held at once. Beyond, requests are refused and answers cut off. The default leaves 96 MB of an "
+            "instance with 160 MB to everything else."),
+    };
+}
+
 Document::KeyTable<GatewayRolloutSettings> rolloutKeys()
 {
     using R = GatewayRolloutSettings;
@@ -146,9 +160,10 @@
     readGroup(root, "peers", peerKeys(), settings.peers);
     readGroup(root, "stop", stopKeys(), settings.stop);
     readGroup(root, "budgets", budgetKeys(), settings.budgets);
+    readGroup(root, "memory", memoryKeys(), settings.memory);
     readGroup(root, "rollouts", rolloutKeys(), settings.rollouts);
     readGroup(root, "log", logKeys(), settings.log);
-    root.reportUnknownKeys({"instance", "store", "peers", "stop", "budgets", "rollouts", "log"});
+    root.reportUnknownKeys({"instance", "store", "peers", "stop", "budgets", "memory", "rollouts", "log"});
     problems.throwIfAny();
     return settings;
 }
@@ -162,6 +177,7 @@
             Document::describeTable("[peers]", "The other instances. The whole table may be absent.", peerKeys()),
             Document::describeTable("[stop]", "How a stop goes. The whole table may be absent.", stopKeys()),
             Document::describeTable("[budgets]", "What all instances together may send. The whole table may be absent.", budgetKeys()),
+            Document::describeTable("[memory]", "What bodies may take. The whole table may be absent.", memoryKeys()),
             Document::describeTable("[rollouts]", "Moves between versions. The whole table may be absent.", rolloutKeys()),
             Document::describeTable("[log]", "Log lines. The whole table may be absent.", logKeys()),
         });
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -53,6 +53,13 @@
     std::chrono::milliseconds extraSendWindow{10'000};
 };
 
+struct GatewayMemorySettings {
+    /// Longest body of an answer, in bytes.
+    std::uint64_t longestAnswer{16ULL * 1024 * 1024};
+    /// Bodies of requests and answers that the instance holds at once, in bytes.
+    std::uint64_t bodies{64ULL * 1024 * 1024};
+};
+
 struct GatewayRolloutSettings {
     /// Share of a service's requests that a version may get before it is proven.
     double exposedShare{0.1};
@@ -72,6 +79,7 @@
     GatewayPeerSettings peers;
     GatewayStopSettings stop;
     GatewayBudgetSettings budgets;
+    GatewayMemorySettings memory;
     GatewayRolloutSettings rollouts;
     GatewayLogSettings log;
 };
--- a/Tests/LibGateway/RequestFlowTest.h
+++ b/Tests/LibGateway/RequestFlowTest.h
@@ -106,7 +106,12 @@
         });
         this->context.restart();
         while (!result && this->context.run_one_for(3s) > 0) { }
-        return result.value_or(FlowResult{});
+        return std::move(result).value_or(FlowResult{});
+    }
+
+    std::shared_ptr<Fleet::ServiceBook> book() const
+    {
+        return this->state.services.at(SERVICE);
     }
 
     std::size_t runsOf(const std::string &attemptId) const
--- a/Tests/LibGateway/TestTargetReports.cpp
+++ b/Tests/LibGateway/TestTargetReports.cpp
@@ -127,7 +127,7 @@
         return Reaction{};
     });
     this->usePlan(RouteKind::Safe);
-    auto &two = *Fleet::findTarget(*this->state.services.at(SERVICE), "two");
+    auto &two = *Fleet::findTarget(*this->book(), "two");
     two.quietUntil = Core::Clock::now() + 1h;
     const auto until = Core::Clock::now() + 400ms;
     this->run("a0");
