LibCoordination: Count bytes between instances by channel and reach

Change: PeerLink counts what it sends by channel and by near, far and unknown; the gateway counts sends, health checks and bytes of answers that cross. All are metrics, and one log line each ten seconds. Nothing else changes.

--- a/Libraries/LibCoordination/PeerLink.cpp
+++ b/Libraries/LibCoordination/PeerLink.cpp
@@ -61,6 +61,12 @@
 
 void PeerLink::send(Channel channel, const std::string &peer, std::string_view bytes)
 {
+    this->transmit(channel, peer, bytes);
+}
+
+void PeerLink::transmit(Channel channel, const std::string &peer, std::string_view bytes)
+{
+    countSent(this->sent, this->gossip.members, channel, peer, bytes.size());
     this->transport.send(peer, framed(channel, bytes));
 }
 
@@ -116,6 +122,11 @@
     return this->transport.counters();
 }
 
+const SentTraffic &PeerLink::sentTraffic() const
+{
+    return this->sent;
+}
+
 void PeerLink::receive(const std::string &peer, std::string_view bytes)
 {
     if (bytes.empty()) {
@@ -140,7 +151,7 @@
 void PeerLink::carryOut(const Gossip::Decision &decision)
 {
     for (const auto &datagram : decision.datagrams) {
-        this->transport.send(datagram.to.value, framed(Channel::Gossip, datagram.bytes));
+        this->transmit(Channel::Gossip, datagram.to.value, datagram.bytes);
     }
     const auto &changes = decision.changes;
     const bool hasChanges = !changes.members.empty() || !changes.sections.empty() || !changes.records.empty();
--- a/Libraries/LibCoordination/PeerLink.h
+++ b/Libraries/LibCoordination/PeerLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCoordination/SentTraffic.h>
 #include <LibCore/Random.h>
 #include <LibCore/TimerService.h>
 #include <LibGossip/Gossip.h>
@@ -12,21 +13,6 @@
 namespace Briarbend::Coordination
 {
 
-/// What a message between instances belongs to; the first byte of each message.
-enum class Channel : char {
-    Gossip = 'g',
-    /// Operations on claims and their results.
-    Claims = 'c',
-    /// The platform's instance list, for an instance that starts while the store is down.
-    InstanceList = 'i',
-    /// Evidence about new versions and the status of moves.
-    Rollout = 'r',
-    /// Evidence about requests that break targets, and trials of such requests.
-    Quarantine = 'q',
-    /// What instances that watch the platform's store tell the others.
-    News = 'n',
-};
-
 /// Connects the gossip state to the transport and the timer service.
 class PeerLink
 {
@@ -61,8 +47,10 @@
 
     const Gossip::State &state() const;
     Peers::TransportCounters counters() const;
+    const SentTraffic &sentTraffic() const;
 
 private:
+    void transmit(Channel channel, const std::string &peer, std::string_view bytes);
     void receive(const std::string &peer, std::string_view bytes);
     void carryOut(const Gossip::Decision &decision);
 
@@ -70,6 +58,7 @@
     Peers::Transport &transport;
     Gossip::State gossip;
     Core::Random &random;
+    SentTraffic sent;
     ChangesCallback changesCallback;
     NoteCallback noteCallback;
     std::unordered_map<char, MessageCallback> messageCallbacks;
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -21,6 +21,7 @@
 /// A gap between two ticks above this shows that the process stood still; a busy host delays ticks by less.
 constexpr std::chrono::milliseconds FREEZE_LIMIT{600};
 constexpr std::chrono::seconds IDLE_SWEEP{5};
+constexpr std::chrono::seconds TRAFFIC_REPORT{10};
 /// Longer than targets keep idle connections.
 constexpr std::chrono::seconds IDLE_LIFETIME{20};
 constexpr std::chrono::milliseconds STOP_CHECK{50};
@@ -89,6 +90,9 @@
         this->state.pool.closeIdle(now, IDLE_LIFETIME);
         Fleet::forgetOldReports(this->state.directory, now);
     }));
+    this->subscriptions.push_back(this->timers.every(TRAFFIC_REPORT, [this](Core::TimePoint) {
+        this->state.log.write(Importance::Routine, "traffic", describeTraffic(this->state, this->peers->sentTraffic()));
+    }));
     this->state.log.write(Importance::Notable,
                           "started",
                           {{"callers", addresses.callerAddress.text()},
@@ -327,7 +331,8 @@
 {
     const auto path = Network::pathOf({request.target().data(), request.target().size()});
     if (path == "/metrics") {
-        co_return Network::makeResponse(Network::Http::status::ok, "text/plain; version=0.0.4", formatMetrics(this->state));
+        co_return Network::makeResponse(
+            Network::Http::status::ok, "text/plain; version=0.0.4", formatMetrics(this->state, this->peers->sentTraffic()));
     }
     co_return Network::makeResponse(Network::Http::status::not_found, "text/plain", "known paths: /metrics\n");
 }
--- a/Libraries/LibGateway/Metrics.cpp
+++ b/Libraries/LibGateway/Metrics.cpp
@@ -27,6 +27,9 @@
     Counter{"hedges_total", "Requests sent to a second target because the first was late.", &GatewayCounters::hedges},
     Counter{"foreign_answers_total", "Answers of targets that belonged to no waiting request.", &GatewayCounters::foreignAnswers},
     Counter{"connections_opened_total", "Connections opened to targets.", &GatewayCounters::connectionsOpened},
+    Counter{"far_sends_total", "Requests sent to targets of other data centres.", &GatewayCounters::farSends},
+    Counter{"far_probes_total", "Health checks sent to targets of other data centres.", &GatewayCounters::farProbes},
+    Counter{"far_answer_bytes_total", "Bytes of bodies that came from other data centres.", &GatewayCounters::farAnswerBytes},
     Counter{"store_failures_total", "Calls to the store without a usable answer.", &GatewayCounters::storeFailures},
 };
 
@@ -45,9 +48,21 @@
          << "\nbriarbend_answer_seconds_count{route=\"" << route << "\"} " << latency.count() << '\n';
 }
 
+void formatSent(std::ostringstream &text, const Coordination::SentTraffic &sent)
+{
+    text << "# HELP briarbend_peer_bytes_sent_total Bytes sent to other instances, by channel and data centre.\n"
+            "# TYPE briarbend_peer_bytes_sent_total counter\n# TYPE briarbend_peer_messages_sent_total counter\n";
+    for (const auto &[key, total] : sent.totals) {
+        std::ostringstream labels;
+        labels << "{channel=\"" << Coordination::nameOf(key.first) << "\",reach=\"" << Coordination::nameOf(key.second) << "\"} ";
+        text << "briarbend_peer_bytes_sent_total" << labels.str() << total.bytes << "\nbriarbend_peer_messages_sent_total" << labels.str()
+             << total.messages << '\n';
+    }
+}
+
 } // namespace
 
-std::string formatMetrics(const GatewayState &state)
+std::string formatMetrics(const GatewayState &state, const Coordination::SentTraffic &sent)
 {
     std::ostringstream text;
     for (const auto &counter : COUNTERS) {
@@ -58,6 +73,7 @@
     for (const auto &[name, route] : state.routes) {
         formatLatency(text, name, route.latency);
     }
+    formatSent(text, sent);
     text << "# TYPE briarbend_requests_in_flight gauge\nbriarbend_requests_in_flight " << state.requestsInFlight
          << "\n# TYPE briarbend_caller_connections gauge\nbriarbend_caller_connections " << state.callerConnections
          << "\n# TYPE briarbend_configuration_version gauge\nbriarbend_configuration_version " << (state.plan ? state.plan->version : 0)
@@ -65,4 +81,21 @@
     return text.str();
 }
 
+nlohmann::ordered_json describeTraffic(const GatewayState &state, const Coordination::SentTraffic &sent)
+{
+    const auto &counters = state.counters;
+    nlohmann::ordered_json values{{"sends", counters.sends},
+                                  {"far_sends", counters.farSends},
+                                  {"probes", counters.probes},
+                                  {"far_probes", counters.farProbes},
+                                  {"connections", counters.connectionsOpened},
+                                  {"far_answer_bytes", counters.farAnswerBytes}};
+    for (const auto &[key, total] : sent.totals) {
+        const auto name = std::string(Coordination::nameOf(key.first)) + "_" + std::string(Coordination::nameOf(key.second));
+        values[name + "_messages"] = total.messages;
+        values[name + "_bytes"] = total.bytes;
+    }
+    return values;
+}
+
 } // namespace Briarbend::Gateway
