LibFleet: Let the instances of a data centre learn of targets from each other

A bad word of the health path was obeyed for as long as it lasted, whatever the target answered.

Change: each instance tells the relays of its data centre (those who watch the store) each 400 ms at which targets its requests failed; the reader sums that with the failures' own memory and tells all, while there are any, which targets fail by the word of two instances or more. It raises what a send costs and is forgotten like own failures. Targets that said that they leave go the same way unless the list says so; an instance that starts asks two peers. Nothing of this crosses to another data centre: targets may fail callers of one and not of others. Sheds with free slots count as failures towards others. A target that answers requests is used though its path says ill; repeatable requests try it with growing pauses (0.5 to 8 s), one at a time.

Ruled out: gossip records (each change would go to all 472, most of them in other data centres); obeying one witness (its link may be at fault).

Tests: a model of one data centre of large (95 instances, 88 targets, nine lie, 215 requests/s) sends 10% and more of them to liars without sharing and less than 2% with it, from the third second on; a target that is ill gets at most 5 + seconds / 8 trials.

--- a/Libraries/LibFleet/Beliefs.cpp
+++ b/Libraries/LibFleet/Beliefs.cpp
@@ -18,8 +18,13 @@
 constexpr double OUTCOME_WEIGHT = 0.3;
 /// A shed request did no harm besides its time.
 constexpr double SHED_FAILURE = 0.5;
-/// Time constant with which failures are forgotten: a faulty target is tried again a few times within the length of a usual fault.
-constexpr std::chrono::milliseconds FAILURE_MEMORY{3000};
+/// Share of failures by the word of others that is as good as none.
+constexpr double NEGLIGIBLE_SHARE = 0.02;
+/// Time for which a good answer outweighs a bad word of the health path.
+constexpr std::chrono::milliseconds PROOF_LIFETIME{3000};
+/// First and longest pause between requests that show whether a bad word of the health path is true.
+constexpr std::chrono::milliseconds FIRST_TRIAL_PAUSE{500};
+constexpr std::chrono::milliseconds LONGEST_TRIAL_PAUSE{8000};
 /// First time for which an unreachable target is avoided, and the longest. A server that crashed is back after some seconds.
 constexpr std::chrono::milliseconds SHORTEST_AVOIDANCE{250};
 constexpr std::chrono::milliseconds LONGEST_AVOIDANCE{2000};
@@ -34,9 +39,15 @@
     return one.name == other.name && one.startedAtMilliseconds == other.startedAtMilliseconds && one.address == other.address;
 }
 
+double forgotten(double share, Core::TimePoint since, Core::TimePoint now)
+{
+    const auto age = Core::milliseconds(now - since);
+    return share * std::exp(-std::max(0.0, age) / Core::milliseconds(FAILURE_MEMORY));
+}
+
 void addFailure(TargetBelief &target, double failure, Core::TimePoint now)
 {
-    const auto share = failureShare(target, now);
+    const auto share = forgotten(target.failureShare, target.failureShareAt, now);
     target.failureShare = share + OUTCOME_WEIGHT * (failure - share);
     target.failureShareAt = now;
 }
@@ -99,25 +110,46 @@
     ++target.troublesInRow;
 }
 
-void recordHealth(TargetBelief &target, bool takesWork)
+void recordHealth(TargetBelief &target, bool takesWork, Core::TimePoint now)
 {
+    if (!takesWork && !target.refusesWork) {
+        target.trialPause = FIRST_TRIAL_PAUSE;
+        target.nextTrialAt = now + target.trialPause;
+    }
     target.refusesWork = !takesWork;
     target.troublesInRow = 0;
     target.avoidedUntil = {};
 }
 
+void recordSend(TargetBelief &target, Core::TimePoint now)
+{
+    if (target.refusesWork && target.provenUntil <= now) {
+        target.nextTrialAt = now + target.trialPause;
+        target.trialPause = std::min(LONGEST_TRIAL_PAUSE, target.trialPause * 2);
+    }
+}
+
 void recordOutcome(TargetBelief &target, SendOutcome outcome, Core::TimePoint now)
 {
     switch (outcome) {
     case SendOutcome::Answered:
         addFailure(target, 0, now);
+        ++target.untold.answered;
+        target.provenUntil = now + PROOF_LIFETIME;
+        target.trialPause = FIRST_TRIAL_PAUSE;
         return;
     case SendOutcome::Shed:
         addFailure(target, SHED_FAILURE, now);
         return;
+    case SendOutcome::ShedWithRoom:
+        addFailure(target, SHED_FAILURE, now);
+        ++target.untold.failed;
+        return;
     case SendOutcome::Failed:
     case SendOutcome::Lost:
         addFailure(target, 1, now);
+        ++target.untold.failed;
+        target.provenUntil = {};
         return;
     }
 }
@@ -134,10 +166,15 @@
     return 1 / book.typicalSpeed;
 }
 
+double sharedFailureShare(const TargetBelief &target, Core::TimePoint now)
+{
+    const auto share = forgotten(target.sharedShare, target.sharedShareAt, now);
+    return share < NEGLIGIBLE_SHARE ? 0 : share;
+}
+
 double failureShare(const TargetBelief &target, Core::TimePoint now)
 {
-    const auto age = Core::milliseconds(now - target.failureShareAt);
-    return target.failureShare * std::exp(-std::max(0.0, age) / Core::milliseconds(FAILURE_MEMORY));
+    return std::max(forgotten(target.failureShare, target.failureShareAt, now), sharedFailureShare(target, now));
 }
 
 bool takeColdToken(const ServicePlan &plan, TargetBelief &target, std::size_t instances, Core::TimePoint now)
--- a/Libraries/LibFleet/Beliefs.h
+++ b/Libraries/LibFleet/Beliefs.h
@@ -20,6 +20,17 @@
     bool operator==(const LoadStatement &) const = default;
 };
 
+/// Time constant with which failures are forgotten: a faulty target is tried again a few times within the length of a usual fault.
+constexpr std::chrono::milliseconds FAILURE_MEMORY{3000};
+
+/// How requests ended at a target, in numbers.
+struct OutcomeCounts {
+    std::uint32_t failed{0};
+    std::uint32_t answered{0};
+
+    bool operator==(const OutcomeCounts &) const = default;
+};
+
 /// Everything that one instance believes about one target.
 struct TargetBelief {
     TargetRecord record;
@@ -36,12 +47,22 @@
     /// Exponentially weighted share of requests that failed or were shed.
     double failureShare{0};
     Core::TimePoint failureShareAt;
+    /// Share of requests that failed by the word of other instances.
+    double sharedShare{0};
+    Core::TimePoint sharedShareAt;
+    /// Outcomes that the other instances have not been told of.
+    OutcomeCounts untold;
     /// The target itself said that it leaves.
     bool isLeaving{false};
     /// The target asked for nothing before then.
     Core::TimePoint quietUntil;
     /// The health path says that the target takes no work.
     bool refusesWork{false};
+    /// The target answers requests well, whatever its health path says.
+    Core::TimePoint provenUntil;
+    /// While the health path says that the target takes no work: when a request may show whether that is so, and the pause after it.
+    Core::TimePoint nextTrialAt;
+    std::chrono::milliseconds trialPause{0};
     /// Requests that this instance may send to the target while it is cold; below one none.
     double coldTokens{0};
     Core::TimePoint coldTokensAt;
@@ -78,6 +99,8 @@
     Failed,
     /// The target shed the request without running it.
     Shed,
+    /// The same, although it said that it has free slots.
+    ShedWithRoom,
     /// The connection ended, or nothing came in time.
     Lost,
 };
@@ -97,14 +120,19 @@
 /// avoided.
 void recordTrouble(TargetBelief &target, Core::TimePoint now);
 /// Notes an answer on the health path.
-void recordHealth(TargetBelief &target, bool takesWork);
+void recordHealth(TargetBelief &target, bool takesWork, Core::TimePoint now);
+/// Notes that a request is sent to the target, so that one at a time shows whether a bad word of its health path is true.
+void recordSend(TargetBelief &target, Core::TimePoint now);
 void recordOutcome(TargetBelief &target, SendOutcome outcome, Core::TimePoint now);
 void recordAnswer(RouteStatistics &route, const ServiceBook &book, Core::Duration elapsed, std::size_t bytes);
 
 /// How much longer than usual work takes on average.
 double typicalSlowness(const ServiceBook &book);
 
-/// The share of requests that fail at the target, forgotten with time.
+/// The share of requests that fail at the target by the word of other instances, forgotten with time; zero once it is negligible.
+double sharedFailureShare(const TargetBelief &target, Core::TimePoint now);
+
+/// The share of requests that fail at the target, by this instance's own requests or the other instances', forgotten with time.
 double failureShare(const TargetBelief &target, Core::TimePoint now);
 
 /// True where the instance may send one request to the cold target; takes it from the instance's part of what the target bears.
--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -95,7 +95,9 @@
     if (target.coldUntil > now) {
         return Usability::Cold;
     }
-    return target.avoidedUntil > now || target.refusesWork ? Usability::Doubtful : Usability::Usable;
+    const bool isOnTrial = input.mayShowHealth && now >= target.nextTrialAt;
+    const bool isIll = target.refusesWork && target.provenUntil <= now && !isOnTrial;
+    return target.avoidedUntil > now || isIll ? Usability::Doubtful : Usability::Usable;
 }
 
 std::optional<Core::Duration> untilFirstWantsRequests(const ServiceBook &book, const ChoiceInput &input, Core::TimePoint now)
--- a/Libraries/LibFleet/Choice.h
+++ b/Libraries/LibFleet/Choice.h
@@ -20,6 +20,8 @@
     bool isVersionExcluded{false};
     /// Names of the only targets of the version that may be chosen; empty where all may.
     std::vector<std::string> sampled;
+    /// The request may be repeated, so that it may show whether a target that says it takes no work is well.
+    bool mayShowHealth{false};
     /// Round trip to a target of another data centre beyond that to one of the own.
     std::chrono::microseconds distance{0};
     /// Time that one kibibyte of answer between data centres is worth.
--- a/Libraries/LibFleet/Directory.cpp
+++ b/Libraries/LibFleet/Directory.cpp
@@ -92,6 +92,17 @@
     return isOfStart ? &found->second : nullptr;
 }
 
+std::vector<TargetStart> leavingTargets(const Directory &directory)
+{
+    std::vector<TargetStart> targets;
+    for (const auto &[name, report] : directory.reports) {
+        if (report.isLeaving) {
+            targets.push_back({name, report.startedAtMilliseconds});
+        }
+    }
+    return targets;
+}
+
 void forgetOldReports(Directory &directory, Core::TimePoint now)
 {
     std::erase_if(directory.reports, [&directory, now](const auto &entry) {
--- a/Libraries/LibFleet/Directory.h
+++ b/Libraries/LibFleet/Directory.h
@@ -33,6 +33,14 @@
     bool operator==(const TargetRecord &) const = default;
 };
 
+/// A start of a target.
+struct TargetStart {
+    std::string name;
+    std::int64_t startedAtMilliseconds{0};
+
+    auto operator<=>(const TargetStart &) const = default;
+};
+
 /// An entry of the directory.
 struct DirectoryEntry {
     TargetRecord record;
@@ -99,6 +107,9 @@
 /// What the start of the target that the record describes said of itself; null where it said nothing.
 const SelfReport *findReport(const Directory &directory, const TargetRecord &record);
 
+/// The targets that said that they leave.
+std::vector<TargetStart> leavingTargets(const Directory &directory);
+
 /// Forgets reports of targets that have not been listed for long.
 void forgetOldReports(Directory &directory, Core::TimePoint now);
 
--- /dev/null
+++ b/Libraries/LibFleet/Evidence.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <LibFleet/Beliefs.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Briarbend::Fleet
+{
+
+/// How requests of one instance ended at one target since it last said so.
+struct TargetEvidence {
+    TargetStart target;
+    OutcomeCounts outcomes;
+};
+
+/// A target at which requests of several instances fail.
+struct Suspect {
+    TargetStart target;
+    /// Share of the requests that failed lately.
+    double failureShare{0};
+};
+
+/// Evidence of the instances of a data centre, summed and forgotten with time.
+struct EvidenceTable {
+    struct Sum {
+        double failed{0};
+        double answered{0};
+        Core::TimePoint summedAt;
+        /// When each instance last reported a failure.
+        std::map<std::string, Core::TimePoint> witnesses;
+    };
+
+    std::map<TargetStart, Sum> sums;
+};
+
+/// The outcomes at the book's targets that concern others: those at targets where a request failed, and at suspects, so that their shares
+/// are known. Each outcome is told once.
+std::vector<TargetEvidence> takeEvidence(ServiceBook &book, Core::TimePoint now);
+
+void addEvidence(EvidenceTable &table, const std::string &witness, const std::vector<TargetEvidence> &evidence, Core::TimePoint now);
+
+/// Targets that fail by the word of more than one instance, since a single one may have trouble of its own. Forgets what is old.
+std::vector<Suspect> findSuspects(EvidenceTable &table, Core::TimePoint now);
+
+/// Takes over what the other instances' requests showed. Not obeyed blindly: it is forgotten like the instance's own failures, and only
+/// raises what a send to the target is expected to cost.
+void applySuspect(ServiceBook &book, const Suspect &suspect, Core::TimePoint now);
+
+} // namespace Briarbend::Fleet
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -111,6 +111,7 @@
                               .version = {},
                               .isVersionExcluded = false,
                               .sampled = {},
+                              .mayShowHealth = route.kind != Configuration::RouteKind::Once,
                               .distance = state.distance,
                               .crossingPerKibibyte = state.crossingPerKibibyte},
                     .remaining = this->context->remaining(),
@@ -224,6 +225,7 @@
         this->targetStartedAt = belief->record.startedAtMilliseconds;
         this->isFar = belief->record.dataCentre != state.settings.instance.dataCentre;
         ++belief->ownInFlight;
+        Fleet::recordSend(*belief, this->sentAt);
     }
     ++state.counters.sends;
     state.counters.farSends += this->isFar ? 1 : 0;
@@ -349,7 +351,7 @@
         if (belief != nullptr && statement.isMisdirected) {
             Fleet::recordTrouble(*belief, now);
         }
-        this->learn(Fleet::SendOutcome::Shed);
+        this->learn(this->wasShedWithRoom ? Fleet::SendOutcome::ShedWithRoom : Fleet::SendOutcome::Shed);
         return;
     }
     // A body with a coding was asked for by nobody, and a success without the target's mark is not its work.
@@ -376,7 +378,8 @@
         Fleet::recordAnswer(route.statistics, *this->book, elapsed, this->answer.body.size());
         Routing::addSample(route.lateAnswer, Core::milliseconds(elapsed));
     }
-    if (state.onObserved && outcome != Fleet::SendOutcome::Shed) {
+    const bool wasShed = outcome == Fleet::SendOutcome::Shed || outcome == Fleet::SendOutcome::ShedWithRoom;
+    if (state.onObserved && !wasShed) {
         state.onObserved({.service = this->book->name,
                           .route = this->context->route->name,
                           .target = this->name,
--- a/Libraries/LibGateway/HealthCheck.cpp
+++ b/Libraries/LibGateway/HealthCheck.cpp
@@ -101,7 +101,7 @@
     if (statement.load) {
         Fleet::recordLoad(book, target, *statement.load, now);
     }
-    Fleet::recordHealth(target, Http::to_status_class(head.result()) == Http::status_class::successful);
+    Fleet::recordHealth(target, Http::to_status_class(head.result()) == Http::status_class::successful, now);
     if (statement.coldLeft || target.coldUntil > now) {
         Fleet::recordCold(target, statement.coldLeft.value_or(std::chrono::milliseconds{0}), now);
     }
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -64,6 +64,7 @@
     const auto &addresses = this->state.settings.instance;
     this->startPeers(seed);
     this->makeNews();
+    this->makeTargetNews();
     this->quarantine = std::make_unique<Coordination::QuarantineLink>(ioContext, this->timers, *this->peers, TOLERATED_BREAKS);
     this->state.guard = this->quarantine.get();
     this->rollouts = std::make_unique<RolloutDriver>(this->state, this->timers, this->store, *this->peers);
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -5,6 +5,7 @@
 #include <LibGateway/Follower.h>
 #include <LibGateway/NewsSpread.h>
 #include <LibGateway/RolloutDriver.h>
+#include <LibGateway/TargetNews.h>
 #include <LibNetwork/AsioTimerService.h>
 #include <LibNetwork/HttpServer.h>
 
@@ -41,6 +42,7 @@
     std::vector<StoredObject> objectsOf(ObjectKind kind) const;
     void takeSnapshot(ObjectKind kind, const Listing &listing);
     void makeNews();
+    void makeTargetNews();
     void takeRemoval(ObjectKind kind, const StoredObject &object);
     void take(const Unreadable &unreadable, const StoredObject &object);
     void take(const Fleet::FleetPlan &plan, const StoredObject &object);
@@ -70,6 +72,7 @@
     std::unique_ptr<Coordination::PeerLink> peers;
     std::unique_ptr<Coordination::QuarantineLink> quarantine;
     std::unique_ptr<NewsSpread> news;
+    std::unique_ptr<TargetNews> targetNews;
     std::unique_ptr<RolloutDriver> rollouts;
     std::unique_ptr<CallerFrontend> callers;
     std::unique_ptr<Network::HttpServer> readyServer;
--- a/Libraries/LibGateway/NewsSpread.cpp
+++ b/Libraries/LibGateway/NewsSpread.cpp
@@ -147,6 +147,16 @@
     return !hearsReader || now - this->storeSeenAt >= WATCHER_SILENCE;
 }
 
+const std::vector<std::string> &NewsSpread::ownWatchers() const
+{
+    return this->otherOwnWatchers;
+}
+
+const std::vector<std::string> &NewsSpread::audience() const
+{
+    return this->neighbours;
+}
+
 void NewsSpread::receive(std::string_view bytes)
 {
     const auto message = decodeNews(bytes);
@@ -250,6 +260,14 @@
     this->isFirstWatcher = this->isWatching && own->second.front() == members.self.value;
     this->neighbours.clear();
     this->farWatchers.clear();
+    this->otherOwnWatchers.clear();
+    if (own != watchers.end()) {
+        for (const auto &name : own->second) {
+            if (name != members.self.value) {
+                this->otherOwnWatchers.push_back(Membership::find(members, {name})->news.address.value);
+            }
+        }
+    }
     if (!this->isWatching) {
         return;
     }
--- a/Libraries/LibGateway/NewsSpread.h
+++ b/Libraries/LibGateway/NewsSpread.h
@@ -45,6 +45,10 @@
     bool isWatcher() const;
     /// Reads the store for its data centre: its first watcher, or the one that stands by once the first or the store is silent.
     bool isReader() const;
+    /// Peer addresses of the watchers of the own data centre, without this instance.
+    const std::vector<std::string> &ownWatchers() const;
+    /// Peer addresses of all others of the data centre, where this instance watches.
+    const std::vector<std::string> &audience() const;
 
 private:
     void receive(std::string_view bytes);
@@ -67,6 +71,7 @@
     /// Peers that this instance tells, while it watches: those of its data centre, and the watchers of the others.
     std::vector<std::string> neighbours;
     std::vector<std::string> farWatchers;
+    std::vector<std::string> otherOwnWatchers;
     KindRevisions latest{};
     /// Since when this instance has known of a change without having it.
     std::array<Core::TimePoint, OBJECT_KINDS> announcedAt{};
--- /dev/null
+++ b/Libraries/LibGateway/TargetNews.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <LibCoordination/PeerLink.h>
+#include <LibFleet/Evidence.h>
+#include <LibGateway/TargetNewsMessage.h>
+
+#include <set>
+
+namespace Briarbend::Gateway
+{
+
+/// Lets the instances of a data centre learn from each other's requests: which targets fail, and which said that they leave. Each tells
+/// the relays, which are the instances that also watch the store, and the one that reads it tells all. Nothing crosses to other data
+/// centres: their instances may be served differently by the same target.
+class TargetNews
+{
+public:
+    struct Callbacks {
+        /// Outcomes of this instance's requests that nobody was told of.
+        std::function<std::vector<Fleet::TargetEvidence>()> takeEvidence;
+        std::function<void(const Fleet::Suspect &suspect)> onSuspect;
+        /// True where that is new.
+        std::function<bool(const Fleet::TargetStart &target)> onLeaving;
+        /// All targets that are known to leave by their own word.
+        std::function<std::vector<Fleet::TargetStart>()> leaving;
+        /// Whether the list names the target as one in use, so that others would send to it.
+        std::function<bool(const Fleet::TargetStart &target)> isListedInUse;
+        /// Peer addresses of the relays of the own data centre, without this instance.
+        std::function<std::vector<std::string>()> relays;
+        /// Peer addresses of those that this instance tells: all others of its data centre where it reads the store, else nobody.
+        std::function<std::vector<std::string>()> audience;
+        /// Whether this instance is the one that tells.
+        std::function<bool()> isRelay;
+    };
+
+    TargetNews(Core::TimerService &timers, Coordination::PeerLink &peers, Core::Random &random, Callbacks callbacks);
+
+    /// Notes that a target told this instance that it leaves. Others are told unless the list says so by then.
+    void noteLeaving(Fleet::TargetStart target);
+
+private:
+    void receive(std::string_view bytes);
+    void take(const TargetReport &report);
+    void take(const TargetDigest &digest);
+    void take(const LeavingQuestion &question);
+    /// Tells the relays what is new here and, as the relay, everyone what is known.
+    void tell(Core::TimePoint now);
+    void askWhoLeaves();
+    void send(const std::vector<std::string> &audience, const TargetNewsMessage &message);
+
+    Core::TimerService &timers;
+    Coordination::PeerLink &peers;
+    Core::Random &random;
+    Callbacks callbacks;
+    Fleet::EvidenceTable evidence;
+    /// Told by targets to this instance, and as yet to no other.
+    std::vector<Fleet::TargetStart> untoldLeaving;
+    /// To be told by this instance as the relay.
+    std::set<Fleet::TargetStart> leavingToRelay;
+    std::size_t questionsLeft;
+    std::vector<std::unique_ptr<Core::TimerSubscription>> subscriptions;
+};
+
+} // namespace Briarbend::Gateway
--- /dev/null
+++ b/Libraries/LibGateway/TargetNewsMessage.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibFleet/Evidence.h>
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Briarbend::Gateway
+{
+
+/// What targets showed and said to one instance, for the relays of its data centre.
+struct TargetReport {
+    /// Peer address of the sender.
+    std::string witness;
+    std::vector<Fleet::TargetEvidence> evidence;
+    /// Targets that said that they leave, of which the list does not say so.
+    std::vector<Fleet::TargetStart> leaving;
+};
+
+/// What a relay tells the instances of its data centre.
+struct TargetDigest {
+    std::vector<Fleet::Suspect> suspects;
+    std::vector<Fleet::TargetStart> leaving;
+};
+
+/// Asks a peer for all targets that it knows to leave.
+struct LeavingQuestion {
+    /// Peer address to answer to.
+    std::string asker;
+};
+
+using TargetNewsMessage = std::variant<TargetReport, TargetDigest, LeavingQuestion>;
+
+/// CBOR (RFC 8949).
+std::string encodeTargetNews(const TargetNewsMessage &message);
+
+/// Throws std::exception where the bytes are no such message.
+TargetNewsMessage decodeTargetNews(std::string_view bytes);
+
+} // namespace Briarbend::Gateway
--- a/Tests/LibFleet/TestBeliefs.cpp
+++ b/Tests/LibFleet/TestBeliefs.cpp
@@ -65,7 +65,7 @@
         recordTrouble(target, now);
     }
     EXPECT_LE(target.avoidedUntil - now, 2s);
-    recordHealth(target, true);
+    recordHealth(target, true, now);
     EXPECT_LE(target.avoidedUntil, now);
 }
 
--- /dev/null
+++ b/Tests/LibFleet/TestEvidence.cpp
@@ -0,0 +1,231 @@
+#include <LibFleet/Choice.h>
+#include <LibFleet/Evidence.h>
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+/// What instances learn about targets from each other's requests, and whom they believe.
+namespace Briarbend::Fleet
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const Core::TimePoint NOW{100s};
+
+TargetRecord record(std::string name, std::int64_t startedAt = 1)
+{
+    TargetRecord target;
+    target.name = std::move(name);
+    target.startedAtMilliseconds = startedAt;
+    target.dataCentre = {"here"};
+    target.slots = 6;
+    return target;
+}
+
+TargetEvidence evidence(const std::string &name, std::uint32_t failed, std::uint32_t answered)
+{
+    return {.target = {name, 1}, .outcomes = {.failed = failed, .answered = answered}};
+}
+
+ChoiceInput inputHere(bool mayShowHealth = false)
+{
+    ChoiceInput input;
+    input.ownDataCentre = {"here"};
+    input.mayShowHealth = mayShowHealth;
+    return input;
+}
+
+/// The instances of one data centre of the large deployment, each with a few requests a second, in virtual time.
+class DataCentre
+{
+public:
+    static constexpr int INSTANCES = 95;
+    static constexpr int TARGETS = 88;
+    static constexpr int REQUESTS_PER_SECOND = 215;
+
+    explicit DataCentre(bool isSharing)
+        : shares(isSharing)
+    {
+        std::vector<TargetRecord> records(TARGETS);
+        std::ranges::generate(records, [index = 0]() mutable {
+            return record(std::to_string(index++));
+        });
+        for (auto &book : this->books) {
+            updateTargets(book, records, this->now, 0);
+        }
+    }
+
+    /// Plays so long; the first targets are well by their health path and fail every request. Returns the share of requests sent to them.
+    double play(Core::Duration length, int liars)
+    {
+        const auto requests = static_cast<int>(length / 1s * REQUESTS_PER_SECOND);
+        int sentToLiars = 0;
+        for (int request = 0; request < requests; ++request) {
+            this->now += std::chrono::duration_cast<Core::Duration>(1s) / REQUESTS_PER_SECOND;
+            auto &book = this->books[this->random.below(INSTANCES)];
+            auto &target = *findTarget(book, this->choose(book, liars));
+            const bool isLiar = std::stoi(target.record.name) < liars;
+            sentToLiars += isLiar ? 1 : 0;
+            recordOutcome(target, isLiar ? SendOutcome::Failed : SendOutcome::Answered, this->now);
+            if (this->shares && this->now >= this->nextTelling) {
+                this->nextTelling = this->now + 400ms;
+                this->share();
+            }
+        }
+        return static_cast<double>(sentToLiars) / requests;
+    }
+
+private:
+    std::string choose(ServiceBook &book, int liars)
+    {
+        const auto names = candidates(book, inputHere(), this->now, this->random);
+        for (std::size_t index = 0; index < ASKED_AT_ONCE; ++index) {
+            auto &target = *findTarget(book, names[index]);
+            // Whoever fails at once is idle, and looks the better for it.
+            const bool isIdle = std::stoi(target.record.name) < liars;
+            const auto running = isIdle ? 0U : static_cast<std::uint32_t>(this->random.below(6));
+            recordLoad(book, target, {.running = running, .waiting = 0, .slots = 6, .slowness = 1}, this->now);
+        }
+        return *std::min_element(names.begin(), names.begin() + ASKED_AT_ONCE, [&](const auto &one, const auto &other) {
+            return this->cost(book, one) < this->cost(book, other);
+        });
+    }
+
+    std::chrono::microseconds cost(ServiceBook &book, const std::string &name)
+    {
+        return sendCost(book, *findTarget(book, name), {.workMilliseconds = 470, .answerBytes = 5000}, inputHere(), this->now);
+    }
+
+    void share()
+    {
+        for (std::size_t instance = 0; instance < this->books.size(); ++instance) {
+            addEvidence(this->table, std::to_string(instance), takeEvidence(this->books[instance], this->now), this->now);
+        }
+        for (const auto &suspect : findSuspects(this->table, this->now)) {
+            for (auto &book : this->books) {
+                applySuspect(book, suspect, this->now);
+            }
+        }
+    }
+
+    bool shares;
+    Core::TimePoint now{NOW};
+    Core::TimePoint nextTelling{NOW};
+    Core::Random random{5};
+    std::array<ServiceBook, INSTANCES> books;
+    EvidenceTable table;
+};
+
+} // namespace
+
+// A tenth of the servers say that they are well and fail every request; an instance meets each of them once in many seconds.
+TEST(Evidence, manyInstancesWithFewRequestsEachSoonAvoidTargetsThatLieAboutTheirHealth)
+{
+    DataCentre alone(false);
+    alone.play(2s, 9);
+    DataCentre together(true);
+    together.play(2s, 9);
+    EXPECT_GT(alone.play(4s, 9), 0.1) << "each for itself they go on losing requests";
+    EXPECT_LT(together.play(4s, 9), 0.02) << "a fifth of the tenth that blind choice sends there";
+}
+
+TEST(Evidence, whatOthersSaidOfATargetIsForgotten)
+{
+    ServiceBook book;
+    updateTargets(book, {record("one")}, NOW, 0);
+    applySuspect(book, {{"one", 1}, 1}, NOW);
+    EXPECT_GT(failureShare(book.targets.front(), NOW + 1s), 0.5);
+    EXPECT_LT(failureShare(book.targets.front(), NOW + 12s), 0.02);
+}
+
+TEST(Evidence, oneInstanceAloneMakesNobodySuspect)
+{
+    EvidenceTable table;
+    addEvidence(table, "a", {evidence("one", 50, 0)}, NOW);
+    EXPECT_TRUE(findSuspects(table, NOW).empty()) << "its own link may be at fault";
+    addEvidence(table, "b", {evidence("one", 1, 0)}, NOW);
+    const auto suspects = findSuspects(table, NOW);
+    ASSERT_EQ(suspects.size(), 1U);
+    EXPECT_EQ(suspects.front().target.name, "one");
+    EXPECT_GT(suspects.front().failureShare, 0.9);
+}
+
+TEST(Evidence, aTargetThatAnswersMostRequestsIsNotSuspect)
+{
+    EvidenceTable table;
+    addEvidence(table, "a", {evidence("one", 2, 20)}, NOW);
+    addEvidence(table, "b", {evidence("one", 2, 20)}, NOW);
+    EXPECT_TRUE(findSuspects(table, NOW).empty());
+}
+
+TEST(Evidence, isForgotten)
+{
+    EvidenceTable table;
+    addEvidence(table, "a", {evidence("one", 3, 0)}, NOW);
+    addEvidence(table, "b", {evidence("one", 3, 0)}, NOW);
+    EXPECT_FALSE(findSuspects(table, NOW + 1s).empty());
+    EXPECT_TRUE(findSuspects(table, NOW + FAILURE_MEMORY + 1ms).empty()) << "no instance has seen a failure since";
+    findSuspects(table, NOW + 30s);
+    EXPECT_TRUE(table.sums.empty());
+}
+
+TEST(Evidence, isOfOneStartAndToldOnce)
+{
+    ServiceBook book;
+    updateTargets(book, {record("one"), record("two")}, NOW, 0);
+    recordOutcome(*findTarget(book, "one"), SendOutcome::Lost, NOW);
+    recordOutcome(*findTarget(book, "two"), SendOutcome::Answered, NOW);
+    const auto told = takeEvidence(book, NOW);
+    ASSERT_EQ(told.size(), 1U) << "answers of targets that nobody suspects are no news";
+    EXPECT_EQ(told.front().outcomes, (OutcomeCounts{.failed = 1, .answered = 0}));
+    EXPECT_TRUE(takeEvidence(book, NOW).empty());
+    applySuspect(book, {{"two", 2}, 1}, NOW);
+    EXPECT_EQ(failureShare(*findTarget(book, "two"), NOW), 0) << "another start";
+    applySuspect(book, {{"two", 1}, 0.5}, NOW);
+    recordOutcome(*findTarget(book, "two"), SendOutcome::Answered, NOW);
+    EXPECT_EQ(takeEvidence(book, NOW).size(), 1U) << "answers of a suspect are";
+}
+
+TEST(Evidence, aTargetIsTriedThoughItsHealthPathSaysThatItTakesNoWork)
+{
+    ServiceBook book;
+    updateTargets(book, {record("one")}, NOW, 0);
+    auto &target = book.targets.front();
+    recordHealth(target, false, NOW);
+    EXPECT_EQ(usability(target, inputHere(true), NOW), Usability::Doubtful) << "not at once";
+    const auto trial = NOW + 600ms;
+    EXPECT_EQ(usability(target, inputHere(true), trial), Usability::Usable);
+    EXPECT_EQ(usability(target, inputHere(false), trial), Usability::Doubtful) << "not with what may run only once";
+    recordSend(target, trial);
+    EXPECT_EQ(usability(target, inputHere(true), trial), Usability::Doubtful) << "one at a time";
+    recordOutcome(target, SendOutcome::Answered, trial + 200ms);
+    recordHealth(target, false, trial + 300ms);
+    EXPECT_EQ(usability(target, inputHere(false), trial + 300ms), Usability::Usable) << "it answers requests well";
+    recordOutcome(target, SendOutcome::Failed, trial + 400ms);
+    EXPECT_EQ(usability(target, inputHere(false), trial + 400ms), Usability::Doubtful) << "it turned again";
+}
+
+// A target that is truly ill is tried with growing pauses.
+RC_GTEST_PROP(Evidence, aTargetThatIsIllGetsFewTrials, ())
+{
+    const auto seconds = *rc::gen::inRange(1, 60);
+    ServiceBook book;
+    updateTargets(book, {record("one")}, NOW, 0);
+    auto &target = book.targets.front();
+    int trials = 0;
+    for (auto now = NOW; now < NOW + std::chrono::seconds(seconds); now += 50ms) {
+        recordHealth(target, false, now);
+        if (usability(target, inputHere(true), now) == Usability::Usable) {
+            recordSend(target, now);
+            recordOutcome(target, SendOutcome::Failed, now);
+            ++trials;
+        }
+    }
+    RC_ASSERT(trials <= 5 + seconds / 8);
+}
+
+} // namespace Briarbend::Fleet
