LibFleet: Open fewer connections while a data centre is free

A tenth of the targets without a kept connection was let through at each request, at any load; and a connection counted as kept while a request used it, so that a second question to its target opened another.

Change: while slots are free 1.5% are let through and a tenth only once the data centre is busy; targets that joined in the last six seconds always a tenth, so that they get work soon. A connection in use is none.

Tests: Choice (the kept connection must be idle).

--- a/Libraries/LibFleet/Beliefs.cpp
+++ b/Libraries/LibFleet/Beliefs.cpp
@@ -74,6 +74,7 @@
         if (!isKept) {
             belief.coldTokens = initialColdTokens;
             belief.coldTokensAt = now;
+            belief.joinedAt = book.targets.empty() ? Core::TimePoint{} : now;
         }
         belief.record = record;
         if (!isSame) {
--- a/Libraries/LibFleet/Beliefs.h
+++ b/Libraries/LibFleet/Beliefs.h
@@ -34,6 +34,8 @@
 /// Everything that one instance believes about one target.
 struct TargetBelief {
     TargetRecord record;
+    /// When the target came to a service that had others; long ago for those that the instance found at its start.
+    Core::TimePoint joinedAt;
     /// Requests of this instance that the target holds.
     std::uint32_t ownInFlight{0};
     std::optional<LoadStatement> load;
@@ -66,7 +68,8 @@
     /// Requests that this instance may send to the target while it is cold; below one none.
     double coldTokens{0};
     Core::TimePoint coldTokensAt;
-    /// A kept connection to the target is usable until then, unless all are in use.
+    /// Kept connections to the target that no request uses, and until when the last of them is usable.
+    std::uint32_t idleConnections{0};
     Core::TimePoint connectedUntil;
 };
 
--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -1,6 +1,7 @@
 #include <LibFleet/Choice.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Briarbend::Fleet
 {
@@ -26,9 +27,12 @@
 constexpr double BUSY_OCCUPANCY = 0.65;
 /// Most of the first candidates that are of other data centres, so that one of the own is nearly always among them.
 constexpr double MOST_FAR_PART = 0.6;
-/// Part of the targets without a kept connection that are not put behind those with one. Opening connections costs a target and the caller
-/// time; an instance that never opened any would know no other targets than its first.
-constexpr double EXPLORED_PART = 0.1;
+/// Part of the targets without a kept connection that are not put behind those with one, while the data centre is free and once it is busy.
+/// Opening connections costs a target and the caller time; where slots are short, the free ones may be at targets that were not asked lately.
+constexpr double EXPLORED_WHILE_FREE = 0.015;
+constexpr double EXPLORED_WHILE_BUSY = 0.1;
+/// Time from its first entry for which a target counts as one that joined.
+constexpr std::chrono::seconds JOINING_TIME{6};
 
 std::uint32_t occupied(const TargetBelief &target)
 {
@@ -133,8 +137,10 @@
         double order;
         const std::string *name;
     };
-    const auto busy = occupancy(book, input.ownDataCentre, now);
-    const auto farPart = std::clamp((busy - FREE_OCCUPANCY) / (BUSY_OCCUPANCY - FREE_OCCUPANCY), 0.0, 1.0) * MOST_FAR_PART;
+    const auto occupied = occupancy(book, input.ownDataCentre, now);
+    const auto busy = std::clamp((occupied - FREE_OCCUPANCY) / (BUSY_OCCUPANCY - FREE_OCCUPANCY), 0.0, 1.0);
+    const auto farPart = busy * MOST_FAR_PART;
+    const auto exploredPart = std::lerp(EXPLORED_WHILE_FREE, EXPLORED_WHILE_BUSY, busy);
     std::vector<Wish> wishes;
     for (const auto &target : book.targets) {
         const auto use = usability(target, input, now);
@@ -143,7 +149,10 @@
         }
         // Random order spreads the instances' choices; what is known to be loaded or faulty comes later.
         const auto burden = static_cast<double>(target.ownInFlight) / slotsOf(target) + failureShare(target, now) * 2;
-        const bool isPutBack = target.connectedUntil <= now && random.unit() >= EXPLORED_PART;
+        // Targets that joined lately are to get their part of the work soon.
+        const auto part = now - target.joinedAt < JOINING_TIME ? EXPLORED_WHILE_BUSY : exploredPart;
+        const bool isConnected = target.idleConnections > 0 && target.connectedUntil > now;
+        const bool isPutBack = !isConnected && random.unit() >= part;
         wishes.push_back(
             {use, target.record.dataCentre != input.ownDataCentre, random.unit() + burden + (isPutBack ? 1 : 0), &target.record.name});
     }
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -234,6 +234,9 @@
 
 Asio::awaitable<FoundTarget> search(GatewayState &state, const TargetWish &wish)
 {
+    for (auto &target : wish.book->targets) {
+        target.idleConnections = state.pool.idle(target.record.address);
+    }
     const auto names = Fleet::candidates(*wish.book, wish.input, Core::Clock::now(), state.random);
     const bool isInDoubt = areAllSilent(wish, names);
     if (names.empty() || (isInDoubt && wish.book->searchesInDoubt > 0)) {
--- a/Tests/LibFleet/TestChoice.cpp
+++ b/Tests/LibFleet/TestChoice.cpp
@@ -122,6 +122,7 @@
     updateTargets(book, records, NOW, 0);
     for (int index = 0; index < 10; ++index) {
         findTarget(book, std::to_string(index))->connectedUntil = NOW + 1s;
+        findTarget(book, std::to_string(index))->idleConnections = 1;
     }
     Core::Random random{3};
     int connected = 0;
