LibPeers: Read from peers into small buffers

Cause: websocketpp keeps a read buffer of 16 KiB in each connection for as long as it lives. An instance of a large deployment has a connection each way to nearly every other within half a minute, and each touches its pages: memory grew with instances (3 MB at 19, 7 at 107, 14 in the middle at 472).

Change: 1 KiB. Longer messages take several reads.

Ruled out for now: closing peers' connections sooner than after 120 s, as each message would open one again.

--- a/Libraries/LibPeers/WebSocketConfiguration.h
+++ b/Libraries/LibPeers/WebSocketConfiguration.h
@@ -13,10 +13,14 @@
 constexpr long CONNECT_TIMEOUT_MS = 500;
 /// Time for the WebSocket handshake, and for the answer to a close frame.
 constexpr long HANDSHAKE_TIMEOUT_MS = 1000;
+/// Part of each connection for its whole life. Most messages between instances are shorter.
+constexpr std::size_t READ_BUFFER_BYTES = 1024;
 
 // The names are those that websocketpp looks up.
 // NOLINTBEGIN(readability-identifier-naming)
 struct ServerConfiguration : websocketpp::config::asio {
+    static const std::size_t connection_read_buffer_size = READ_BUFFER_BYTES;
+
     struct transport_config : websocketpp::config::asio::transport_config {
         /// The io_context runs on one thread.
         static const bool enable_multithreading = false;
@@ -25,6 +29,8 @@
 };
 
 struct ClientConfiguration : websocketpp::config::asio_client {
+    static const std::size_t connection_read_buffer_size = READ_BUFFER_BYTES;
+
     struct transport_config : websocketpp::config::asio_client::transport_config {
         static const bool enable_multithreading = false;
         static const long timeout_connect = CONNECT_TIMEOUT_MS;
