LibFleet: Hold it against a target that its hedge overtook it

The hedge answers, the first send is cancelled, and a cancelled send taught nothing; its health path says that it is idle.

Change: a first send that its hedge overtook counts half a failure here and a failure towards the other instances of the data centre, who are now told of answers at all targets too, so that shares are true (from 0.3 on a target is suspect, as 15% of sends are hedged at any target).

--- a/Libraries/LibFleet/Beliefs.cpp
+++ b/Libraries/LibFleet/Beliefs.cpp
@@ -18,6 +18,8 @@
 constexpr double OUTCOME_WEIGHT = 0.3;
 /// A shed request did no harm besides its time.
 constexpr double SHED_FAILURE = 0.5;
+/// The caller was served, later than by another target.
+constexpr double OVERTAKEN_FAILURE = 0.5;
 /// Share of failures by the word of others that is as good as none.
 constexpr double NEGLIGIBLE_SHARE = 0.02;
 /// Time for which a good answer outweighs a bad word of the health path.
@@ -152,6 +154,10 @@
         ++target.untold.failed;
         target.provenUntil = {};
         return;
+    case SendOutcome::Overtaken:
+        addFailure(target, OVERTAKEN_FAILURE, now);
+        ++target.untold.failed;
+        return;
     }
 }
 
--- a/Libraries/LibFleet/Beliefs.h
+++ b/Libraries/LibFleet/Beliefs.h
@@ -106,6 +106,8 @@
     ShedWithRoom,
     /// The connection ended, or nothing came in time.
     Lost,
+    /// Nothing had come when a second target, asked later, had answered.
+    Overtaken,
 };
 
 /// The belief about the target that registered under the name, or null.
--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -28,7 +28,8 @@
 /// Most of the first candidates that are of other data centres, so that one of the own is nearly always among them.
 constexpr double MOST_FAR_PART = 0.6;
 /// Part of the targets without a kept connection that are not put behind those with one, while the data centre is free and once it is busy.
-/// Opening connections costs a target and the caller time; where slots are short, the free ones may be at targets that were not asked lately.
+/// Opening connections costs a target and the caller time; where slots are short, the free ones may be at targets that were not asked
+/// lately.
 constexpr double EXPLORED_WHILE_FREE = 0.015;
 constexpr double EXPLORED_WHILE_BUSY = 0.1;
 /// Time from its first entry for which a target counts as one that joined.
--- a/Libraries/LibFleet/Evidence.cpp
+++ b/Libraries/LibFleet/Evidence.cpp
@@ -13,8 +13,9 @@
 /// Instances whose requests must have failed, and failures in all, before a target is suspect.
 constexpr std::size_t FEWEST_WITNESSES = 2;
 constexpr double FEWEST_FAILURES = 1.5;
-/// Share of failures from which a target is suspect. Well above the share of requests that fail at any target.
-constexpr double SUSPECT_SHARE = 0.2;
+/// Share of failures from which a target is suspect. Well above the share of requests that are overtaken at any target whose host is slow
+/// now and then.
+constexpr double SUSPECT_SHARE = 0.3;
 /// Weight of what is left of a sum below which it is forgotten.
 constexpr double NEGLIGIBLE = 0.05;
 
@@ -31,13 +32,12 @@
 
 } // namespace
 
-std::vector<TargetEvidence> takeEvidence(ServiceBook &book, Core::TimePoint now)
+std::vector<TargetEvidence> takeEvidence(ServiceBook &book)
 {
     std::vector<TargetEvidence> evidence;
     for (auto &target : book.targets) {
         const auto outcomes = std::exchange(target.untold, {});
-        const bool isTold = outcomes.failed > 0 || (outcomes.answered > 0 && sharedFailureShare(target, now) > 0);
-        if (isTold) {
+        if (outcomes != OutcomeCounts{}) {
             evidence.push_back({{target.record.name, target.record.startedAtMilliseconds}, outcomes});
         }
     }
--- a/Libraries/LibFleet/Evidence.h
+++ b/Libraries/LibFleet/Evidence.h
@@ -35,9 +35,8 @@
     std::map<TargetStart, Sum> sums;
 };
 
-/// The outcomes at the book's targets that concern others: those at targets where a request failed, and at suspects, so that their shares
-/// are known. Each outcome is told once.
-std::vector<TargetEvidence> takeEvidence(ServiceBook &book, Core::TimePoint now);
+/// The outcomes at the book's targets since the last call.
+std::vector<TargetEvidence> takeEvidence(ServiceBook &book);
 
 void addEvidence(EvidenceTable &table, const std::string &witness, const std::vector<TargetEvidence> &evidence, Core::TimePoint now);
 
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -57,12 +57,13 @@
     spawn(this->context->state, "attempt", runKept(this->shared_from_this()));
 }
 
-void Attempt::cancel()
+void Attempt::cancel(bool wasOvertaken)
 {
     if (this->end != AttemptEnd::Pending) {
         return;
     }
     this->isCancelled = true;
+    this->isOvertaken = wasOvertaken;
     if (this->connection) {
         this->connection->stream.close();
     }
@@ -241,8 +242,8 @@
     }
     if (!isWhole) {
         this->end = AttemptEnd::Unknown;
-        if (!this->isCancelled) {
-            this->learn(Fleet::SendOutcome::Lost);
+        if (!this->isCancelled || this->isOvertaken) {
+            this->learn(this->isOvertaken ? Fleet::SendOutcome::Overtaken : Fleet::SendOutcome::Lost);
         }
     }
     this->noteEnd();
@@ -378,8 +379,9 @@
         Fleet::recordAnswer(route.statistics, *this->book, elapsed, this->answer.body.size());
         Routing::addSample(route.lateAnswer, Core::milliseconds(elapsed));
     }
-    const bool wasShed = outcome == Fleet::SendOutcome::Shed || outcome == Fleet::SendOutcome::ShedWithRoom;
-    if (state.onObserved && !wasShed) {
+    using enum Fleet::SendOutcome;
+    const bool isObserved = outcome == Answered || outcome == Failed || outcome == Lost;
+    if (state.onObserved && isObserved) {
         state.onObserved({.service = this->book->name,
                           .route = this->context->route->name,
                           .target = this->name,
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -46,8 +46,9 @@
     Attempt(std::shared_ptr<RequestContext> context, std::function<void()> onEnded);
 
     void start();
-    /// Gives up: a target at work is told so by the end of the connection.
-    void cancel();
+    /// Gives up: a target at work is told so by the end of the connection. Where another attempt that began later has answered, that speaks
+    /// against the target.
+    void cancel(bool wasOvertaken);
 
     AttemptEnd end{AttemptEnd::Pending};
     bool isSent{false};
@@ -92,6 +93,7 @@
     /// The target is of another data centre.
     bool isFar{false};
     bool isCancelled{false};
+    bool isOvertaken{false};
     /// The connection ended under the request: the target may have broken.
     bool isConnectionLost{false};
     Core::TargetId address;
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -91,8 +91,10 @@
     }
     // Work that may run only once is left to its end where the caller went away: the caller can not ask for it again.
     if (this->isRepeatable() || !this->context->isCallerGone) {
-        std::ranges::for_each(this->attempts, [](const TrackedAttempt &tracked) {
-            tracked.attempt->cancel();
+        const bool isHedgeAnswered = this->hasHedged && this->finalResponse && !this->context->isCallerGone
+            && this->attempts.back().attempt->end == AttemptEnd::Answered;
+        std::ranges::for_each(this->attempts, [this, isHedgeAnswered](const TrackedAttempt &tracked) {
+            tracked.attempt->cancel(isHedgeAnswered && &tracked == &this->attempts.front());
         });
     }
     FlowResult result{.response = {}, .held = std::move(this->finalHeld), .isCallerGone = this->context->isCallerGone};
--- a/Tests/LibGateway/TestTargetReports.cpp
+++ b/Tests/LibGateway/TestTargetReports.cpp
@@ -196,4 +196,23 @@
     EXPECT_EQ(this->run("a2").response.result_int(), 200U);
 }
 
+TEST_F(RequestFlowTest, aTargetThatIsOvertakenByTheHedgeIsBelievedLess)
+{
+    this->addTarget("slow", [](const auto &) {
+        return Reaction{.delay = 900ms};
+    });
+    this->addTarget("fast", [](const auto &) {
+        return Reaction{};
+    });
+    this->usePlan(RouteKind::Safe);
+    // The slow one is chosen for the first request.
+    this->targets[1]->load = "4,0,6,100";
+    EXPECT_EQ(this->run("a1").response.result_int(), 200U);
+    this->context.restart();
+    this->context.run_for(50ms);
+    const auto now = Core::Clock::now();
+    EXPECT_GT(Fleet::failureShare(*Fleet::findTarget(*this->book(), "slow"), now), 0.1);
+    EXPECT_EQ(Fleet::failureShare(*Fleet::findTarget(*this->book(), "fast"), now), 0);
+}
+
 } // namespace Briarbend::Gateway
