--- a/Libraries/LibFleet/Evidence.cpp
+++ b/Libraries/LibFleet/Evidence.cpp
@@ -16,6 +16,8 @@
 /// Share of failures from which a target is suspect. Well above the share of requests that are overtaken at any target whose host is slow
 /// now and then.
 constexpr double SUSPECT_SHARE = 0.3;
+/// Targets that are named suspect at once, the worst first. Under overload many are overtaken, and naming them all helps no choice.
+constexpr std::size_t MOST_SUSPECTS = 48;
 /// Weight of what is left of a sum below which it is forgotten.
 constexpr double NEGLIGIBLE = 0.05;
 
@@ -71,6 +73,10 @@
     std::erase_if(table.sums, [](const auto &entry) {
         return entry.second.failed + entry.second.answered < NEGLIGIBLE;
     });
+    if (suspects.size() > MOST_SUSPECTS) {
+        std::ranges::nth_element(suspects, suspects.begin() + MOST_SUSPECTS, std::ranges::greater{}, &Suspect::failureShare);
+        suspects.resize(MOST_SUSPECTS);
+    }
     return suspects;
 }
 
--- a/Tests/LibFleet/TestEvidence.cpp
+++ b/Tests/LibFleet/TestEvidence.cpp
@@ -179,6 +179,25 @@
     EXPECT_TRUE(findSuspects(table, NOW).empty());
 }
 
+// Under overload nearly every target is overtaken now and then.
+TEST(Evidence, ofManySuspectsTheWorstAreNamed)
+{
+    EvidenceTable table;
+    for (int index = 0; index < 200; ++index) {
+        const auto failed = static_cast<std::uint32_t>(index < 10 ? 20 : 8);
+        for (const auto *witness : {"a", "b"}) {
+            addEvidence(table, witness, {evidence(std::to_string(index), failed, 10)}, NOW);
+        }
+    }
+    const auto suspects = findSuspects(table, NOW);
+    EXPECT_EQ(suspects.size(), 48U);
+    EXPECT_EQ(std::ranges::count_if(suspects,
+                                    [](const Suspect &suspect) {
+                                        return suspect.failureShare > 0.6;
+                                    }),
+              10);
+}
+
 TEST(Evidence, isForgotten)
 {
     EvidenceTable table;
