LibGateway: Tell other data centres only what they do not read themselves

Each of the five readers told all changes to the watchers of the other four, whose reader told them on and read them as well: each change came twice, in batches cut at five different moments, 50 a second. Each message rebuilt the books of targets, which looked for every one of 440 targets by name in a list: its square.

Change: a watcher tells another data centre what it reads only while that one's reader has not been heard of for 1.2 s or says that the store does not answer it; the regular heartbeats tell how far all are. Readers gather for 200 ms (100). Books are sorted by name and searched by halves. The parting of Instance's news into a file of its own changes nothing.

The test that a change reaches every instance gives way to two: within the data centre at once and exactly once, with the others told that there is something to read; and as before, every instance, where the store refuses the readers of the other data centre.

--- a/Libraries/LibFleet/Beliefs.cpp
+++ b/Libraries/LibFleet/Beliefs.cpp
@@ -36,6 +36,11 @@
 /// the rest, and the platform's margin of half the rate, five standard deviations of a Poisson stream are free.
 constexpr double PLANNED_COLD_PART = 0.6;
 
+const std::string &nameOf(const TargetBelief &target)
+{
+    return target.record.name;
+}
+
 bool isSameStart(const TargetRecord &one, const TargetRecord &other)
 {
     return one.name == other.name && one.startedAtMilliseconds == other.startedAtMilliseconds && one.address == other.address;
@@ -58,10 +63,8 @@
 
 TargetBelief *findTarget(ServiceBook &book, const std::string &name)
 {
-    const auto found = std::ranges::find(book.targets, name, [](const TargetBelief &target) -> const std::string & {
-        return target.record.name;
-    });
-    return found == book.targets.end() ? nullptr : &*found;
+    const auto found = std::ranges::lower_bound(book.targets, name, {}, nameOf);
+    return found == book.targets.end() || found->record.name != name ? nullptr : &*found;
 }
 
 void updateTargets(ServiceBook &book, const std::vector<TargetRecord> &records, Core::TimePoint now, double initialColdTokens)
@@ -84,6 +87,9 @@
         }
         updated.push_back(std::move(belief));
     }
+    if (!std::ranges::is_sorted(updated, {}, nameOf)) {
+        std::ranges::sort(updated, {}, nameOf);
+    }
     book.targets = std::move(updated);
 }
 
--- a/Libraries/LibFleet/Beliefs.h
+++ b/Libraries/LibFleet/Beliefs.h
@@ -77,6 +77,7 @@
 struct ServiceBook {
     Core::ServiceName name;
     ServicePlan plan;
+    /// Sorted by name.
     std::vector<TargetBelief> targets;
     SendBudget budget;
     /// Answers of the service's targets name the attempt that they belong to.
--- a/Libraries/LibGateway/Follower.cpp
+++ b/Libraries/LibGateway/Follower.cpp
@@ -20,8 +20,9 @@
 constexpr std::chrono::milliseconds CATCH_UP_WAIT{1};
 /// How often a follower that hears from peers looks whether it still does.
 constexpr std::chrono::milliseconds IDLE_POLL{100};
-/// Pause after changes, so that one call brings several. A small part of the 2 s within which changes must be in force.
-constexpr std::chrono::milliseconds GATHERING_PAUSE{100};
+/// Pause after changes, so that one call brings several, and one message to each instance of the data centre. A small part of the 2 s
+/// within which changes must be in force.
+constexpr std::chrono::milliseconds GATHERING_PAUSE{200};
 /// First pause after a failure, doubled up to the longest; both are stretched by up to half at random.
 constexpr std::chrono::milliseconds FIRST_RETRY{100};
 constexpr std::chrono::milliseconds LONGEST_RETRY{400};
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -185,44 +185,6 @@
                                       });
 }
 
-void Instance::makeNews()
-{
-    this->news = std::make_unique<NewsSpread>(this->timers,
-                                              *this->peers,
-                                              this->state.random,
-                                              NewsSpread::Callbacks{
-                                                  .onChanges =
-                                                      [this](ObjectKind kind, Revision previous, const Changes &changes) {
-                                                          this->followerOf(kind).takeFromPeer(previous, changes);
-                                                      },
-                                                  .onPosition =
-                                                      [this](ObjectKind kind, Revision position) {
-                                                          this->followerOf(kind).advanceTo(position);
-                                                      },
-                                                  .onStoreSeen =
-                                                      [this](bool answers) {
-                                                          (answers ? Fleet::recordStoreAnswer
-                                                                   : Fleet::recordStoreFailure)(this->state.directory, this->timers.now());
-                                                      },
-                                                  .position =
-                                                      [this](ObjectKind kind) {
-                                                          return this->followerOf(kind).position();
-                                                      },
-                                                  .lacking =
-                                                      [this] {
-                                                          return this->lackingKinds();
-                                                      },
-                                                  .snapshot =
-                                                      [this](ObjectKind kind) {
-                                                          return this->snapshotOf(kind);
-                                                      },
-                                                  .onSnapshot =
-                                                      [this](ObjectKind kind, const Listing &listing) {
-                                                          this->takeSnapshot(kind, listing);
-                                                      },
-                                              });
-}
-
 Follower &Instance::followerOf(ObjectKind kind)
 {
     return *this->followers.at(static_cast<std::size_t>(kind));
--- /dev/null
+++ b/Libraries/LibGateway/InstanceNews.cpp
@@ -0,0 +1,116 @@
+#include <LibGateway/Instance.h>
+
+#include <LibGateway/TargetReports.h>
+
+#include <algorithm>
+#include <iterator>
+
+/// What an instance and its peers tell each other.
+namespace Briarbend::Gateway
+{
+
+namespace
+{
+
+std::vector<Fleet::TargetEvidence> takeEvidence(GatewayState &state)
+{
+    std::vector<Fleet::TargetEvidence> evidence;
+    for (const auto &[name, book] : state.services) {
+        std::ranges::move(Fleet::takeEvidence(*book), std::back_inserter(evidence));
+    }
+    return evidence;
+}
+
+bool isListedInUse(const Fleet::Directory &directory, const Fleet::TargetStart &target)
+{
+    const auto found = directory.entries.find(target.name);
+    return found != directory.entries.end() && !found->second.record.isLeaving;
+}
+
+} // namespace
+
+void Instance::makeNews()
+{
+    this->news = std::make_unique<NewsSpread>(this->timers,
+                                              *this->peers,
+                                              this->state.random,
+                                              NewsSpread::Callbacks{
+                                                  .onChanges =
+                                                      [this](ObjectKind kind, Revision previous, const Changes &changes) {
+                                                          this->followerOf(kind).takeFromPeer(previous, changes);
+                                                      },
+                                                  .onPosition =
+                                                      [this](ObjectKind kind, Revision position) {
+                                                          this->followerOf(kind).advanceTo(position);
+                                                      },
+                                                  .onStoreSeen =
+                                                      [this](bool answers) {
+                                                          (answers ? Fleet::recordStoreAnswer
+                                                                   : Fleet::recordStoreFailure)(this->state.directory, this->timers.now());
+                                                      },
+                                                  .position =
+                                                      [this](ObjectKind kind) {
+                                                          return this->followerOf(kind).position();
+                                                      },
+                                                  .lacking =
+                                                      [this] {
+                                                          return this->lackingKinds();
+                                                      },
+                                                  .snapshot =
+                                                      [this](ObjectKind kind) {
+                                                          return this->snapshotOf(kind);
+                                                      },
+                                                  .onSnapshot =
+                                                      [this](ObjectKind kind, const Listing &listing) {
+                                                          this->takeSnapshot(kind, listing);
+                                                      },
+                                              });
+}
+
+void Instance::makeTargetNews()
+{
+    this->targetNews = std::make_unique<TargetNews>(this->timers,
+                                                    *this->peers,
+                                                    this->state.random,
+                                                    TargetNews::Callbacks{
+                                                        .takeEvidence =
+                                                            [this] {
+                                                                return takeEvidence(this->state);
+                                                            },
+                                                        .onSuspect =
+                                                            [this](const Fleet::Suspect &suspect) {
+                                                                for (const auto &[name, book] : this->state.services) {
+                                                                    Fleet::applySuspect(*book, suspect, this->timers.now());
+                                                                }
+                                                            },
+                                                        .onLeaving =
+                                                            [this](const Fleet::TargetStart &target) {
+                                                                return takeLeaving(this->state, target.name, target.startedAtMilliseconds);
+                                                            },
+                                                        .leaving =
+                                                            [this] {
+                                                                return Fleet::leavingTargets(this->state.directory);
+                                                            },
+                                                        .isListedInUse =
+                                                            [this](const Fleet::TargetStart &target) {
+                                                                return isListedInUse(this->state.directory, target);
+                                                            },
+                                                        .relays =
+                                                            [this] {
+                                                                return this->news->ownWatchers();
+                                                            },
+                                                        .audience =
+                                                            [this] {
+                                                                return this->news->audience();
+                                                            },
+                                                        .isRelay =
+                                                            [this] {
+                                                                return this->news->isReader();
+                                                            },
+                                                    });
+    this->state.onLeaving = [this](const std::string &target, std::int64_t startedAtMilliseconds) {
+        this->targetNews->noteLeaving({target, startedAtMilliseconds});
+    };
+}
+
+} // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/InstanceObjects.cpp
+++ b/Libraries/LibGateway/InstanceObjects.cpp
@@ -1,7 +1,5 @@
 #include <LibGateway/Instance.h>
 
-#include <LibGateway/TargetReports.h>
-
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -176,56 +174,4 @@
     this->followerOf(kind).takeSnapshot(listing);
 }
 
-void Instance::makeTargetNews()
-{
-    this->targetNews
-        = std::make_unique<TargetNews>(this->timers,
-                                       *this->peers,
-                                       this->state.random,
-                                       TargetNews::Callbacks{
-                                           .takeEvidence =
-                                               [this] {
-                                                   std::vector<Fleet::TargetEvidence> evidence;
-                                                   for (const auto &[name, book] : this->state.services) {
-                                                       std::ranges::move(Fleet::takeEvidence(*book), std::back_inserter(evidence));
-                                                   }
-                                                   return evidence;
-                                               },
-                                           .onSuspect =
-                                               [this](const Fleet::Suspect &suspect) {
-                                                   for (const auto &[name, book] : this->state.services) {
-                                                       Fleet::applySuspect(*book, suspect, this->timers.now());
-                                                   }
-                                               },
-                                           .onLeaving =
-                                               [this](const Fleet::TargetStart &target) {
-                                                   return takeLeaving(this->state, target.name, target.startedAtMilliseconds);
-                                               },
-                                           .leaving =
-                                               [this] {
-                                                   return Fleet::leavingTargets(this->state.directory);
-                                               },
-                                           .isListedInUse =
-                                               [this](const Fleet::TargetStart &target) {
-                                                   const auto found = this->state.directory.entries.find(target.name);
-                                                   return found != this->state.directory.entries.end() && !found->second.record.isLeaving;
-                                               },
-                                           .relays =
-                                               [this] {
-                                                   return this->news->ownWatchers();
-                                               },
-                                           .audience =
-                                               [this] {
-                                                   return this->news->audience();
-                                               },
-                                           .isRelay =
-                                               [this] {
-                                                   return this->news->isReader();
-                                               },
-                                       });
-    this->state.onLeaving = [this](const std::string &target, std::int64_t startedAtMilliseconds) {
-        this->targetNews->noteLeaving({target, startedAtMilliseconds});
-    };
-}
-
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/NewsSpread.cpp
+++ b/Libraries/LibGateway/NewsSpread.cpp
@@ -214,6 +214,8 @@
     const auto now = this->timers.now();
     if (heartbeat.readsFor == this->ownDataCentre()) {
         this->readerHeardAt = now;
+    } else if (!heartbeat.readsFor.value.empty()) {
+        this->farReadersHeardAt[heartbeat.readsFor] = now;
     }
     for (std::size_t index = 0; index < OBJECT_KINDS; ++index) {
         const auto kind = static_cast<ObjectKind>(index);
@@ -246,7 +248,9 @@
         }
         const auto bytes = encodeNews(heartbeat);
         this->send(this->neighbours, bytes);
-        this->send(this->farWatchers, bytes);
+        for (const auto &watcher : this->farWatchers) {
+            this->peers.send(Channel::News, watcher.address, bytes);
+        }
     }
 }
 
@@ -280,7 +284,7 @@
         if (news.dataCentre == dataCentre) {
             this->neighbours.push_back(news.address.value);
         } else if (std::ranges::find(theirs, id.value) != theirs.end()) {
-            this->farWatchers.push_back(news.address.value);
+            this->farWatchers.push_back({news.address.value, news.dataCentre});
         }
     }
 }
@@ -289,14 +293,22 @@
 {
     const auto bytes = encodeNews(news);
     this->send(this->neighbours, bytes);
-    if (news.kind != ObjectKind::Plan) {
-        this->send(this->farWatchers, bytes);
-        return;
-    }
     // A configuration is long, and every watcher reads it itself: bytes between data centres are dear.
     const Changes withoutContent{.changes = {}, .revision = news.changes.revision};
-    this->send(this->farWatchers,
-               encodeNews(ChangesNews{.kind = news.kind, .previous = news.previous, .changes = withoutContent, .readIn = news.readIn}));
+    const auto farBytes = news.kind != ObjectKind::Plan
+        ? bytes
+        : encodeNews(ChangesNews{.kind = news.kind, .previous = news.previous, .changes = withoutContent, .readIn = news.readIn});
+    for (const auto &watcher : this->farWatchers) {
+        if (!this->readsForItself(watcher.dataCentre)) {
+            this->peers.send(Channel::News, watcher.address, farBytes);
+        }
+    }
+}
+
+bool NewsSpread::readsForItself(const Core::DataCentreName &dataCentre) const
+{
+    const auto heard = this->farReadersHeardAt.find(dataCentre);
+    return heard != this->farReadersHeardAt.end() && this->timers.now() - heard->second < WATCHER_SILENCE;
 }
 
 void NewsSpread::send(const std::vector<std::string> &audience, const std::string &bytes)
--- a/Libraries/LibGateway/NewsSpread.h
+++ b/Libraries/LibGateway/NewsSpread.h
@@ -4,6 +4,8 @@
 #include <LibGateway/Follower.h>
 #include <LibGateway/NewsMessage.h>
 
+#include <map>
+
 namespace Briarbend::Gateway
 {
 
@@ -60,6 +62,8 @@
     void updateWatchers();
     const Core::DataCentreName &ownDataCentre() const;
     void tell(const ChangesNews &news);
+    /// Whether the instances of another data centre learn of changes from a reader of their own.
+    bool readsForItself(const Core::DataCentreName &dataCentre) const;
     void send(const std::vector<std::string> &audience, const std::string &bytes);
 
     Core::TimerService &timers;
@@ -68,9 +72,17 @@
     Callbacks callbacks;
     bool isWatching{true};
     bool isFirstWatcher{true};
+    /// A watcher of another data centre.
+    struct FarWatcher {
+        std::string address;
+        Core::DataCentreName dataCentre;
+    };
+
     /// Peers that this instance tells, while it watches: those of its data centre, and the watchers of the others.
     std::vector<std::string> neighbours;
-    std::vector<std::string> farWatchers;
+    std::vector<FarWatcher> farWatchers;
+    /// When the reader of each other data centre last said that the store answers it.
+    std::map<Core::DataCentreName, Core::TimePoint> farReadersHeardAt;
     std::vector<std::string> otherOwnWatchers;
     KindRevisions latest{};
     /// Since when this instance has known of a change without having it.
--- a/Tests/LibGateway/TestNewsSpread.cpp
+++ b/Tests/LibGateway/TestNewsSpread.cpp
@@ -182,8 +182,28 @@
     EXPECT_EQ(standby.mode(TARGETS), FollowMode::Wait);
 }
 
-TEST_F(NewsSpreadTest, aChangeThatOneWatcherHearsOfReachesEveryInstance)
+TEST_F(NewsSpreadTest, aChangeThatOneWatcherHearsOfReachesEveryInstanceOfItsDataCentre)
 {
+    auto &watcher = *this->instances.at(this->watchersOf("a").front());
+    watcher.positions.fill(11);
+    watcher.news.publish(TARGETS, 10, changeAt(11));
+    for (const auto &[name, instance] : this->instances) {
+        const bool isNear = name.starts_with("a");
+        EXPECT_EQ(instance->timesTold, isNear && instance.get() != &watcher ? 1U : 0U) << name << ": the others have a reader of their own";
+        EXPECT_EQ(instance->positions[static_cast<std::size_t>(TARGETS)], isNear ? 11U : 10U) << name;
+    }
+    this->timers.runFor(600ms);
+    for (const auto &name : this->watchersOf("b")) {
+        EXPECT_TRUE(this->instances.at(name)->news.isBehind(TARGETS, 10)) << name << ": it knows that there is something to read";
+    }
+}
+
+TEST_F(NewsSpreadTest, aChangeReachesEveryInstanceOfADataCentreWhoseReadersTheStoreRefuses)
+{
+    for (const auto &name : this->watchersOf("b")) {
+        this->instances.at(name)->news.noteStore(false);
+    }
+    this->timers.runFor(1800ms);
     auto &watcher = *this->instances.at(this->watchersOf("a").front());
     watcher.positions.fill(11);
     watcher.news.publish(TARGETS, 10, changeAt(11));
