LibGateway: Announce every change to other data centres without its content

Change: watchers of other data centres are told each revision at once as they were before, and the content only where their reader has not been heard of for 0.75 s. Revisions of a configuration are told on to all there; those of other kinds, which a reader delivers, are not.

The test of a new plan now asks that every instance knows of it at once, and fails without this.

--- a/Libraries/LibGateway/NewsSpread.cpp
+++ b/Libraries/LibGateway/NewsSpread.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds ASKING{300};
 /// Silence of all watchers after which an instance watches itself: two heartbeats and a late one, well within the 2 s for changes.
 constexpr std::chrono::milliseconds WATCHER_SILENCE{1200};
+/// Silence of another data centre's reader after which it is told what changed: a heartbeat and half of one.
+constexpr std::chrono::milliseconds FAR_READER_SILENCE{750};
 /// Time in which an instance that has just started hears of the others.
 constexpr std::chrono::milliseconds JOINING_TIME{3000};
 /// Time for a change that is known of to arrive by itself before the store is asked.
@@ -203,7 +205,8 @@
     const bool isNew = news.changes.revision > this->latest[indexOf(news.kind)];
     this->noteChange(news.kind, news.changes.revision);
     this->callbacks.onChanges(news.kind, news.previous, news.changes);
-    if (isNew && this->isWatching && news.readIn != this->ownDataCentre()) {
+    const bool hasWhatOthersLack = news.kind == ObjectKind::Plan || !news.changes.changes.empty();
+    if (isNew && hasWhatOthersLack && this->isWatching && news.readIn != this->ownDataCentre()) {
         // The store may refuse the reader here while it serves the one of another data centre, which tells all watchers itself.
         this->send(this->neighbours, encodeNews(news));
     }
@@ -293,22 +296,20 @@
 {
     const auto bytes = encodeNews(news);
     this->send(this->neighbours, bytes);
-    // A configuration is long, and every watcher reads it itself: bytes between data centres are dear.
     const Changes withoutContent{.changes = {}, .revision = news.changes.revision};
-    const auto farBytes = news.kind != ObjectKind::Plan
-        ? bytes
-        : encodeNews(ChangesNews{.kind = news.kind, .previous = news.previous, .changes = withoutContent, .readIn = news.readIn});
+    const auto announcement
+        = encodeNews(ChangesNews{.kind = news.kind, .previous = news.previous, .changes = withoutContent, .readIn = news.readIn});
     for (const auto &watcher : this->farWatchers) {
-        if (!this->readsForItself(watcher.dataCentre)) {
-            this->peers.send(Channel::News, watcher.address, farBytes);
-        }
+        // A configuration is long, and every watcher reads it itself: bytes between data centres are dear.
+        const bool needsContent = news.kind != ObjectKind::Plan && !this->readsForItself(watcher.dataCentre);
+        this->peers.send(Channel::News, watcher.address, needsContent ? bytes : announcement);
     }
 }
 
 bool NewsSpread::readsForItself(const Core::DataCentreName &dataCentre) const
 {
     const auto heard = this->farReadersHeardAt.find(dataCentre);
-    return heard != this->farReadersHeardAt.end() && this->timers.now() - heard->second < WATCHER_SILENCE;
+    return heard != this->farReadersHeardAt.end() && this->timers.now() - heard->second < FAR_READER_SILENCE;
 }
 
 void NewsSpread::send(const std::vector<std::string> &audience, const std::string &bytes)
