LibMembership: Count and compare the living members without copying them

Cause (read in the code, at 472 members): each instance copied the identifiers of all living members some sixty times a second (each follower's look at its mode, the count of instances, the search for watchers, questions to peers that were not asked in the end), and found the watchers of all data centres anew five times a second by hashing and sorting all.

Change: countAlive and a fingerprint of the living; watchers are found again once the fingerprint changes. No change of behaviour.

TestLibMembership 5 of 5 (new: the fingerprint), TestLibGossip 18 of 18, TestLibGateway 92 of 92.

--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -138,7 +138,7 @@
 
 void Instance::countInstances()
 {
-    this->state.instances = std::max<std::size_t>(1, Membership::aliveMembers(this->peers->state().members).size());
+    this->state.instances = std::max<std::size_t>(1, Membership::countAlive(this->peers->state().members));
 }
 
 void Instance::reload(const std::string &file)
--- a/Libraries/LibGateway/NewsSpread.cpp
+++ b/Libraries/LibGateway/NewsSpread.cpp
@@ -87,8 +87,7 @@
     const auto now = this->timers.now();
     const bool hearsWatchers = this->heardAt && now - *this->heardAt < WATCHER_SILENCE;
     const bool isJoining = now - this->startedAt < JOINING_TIME;
-    const bool isAlone = Membership::aliveMembers(this->peers.state().members).size() <= 1;
-    if (!hearsWatchers && isJoining && isAlone) {
+    if (!hearsWatchers && isJoining && Membership::countAlive(this->peers.state().members) <= 1) {
         return FollowMode::Wait;
     }
     if (this->isReader() || (!hearsWatchers && !isJoining)) {
@@ -188,10 +187,13 @@
 void NewsSpread::askForLacking()
 {
     auto kinds = this->callbacks.lacking();
+    if (kinds.empty()) {
+        return;
+    }
     const auto &members = this->peers.state().members;
     auto others = Membership::aliveMembers(members);
     std::erase(others, members.self);
-    if (kinds.empty() || others.empty()) {
+    if (others.empty()) {
         return;
     }
     const auto &peer = Membership::find(members, others[this->random.below(others.size())])->news;
@@ -260,6 +262,10 @@
 void NewsSpread::updateWatchers()
 {
     const auto &members = this->peers.state().members;
+    const auto fingerprint = Membership::aliveFingerprint(members);
+    if (std::exchange(this->membersSeen, fingerprint) == fingerprint) {
+        return;
+    }
     const auto watchers = watchersOf(members);
     const auto &dataCentre = this->ownDataCentre();
     const auto own = watchers.find(dataCentre);
--- a/Libraries/LibGateway/NewsSpread.h
+++ b/Libraries/LibGateway/NewsSpread.h
@@ -72,6 +72,8 @@
     Callbacks callbacks;
     bool isWatching{true};
     bool isFirstWatcher{true};
+    /// Fingerprint of the members among whom the watchers were found.
+    std::optional<std::size_t> membersSeen;
     /// A watcher of another data centre.
     struct FarWatcher {
         std::string address;
--- a/Libraries/LibGateway/TargetNews.cpp
+++ b/Libraries/LibGateway/TargetNews.cpp
@@ -97,10 +97,13 @@
 
 void TargetNews::askWhoLeaves()
 {
+    if (this->questionsLeft == 0) {
+        return;
+    }
     const auto &members = this->peers.state().members;
     auto others = Membership::aliveMembers(members);
     std::erase(others, members.self);
-    if (this->questionsLeft == 0 || others.empty()) {
+    if (others.empty()) {
         return;
     }
     --this->questionsLeft;
--- a/Libraries/LibGossip/Gossip.cpp
+++ b/Libraries/LibGossip/Gossip.cpp
@@ -105,7 +105,7 @@
     const bool isSame = envelope.summaries.at(SECTIONS) == summaryOf(state.sections.digests);
     if (!state.members.isConfirmed && isSame) {
         state.agreeing.insert(sender.id);
-        const auto members = Membership::aliveMembers(state.members).size();
+        const auto members = Membership::countAlive(state.members);
         if (envelope.membership.isConfirmed || (state.agreeing.size() + 1) * 2 > members) {
             Membership::confirm(state.members, now);
         }
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -4,6 +4,7 @@
 #include <LibMembership/Table.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace Briarbend::Membership
 {
@@ -14,6 +15,12 @@
 /// Members that a new instance is told of at once.
 constexpr std::size_t MAX_JOIN_NEWS = 128;
 
+/// Certainly ran, and is neither leaving nor gone.
+bool isAlive(const Member &member)
+{
+    return isPresent(member) && member.lastHeard.has_value();
+}
+
 void raise(std::optional<Core::TimePoint> &moment, Core::TimePoint candidate)
 {
     moment = std::max(moment.value_or(candidate), candidate);
@@ -215,13 +222,32 @@
 {
     std::vector<Core::InstanceId> alive;
     for (const auto &[id, member] : state.members) {
-        if (isPresent(member) && member.lastHeard) {
+        if (isAlive(member)) {
             alive.push_back(id);
         }
     }
     return alive;
 }
 
+std::size_t countAlive(const State &state)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(state.members, [](const auto &entry) {
+        return isAlive(entry.second);
+    }));
+}
+
+std::size_t aliveFingerprint(const State &state)
+{
+    constexpr std::size_t MULTIPLIER = 1'000'003;
+    std::size_t fingerprint = 0;
+    for (const auto &[id, member] : state.members) {
+        if (isAlive(member)) {
+            fingerprint = fingerprint * MULTIPLIER + std::hash<std::string>{}(id.value) + member.news.linkMegabits;
+        }
+    }
+    return fingerprint;
+}
+
 std::vector<std::string> addressesOf(const State &state, const std::vector<Core::InstanceId> &members)
 {
     std::vector<std::string> addresses;
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -40,6 +40,12 @@
 /// Members, alive or suspect, that have certainly run; this instance among them unless it leaves. Sorted by identifier.
 std::vector<Core::InstanceId> aliveMembers(const State &state);
 
+/// How many aliveMembers returns.
+std::size_t countAlive(const State &state);
+
+/// Changes, but for a collision, whenever what aliveMembers returns or the width of a link changes.
+std::size_t aliveFingerprint(const State &state);
+
 /// Peer addresses of the members that are known, this instance left out.
 std::vector<std::string> addressesOf(const State &state, const std::vector<Core::InstanceId> &members);
 
--- a/Tests/LibMembership/TestMembership.cpp
+++ b/Tests/LibMembership/TestMembership.cpp
@@ -122,4 +122,24 @@
     EXPECT_TRUE(hasHeardMajority(fleet.node(0).state.members, seconds{4}, fleet.loop.now));
 }
 
+TEST(Membership, theFingerprintChangesWithThoseWhoAreAliveAndTheirLinks)
+{
+    const Core::TimePoint now{std::chrono::seconds{100}};
+    auto state = makeState({.id = {"self"}, .address = {"self:1"}, .dataCentre = {"here"}}, {}, now);
+    const auto alone = aliveFingerprint(state);
+    EXPECT_EQ(countAlive(state), aliveMembers(state).size());
+    auto &other = state.members[{"other"}];
+    other.news.id = {"other"};
+    EXPECT_EQ(aliveFingerprint(state), alone) << "not heard of yet";
+    other.lastHeard = now;
+    const auto both = aliveFingerprint(state);
+    EXPECT_NE(both, alone);
+    EXPECT_EQ(countAlive(state), 2U);
+    other.news.linkMegabits = 200;
+    EXPECT_NE(aliveFingerprint(state), both);
+    other.news.state = MemberState::Gone;
+    EXPECT_EQ(aliveFingerprint(state), alone);
+    EXPECT_EQ(countAlive(state), aliveMembers(state).size());
+}
+
 } // namespace Briarbend::Membership
