--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -30,17 +30,6 @@
 constexpr int TRIAL_PATIENCE_DIVISOR = 4;
 constexpr std::uint32_t LONGEST_ANSWER_HEAD = 64U * 1024;
 constexpr std::size_t READ_BYTES = 16UL * 1024;
-constexpr unsigned FIRST_SERVER_ERROR = 500;
-
-std::chrono::milliseconds inMilliseconds(Core::Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
-}
-
-bool isSuccess(unsigned status)
-{
-    return status / 100 == 2;
-}
 
 } // namespace
 
@@ -254,7 +243,8 @@
     auto &state = this->context->state;
     using Body = Http::span_body<const char>;
     Http::request<Body> request{Http::request_header<>(this->context->head)};
-    const auto left = std::max(std::chrono::milliseconds{1}, inMilliseconds(this->context->remaining()) - WAY_BACK);
+    const auto left = std::max(std::chrono::milliseconds{1},
+                               std::chrono::duration_cast<std::chrono::milliseconds>(this->context->remaining()) - WAY_BACK);
     state.dialect.addressTarget(request, left, this->name);
     request.body() = Body::value_type(this->context->body.data(), this->context->body.size());
     this->connection->stream.expires_after(std::max(Core::Duration{0}, this->context->remaining()));
@@ -335,81 +325,4 @@
     co_return true;
 }
 
-void Attempt::judge(const TargetStatement &statement)
-{
-    const auto now = Core::Clock::now();
-    auto *belief = this->target();
-    if (belief != nullptr && statement.load) {
-        Fleet::recordLoad(*this->book, *belief, *statement.load, now);
-    }
-    if (belief != nullptr && statement.coldLeft) {
-        Fleet::recordCold(*belief, *statement.coldLeft, now);
-    }
-    const auto status = this->answer.head.result_int();
-    if (statement.isMisdirected || (statement.isNotRun && !isSuccess(status))) {
-        this->end = AttemptEnd::NotRun;
-        this->wasShedWithRoom = belief != nullptr && Fleet::freeSlots(*belief) > 0;
-        if (belief != nullptr && statement.isMisdirected) {
-            Fleet::recordTrouble(*belief, now);
-        }
-        this->learn(this->wasShedWithRoom ? Fleet::SendOutcome::ShedWithRoom : Fleet::SendOutcome::Shed);
-        return;
-    }
-    // A body with a coding was asked for by nobody, and a success without the target's mark is not its work.
-    const bool isForged = this->answer.head.count(Http::field::content_encoding) > 0 || (isSuccess(status) && !statement.isSigned);
-    if (isForged) {
-        this->failure = "an answer that is not the target's";
-        this->end = AttemptEnd::Unknown;
-        return;
-    }
-    this->end = AttemptEnd::Answered;
-    this->learn(status >= FIRST_SERVER_ERROR ? Fleet::SendOutcome::Failed : Fleet::SendOutcome::Answered);
-}
-
-void Attempt::learn(Fleet::SendOutcome outcome)
-{
-    auto &state = this->context->state;
-    const auto now = Core::Clock::now();
-    const auto elapsed = now - this->sentAt;
-    if (auto *belief = this->target()) {
-        Fleet::recordOutcome(*belief, outcome, now);
-    }
-    if (outcome == Fleet::SendOutcome::Answered) {
-        auto &route = state.routes.at(this->context->route->name);
-        Fleet::recordAnswer(route.statistics, *this->book, elapsed, this->answer.body.size());
-        Routing::addSample(route.lateAnswer, Core::milliseconds(elapsed));
-    }
-    using enum Fleet::SendOutcome;
-    const bool isObserved = outcome == Answered || outcome == Failed || outcome == Lost;
-    if (state.onObserved && isObserved) {
-        state.onObserved({.service = this->book->name,
-                          .route = this->context->route->name,
-                          .target = this->name,
-                          .version = this->version,
-                          .isFailure = outcome != Fleet::SendOutcome::Answered,
-                          .wasCold = this->isCold,
-                          .elapsed = elapsed,
-                          .objective = this->context->route->objective});
-    }
-}
-
-void Attempt::noteEnd()
-{
-    const auto elapsed = Core::Clock::now() - this->sentAt;
-    nlohmann::ordered_json inputs{{"target", this->name}, {"took_ms", inMilliseconds(elapsed).count()}};
-    if (this->end == AttemptEnd::Answered || this->end == AttemptEnd::NotRun) {
-        inputs["status"] = this->answer.head.result_int();
-    }
-    if (!this->failure.empty()) {
-        inputs["failure"] = this->failure;
-    }
-    const bool isAnswered = this->end == AttemptEnd::Answered;
-    const bool isNotRun = this->end == AttemptEnd::NotRun;
-    this->context->note(isAnswered              ? "answered"
-                            : isNotRun          ? "shed_by_target"
-                            : this->isCancelled ? "cancelled"
-                                                : "lost",
-                        std::move(inputs));
-}
-
 } // namespace Briarbend::Gateway
