LibGateway: Ask for a missed change although later ones follow

The others there knew of each new configuration and were to ask the store 500 ms after, but each further one, 400 ms apart, began that wait anew: front-shah-alam-3 went from version 4 to 45 when the storm was over, 3.3 s after version 22 had been acknowledged.

Change: the wait counts from the first change that an instance lacks.

The new test fails without the change.

--- a/Libraries/LibGateway/NewsSpread.cpp
+++ b/Libraries/LibGateway/NewsSpread.cpp
@@ -115,10 +115,14 @@
 void NewsSpread::noteChange(ObjectKind kind, Revision revision)
 {
     auto &known = this->latest[indexOf(kind)];
-    if (revision > known) {
-        known = revision;
+    if (revision <= known) {
+        return;
+    }
+    // Whoever lacks an earlier change already has waited for it since that one.
+    if (this->callbacks.position(kind) >= known) {
         this->announcedAt[indexOf(kind)] = this->timers.now();
     }
+    known = revision;
 }
 
 void NewsSpread::noteStore(bool answers)
--- a/Tests/LibGateway/TestNewsSpread.cpp
+++ b/Tests/LibGateway/TestNewsSpread.cpp
@@ -263,6 +263,20 @@
     EXPECT_EQ(this->instances.at(other)->mode(TARGETS), FollowMode::CatchUp);
 }
 
+// Found by a hunt (tsh-scan, configuration-under-refusal --vary --seed 8): the store refused both watchers of a data centre, and each new
+// configuration, 400 ms apart, began the others' wait for the one before anew.
+TEST_F(NewsSpreadTest, whoMissesOneChangeOfAStormAsksForItAlthoughOthersFollow)
+{
+    const auto other = this->otherThan(this->watchersOf("a"), "a");
+    for (const Revision revision : {11U, 12U, 13U}) {
+        for (const auto &[name, instance] : this->instances) {
+            instance->news.noteChange(PLAN, revision);
+        }
+        this->timers.runFor(350ms);
+    }
+    EXPECT_EQ(this->instances.at(other)->mode(PLAN), FollowMode::CatchUp);
+}
+
 TEST_F(NewsSpreadTest, whoHearsOfNoWatcherWatchesItself)
 {
     const auto watchers = this->watchersOf("a");
