--- a/Tests/LibGateway/TestTargetReports.cpp
+++ b/Tests/LibGateway/TestTargetReports.cpp
@@ -23,7 +23,7 @@
 /// Takes the entry of the target out of the directory and returns it.
 Fleet::TargetRecord removeTarget(GatewayState &state, const std::string &name)
 {
-    const auto record = state.directory.entries.at(name).record;
+    auto record = state.directory.entries.at(name).record;
     Fleet::applyRemoval(state.directory, name, Core::Clock::now());
     refreshBooks(state, Core::Clock::now());
     return record;
