--- a/Libraries/LibFleet/Directory.cpp
+++ b/Libraries/LibFleet/Directory.cpp
@@ -1,7 +1,6 @@
 #include <LibFleet/Directory.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace Briarbend::Fleet
 {
@@ -74,7 +73,12 @@
 bool recordLeaving(Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, Core::TimePoint now)
 {
     auto *report = selfReportOf(directory, name, startedAtMilliseconds, now);
-    return report != nullptr && !std::exchange(report->isLeaving, true);
+    if (report == nullptr || report->isLeaving) {
+        return false;
+    }
+    report->isLeaving = true;
+    report->leavingSince = now;
+    return true;
 }
 
 void recordQuiet(
--- a/Libraries/LibFleet/Directory.h
+++ b/Libraries/LibFleet/Directory.h
@@ -52,6 +52,8 @@
 struct SelfReport {
     std::int64_t startedAtMilliseconds{0};
     bool isLeaving{false};
+    /// When this instance learnt that the target leaves.
+    Core::TimePoint leavingSince;
     /// The target wants no requests from this instance before then.
     Core::TimePoint quietUntil;
     Core::TimePoint reportedAt;
--- a/Libraries/LibFleet/ServiceState.cpp
+++ b/Libraries/LibFleet/ServiceState.cpp
@@ -82,6 +82,9 @@
             belief.joinedAt = service.targets.empty() ? Core::TimePoint{} : now;
         }
         belief.record = record;
+        if (record.isLeaving && !belief.leavingSince) {
+            belief.leavingSince = now;
+        }
         if (!isSame) {
             recordCold(belief, record.coldLeft, now);
         }
@@ -95,7 +98,10 @@
 
 void applySelfReport(TargetState &target, const SelfReport &report)
 {
-    target.isLeaving = target.isLeaving || report.isLeaving;
+    if (report.isLeaving) {
+        target.isLeaving = true;
+        target.leavingSince = std::min(target.leavingSince.value_or(report.leavingSince), report.leavingSince);
+    }
     target.quietUntil = std::max(target.quietUntil, report.quietUntil);
 }
 
--- a/Libraries/LibFleet/ServiceState.h
+++ b/Libraries/LibFleet/ServiceState.h
@@ -56,6 +56,8 @@
     OutcomeCounts unreportedOutcomes;
     /// The target itself reported that it leaves.
     bool isLeaving{false};
+    /// Since when this instance has known that the target leaves, from the list or from the target.
+    std::optional<Core::TimePoint> leavingSince;
     /// The target asked to receive no requests before then.
     Core::TimePoint quietUntil;
     /// The last health check was answered with a status other than success.
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -278,7 +278,7 @@
         const auto metadata = state.dialect.readResponseMetadata(parser.get().base());
         const bool isOfOther = this->isForeign(metadata);
         const bool isInterim = parser.get().result_int() / 100 == 1;
-        recordTargetReport(state, *this->service, this->name, this->targetStartedAt, metadata);
+        recordTargetReport(state, *this->service, this->name, this->targetStartedAt, ReportSource::Response, metadata);
         if (!co_await this->receiveBody(parser, !isOfOther && !isInterim)) {
             co_return false;
         }
--- a/Libraries/LibGateway/AttemptOutcome.cpp
+++ b/Libraries/LibGateway/AttemptOutcome.cpp
@@ -85,6 +85,15 @@
     if (!this->failure.empty()) {
         inputs["failure"] = this->failure;
     }
+    const auto *targetState = this->target();
+    if (targetState == nullptr) {
+        inputs["target_listed"] = false;
+    } else if (targetState->leavingSince) {
+        // Positive where the request was sent although the target was known to be leaving.
+        const auto knownFor = this->sentAt - *targetState->leavingSince;
+        inputs["leaving_known_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(knownFor).count();
+        this->context->isNotable = true;
+    }
     const bool isAnswered = this->result == AttemptResult::Answered;
     const bool isNotRun = this->result == AttemptResult::NotRun;
     this->context->recordDecision(isAnswered              ? "answered"
--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -157,7 +157,7 @@
 {
     auto &state = context.state;
     const bool isLate = context.route != nullptr && context.elapsed() > context.route->objective;
-    const bool isNotable = status >= FIRST_CLIENT_ERROR || isCallerGone || isLate;
+    const bool isNotable = context.isNotable || status >= FIRST_CLIENT_ERROR || isCallerGone || isLate;
     if (!isNotable && state.random.below(state.settings.log.sampledRequests) != 0) {
         return;
     }
--- a/Libraries/LibGateway/HealthCheck.cpp
+++ b/Libraries/LibGateway/HealthCheck.cpp
@@ -100,7 +100,7 @@
         const auto &record = target.record;
         state.guard->recordTargetStart(record.address, {record.name + "/" + std::to_string(record.startedAtMilliseconds)});
     }
-    recordTargetReport(state, service, target.record.name, target.record.startedAtMilliseconds, metadata);
+    recordTargetReport(state, service, target.record.name, target.record.startedAtMilliseconds, ReportSource::HealthCheck, metadata);
     if (metadata.load) {
         Fleet::recordLoadReport(service, target, *metadata.load, now);
     }
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -32,7 +32,7 @@
 
 private:
     std::unique_ptr<Reflector> makeFollower(ObjectKind kind);
-    void applyChanges(ObjectKind kind, Revision previous, const Changes &changes);
+    void applyChanges(ObjectKind kind, ChangeSource source, Revision previous, const Changes &changes);
     Reflector &followerOf(ObjectKind kind);
     const Reflector &followerOf(ObjectKind kind) const;
     /// Whether to ask a peer for the objects of a kind, because the store does not respond.
@@ -44,12 +44,12 @@
     void applySnapshot(ObjectKind kind, const Listing &listing);
     void makeStoreDissemination();
     void makeTargetDissemination();
-    void applyRemoval(ObjectKind kind, const StoredObject &object);
-    void applyContent(const Unreadable &unreadable, const StoredObject &object);
-    void applyContent(const Fleet::RoutingConfiguration &configuration, const StoredObject &object);
-    void applyContent(const Fleet::TargetRecord &record, const StoredObject &object);
-    void applyContent(const RolloutOrder &order, const StoredObject &object);
-    void applyContent(const Core::DataCentreName &dataCentre, const StoredObject &object);
+    void applyRemoval(ObjectKind kind, ChangeSource source, const StoredObject &object);
+    void applyContent(const Unreadable &unreadable, ChangeSource source, const StoredObject &object);
+    void applyContent(const Fleet::RoutingConfiguration &configuration, ChangeSource source, const StoredObject &object);
+    void applyContent(const Fleet::TargetRecord &record, ChangeSource source, const StoredObject &object);
+    void applyContent(const RolloutOrder &order, ChangeSource source, const StoredObject &object);
+    void applyContent(const Core::DataCentreName &dataCentre, ChangeSource source, const StoredObject &object);
     void recordStoreResponse();
     void recordStoreFailure(const std::string &reason);
     void detectFreeze(Core::TimePoint now);
--- a/Libraries/LibGateway/InstanceObjects.cpp
+++ b/Libraries/LibGateway/InstanceObjects.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-void Instance::applyChanges(ObjectKind kind, Revision previous, const Changes &changes)
+void Instance::applyChanges(ObjectKind kind, ChangeSource source, Revision previous, const Changes &changes)
 {
     if (previous > 0) {
         this->news->publish(kind, previous, changes);
@@ -27,13 +27,13 @@
         Fleet::recordPendingRemovals(this->state.directory, static_cast<std::size_t>(removals), this->timers.now());
         this->state.directory.isKnown = true;
     }
-    std::ranges::for_each(changes.changes, [this, kind](const Change &change) {
+    std::ranges::for_each(changes.changes, [this, kind, source](const Change &change) {
         if (change.isRemoved) {
-            this->applyRemoval(kind, change.object);
+            this->applyRemoval(kind, source, change.object);
         } else {
             std::visit(
-                [this, &change](const auto &content) {
-                    this->applyContent(content, change.object);
+                [this, source, &change](const auto &content) {
+                    this->applyContent(content, source, change.object);
                 },
                 change.object.content);
         }
@@ -41,7 +41,7 @@
     updateServiceStates(this->state, this->timers.now());
 }
 
-void Instance::applyRemoval(ObjectKind kind, const StoredObject &object)
+void Instance::applyRemoval(ObjectKind kind, ChangeSource source, const StoredObject &object)
 {
     switch (kind) {
     case ObjectKind::RoutingConfiguration:
@@ -59,17 +59,18 @@
     }
     this->state.log.write(kind == ObjectKind::Targets ? Importance::Routine : Importance::Notable,
                           "removed",
-                          {{"kind", nameOf(kind)}, {"object", object.name}, {"revision", object.revision}});
+                          {{"kind", nameOf(kind)}, {"object", object.name}, {"revision", object.revision}, {"via", nameOf(source)}});
 }
 
-void Instance::applyContent(const Unreadable &unreadable, const StoredObject &object)
+void Instance::applyContent(const Unreadable &unreadable, ChangeSource source, const StoredObject &object)
 {
     // The entry comes from another writer, so the record known under this name is no longer valid.
     Fleet::applyRemoval(this->state.directory, object.name, this->timers.now());
-    this->state.log.write(Importance::Notable, "unreadable_object", {{"object", object.name}, {"reason", unreadable.reason}});
+    this->state.log.write(
+        Importance::Notable, "unreadable_object", {{"object", object.name}, {"reason", unreadable.reason}, {"via", nameOf(source)}});
 }
 
-void Instance::applyContent(const Fleet::TargetRecord &record, const StoredObject &object)
+void Instance::applyContent(const Fleet::TargetRecord &record, ChangeSource source, const StoredObject &object)
 {
     Fleet::applyRecord(this->state.directory, record);
     this->state.log.write(Importance::Routine,
@@ -79,21 +80,24 @@
                            {"version", record.version.value},
                            {"leaving", record.isLeaving},
                            {"cold_ms", record.coldLeft.count()},
-                           {"revision", object.revision}});
+                           {"revision", object.revision},
+                           {"via", nameOf(source)}});
 }
 
-void Instance::applyContent(const RolloutOrder &order, const StoredObject &object)
+void Instance::applyContent(const RolloutOrder &order, ChangeSource /*source*/, const StoredObject &object)
 {
     this->rollouts->applyOrder(order, object.revision);
 }
 
-void Instance::applyContent(const Core::DataCentreName &dataCentre, const StoredObject &object)
+void Instance::applyContent(const Core::DataCentreName &dataCentre, ChangeSource source, const StoredObject &object)
 {
     this->state.dataCentresOut.insert(dataCentre);
-    this->state.log.write(Importance::Notable, "data_centre_out", {{"data_centre", dataCentre.value}, {"revision", object.revision}});
+    this->state.log.write(Importance::Notable,
+                          "data_centre_out",
+                          {{"data_centre", dataCentre.value}, {"revision", object.revision}, {"via", nameOf(source)}});
 }
 
-void Instance::applyContent(const Fleet::RoutingConfiguration &configuration, const StoredObject &object)
+void Instance::applyContent(const Fleet::RoutingConfiguration &configuration, ChangeSource source, const StoredObject &object)
 {
     if (this->state.routingConfiguration && configuration.version <= this->state.routingConfiguration->version) {
         return;
@@ -102,7 +106,10 @@
     this->configurationName = object.name;
     this->state.log.write(Importance::Notable,
                           "configuration_in_force",
-                          {{"version", configuration.version}, {"routes", configuration.routes.size()}, {"revision", object.revision}});
+                          {{"version", configuration.version},
+                           {"routes", configuration.routes.size()},
+                           {"revision", object.revision},
+                           {"via", nameOf(source)}});
 }
 
 bool Instance::needsSnapshot(ObjectKind kind) const
--- a/Libraries/LibGateway/Reflector.cpp
+++ b/Libraries/LibGateway/Reflector.cpp
@@ -33,6 +33,21 @@
 
 } // namespace
 
+std::string_view nameOf(ChangeSource source)
+{
+    switch (source) {
+    case ChangeSource::Listing:
+        return "listing";
+    case ChangeSource::Watch:
+        return "watch";
+    case ChangeSource::Peer:
+        return "peer";
+    case ChangeSource::Snapshot:
+        return "snapshot";
+    }
+    return "";
+}
+
 Reflector::Reflector(Asio::io_context &ioContext,
                      PlatformStore &platformStore,
                      Core::Random &randomSource,
@@ -126,7 +141,7 @@
     for (const auto &object : listing.objects) {
         this->knownRevisions[object.name] = object.revision;
     }
-    this->callbacks.onChanges(previous, changes);
+    this->callbacks.onChanges(ChangeSource::Listing, previous, changes);
     co_return true;
 }
 
@@ -174,7 +189,7 @@
     // A relaxed response may come from a stale replica.
     this->revision = std::max(this->revision, changes.revision);
     if (!newer.changes.empty()) {
-        this->callbacks.onChanges(previous, newer);
+        this->callbacks.onChanges(ChangeSource::Watch, previous, newer);
     }
     if (!newer.changes.empty() || wait == CATCH_UP_WAIT) {
         co_await this->pause(BATCHING_DELAY);
@@ -202,7 +217,7 @@
         this->revision = std::max(this->revision, changes.revision);
     }
     if (!newer.changes.empty()) {
-        this->callbacks.onChanges(previous, newer);
+        this->callbacks.onChanges(ChangeSource::Peer, previous, newer);
     }
     this->wakeTimer.cancel();
     return !newer.changes.empty();
@@ -216,7 +231,7 @@
     });
     const auto newer = this->applyNewer(changes);
     this->advanceTo(listing.revision);
-    this->callbacks.onChanges(0, newer);
+    this->callbacks.onChanges(ChangeSource::Snapshot, 0, newer);
 }
 
 Revision Reflector::revisionOf(const std::string &name) const
--- a/Libraries/LibGateway/Reflector.h
+++ b/Libraries/LibGateway/Reflector.h
@@ -24,6 +24,18 @@
     Suspend,
 };
 
+/// Where a reflector learnt of changes.
+enum class ChangeSource {
+    Listing,
+    Watch,
+    /// A watcher among the peers.
+    Peer,
+    /// All objects of a peer.
+    Snapshot,
+};
+
+std::string_view nameOf(ChangeSource source);
+
 /// Mirrors the objects of one kind: lists them once, then watches the store or receives changes from peers. Relists only where the store
 /// has dropped its history or a relist is requested.
 class Reflector
@@ -32,7 +44,7 @@
     struct Callbacks {
         /// Called with changes newer than those reported before; after a listing also with objects missing in it, as removed. Previous is
         /// zero for the first listing.
-        std::function<void(Revision previous, const Changes &)> onChanges;
+        std::function<void(ChangeSource source, Revision previous, const Changes &)> onChanges;
         std::function<ReflectorMode(Revision revision)> mode;
         /// Called after each usable response of the store.
         std::function<void()> onResponse;
--- a/Libraries/LibGateway/RequestContext.h
+++ b/Libraries/LibGateway/RequestContext.h
@@ -41,6 +41,8 @@
     /// Names of the targets that the request was sent to.
     std::vector<std::string> triedTargets;
     bool isCallerGone{false};
+    /// The decisions on this request are logged, whatever its status.
+    bool isNotable{false};
     /// Decisions in chronological order, for the log.
     std::vector<nlohmann::ordered_json> decisions;
 
--- a/Libraries/LibGateway/TargetReports.cpp
+++ b/Libraries/LibGateway/TargetReports.cpp
@@ -8,6 +8,28 @@
 namespace
 {
 
+std::string_view nameOf(ReportSource source)
+{
+    switch (source) {
+    case ReportSource::Response:
+        return "answer";
+    case ReportSource::HealthCheck:
+        return "health_check";
+    case ReportSource::Peer:
+        return "peer";
+    }
+    return "";
+}
+
+void logLeaving(GatewayState &state, const std::string &target, std::int64_t startedAtMilliseconds, ReportSource source)
+{
+    const auto entry = state.directory.entries.find(target);
+    const auto service = entry == state.directory.entries.end() ? std::string() : entry->second.record.service.value;
+    state.log.write(Log::Importance::Routine,
+                    "target_says_it_leaves",
+                    {{"target", target}, {"service", service}, {"started_at", startedAtMilliseconds}, {"via", nameOf(source)}});
+}
+
 /// The state of the target if it still has the given start, otherwise null.
 Fleet::TargetState *findTargetStart(Fleet::ServiceState &service, const std::string &target, std::int64_t startedAtMilliseconds)
 {
@@ -34,6 +56,7 @@
                         Fleet::ServiceState &service,
                         const std::string &target,
                         std::int64_t startedAtMilliseconds,
+                        ReportSource source,
                         const ResponseMetadata &metadata)
 {
     // Another target has the address; its response says nothing about the intended one.
@@ -47,7 +70,7 @@
     }
     const bool isNewlyLeaving = metadata.isLeaving && Fleet::recordLeaving(state.directory, target, startedAtMilliseconds, now);
     if (isNewlyLeaving) {
-        state.log.write(Log::Importance::Routine, "target_says_it_leaves", {{"target", target}, {"service", service.name.value}});
+        logLeaving(state, target, startedAtMilliseconds, source);
     }
     if (metadata.quietFor || isNewlyLeaving) {
         apply(state, service, target, startedAtMilliseconds);
@@ -62,6 +85,7 @@
     if (!Fleet::recordLeaving(state.directory, target, startedAtMilliseconds, Core::Clock::now())) {
         return false;
     }
+    logLeaving(state, target, startedAtMilliseconds, ReportSource::Peer);
     for (const auto &[name, service] : state.services) {
         apply(state, *service, target, startedAtMilliseconds);
     }
--- a/Tests/LibGateway/TestReflector.cpp
+++ b/Tests/LibGateway/TestReflector.cpp
@@ -45,7 +45,7 @@
                     ObjectKind::Targets,
                     15s,
                     {.onChanges =
-                         [this](Revision previous, const Changes &changes) {
+                         [this](ChangeSource, Revision previous, const Changes &changes) {
                              this->heard.push_back((previous == 0 ? "list@" : "changes@") + std::to_string(changes.revision));
                              this->told = changes;
                          },
