--- a/Libraries/LibGateway/Reflector.cpp
+++ b/Libraries/LibGateway/Reflector.cpp
@@ -137,10 +137,7 @@
     const auto changes = this->difference(listing);
     this->revision = listing.revision;
     this->listedRevision = listing.revision;
-    this->knownRevisions.clear();
-    for (const auto &object : listing.objects) {
-        this->knownRevisions[object.name] = object.revision;
-    }
+    this->adoptRevisions(listing);
     this->callbacks.onChanges(ChangeSource::Listing, previous, changes);
     co_return true;
 }
@@ -157,7 +154,7 @@
         }
     }
     for (const auto &[name, revisionOfObject] : this->knownRevisions) {
-        if (!listed.contains(name)) {
+        if (!listed.contains(name) && revisionOfObject <= listing.revision) {
             changes.changes.push_back(
                 {{.name = name, .revision = listing.revision, .content = Unreadable{"missing in the listing"}}, true});
         }
@@ -165,6 +162,17 @@
     return changes;
 }
 
+void Reflector::adoptRevisions(const Listing &listing)
+{
+    std::erase_if(this->knownRevisions, [&listing](const auto &known) {
+        return known.second <= listing.revision;
+    });
+    for (const auto &object : listing.objects) {
+        auto &known = this->knownRevisions[object.name];
+        known = std::max(known, object.revision);
+    }
+}
+
 Asio::awaitable<bool> Reflector::watch(std::chrono::milliseconds wait)
 {
     const bool needsLinearizableRead = Core::Clock::now() < this->linearizableReadsUntil || this->consecutiveFailures > 0;
--- a/Libraries/LibGateway/Reflector.h
+++ b/Libraries/LibGateway/Reflector.h
@@ -79,6 +79,8 @@
     boost::asio::awaitable<bool> list();
     /// The changes that lead from what is known to the listing.
     Changes difference(const Listing &listing) const;
+    /// Records the listing's objects as known, beside later changes that peers reported.
+    void adoptRevisions(const Listing &listing);
     boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait);
     boost::asio::awaitable<void> idle();
     /// Returns the changes that are newer than the known revisions of their objects, and records them as known.
--- a/Tests/LibGateway/TestReflector.cpp
+++ b/Tests/LibGateway/TestReflector.cpp
@@ -213,6 +213,28 @@
     EXPECT_EQ(this->told.revision, 6U);
 }
 
+// A listing is as old as its oldest page, and peers may have reported later changes.
+TEST_F(ReflectorTest, listingDoesNotRevokeLaterChangesOfPeers)
+{
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 3});
+    });
+    this->mode = [](Revision) {
+        return ReflectorMode::AwaitPeers;
+    };
+    this->runFor(50ms);
+    this->reflector.applyPeerChanges(7, changesAt(8));
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+    });
+    this->reflector.requestRelist();
+    this->context.restart();
+    this->context.run_for(200ms);
+    EXPECT_EQ(this->reflector.syncedRevision(), 5U);
+    EXPECT_EQ(this->reflector.revisionOf("one"), 8U);
+    EXPECT_TRUE(this->told.changes.empty()) << "the object is not removed";
+}
+
 TEST_F(ReflectorTest, staleReplicaDoesNotLowerRevision)
 {
     const InSequence order;
--- a/Tests/platform/TestStoreClient.cpp
+++ b/Tests/platform/TestStoreClient.cpp
@@ -117,6 +117,17 @@
     EXPECT_EQ(this->targets, (std::vector<std::string>{"/v1/objects/servers", "/v1/objects/servers?after=a"}));
 }
 
+// A listing that counts as complete up to its newest page hides the changes that an older page lacks: a target that began to leave in
+// between stays in use.
+TEST_F(StoreClientTest, pagedListFromReplicasOfDifferentAgeHasRevisionOfOldestPage)
+{
+    this->respondWith([](const Network::Request &request) {
+        return request.target().find("after=") == boost::beast::string_view::npos ? json(page(server("a"), true, 53))
+                                                                                  : json(page(server("b"), false, 50));
+    });
+    EXPECT_EQ(std::get<Listing>(this->list(Freshness::Relaxed)).revision, 50U);
+}
+
 TEST_F(StoreClientTest, listPercentEncodesContinuationName)
 {
     this->respondWith([](const Network::Request &request) {
