--- a/Libraries/LibGateway/Reflector.cpp
+++ b/Libraries/LibGateway/Reflector.cpp
@@ -135,9 +135,7 @@
         co_return true;
     }
     const auto changes = this->difference(listing);
-    this->revision = listing.revision;
-    this->listedRevision = listing.revision;
-    this->adoptRevisions(listing);
+    this->adoptListing(listing);
     this->callbacks.onChanges(ChangeSource::Listing, previous, changes);
     co_return true;
 }
@@ -162,8 +160,10 @@
     return changes;
 }
 
-void Reflector::adoptRevisions(const Listing &listing)
+void Reflector::adoptListing(const Listing &listing)
 {
+    this->revision = listing.revision;
+    this->listedRevision = listing.revision;
     std::erase_if(this->knownRevisions, [&listing](const auto &known) {
         return known.second <= listing.revision;
     });
@@ -233,13 +233,13 @@
 
 void Reflector::applySnapshot(const Listing &listing)
 {
-    Changes changes{.changes = {}, .revision = listing.revision};
-    std::ranges::transform(listing.objects, std::back_inserter(changes.changes), [](const StoredObject &object) {
-        return Change{object, false};
-    });
-    const auto newer = this->applyNewer(changes);
-    this->advanceTo(listing.revision);
-    this->callbacks.onChanges(ChangeSource::Snapshot, 0, newer);
+    if (listing.revision < this->revision) {
+        // The peer lacks changes that are known here, so an object that it does not hold may exist.
+        return;
+    }
+    const auto changes = this->difference(listing);
+    this->adoptListing(listing);
+    this->callbacks.onChanges(ChangeSource::Snapshot, 0, changes);
 }
 
 Revision Reflector::revisionOf(const std::string &name) const
--- a/Libraries/LibGateway/Reflector.h
+++ b/Libraries/LibGateway/Reflector.h
@@ -70,7 +70,8 @@
     void advanceTo(Revision revision);
     /// Applies changes that a peer sent. Returns true if any of them was new.
     bool applyPeerChanges(Revision previous, const Changes &changes);
-    /// Applies a peer's snapshot while the store does not respond. The next listing of the store corrects it.
+    /// Applies a peer's snapshot while the store does not respond, unless it is older than what is known here. Objects missing in it are
+    /// reported as removed.
     void applySnapshot(const Listing &listing);
     /// The revision of an object's last known change; zero where none is known.
     Revision revisionOf(const std::string &name) const;
@@ -80,7 +81,7 @@
     /// The changes that lead from what is known to the listing.
     Changes difference(const Listing &listing) const;
     /// Records the listing's objects as known, beside later changes that peers reported.
-    void adoptRevisions(const Listing &listing);
+    void adoptListing(const Listing &listing);
     boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait);
     boost::asio::awaitable<void> idle();
     /// Returns the changes that are newer than the known revisions of their objects, and records them as known.
@@ -96,7 +97,7 @@
     Revision revision{0};
     /// The revision of the last change of each object, also of removed ones.
     std::map<std::string, Revision> knownRevisions;
-    /// Revision of the last listing. It covers all changes up to that revision, including removals, which it cannot show.
+    /// Revision of the last listing or snapshot. It covers all changes up to that revision, including removals, which it cannot show.
     Revision listedRevision{0};
     boost::asio::steady_timer wakeTimer;
     bool needsListing{true};
--- a/Tests/LibGateway/TestReflector.cpp
+++ b/Tests/LibGateway/TestReflector.cpp
@@ -300,6 +300,40 @@
     EXPECT_EQ(this->heard.back(), "answer");
 }
 
+// A snapshot moves the revision past removals that this instance has missed. A target that was removed without leaving first stayed in use,
+// since nothing showed its removal afterwards.
+TEST_F(ReflectorTest, peerSnapshotRemovesWhatThePeerNoLongerHolds)
+{
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{
+            .objects = {{.name = "one", .revision = 3, .content = {}}, {.name = "two", .revision = 4, .content = {}}}, .revision = 5});
+    });
+    this->mode = [](Revision) {
+        return ReflectorMode::AwaitPeers;
+    };
+    this->runFor(50ms);
+    this->reflector.applySnapshot({.objects = {{.name = "two", .revision = 8, .content = {}}}, .revision = 9});
+    ASSERT_EQ(this->told.changes.size(), 2U);
+    EXPECT_EQ(this->told.changes[0].object.name, "two");
+    EXPECT_EQ(this->told.changes[1].object.name, "one");
+    EXPECT_TRUE(this->told.changes[1].isRemoved);
+    EXPECT_EQ(this->reflector.syncedRevision(), 9U);
+}
+
+TEST_F(ReflectorTest, olderPeerSnapshotRemovesNothing)
+{
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {{.name = "one", .revision = 3, .content = {}}}, .revision = 5});
+    });
+    this->mode = [](Revision) {
+        return ReflectorMode::AwaitPeers;
+    };
+    this->runFor(50ms);
+    this->reflector.applySnapshot({.objects = {}, .revision = 4});
+    EXPECT_EQ(this->heard, (std::vector<std::string>{"list@5", "answer"}));
+    EXPECT_EQ(this->reflector.syncedRevision(), 5U);
+}
+
 TEST_F(ReflectorTest, listingCorrectsPeerSnapshotOnceStoreResponds)
 {
     bool isStoreLost = true;
