LibGateway: Publish all changes of a batch, also those known before

Cause: what a watcher reads from the store it filtered by what it knew already, from a watcher of another data centre, and published the rest as a batch that runs from one revision to the next. A receiver that has the first revision takes the batch as complete and goes on from the second. One that missed the message with the filtered change (a connection that ended, an instance that had just joined) was told that it had everything, and a target that had begun to leave stayed in use there. The standby repeats messages in the same way, so both copies lacked the same change. Change: a batch for peers holds every change after its first revision; the filter decides only what is applied here. A watch that brings nothing new is published too: it closes the gap at those that have the change but not the revision, which asked the store before. Ruled out: lost messages alone (the gap in revisions shows them, and the store is asked).

ReflectorTest.batchForPeersHoldsChangesThatWereKnownHere fails without the change.

--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -167,8 +167,8 @@
                                        watchTimeoutFor(kind, this->state.settings.store.history),
                                        Reflector::Callbacks{
                                            .onChanges =
-                                               [this, kind](ChangeSource source, Revision previous, const Changes &changes) {
-                                                   this->applyChanges(kind, source, previous, changes);
+                                               [this, kind](const ChangeBatch &batch) {
+                                                   this->applyChanges(kind, batch);
                                                },
                                            .mode =
                                                [this, kind](Revision revision) {
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -32,7 +32,7 @@
 
 private:
     std::unique_ptr<Reflector> makeFollower(ObjectKind kind);
-    void applyChanges(ObjectKind kind, ChangeSource source, Revision previous, const Changes &changes);
+    void applyChanges(ObjectKind kind, const ChangeBatch &batch);
     Reflector &followerOf(ObjectKind kind);
     const Reflector &followerOf(ObjectKind kind) const;
     /// Whether to ask a peer for the objects of a kind, because the store does not respond.
--- a/Libraries/LibGateway/InstanceObjects.cpp
+++ b/Libraries/LibGateway/InstanceObjects.cpp
@@ -14,10 +14,12 @@
 
 } // namespace
 
-void Instance::applyChanges(ObjectKind kind, ChangeSource source, Revision previous, const Changes &changes)
+void Instance::applyChanges(ObjectKind kind, const ChangeBatch &batch)
 {
-    if (previous > 0) {
-        this->news->publish(kind, previous, changes);
+    const auto &changes = batch.newer;
+    if (batch.previous > 0) {
+        // A peer may lack changes that were known here, so it gets all of them.
+        this->news->publish(kind, batch.previous, batch.all);
     } else {
         // The individual changes before the first listing are unknown: a peer behind its revision may be missing some of them.
         this->news->recordLatestRevision(kind, changes.revision);
@@ -27,7 +29,7 @@
         Fleet::recordPendingRemovals(this->state.directory, static_cast<std::size_t>(removals), this->timers.now());
         this->state.directory.isKnown = true;
     }
-    std::ranges::for_each(changes.changes, [this, kind, source](const Change &change) {
+    std::ranges::for_each(changes.changes, [this, kind, source = batch.source](const Change &change) {
         if (change.isRemoved) {
             this->applyRemoval(kind, source, change.object);
         } else {
--- a/Libraries/LibGateway/Reflector.cpp
+++ b/Libraries/LibGateway/Reflector.cpp
@@ -134,9 +134,10 @@
         this->linearizableReadsUntil = Core::Clock::now() + STALE_REPLICA_PERIOD;
         co_return true;
     }
-    const auto changes = this->difference(listing);
+    auto newer = this->difference(listing);
     this->adoptListing(listing);
-    this->callbacks.onChanges(ChangeSource::Listing, previous, changes);
+    auto all = changesAfter(previous, listing, newer);
+    this->callbacks.onChanges({.source = ChangeSource::Listing, .previous = previous, .all = std::move(all), .newer = std::move(newer)});
     co_return true;
 }
 
@@ -160,6 +161,18 @@
     return changes;
 }
 
+Changes Reflector::changesAfter(Revision previous, const Listing &listing, const Changes &difference)
+{
+    Changes all{.changes = {}, .revision = listing.revision};
+    std::ranges::copy_if(difference.changes, std::back_inserter(all.changes), &Change::isRemoved);
+    for (const auto &object : listing.objects) {
+        if (object.revision > previous) {
+            all.changes.push_back({object, false});
+        }
+    }
+    return all;
+}
+
 void Reflector::adoptListing(const Listing &listing)
 {
     this->revision = listing.revision;
@@ -176,7 +189,7 @@
 Asio::awaitable<bool> Reflector::watch(std::chrono::milliseconds wait)
 {
     const bool needsLinearizableRead = Core::Clock::now() < this->linearizableReadsUntil || this->consecutiveFailures > 0;
-    const auto result = co_await this->store.watch(
+    auto result = co_await this->store.watch(
         this->kind, this->revision, wait, needsLinearizableRead ? Freshness::Linearizable : Freshness::Relaxed);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         this->callbacks.onFailure(failure->reason);
@@ -187,19 +200,21 @@
         this->linearizableReadsUntil = Core::Clock::now() + LINEARIZABLE_READ_PERIOD;
         co_return true;
     }
-    const auto &changes = std::get<Changes>(result);
+    auto &changes = std::get<Changes>(result);
     const auto previous = this->revision;
     if (wait == CATCH_UP_WAIT && changes.changes.empty() && !needsLinearizableRead) {
         // The replica does not yet have the changes that peers announced.
         this->linearizableReadsUntil = Core::Clock::now() + STALE_REPLICA_PERIOD;
     }
-    const auto newer = this->applyNewer(changes);
+    auto newer = this->applyNewer(changes);
+    const bool hasNewer = !newer.changes.empty();
     // A relaxed response may come from a stale replica.
     this->revision = std::max(this->revision, changes.revision);
-    if (!newer.changes.empty()) {
-        this->callbacks.onChanges(ChangeSource::Watch, previous, newer);
+    if (!changes.changes.empty()) {
+        this->callbacks.onChanges(
+            {.source = ChangeSource::Watch, .previous = previous, .all = std::move(changes), .newer = std::move(newer)});
     }
-    if (!newer.changes.empty() || wait == CATCH_UP_WAIT) {
+    if (hasNewer || wait == CATCH_UP_WAIT) {
         co_await this->pause(BATCHING_DELAY);
     }
     co_return true;
@@ -218,17 +233,19 @@
     return newer;
 }
 
-bool Reflector::applyPeerChanges(Revision previous, const Changes &changes)
+bool Reflector::applyPeerChanges(Revision previous, Changes changes)
 {
-    const auto newer = this->applyNewer(changes);
+    auto newer = this->applyNewer(changes);
+    const bool hasNewer = !newer.changes.empty();
     if (previous <= this->revision && !changes.changes.empty()) {
         this->revision = std::max(this->revision, changes.revision);
     }
-    if (!newer.changes.empty()) {
-        this->callbacks.onChanges(ChangeSource::Peer, previous, newer);
+    if (hasNewer) {
+        this->callbacks.onChanges(
+            {.source = ChangeSource::Peer, .previous = previous, .all = std::move(changes), .newer = std::move(newer)});
     }
     this->wakeTimer.cancel();
-    return !newer.changes.empty();
+    return hasNewer;
 }
 
 void Reflector::applySnapshot(const Listing &listing)
@@ -237,9 +254,9 @@
         // The peer lacks changes that are known here, so an object that it does not hold may exist.
         return;
     }
-    const auto changes = this->difference(listing);
+    auto newer = this->difference(listing);
     this->adoptListing(listing);
-    this->callbacks.onChanges(ChangeSource::Snapshot, 0, changes);
+    this->callbacks.onChanges({.source = ChangeSource::Snapshot, .previous = 0, .all = {}, .newer = std::move(newer)});
 }
 
 Revision Reflector::revisionOf(const std::string &name) const
--- a/Libraries/LibGateway/Reflector.h
+++ b/Libraries/LibGateway/Reflector.h
@@ -36,15 +36,23 @@
 
 std::string_view nameOf(ChangeSource source);
 
+/// Changes that a reflector learnt of at once.
+struct ChangeBatch {
+    ChangeSource source{ChangeSource::Watch};
+    /// `all` holds every change after this revision and up to its own; zero where earlier changes are unknown.
+    Revision previous{0};
+    Changes all;
+    /// Those of them that are newer than what was known here; after a listing or a snapshot also objects missing in it, as removed.
+    Changes newer;
+};
+
 /// Mirrors the objects of one kind: lists them once, then watches the store or receives changes from peers. Relists only where the store
 /// has dropped its history or a relist is requested.
 class Reflector
 {
 public:
     struct Callbacks {
-        /// Called with changes newer than those reported before; after a listing also with objects missing in it, as removed. Previous is
-        /// zero for the first listing.
-        std::function<void(ChangeSource source, Revision previous, const Changes &)> onChanges;
+        std::function<void(const ChangeBatch &batch)> onChanges;
         std::function<ReflectorMode(Revision revision)> mode;
         /// Called after each usable response of the store.
         std::function<void()> onResponse;
@@ -69,7 +77,7 @@
     /// Records that all changes up to the revision are known, because peers reported no others.
     void advanceTo(Revision revision);
     /// Applies changes that a peer sent. Returns true if any of them was new.
-    bool applyPeerChanges(Revision previous, const Changes &changes);
+    bool applyPeerChanges(Revision previous, Changes changes);
     /// Applies a peer's snapshot while the store does not respond, unless it is older than what is known here. Objects missing in it are
     /// reported as removed.
     void applySnapshot(const Listing &listing);
@@ -80,6 +88,8 @@
     boost::asio::awaitable<bool> list();
     /// The changes that lead from what is known to the listing.
     Changes difference(const Listing &listing) const;
+    /// The changes after the revision that the listing shows.
+    static Changes changesAfter(Revision previous, const Listing &listing, const Changes &difference);
     /// Records the listing's objects as known, beside later changes that peers reported.
     void adoptListing(const Listing &listing);
     boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait);
--- a/Tests/LibGateway/TestReflector.cpp
+++ b/Tests/LibGateway/TestReflector.cpp
@@ -45,9 +45,10 @@
                     ObjectKind::Targets,
                     15s,
                     {.onChanges =
-                         [this](ChangeSource, Revision previous, const Changes &changes) {
-                             this->heard.push_back((previous == 0 ? "list@" : "changes@") + std::to_string(changes.revision));
-                             this->told = changes;
+                         [this](const ChangeBatch &batch) {
+                             this->heard.push_back((batch.previous == 0 ? "list@" : "changes@") + std::to_string(batch.newer.revision));
+                             this->told = batch.newer;
+                             this->toldForPeers = batch.all;
                          },
                      .mode =
                          [this](Revision revision) {
@@ -81,6 +82,7 @@
     Core::Random random{5};
     std::vector<std::string> heard;
     Changes told;
+    Changes toldForPeers;
     std::function<ReflectorMode(Revision revision)> mode = [](Revision) {
         return ReflectorMode::Watch;
     };
@@ -280,6 +282,36 @@
     EXPECT_EQ(this->heard, (std::vector<std::string>{"list@5", "answer", "changes@8"}));
 }
 
+// A watcher that omits from what it publishes the changes that it had from peers hides them from an instance which missed those messages:
+// the batch counts as complete there.
+TEST_F(ReflectorTest, batchForPeersHoldsChangesThatWereKnownHere)
+{
+    const InSequence order;
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+    });
+    EXPECT_CALL(this->store, watch(_, 5, _, _)).WillOnce([] {
+        return now<WatchResult>(Changes{.changes = {Change{{.name = "two", .revision = 6, .content = {}}, false},
+                                                    Change{{.name = "one", .revision = 8, .content = {}}, false}},
+                                        .revision = 8});
+    });
+    EXPECT_CALL(this->store, watch(_, 8, _, _)).WillOnce([] {
+        return never();
+    });
+    bool isAwaitingPeers = true;
+    this->mode = [&isAwaitingPeers](Revision) {
+        return isAwaitingPeers ? ReflectorMode::AwaitPeers : ReflectorMode::Watch;
+    };
+    this->runFor(50ms);
+    this->reflector.applyPeerChanges(7, changesAt(8));
+    isAwaitingPeers = false;
+    this->context.restart();
+    this->context.run_for(400ms);
+    ASSERT_EQ(this->told.changes.size(), 1U);
+    EXPECT_EQ(this->told.changes[0].object.name, "two");
+    EXPECT_EQ(this->toldForPeers.changes.size(), 2U);
+}
+
 TEST_F(ReflectorTest, catchUpFetchesMissingChangesFromLastRevision)
 {
     const InSequence order;
