LibFleet: Keep what each start of a target said of itself

Cause: one report was kept for each name, and one of an earlier start time was ignored as a late word. A target names its start by its own clock. After that was set back (the platform's clock_step goes both ways), a new start under the same id has the earlier time: once this instance had heard anything of the start before, all that the new one said was dropped, that it leaves as well as its Retry-After. Change: reports are kept by name and start. Late words of an earlier start still say nothing of a later one.

Directory.selfReportOfAStartAfterTheClockWasSetBackCounts fails without the change. The last check of selfReportAppliesToOneStartOnly stands as it was; selfReportsAreRetainedAfterTheEntryIsRemoved names the starts now.

--- a/Libraries/LibFleet/Directory.cpp
+++ b/Libraries/LibFleet/Directory.cpp
@@ -13,19 +13,18 @@
     return directory.outageEndedAt && now - *directory.outageEndedAt < REREGISTRATION_GRACE_PERIOD;
 }
 
-/// The self-report of the start, created if there is none; null if a later start of the target has reported.
-SelfReport *selfReportOf(Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, Core::TimePoint now)
+/// The self-report of the start, created if there is none.
+SelfReport &selfReportOf(Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, Core::TimePoint now)
 {
-    auto &report = directory.selfReports[name];
-    if (report.startedAtMilliseconds > startedAtMilliseconds) {
-        return nullptr;
-    }
-    if (report.startedAtMilliseconds < startedAtMilliseconds) {
-        report = SelfReport{};
-        report.startedAtMilliseconds = startedAtMilliseconds;
-    }
+    auto &report = directory.selfReports[{name, startedAtMilliseconds}];
     report.reportedAt = now;
-    return &report;
+    return report;
+}
+
+bool isListed(const Directory &directory, const TargetStart &start)
+{
+    const auto found = directory.entries.find(start.name);
+    return found != directory.entries.end() && found->second.record.startedAtMilliseconds == start.startedAtMilliseconds;
 }
 
 } // namespace
@@ -72,36 +71,34 @@
 
 bool recordLeaving(Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, Core::TimePoint now)
 {
-    auto *report = selfReportOf(directory, name, startedAtMilliseconds, now);
-    if (report == nullptr || report->isLeaving) {
+    auto &report = selfReportOf(directory, name, startedAtMilliseconds, now);
+    if (report.isLeaving) {
         return false;
     }
-    report->isLeaving = true;
-    report->leavingSince = now;
+    report.isLeaving = true;
+    report.leavingSince = now;
     return true;
 }
 
 void recordQuiet(
     Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, Core::TimePoint quietUntil, Core::TimePoint now)
 {
-    if (auto *report = selfReportOf(directory, name, startedAtMilliseconds, now)) {
-        report->quietUntil = std::max(report->quietUntil, quietUntil);
-    }
+    auto &report = selfReportOf(directory, name, startedAtMilliseconds, now);
+    report.quietUntil = std::max(report.quietUntil, quietUntil);
 }
 
 const SelfReport *findSelfReport(const Directory &directory, const TargetRecord &record)
 {
-    const auto found = directory.selfReports.find(record.name);
-    const bool isOfStart = found != directory.selfReports.end() && found->second.startedAtMilliseconds == record.startedAtMilliseconds;
-    return isOfStart ? &found->second : nullptr;
+    const auto found = directory.selfReports.find({record.name, record.startedAtMilliseconds});
+    return found == directory.selfReports.end() ? nullptr : &found->second;
 }
 
 std::vector<TargetStart> leavingTargets(const Directory &directory)
 {
     std::vector<TargetStart> targets;
-    for (const auto &[name, report] : directory.selfReports) {
+    for (const auto &[start, report] : directory.selfReports) {
         if (report.isLeaving) {
-            targets.push_back({name, report.startedAtMilliseconds});
+            targets.push_back(start);
         }
     }
     return targets;
@@ -111,7 +108,7 @@
 {
     std::erase_if(directory.selfReports, [&directory, now](const auto &entry) {
         const auto lastNeeded = std::max(entry.second.reportedAt, entry.second.quietUntil);
-        return !directory.entries.contains(entry.first) && now - lastNeeded >= SELF_REPORT_RETENTION;
+        return !isListed(directory, entry.first) && now - lastNeeded >= SELF_REPORT_RETENTION;
     });
 }
 
--- a/Libraries/LibFleet/Directory.h
+++ b/Libraries/LibFleet/Directory.h
@@ -47,10 +47,9 @@
     std::optional<Core::TimePoint> missingSince;
 };
 
-/// What a target reported about itself in its answers. It applies to one start and is kept while the target's entry is missing, since the
-/// entry may expire and be registered again.
+/// What one start of a target reported about itself in its answers. It is kept while the target's entry is missing, since the entry may
+/// expire and be registered again.
 struct SelfReport {
-    std::int64_t startedAtMilliseconds{0};
     bool isLeaving{false};
     /// When this instance learnt that the target leaves.
     Core::TimePoint leavingSince;
@@ -69,14 +68,14 @@
 /// loss of one data centre removes a third; probes and requests to its targets then fail, which shows that they are gone.
 constexpr double MASS_EXPIRY_SHARE = 0.4;
 
-/// Time for which the self-report of an unlisted target is kept. A leaving target serves for some more seconds.
+/// Time for which the self-report of a start that is not listed is kept. A leaving target serves for some more seconds.
 constexpr std::chrono::minutes SELF_REPORT_RETENTION{10};
 
 /// The list of targets that this instance uses. It is kept through store outages.
 struct Directory {
     std::map<std::string, DirectoryEntry> entries;
-    /// By the target's name.
-    std::map<std::string, SelfReport> selfReports;
+    /// Start times do not order the starts of a target: its clock may have been set back.
+    std::map<TargetStart, SelfReport> selfReports;
     bool isKnown{false};
     /// Since when the store has not answered; unset while it answers.
     std::optional<Core::TimePoint> storeLostSince;
@@ -112,7 +111,7 @@
 /// The targets that reported that they leave.
 std::vector<TargetStart> leavingTargets(const Directory &directory);
 
-/// Removes self-reports of targets that have not been listed for SELF_REPORT_RETENTION.
+/// Removes self-reports of starts that have not been listed for SELF_REPORT_RETENTION.
 void expireSelfReports(Directory &directory, Core::TimePoint now);
 
 /// Removes missing entries once the grace period after a store outage is over. Returns true if any was removed.
--- a/Tests/LibFleet/TestDirectory.cpp
+++ b/Tests/LibFleet/TestDirectory.cpp
@@ -125,6 +125,24 @@
     EXPECT_EQ(findSelfReport(directory, entry)->quietUntil, now + 2s) << "the longer time counts";
 }
 
+// A target whose clock was set back between two starts names a later start with an earlier time. What it said after that start, also that
+// it leaves, was taken for late words of an earlier one.
+TEST(Directory, selfReportOfAStartAfterTheClockWasSetBackCounts)
+{
+    const Core::TimePoint now{100s};
+    auto directory = knownDirectory(now);
+    recordQuiet(directory, "one", 2000, now + 1s, now);
+    EXPECT_TRUE(recordLeaving(directory, "one", 1000, now + 2s));
+    recordQuiet(directory, "one", 1000, now + 9s, now + 2s);
+    auto entry = record("one");
+    entry.startedAtMilliseconds = 1000;
+    ASSERT_NE(findSelfReport(directory, entry), nullptr);
+    EXPECT_TRUE(findSelfReport(directory, entry)->isLeaving);
+    EXPECT_EQ(findSelfReport(directory, entry)->quietUntil, now + 9s);
+    entry.startedAtMilliseconds = 2000;
+    EXPECT_FALSE(findSelfReport(directory, entry)->isLeaving);
+}
+
 TEST(Directory, selfReportsAreRetainedAfterTheEntryIsRemoved)
 {
     const Core::TimePoint now{100s};
@@ -135,8 +153,8 @@
     expireSelfReports(directory, now + SELF_REPORT_RETENTION - 1s);
     EXPECT_EQ(directory.selfReports.size(), 2U);
     expireSelfReports(directory, now + SELF_REPORT_RETENTION);
-    EXPECT_FALSE(directory.selfReports.contains("one"));
-    EXPECT_TRUE(directory.selfReports.contains("two")) << "still listed";
+    EXPECT_FALSE(directory.selfReports.contains({"one", 0}));
+    EXPECT_TRUE(directory.selfReports.contains({"two", 0})) << "still listed";
 }
 
 } // namespace Briarbend::Fleet
