LibFleet: Keep the rate that a target names for all instances together

Cause: the header was read nowhere. A target that served well, though it asked for less, was chosen like any other until its queue was full.

Who hears nothing for 20 s asks the target's health first. - The senders are the first ceil(rate) members by rendezvous hash: the selection of ColdGate, now in LibLimits/SenderSelection. Each has a RateQuota, whose window was fixed at 1.1 s and is now rate / senders: rates below one an instance and below one a second need no second mechanism. - The permit is taken right before a send of any kind. A target without one is neither chosen nor asked for its health, so the others are used first; where none is left the request is refused at once, with the time until the next permit. - Instances of a data centre tell each other (TargetDisseminator), or 472 of them would each send once and more before they know. Ruled out: a bucket of rate / N at each instance, as for cold targets: after a rest N buckets are full.

--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -96,7 +96,7 @@
 
 Usability usability(const TargetState &target, const ChoiceInput &input, Core::TimePoint now)
 {
-    if (!isAllowed(target, input) || target.quietUntil > now) {
+    if (!isAllowed(target, input) || target.quietUntil > now || !hasSendPermit(target, now)) {
         return Usability::Unusable;
     }
     if (target.coldUntil > now) {
@@ -112,7 +112,9 @@
     std::optional<Core::TimePoint> first;
     for (const auto &target : service.targets) {
         if (isAllowed(target, input)) {
-            first = std::min(first.value_or(target.quietUntil), target.quietUntil);
+            const auto permitAt = hasSendPermit(target, now) ? now : nextSendAt(*target.rateLimit, now);
+            const auto at = std::max(target.quietUntil, permitAt);
+            first = std::min(first.value_or(at), at);
         }
     }
     return first && *first > now ? std::optional(*first - now) : std::nullopt;
--- a/Libraries/LibFleet/Directory.cpp
+++ b/Libraries/LibFleet/Directory.cpp
@@ -1,6 +1,7 @@
 #include <LibFleet/Directory.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Briarbend::Fleet
 {
@@ -87,6 +88,21 @@
     report.quietUntil = std::max(report.quietUntil, quietUntil);
 }
 
+bool recordRate(
+    Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, double requestsPerSecond, Core::TimePoint now)
+{
+    auto &rate = selfReportOf(directory, name, startedAtMilliseconds, now).rate;
+    const bool isNew = !rate || rate->requestsPerSecond != requestsPerSecond;
+    rate = StatedRate{.requestsPerSecond = requestsPerSecond, .statedAt = now, .sharedAt = isNew ? Core::TimePoint{} : rate->sharedAt};
+    return isNew;
+}
+
+bool withdrawRate(Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds)
+{
+    const auto known = directory.selfReports.find({name, startedAtMilliseconds});
+    return known != directory.selfReports.end() && std::exchange(known->second.rate, std::nullopt).has_value();
+}
+
 const SelfReport *findSelfReport(const Directory &directory, const TargetRecord &record)
 {
     const auto found = directory.selfReports.find({record.name, record.startedAtMilliseconds});
--- a/Libraries/LibFleet/Directory.h
+++ b/Libraries/LibFleet/Directory.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibCore/Time.h>
+#include <LibFleet/RateLimit.h>
 
 #include <cstdint>
 #include <map>
@@ -55,6 +56,8 @@
     Core::TimePoint leavingSince;
     /// The target wants no requests from this instance before then.
     Core::TimePoint quietUntil;
+    /// Unset while the target states no rate.
+    std::optional<StatedRate> rate;
     Core::TimePoint reportedAt;
 
     bool operator==(const SelfReport &) const = default;
@@ -105,6 +108,13 @@
 void recordQuiet(
     Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, Core::TimePoint quietUntil, Core::TimePoint now);
 
+/// Records the rate of requests that the target stated. Returns true if it is another than before.
+bool recordRate(
+    Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, double requestsPerSecond, Core::TimePoint now);
+
+/// Records that the target states no rate any more. Returns true if it had stated one.
+bool withdrawRate(Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds);
+
 /// The self-report of the start that the record describes, or null.
 const SelfReport *findSelfReport(const Directory &directory, const TargetRecord &record);
 
--- /dev/null
+++ b/Libraries/LibFleet/RateLimit.cpp
@@ -0,0 +1,72 @@
+#include <LibFleet/RateLimit.h>
+
+#include <LibLimits/SenderSelection.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Briarbend::Fleet
+{
+
+namespace
+{
+
+/// Part of a window added to it, for sends that arrive at a target closer together than they left.
+constexpr double WINDOW_MARGIN = 0.1;
+/// Bounds the window of a rate near zero.
+constexpr std::chrono::hours MAXIMUM_WINDOW{1};
+
+} // namespace
+
+std::size_t senderCount(double requestsPerSecond, std::size_t members)
+{
+    const auto known = static_cast<double>(std::max<std::size_t>(1, members));
+    return static_cast<std::size_t>(std::clamp(std::ceil(requestsPerSecond), 1.0, known));
+}
+
+SenderShare senderShare(double requestsPerSecond, std::size_t members)
+{
+    const auto perSecond = requestsPerSecond / static_cast<double>(senderCount(requestsPerSecond, members));
+    if (perSecond <= 0) {
+        return {};
+    }
+    const auto permits = std::max(1.0, std::floor(perSecond));
+    const auto window
+        = std::min<std::chrono::duration<double>>(MAXIMUM_WINDOW, std::chrono::duration<double>(permits / perSecond * (1 + WINDOW_MARGIN)));
+    return {.permits = static_cast<std::uint32_t>(permits), .window = std::chrono::duration_cast<Core::Duration>(window)};
+}
+
+void updateQuota(RateLimit &limit, const Core::TargetId &target, const RateSharers &sharers, Core::TimePoint now)
+{
+    if (limit.sharersFingerprint == sharers.fingerprint && limit.sharedRate == limit.rate.requestsPerSecond) {
+        return;
+    }
+    const auto rate = limit.rate.requestsPerSecond;
+    const auto share = senderShare(rate, sharers.members.size());
+    const bool isSending = Limits::isSender(sharers.self, sharers.members, target, senderCount(rate, sharers.members.size()));
+    const auto permits = isSending ? share.permits : 0;
+    if (limit.quota.permits == 0 && permits > 0) {
+        limit.quota = Limits::startRateQuota(permits, now, share.window);
+    } else {
+        Limits::resizeRateQuota(limit.quota, permits, share.window);
+    }
+    limit.sharersFingerprint = sharers.fingerprint;
+    limit.sharedRate = rate;
+}
+
+bool isOutdated(const StatedRate &rate, Core::TimePoint now)
+{
+    return now - rate.statedAt >= RATE_LIMIT_LIFETIME;
+}
+
+Core::TimePoint nextSendAt(const RateLimit &limit, Core::TimePoint now)
+{
+    const auto outdatedAt = limit.rate.statedAt + RATE_LIMIT_LIFETIME;
+    if (limit.rate.requestsPerSecond <= 0) {
+        return outdatedAt;
+    }
+    const auto own = limit.quota.permits > 0 ? Limits::nextFreePermit(limit.quota) : std::nullopt;
+    return std::min(outdatedAt, own.value_or(now + limit.quota.window));
+}
+
+} // namespace Briarbend::Fleet
--- /dev/null
+++ b/Libraries/LibFleet/RateLimit.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/Time.h>
+#include <LibLimits/RateQuota.h>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+/// Rate limits that targets state for the requests of all instances together. Each instance knows the other members, though not always the
+/// same ones; nobody hands out permits.
+namespace Briarbend::Fleet
+{
+
+/// The instances among which a target's rate is divided, as this instance knows them.
+struct RateSharers {
+    Core::InstanceId self;
+    /// Running instances, this one included.
+    std::vector<Core::InstanceId> members;
+    /// Differs whenever the members do.
+    std::size_t fingerprint{0};
+};
+
+/// Time after which a limit that was not stated again no longer binds, unless the target's next health check states it. Instances that may
+/// not send to the target do not hear otherwise that it needs no limit any more.
+constexpr std::chrono::seconds RATE_LIMIT_LIFETIME{20};
+
+/// Interval at which peers are told again of a rate that the target still states: several times within RATE_LIMIT_LIFETIME.
+constexpr std::chrono::seconds RATE_SHARING_INTERVAL{5};
+
+/// What one start of a target last stated, to this instance or to a peer that told of it.
+struct StatedRate {
+    /// Requests per second from all instances together. Zero: the target takes none.
+    double requestsPerSecond{0};
+    Core::TimePoint statedAt;
+    /// When this instance last told its peers of it, or heard it from one.
+    Core::TimePoint sharedAt;
+};
+
+/// A stated rate, and this instance's part of it.
+struct RateLimit {
+    StatedRate rate;
+    Limits::RateQuota quota;
+    /// The members of which `quota` was computed, and the rate.
+    std::optional<std::size_t> sharersFingerprint;
+    double sharedRate{0};
+};
+
+/// What one sender may send.
+struct SenderShare {
+    std::uint32_t permits{0};
+    Core::Duration window{0};
+
+    bool operator==(const SenderShare &) const = default;
+};
+
+/// Number of instances that may send to a target with this rate. One a request per second keeps what they can send at once below the rate.
+std::size_t senderCount(double requestsPerSecond, std::size_t members);
+
+/// What each of the senders of a target may send; no permits for a rate of zero.
+SenderShare senderShare(double requestsPerSecond, std::size_t members);
+
+/// Updates the quota after a change of the rate or of the members. An instance that becomes a sender begins after one window, since the
+/// one that it follows may just have sent.
+void updateQuota(RateLimit &limit, const Core::TargetId &target, const RateSharers &sharers, Core::TimePoint now);
+
+/// True if the limit was not stated for RATE_LIMIT_LIFETIME.
+bool isOutdated(const StatedRate &rate, Core::TimePoint now);
+
+/// When this instance may send again; for one that is no sender, when a sender may.
+Core::TimePoint nextSendAt(const RateLimit &limit, Core::TimePoint now);
+
+} // namespace Briarbend::Fleet
--- a/Libraries/LibFleet/ServiceState.cpp
+++ b/Libraries/LibFleet/ServiceState.cpp
@@ -103,6 +103,23 @@
         target.leavingSince = std::min(target.leavingSince.value_or(report.leavingSince), report.leavingSince);
     }
     target.quietUntil = std::max(target.quietUntil, report.quietUntil);
+    if (!report.rate) {
+        target.rateLimit.reset();
+        return;
+    }
+    if (!target.rateLimit) {
+        target.rateLimit = std::make_unique<RateLimit>();
+    }
+    target.rateLimit->rate = *report.rate;
+}
+
+void updateQuotas(ServiceState &service, const RateSharers &sharers, Core::TimePoint now)
+{
+    for (auto &target : service.targets) {
+        if (target.rateLimit) {
+            updateQuota(*target.rateLimit, {target.record.name}, sharers, now);
+        }
+    }
 }
 
 void recordLoadReport(ServiceState &service, TargetState &target, const LoadReport &load, Core::TimePoint now)
@@ -196,6 +213,25 @@
     return std::max(decayed(target.failureShare, target.failureShareAt, now), peerFailureShare(target, now));
 }
 
+bool hasSendPermit(const TargetState &target, Core::TimePoint now)
+{
+    const auto *limit = target.rateLimit.get();
+    return limit == nullptr || isOutdated(limit->rate, now) || Limits::hasFreePermit(limit->quota, now);
+}
+
+bool takeSendPermit(TargetState &target, Core::TimePoint now)
+{
+    if (!target.rateLimit) {
+        return true;
+    }
+    auto &quota = target.rateLimit->quota;
+    if (!Limits::reservePermit(quota, now)) {
+        return false;
+    }
+    Limits::confirmPermit(quota, now);
+    return true;
+}
+
 bool takeColdToken(const ServiceConfiguration &configuration, TargetState &target, std::size_t instances, Core::TimePoint now)
 {
     const auto rate
--- a/Libraries/LibFleet/ServiceState.h
+++ b/Libraries/LibFleet/ServiceState.h
@@ -5,6 +5,7 @@
 #include <LibFleet/SendBudget.h>
 
 #include <deque>
+#include <memory>
 
 namespace Briarbend::Fleet
 {
@@ -60,6 +61,8 @@
     std::optional<Core::TimePoint> leavingSince;
     /// The target asked to receive no requests before then.
     Core::TimePoint quietUntil;
+    /// The rate that the target states, and this instance's part of it; null while it states none.
+    std::unique_ptr<RateLimit> rateLimit;
     /// The last health check was answered with a status other than success.
     bool failsHealthCheck{false};
     /// Until then a successful request outweighs failed health checks.
@@ -119,9 +122,12 @@
 /// Replaces the targets of one service. The state of a target is kept as long as its start stays the same.
 void updateTargets(ServiceState &service, const std::vector<TargetRecord> &records, Core::TimePoint now, double initialColdTokens);
 
-/// Applies a target's self-report. A report never withdraws an earlier one.
+/// Applies a target's self-report. Leaving and quiet are never withdrawn, a stated rate is.
 void applySelfReport(TargetState &target, const SelfReport &report);
 
+/// Updates this instance's part of each stated rate to the members.
+void updateQuotas(ServiceState &service, const RateSharers &sharers, Core::TimePoint now);
+
 void recordLoadReport(ServiceState &service, TargetState &target, const LoadReport &load, Core::TimePoint now);
 void recordCold(TargetState &target, std::chrono::milliseconds coldLeft, Core::TimePoint now);
 /// Ejects a target that could not be reached or did not answer a health check. Each consecutive ejection lasts longer.
@@ -142,6 +148,12 @@
 /// The decayed share of requests to the target that fail: the larger of this instance's own and the other instances' share.
 double failureShare(const TargetState &target, Core::TimePoint now);
 
+/// Whether the rate that the target states lets this instance send a request to it now. An outdated rate does: the health check before the
+/// send shows whether the target still states it.
+bool hasSendPermit(const TargetState &target, Core::TimePoint now);
+/// Takes the permit for a request that is about to be sent. Returns false if there is none.
+bool takeSendPermit(TargetState &target, Core::TimePoint now);
+
 /// True if this instance may send one request to the cold target. Takes a token from this instance's share of the target's cold rate.
 bool takeColdToken(const ServiceConfiguration &configuration, TargetState &target, std::size_t instances, Core::TimePoint now);
 
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -131,14 +131,14 @@
             this->result = AttemptResult::Quarantined;
             co_return;
         }
-        if (!this->isStillAvailable()) {
-            this->context->recordDecision("target_withdrawn", {{"target", this->name}});
-            if (isTrial) {
-                state.guard->endTrial(this->context->fingerprint);
-            }
-            this->result = AttemptResult::NoTarget;
-            co_return;
+    }
+    if (!this->isStillAvailable() || !this->takeSendPermit()) {
+        this->context->recordDecision("target_withdrawn", {{"target", this->name}});
+        if (isTrial) {
+            state.guard->endTrial(this->context->fingerprint);
         }
+        this->result = AttemptResult::NoTarget;
+        co_return;
     }
     this->context->triedTargets.push_back(this->name);
     this->context->recordDecision("send",
@@ -200,6 +200,12 @@
         && targetState->quietUntil <= Core::Clock::now();
 }
 
+bool Attempt::takeSendPermit()
+{
+    auto *targetState = Fleet::findTarget(*this->service, this->name);
+    return targetState != nullptr && Fleet::takeSendPermit(*targetState, Core::Clock::now());
+}
+
 bool Attempt::isForeign(const ResponseMetadata &metadata) const
 {
     if (metadata.attemptId.empty()) {
@@ -278,7 +284,8 @@
         const auto metadata = state.dialect.readResponseMetadata(parser.get().base());
         const bool isOfOther = this->isForeign(metadata);
         const bool isInterim = parser.get().result_int() / 100 == 1;
-        recordTargetReport(state, *this->service, this->name, this->targetStartedAt, ReportSource::Response, metadata);
+        const auto source = isOfOther || isInterim ? ReportSource::OtherResponse : ReportSource::Response;
+        recordTargetReport(state, *this->service, this->name, this->targetStartedAt, source, metadata);
         if (!co_await this->receiveBody(parser, !isOfOther && !isInterim)) {
             co_return false;
         }
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -79,6 +79,8 @@
     Fleet::TargetState *target();
     /// False if the target has asked for quiet, is leaving or was removed since it was chosen.
     bool isStillAvailable() const;
+    /// Takes this instance's permit if the target states a rate. False if there is none now.
+    bool takeSendPermit();
     /// True if a response of the target does not belong to this attempt.
     bool isForeign(const ResponseMetadata &metadata) const;
 
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -38,6 +38,10 @@
     bool isLeaving{false};
     /// The target rejected the request and asks this instance to send nothing for this time.
     std::optional<std::chrono::milliseconds> quietFor;
+    /// The response states a rate, even if it is not a readable one.
+    bool statesRate{false};
+    /// Requests per second that the target takes from all instances together; nothing unless a readable rate is stated.
+    std::optional<double> requestsPerSecond;
     /// The name under which the target registered; sent on its health path.
     std::string targetName;
 };
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -106,6 +106,9 @@
     std::function<void(const AttemptObservation &)> onObserved;
     /// Called once for each start of a target when a response tells this instance that the target is leaving.
     std::function<void(const std::string &target, std::int64_t startedAtMilliseconds)> onTargetLeaving;
+    /// Called when peers should be told of a rate that a target states, or that it states none any more.
+    std::function<void(const std::string &target, std::int64_t startedAtMilliseconds, std::optional<double> requestsPerSecond)>
+        onTargetRate;
     /// Additional round-trip time to a target in another data centre, compared with one in the same data centre.
     std::chrono::microseconds distance{2000};
     /// Cost of transferring one kibibyte of response between data centres, expressed as time that a caller waits.
@@ -114,6 +117,7 @@
     Relay::RequestGuard *guard{nullptr};
     /// Number of running instances, including this one.
     std::size_t instances{1};
+    Fleet::RateSharers rateSharers;
     GatewayCounters counters;
     std::uint32_t callerConnections{0};
     std::uint32_t requestsInFlight{0};
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -86,7 +86,7 @@
     }));
     this->subscriptions.push_back(this->timers.every(TICK_INTERVAL, [this](Core::TimePoint now) {
         this->detectFreeze(now);
-        this->updateInstanceCount();
+        this->updateInstances();
         this->expireTargets(now);
     }));
     this->subscriptions.push_back(this->timers.every(IDLE_SWEEP_INTERVAL, [this](Core::TimePoint now) {
@@ -138,9 +138,14 @@
     });
 }
 
-void Instance::updateInstanceCount()
+void Instance::updateInstances()
 {
-    this->state.instances = std::max<std::size_t>(1, Membership::countAlive(this->peers->state().members));
+    const auto &members = this->peers->state().members;
+    this->state.instances = std::max<std::size_t>(1, Membership::countAlive(members));
+    const auto fingerprint = Membership::aliveFingerprint(members);
+    if (this->state.rateSharers.members.empty() || fingerprint != this->state.rateSharers.fingerprint) {
+        this->state.rateSharers = {.self = members.self, .members = Membership::aliveMembers(members), .fingerprint = fingerprint};
+    }
 }
 
 void Instance::reload(const std::string &file)
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -56,7 +56,7 @@
     void recoverFromFreeze(std::chrono::milliseconds length);
     void expireTargets(Core::TimePoint now);
     void startPeers(std::uint64_t seed);
-    void updateInstanceCount();
+    void updateInstances();
     void finishStopWhenIdle(Core::TimePoint now);
     bool isReady() const;
     boost::asio::awaitable<Network::Response> handleReadiness(Network::Request request);
--- a/Libraries/LibGateway/InstanceDissemination.cpp
+++ b/Libraries/LibGateway/InstanceDissemination.cpp
@@ -69,49 +69,57 @@
 
 void Instance::makeTargetDissemination()
 {
-    this->targetNews
-        = std::make_unique<TargetDisseminator>(this->timers,
-                                               *this->peers,
-                                               this->state.random,
-                                               TargetDisseminator::Callbacks{
-                                                   .takeOutcomes =
-                                                       [this] {
-                                                           return takeEvidence(this->state);
-                                                       },
-                                                   .onSuspect =
-                                                       [this](const Fleet::Suspect &suspect) {
-                                                           for (const auto &[name, service] : this->state.services) {
-                                                               Fleet::applySuspect(*service, suspect, this->timers.now());
-                                                           }
-                                                       },
-                                                   .onLeavingTarget =
-                                                       [this](const Fleet::TargetStart &target) {
-                                                           return markLeaving(this->state, target.name, target.startedAtMilliseconds);
-                                                       },
-                                                   .leavingTargets =
-                                                       [this] {
-                                                           return Fleet::leavingTargets(this->state.directory);
-                                                       },
-                                                   .isListedInUse =
-                                                       [this](const Fleet::TargetStart &target) {
-                                                           return isListedInUse(this->state.directory, target);
-                                                       },
-                                                   .aggregators =
-                                                       [this] {
-                                                           return this->news->watcherPeers();
-                                                       },
-                                                   .digestRecipients =
-                                                       [this] {
-                                                           return this->news->dataCentrePeers();
-                                                       },
-                                                   .isAggregator =
-                                                       [this] {
-                                                           return this->news->isActiveWatcher();
-                                                       },
-                                               });
+    this->targetNews = std::make_unique<TargetDisseminator>(
+        this->timers,
+        *this->peers,
+        this->state.random,
+        TargetDisseminator::Callbacks{
+            .takeOutcomes =
+                [this] {
+                    return takeEvidence(this->state);
+                },
+            .onSuspect =
+                [this](const Fleet::Suspect &suspect) {
+                    for (const auto &[name, service] : this->state.services) {
+                        Fleet::applySuspect(*service, suspect, this->timers.now());
+                    }
+                },
+            .onLeavingTarget =
+                [this](const Fleet::TargetStart &target) {
+                    return markLeaving(this->state, target.name, target.startedAtMilliseconds);
+                },
+            .onRate =
+                [this](const TargetRate &rate) {
+                    applyPeerRate(this->state, rate.target.name, rate.target.startedAtMilliseconds, rate.requestsPerSecond);
+                },
+            .leavingTargets =
+                [this] {
+                    return Fleet::leavingTargets(this->state.directory);
+                },
+            .isListedInUse =
+                [this](const Fleet::TargetStart &target) {
+                    return isListedInUse(this->state.directory, target);
+                },
+            .aggregators =
+                [this] {
+                    return this->news->watcherPeers();
+                },
+            .digestRecipients =
+                [this] {
+                    return this->news->dataCentrePeers();
+                },
+            .isAggregator =
+                [this] {
+                    return this->news->isActiveWatcher();
+                },
+        });
     this->state.onTargetLeaving = [this](const std::string &target, std::int64_t startedAtMilliseconds) {
         this->targetNews->reportLeaving({target, startedAtMilliseconds});
     };
+    this->state.onTargetRate
+        = [this](const std::string &target, std::int64_t startedAtMilliseconds, std::optional<double> requestsPerSecond) {
+              this->targetNews->reportRate({{target, startedAtMilliseconds}, requestsPerSecond});
+          };
 }
 
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/TargetDisseminationMessage.cpp
+++ b/Libraries/LibGateway/TargetDisseminationMessage.cpp
@@ -52,6 +52,19 @@
     return {.target = decodeStart(row), .failureShare = row.at(2).get<double>()};
 }
 
+Json encodeRate(const TargetRate &rate)
+{
+    auto row = encodeStart(rate.target);
+    row.push_back(rate.requestsPerSecond ? Json(*rate.requestsPerSecond) : Json());
+    return row;
+}
+
+TargetRate decodeRate(const Json &row)
+{
+    const auto &rate = row.at(2);
+    return {.target = decodeStart(row), .requestsPerSecond = rate.is_null() ? std::nullopt : std::optional(rate.get<double>())};
+}
+
 template<typename Row>
 Json encodeAll(const std::vector<Row> &rows, Json (*encode)(const Row &))
 {
@@ -68,18 +81,28 @@
     return decoded;
 }
 
+/// The rates at a place of a message; instances of earlier releases send none.
+std::vector<TargetRate> decodeRates(const Json &message, std::size_t place)
+{
+    return place < message.size() ? decodeAll(message.at(place), decodeRate) : std::vector<TargetRate>{};
+}
+
 struct MessageEncoder {
     Json operator()(const TargetReport &report) const
     {
         return Json::array({MessageTag::Report,
                             report.reporter,
                             encodeAll(report.targetOutcomes, encodeOutcomes),
-                            encodeAll(report.leaving, encodeStart)});
+                            encodeAll(report.leaving, encodeStart),
+                            encodeAll(report.rates, encodeRate)});
     }
 
     Json operator()(const TargetDigest &digest) const
     {
-        return Json::array({MessageTag::Digest, encodeAll(digest.suspects, encodeSuspect), encodeAll(digest.leaving, encodeStart)});
+        return Json::array({MessageTag::Digest,
+                            encodeAll(digest.suspects, encodeSuspect),
+                            encodeAll(digest.leaving, encodeStart),
+                            encodeAll(digest.rates, encodeRate)});
     }
 
     Json operator()(const LeavingTargetsRequest &request) const
@@ -104,9 +127,11 @@
     case MessageTag::Report:
         return TargetReport{.reporter = row.at(1).get<std::string>(),
                             .targetOutcomes = decodeAll(row.at(2), decodeOutcomes),
-                            .leaving = decodeAll(row.at(3), decodeStart)};
+                            .leaving = decodeAll(row.at(3), decodeStart),
+                            .rates = decodeRates(row, 4)};
     case MessageTag::Digest:
-        return TargetDigest{.suspects = decodeAll(row.at(1), decodeSuspect), .leaving = decodeAll(row.at(2), decodeStart)};
+        return TargetDigest{
+            .suspects = decodeAll(row.at(1), decodeSuspect), .leaving = decodeAll(row.at(2), decodeStart), .rates = decodeRates(row, 3)};
     case MessageTag::LeavingTargetsRequest:
         return LeavingTargetsRequest{.requester = row.at(1).get<std::string>()};
     }
--- a/Libraries/LibGateway/TargetDisseminationMessage.h
+++ b/Libraries/LibGateway/TargetDisseminationMessage.h
@@ -2,6 +2,7 @@
 
 #include <LibFleet/OutcomeTable.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -10,6 +11,12 @@
 namespace Briarbend::Gateway
 {
 
+/// A rate that a target states for the requests of all instances together; nothing once it states none.
+struct TargetRate {
+    Fleet::TargetStart target;
+    std::optional<double> requestsPerSecond;
+};
+
 /// Request outcomes and leaving targets that one instance observed, for the aggregators of its data centre.
 struct TargetReport {
     /// Peer address of the sender.
@@ -17,12 +24,14 @@
     std::vector<Fleet::TargetOutcomes> targetOutcomes;
     /// Targets that have announced that they are leaving, while the store's list does not say so.
     std::vector<Fleet::TargetStart> leaving;
+    std::vector<TargetRate> rates;
 };
 
 /// Suspect and leaving targets, sent by an aggregator to the instances of its data centre.
 struct TargetDigest {
     std::vector<Fleet::Suspect> suspects;
     std::vector<Fleet::TargetStart> leaving;
+    std::vector<TargetRate> rates;
 };
 
 /// Asks a peer for all targets that it knows to be leaving.
--- a/Libraries/LibGateway/TargetDisseminator.cpp
+++ b/Libraries/LibGateway/TargetDisseminator.cpp
@@ -17,6 +17,15 @@
 /// Number of peers that a newly started instance asks for leaving targets; one of them may have just started itself.
 constexpr std::size_t LEAVING_REQUESTS_AT_START = 2;
 
+std::vector<TargetRate> toRows(const std::map<Fleet::TargetStart, std::optional<double>> &rates)
+{
+    std::vector<TargetRate> rows;
+    std::ranges::transform(rates, std::back_inserter(rows), [](const auto &entry) {
+        return TargetRate{.target = entry.first, .requestsPerSecond = entry.second};
+    });
+    return rows;
+}
+
 } // namespace
 
 TargetDisseminator::TargetDisseminator(Core::TimerService &timerService,
@@ -43,6 +52,11 @@
     this->unreportedLeaving.push_back(std::move(target));
 }
 
+void TargetDisseminator::reportRate(const TargetRate &rate)
+{
+    this->unreportedRates.insert_or_assign(rate.target, rate.requestsPerSecond);
+}
+
 void TargetDisseminator::receive(std::string_view bytes)
 {
     std::visit(
@@ -59,38 +73,47 @@
         this->callbacks.onLeavingTarget(target);
         this->leavingToForward.insert(target);
     }
+    for (const auto &rate : report.rates) {
+        this->callbacks.onRate(rate);
+        this->ratesToForward.insert_or_assign(rate.target, rate.requestsPerSecond);
+    }
 }
 
 void TargetDisseminator::handle(const TargetDigest &digest)
 {
     std::ranges::for_each(digest.suspects, this->callbacks.onSuspect);
     std::ranges::for_each(digest.leaving, this->callbacks.onLeavingTarget);
+    std::ranges::for_each(digest.rates, this->callbacks.onRate);
 }
 
 void TargetDisseminator::handle(const LeavingTargetsRequest &request)
 {
     auto leaving = this->callbacks.leavingTargets();
     if (!leaving.empty()) {
-        this->send({request.requester}, TargetDigest{.suspects = {}, .leaving = std::move(leaving)});
+        this->send({request.requester}, TargetDigest{.suspects = {}, .leaving = std::move(leaving), .rates = {}});
     }
 }
 
 void TargetDisseminator::disseminate(Core::TimePoint now)
 {
     const auto &members = this->peers.state().members;
-    TargetReport report{
-        .reporter = members.members.at(members.self).update.address.value, .targetOutcomes = this->callbacks.takeOutcomes(), .leaving = {}};
+    TargetReport report{.reporter = members.members.at(members.self).update.address.value,
+                        .targetOutcomes = this->callbacks.takeOutcomes(),
+                        .leaving = {},
+                        .rates = toRows(std::exchange(this->unreportedRates, {}))};
     std::ranges::copy_if(std::exchange(this->unreportedLeaving, {}), std::back_inserter(report.leaving), this->callbacks.isListedInUse);
-    if (!report.targetOutcomes.empty() || !report.leaving.empty()) {
+    if (!report.targetOutcomes.empty() || !report.leaving.empty() || !report.rates.empty()) {
         this->send(this->callbacks.aggregators(), report);
         this->handle(report);
     }
     const auto leaving = std::exchange(this->leavingToForward, {});
+    const auto rates = std::exchange(this->ratesToForward, {});
     if (!this->callbacks.isAggregator()) {
         return;
     }
-    const TargetDigest digest{.suspects = Fleet::findSuspects(this->outcomeTable, now), .leaving = {leaving.begin(), leaving.end()}};
-    if (!digest.suspects.empty() || !digest.leaving.empty()) {
+    const TargetDigest digest{
+        .suspects = Fleet::findSuspects(this->outcomeTable, now), .leaving = {leaving.begin(), leaving.end()}, .rates = toRows(rates)};
+    if (!digest.suspects.empty() || !digest.leaving.empty() || !digest.rates.empty()) {
         this->send(this->callbacks.digestRecipients(), digest);
         this->handle(digest);
     }
--- a/Libraries/LibGateway/TargetDisseminator.h
+++ b/Libraries/LibGateway/TargetDisseminator.h
@@ -9,7 +9,8 @@
 namespace Briarbend::Gateway
 {
 
-/// Shares among the instances of a data centre which targets fail and which have announced that they are leaving. Each instance reports to
+/// Shares among the instances of a data centre which targets fail, which have announced that they are leaving, and which state a rate of
+/// requests. Each instance reports to
 /// the aggregators, which are the watchers of the store, and the active watcher sends a digest to all. Nothing is sent to other data
 /// centres, since the same target may serve their instances differently.
 class TargetDisseminator
@@ -21,6 +22,7 @@
         std::function<void(const Fleet::Suspect &suspect)> onSuspect;
         /// Returns true if the target was not known to be leaving.
         std::function<bool(const Fleet::TargetStart &target)> onLeavingTarget;
+        std::function<void(const TargetRate &rate)> onRate;
         /// Returns all targets that have announced that they are leaving.
         std::function<std::vector<Fleet::TargetStart>()> leavingTargets;
         /// Returns whether the store lists the target as in use, so that other instances would send requests to it.
@@ -38,6 +40,8 @@
 
     /// Records that a target told this instance that it is leaving. It is reported to others unless the store's list says so by then.
     void reportLeaving(Fleet::TargetStart target);
+    /// Records a rate that a target stated to this instance, or that it states none any more.
+    void reportRate(const TargetRate &rate);
 
 private:
     void receive(std::string_view bytes);
@@ -58,6 +62,10 @@
     std::vector<Fleet::TargetStart> unreportedLeaving;
     /// Leaving targets for the next digest that this instance sends.
     std::set<Fleet::TargetStart> leavingToForward;
+    using Rates = std::map<Fleet::TargetStart, std::optional<double>>;
+    /// Rates that this instance has not yet reported, and those for the next digest that it sends. The last one of a target counts.
+    Rates unreportedRates;
+    Rates ratesToForward;
     std::size_t remainingLeavingRequests;
     std::vector<std::unique_ptr<Core::TimerSubscription>> subscriptions;
 };
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -240,6 +240,7 @@
     for (auto &target : query.service->targets) {
         target.idleConnections = state.pool.idleCount(target.record.address);
     }
+    Fleet::updateQuotas(*query.service, state.rateSharers, Core::Clock::now());
     const auto names = Fleet::candidates(*query.service, query.input, Core::Clock::now(), state.random);
     const bool allEjected = areAllEjected(query, names);
     if (names.empty() || (allEjected && query.service->searchesAmongEjected > 0)) {
--- a/Libraries/LibGateway/TargetReports.cpp
+++ b/Libraries/LibGateway/TargetReports.cpp
@@ -13,6 +13,8 @@
     switch (source) {
     case ReportSource::Response:
         return "answer";
+    case ReportSource::OtherResponse:
+        return "other_answer";
     case ReportSource::HealthCheck:
         return "health_check";
     case ReportSource::Peer:
@@ -50,6 +52,61 @@
     }
 }
 
+/// Whether a response that states no rate withdraws an earlier one.
+bool withdrawsRate(const Fleet::SelfReport &report, ReportSource source, const ResponseMetadata &metadata, Core::TimePoint now)
+{
+    // Targets may state their rate in responses to requests only, so a health check withdraws no rate that was stated recently.
+    const bool isOutdated = report.rate && Fleet::isOutdated(*report.rate, now);
+    return !metadata.statesRate
+        && ((source == ReportSource::Response && metadata.hasResponseStamp) || (source == ReportSource::HealthCheck && isOutdated));
+}
+
+void logRate(GatewayState &state, const std::string &target, std::optional<double> requestsPerSecond, ReportSource source)
+{
+    nlohmann::ordered_json fields{{"target", target}, {"via", nameOf(source)}};
+    if (requestsPerSecond) {
+        fields["requests_per_second"] = *requestsPerSecond;
+    }
+    state.log.write(Log::Importance::Notable, requestsPerSecond ? "target_states_rate" : "target_states_no_rate", fields);
+}
+
+void shareRate(GatewayState &state, const std::string &target, std::int64_t startedAtMilliseconds, Core::TimePoint now)
+{
+    auto &report = state.directory.selfReports.at({target, startedAtMilliseconds});
+    if (!state.onTargetRate || !report.rate || now - report.rate->sharedAt < Fleet::RATE_SHARING_INTERVAL) {
+        return;
+    }
+    report.rate->sharedAt = now;
+    state.onTargetRate(target, startedAtMilliseconds, report.rate->requestsPerSecond);
+}
+
+/// Returns true if the target's rate changed, or was stated again.
+bool recordRate(GatewayState &state,
+                const std::string &target,
+                std::int64_t startedAtMilliseconds,
+                ReportSource source,
+                const ResponseMetadata &metadata)
+{
+    const auto now = Core::Clock::now();
+    if (metadata.requestsPerSecond) {
+        if (Fleet::recordRate(state.directory, target, startedAtMilliseconds, *metadata.requestsPerSecond, now)) {
+            logRate(state, target, metadata.requestsPerSecond, source);
+        }
+        shareRate(state, target, startedAtMilliseconds, now);
+        return true;
+    }
+    const auto known = state.directory.selfReports.find({target, startedAtMilliseconds});
+    const bool isWithdrawn = known != state.directory.selfReports.end() && withdrawsRate(known->second, source, metadata, now)
+        && Fleet::withdrawRate(state.directory, target, startedAtMilliseconds);
+    if (isWithdrawn) {
+        logRate(state, target, std::nullopt, source);
+        if (state.onTargetRate) {
+            state.onTargetRate(target, startedAtMilliseconds, std::nullopt);
+        }
+    }
+    return isWithdrawn;
+}
+
 } // namespace
 
 void recordTargetReport(GatewayState &state,
@@ -72,7 +129,8 @@
     if (isNewlyLeaving) {
         logLeaving(state, target, startedAtMilliseconds, source);
     }
-    if (metadata.quietFor || isNewlyLeaving) {
+    const bool hasRateChanged = recordRate(state, target, startedAtMilliseconds, source, metadata);
+    if (metadata.quietFor || isNewlyLeaving || hasRateChanged) {
         apply(state, service, target, startedAtMilliseconds);
     }
     if (isNewlyLeaving && state.onTargetLeaving) {
@@ -80,6 +138,26 @@
     }
 }
 
+void applyPeerRate(GatewayState &state,
+                   const std::string &target,
+                   std::int64_t startedAtMilliseconds,
+                   std::optional<double> requestsPerSecond)
+{
+    const auto now = Core::Clock::now();
+    const bool isNew = requestsPerSecond ? Fleet::recordRate(state.directory, target, startedAtMilliseconds, *requestsPerSecond, now)
+                                         : Fleet::withdrawRate(state.directory, target, startedAtMilliseconds);
+    if (isNew) {
+        logRate(state, target, requestsPerSecond, ReportSource::Peer);
+    }
+    const auto report = state.directory.selfReports.find({target, startedAtMilliseconds});
+    if (report != state.directory.selfReports.end() && report->second.rate) {
+        report->second.rate->sharedAt = now;
+    }
+    for (const auto &[name, service] : state.services) {
+        apply(state, *service, target, startedAtMilliseconds);
+    }
+}
+
 bool markLeaving(GatewayState &state, const std::string &target, std::int64_t startedAtMilliseconds)
 {
     if (!Fleet::recordLeaving(state.directory, target, startedAtMilliseconds, Core::Clock::now())) {
--- a/Libraries/LibGateway/TargetReports.h
+++ b/Libraries/LibGateway/TargetReports.h
@@ -7,13 +7,17 @@
 
 /// How this instance learnt what a target reports about itself.
 enum class ReportSource {
+    /// The response to a request that was sent to the target.
     Response,
+    /// A response that belongs to another request, such as a late duplicate.
+    OtherResponse,
     HealthCheck,
     Peer,
 };
 
 /// Records what a start of a target reports about itself in the header of a response, whichever request that belongs to: that it is
-/// leaving, or that this instance should send it nothing for a while.
+/// leaving, that this instance should send it nothing for a while, or how many requests it takes from all instances. The rate holds until
+/// a response to a request states none, or it is outdated and a health check states none. An unreadable rate changes nothing.
 void recordTargetReport(GatewayState &state,
                         Fleet::ServiceState &service,
                         const std::string &target,
@@ -21,6 +25,12 @@
                         ReportSource source,
                         const ResponseMetadata &metadata);
 
+/// Records a rate that a peer heard from the target, or that the target states none any more.
+void applyPeerRate(GatewayState &state,
+                   const std::string &target,
+                   std::int64_t startedAtMilliseconds,
+                   std::optional<double> requestsPerSecond);
+
 /// Takes a target out of use that reported to this instance or to a peer that it is leaving. True if this was not known yet.
 bool markLeaving(GatewayState &state, const std::string &target, std::int64_t startedAtMilliseconds);
 
--- a/Libraries/LibLimits/ColdGate.cpp
+++ b/Libraries/LibLimits/ColdGate.cpp
@@ -1,6 +1,6 @@
 #include <LibLimits/ColdGate.h>
 
-#include <LibCore/RendezvousHash.h>
+#include <LibLimits/SenderSelection.h>
 
 #include <algorithm>
 
@@ -10,19 +10,9 @@
 namespace
 {
 
-bool isSender(const MembershipView &view, const Core::TargetId &id, std::uint32_t senderCount)
-{
-    const auto own = Core::rendezvousWeight(view.self.value, id.value);
-    const auto comesBefore = [&](const Core::InstanceId &member) {
-        const auto weight = Core::rendezvousWeight(member.value, id.value);
-        return weight > own || (weight == own && member < view.self);
-    };
-    return std::ranges::count_if(view.members, comesBefore) < static_cast<std::ptrdiff_t>(senderCount);
-}
-
 void updateSender(const MembershipView &view, const Core::TargetId &id, TargetWarmth &target, Core::TimePoint since)
 {
-    if (view.self.value.empty() || !isSender(view, id, target.coldRequests)) {
+    if (view.self.value.empty() || !isSender(view.self, view.members, id, target.coldRequests)) {
         target.senderSince.reset();
     } else if (!target.senderSince) {
         target.senderSince = since;
--- a/Libraries/LibLimits/RateQuota.cpp
+++ b/Libraries/LibLimits/RateQuota.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// One second plus a margin for sends that arrive at a target closer together than they left.
-constexpr std::chrono::milliseconds SEND_WINDOW{1100};
-
 std::uint64_t weightOfSlot(std::uint32_t slot, const Core::TargetId &target)
 {
     return Core::rendezvousWeight(std::to_string(slot), target.value);
@@ -46,14 +43,15 @@
     return quotient + (hasRemainderPermit ? 1 : 0);
 }
 
-RateQuota startRateQuota(std::uint32_t permits, Core::TimePoint startedAt)
+RateQuota startRateQuota(std::uint32_t permits, Core::TimePoint startedAt, Core::Duration window)
 {
-    return {.permits = permits, .reserved = 0, .sends = {}, .openFrom = startedAt + SEND_WINDOW};
+    return {.permits = permits, .window = window, .reserved = 0, .sends = {}, .openFrom = startedAt + window};
 }
 
-void resizeRateQuota(RateQuota &quota, std::uint32_t permits)
+void resizeRateQuota(RateQuota &quota, std::uint32_t permits, Core::Duration window)
 {
     quota.permits = permits;
+    quota.window = window;
 }
 
 bool hasFreePermit(const RateQuota &quota, Core::TimePoint now)
@@ -61,8 +59,8 @@
     if (now < quota.openFrom) {
         return false;
     }
-    const auto isRecent = [now](Core::TimePoint sentBy) {
-        return now - sentBy <= SEND_WINDOW;
+    const auto isRecent = [&quota, now](Core::TimePoint sentBy) {
+        return now - sentBy <= quota.window;
     };
     const auto recent = static_cast<std::size_t>(std::ranges::count_if(quota.sends, isRecent));
     return recent + quota.reserved < quota.permits;
@@ -70,8 +68,8 @@
 
 bool reservePermit(RateQuota &quota, Core::TimePoint now)
 {
-    std::erase_if(quota.sends, [now](Core::TimePoint sentBy) {
-        return now - sentBy > SEND_WINDOW;
+    std::erase_if(quota.sends, [&quota, now](Core::TimePoint sentBy) {
+        return now - sentBy > quota.window;
     });
     if (!hasFreePermit(quota, now)) {
         return false;
@@ -105,7 +103,7 @@
     if (mustExpire >= quota.sends.size()) {
         return std::nullopt;
     }
-    return std::max(quota.openFrom, quota.sends[mustExpire] + SEND_WINDOW + Core::Duration{1});
+    return std::max(quota.openFrom, quota.sends[mustExpire] + quota.window + Core::Duration{1});
 }
 
 } // namespace Briarbend::Limits
--- a/Libraries/LibLimits/RateQuota.h
+++ b/Libraries/LibLimits/RateQuota.h
@@ -25,10 +25,15 @@
 /// view of its peers.
 std::uint32_t instanceShare(std::uint32_t budget, const QuotaPartition &declaration, const Core::TargetId &target);
 
-/// This instance's quota of a rate limit that counts sends in any window of one second. A permit is in use from before the send until one
-/// window after it, so that two sends with the same permit are never within one window, however long the process is stopped in between.
+/// One second plus a margin for sends that arrive at a target closer together than they left.
+constexpr std::chrono::milliseconds SEND_WINDOW{1100};
+
+/// This instance's quota of a rate limit that counts sends in any window, of one second unless stated otherwise. A permit is in use from
+/// before the send until one window after it, so that two sends with the same permit are never within one window, however long the process
+/// is stopped in between.
 struct RateQuota {
     std::uint32_t permits{0};
+    Core::Duration window{SEND_WINDOW};
     /// Permits that are reserved and whose send has not been confirmed.
     std::uint32_t reserved{0};
     /// Confirmed sends that may still be within a window, oldest first; at most `permits` entries.
@@ -38,10 +43,10 @@
 };
 
 /// A quota for an instance that started at the given time.
-RateQuota startRateQuota(std::uint32_t permits, Core::TimePoint startedAt);
+RateQuota startRateQuota(std::uint32_t permits, Core::TimePoint startedAt, Core::Duration window = SEND_WINDOW);
 
-/// Changes the number of permits. Past sends still count.
-void resizeRateQuota(RateQuota &quota, std::uint32_t permits);
+/// Changes the number of permits and the window. Past sends still count.
+void resizeRateQuota(RateQuota &quota, std::uint32_t permits, Core::Duration window = SEND_WINDOW);
 
 /// True if a permit is free.
 bool hasFreePermit(const RateQuota &quota, Core::TimePoint now);
--- a/Tests/LibGateway/TestTargetDisseminator.cpp
+++ b/Tests/LibGateway/TestTargetDisseminator.cpp
@@ -34,6 +34,10 @@
                             [this](const Fleet::TargetStart &target) {
                                 return this->leaving.insert(target).second;
                             },
+                        .onRate =
+                            [this](const TargetRate &rate) {
+                                this->rates[rate.target] = rate.requestsPerSecond;
+                            },
                         .leavingTargets =
                             [this] {
                                 return std::vector<Fleet::TargetStart>(this->leaving.begin(), this->leaving.end());
@@ -59,6 +63,7 @@
     std::vector<Fleet::TargetOutcomes> targetOutcomes;
     std::set<Fleet::TargetStart> suspects;
     std::set<Fleet::TargetStart> leaving;
+    std::map<Fleet::TargetStart, std::optional<double>> rates;
     bool isListedInUse{true};
     std::unique_ptr<Peers::Transport> transport;
     Coordination::PeerLink link;
@@ -134,16 +139,33 @@
     }
 }
 
+TEST_F(TargetDisseminatorTest, statedRateAndItsEndBecomeKnownToAllInstances)
+{
+    this->at("a3").disseminator.reportRate({TARGET, 2.5});
+    this->timers.runFor(900ms);
+    for (const auto &[name, instance] : this->instances) {
+        EXPECT_EQ(instance->rates.at(TARGET), 2.5) << name;
+    }
+    this->at("a2").disseminator.reportRate({TARGET, 1.5});
+    this->at("a2").disseminator.reportRate({TARGET, std::nullopt});
+    this->timers.runFor(900ms);
+    for (const auto &[name, instance] : this->instances) {
+        EXPECT_EQ(instance->rates.at(TARGET), std::nullopt) << name;
+    }
+}
+
 TEST(TargetDisseminationMessage, roundTripsAndRejectsMalformedMessages)
 {
-    const auto report = std::get<TargetReport>(decodeTargetDissemination(
-        encodeTargetDissemination(TargetReport{.reporter = "w", .targetOutcomes = {{TARGET, {3, 4}}}, .leaving = {TARGET}})));
+    const auto report = std::get<TargetReport>(decodeTargetDissemination(encodeTargetDissemination(
+        TargetReport{.reporter = "w", .targetOutcomes = {{TARGET, {3, 4}}}, .leaving = {TARGET}, .rates = {{TARGET, 2.5}}})));
+    EXPECT_EQ(report.rates.at(0).requestsPerSecond, 2.5);
     EXPECT_EQ(report.reporter, "w");
     EXPECT_EQ(report.targetOutcomes.at(0).target, TARGET);
     EXPECT_EQ(report.targetOutcomes.at(0).outcomes, (Fleet::OutcomeCounts{3, 4}));
     EXPECT_EQ(report.leaving.at(0), TARGET);
-    const auto digest = std::get<TargetDigest>(
-        decodeTargetDissemination(encodeTargetDissemination(TargetDigest{.suspects = {{TARGET, 0.5}}, .leaving = {TARGET}})));
+    const auto digest = std::get<TargetDigest>(decodeTargetDissemination(
+        encodeTargetDissemination(TargetDigest{.suspects = {{TARGET, 0.5}}, .leaving = {TARGET}, .rates = {{TARGET, std::nullopt}}})));
+    EXPECT_FALSE(digest.rates.at(0).requestsPerSecond.has_value());
     EXPECT_EQ(digest.suspects.at(0).failureShare, 0.5);
     EXPECT_EQ(digest.leaving.at(0), TARGET);
     EXPECT_EQ(std::get<LeavingTargetsRequest>(decodeTargetDissemination(encodeTargetDissemination(LeavingTargetsRequest{"a"}))).requester,
--- a/Tests/platform/TestWireDialect.cpp
+++ b/Tests/platform/TestWireDialect.cpp
@@ -75,6 +75,41 @@
     EXPECT_FALSE(quiet("3").has_value()) << "only 503 asks for quiet";
 }
 
+TEST(WireDialect, readTargetParsesLimit)
+{
+    const std::string manyDigits(400, '9');
+    const std::vector<std::pair<std::string, std::optional<double>>> cases{
+        {"3", 3.0},
+        {"2.8", 2.8},
+        {"0.25", 0.25},
+        {"0", 0.0},
+        {"0.0", 0.0},
+        {"1000000", 1e6},
+        {"1000001", 1e6},
+        {manyDigits, 1e6},
+        {"0." + std::string(400, '0') + "1", 0.0},
+        {"-1", std::nullopt},
+        {"-0", std::nullopt},
+        {"", std::nullopt},
+        {"many", std::nullopt},
+        {"nan", std::nullopt},
+        {"inf", std::nullopt},
+        {"1e3", std::nullopt},
+        {"2,5", std::nullopt},
+        {"2.5/s", std::nullopt},
+    };
+    for (const auto &[text, perSecond] : cases) {
+        Gateway::Http::response_header<> head;
+        head.set("Server-Limit", text);
+        const auto metadata = wireDialect().readResponseMetadata(head);
+        EXPECT_TRUE(metadata.statesRate) << text;
+        EXPECT_EQ(metadata.requestsPerSecond, perSecond) << text;
+    }
+    const auto absent = wireDialect().readResponseMetadata(Gateway::Http::response_header<>());
+    EXPECT_FALSE(absent.statesRate);
+    EXPECT_FALSE(absent.requestsPerSecond.has_value());
+}
+
 TEST(WireDialect, requestIsAddressedAndInternalFieldsAreRemoved)
 {
     const auto dialect = wireDialect();
