--- a/Libraries/LibFleet/RateLimit.h
+++ b/Libraries/LibFleet/RateLimit.h
@@ -36,6 +36,8 @@
     Core::TimePoint statedAt;
     /// When this instance last told its peers of it, or heard it from one.
     Core::TimePoint sharedAt;
+
+    bool operator==(const StatedRate &) const = default;
 };
 
 /// A stated rate, and this instance's part of it.
