LibGateway: Log requests to targets that were removed meanwhile

The page on operations says that they are always logged, as those to leaving targets are; the code did so for leaving ones only, and a removal may be the only sign that a target leaves.

--- a/Libraries/LibGateway/AttemptOutcome.cpp
+++ b/Libraries/LibGateway/AttemptOutcome.cpp
@@ -86,14 +86,15 @@
         inputs["failure"] = this->failure;
     }
     const auto *targetState = this->target();
+    const bool isLeaving = targetState != nullptr && targetState->leavingSince;
     if (targetState == nullptr) {
         inputs["target_listed"] = false;
-    } else if (targetState->leavingSince) {
+    } else if (isLeaving) {
         // Positive where the request was sent although the target was known to be leaving.
         const auto knownFor = this->sentAt - *targetState->leavingSince;
         inputs["leaving_known_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(knownFor).count();
-        this->context->isNotable = true;
     }
+    this->context->isNotable = this->context->isNotable || targetState == nullptr || isLeaving;
     const bool isAnswered = this->result == AttemptResult::Answered;
     const bool isNotRun = this->result == AttemptResult::NotRun;
     this->context->recordDecision(isAnswered              ? "answered"
