--- a/Libraries/LibFleet/Directory.h
+++ b/Libraries/LibFleet/Directory.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibCore/Time.h>
+#include <LibFleet/RateLimit.h>
 
 #include <cstdint>
 #include <map>
@@ -47,13 +48,16 @@
     std::optional<Core::TimePoint> missingSince;
 };
 
-/// What a target reported about itself in its answers. It applies to one start and is kept while the target's entry is missing, since the
-/// entry may expire and be registered again.
+/// What one start of a target reported about itself in its answers. It is kept while the target's entry is missing, since the entry may
+/// expire and be registered again.
 struct SelfReport {
-    std::int64_t startedAtMilliseconds{0};
     bool isLeaving{false};
+    /// When this instance learnt that the target leaves.
+    Core::TimePoint leavingSince;
     /// The target wants no requests from this instance before then.
     Core::TimePoint quietUntil;
+    /// Unset while the target states no rate.
+    std::optional<StatedRate> rate;
     Core::TimePoint reportedAt;
 
     bool operator==(const SelfReport &) const = default;
@@ -67,14 +71,14 @@
 /// loss of one data centre removes a third; probes and requests to its targets then fail, which shows that they are gone.
 constexpr double MASS_EXPIRY_SHARE = 0.4;
 
-/// Time for which the self-report of an unlisted target is kept. A leaving target serves for some more seconds.
+/// Time for which the self-report of a start that is not listed is kept. A leaving target serves for some more seconds.
 constexpr std::chrono::minutes SELF_REPORT_RETENTION{10};
 
 /// The list of targets that this instance uses. It is kept through store outages.
 struct Directory {
     std::map<std::string, DirectoryEntry> entries;
-    /// By the target's name.
-    std::map<std::string, SelfReport> selfReports;
+    /// Start times do not order the starts of a target: its clock may have been set back.
+    std::map<TargetStart, SelfReport> selfReports;
     bool isKnown{false};
     /// Since when the store has not answered; unset while it answers.
     std::optional<Core::TimePoint> storeLostSince;
@@ -104,13 +108,20 @@
 void recordQuiet(
     Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, Core::TimePoint quietUntil, Core::TimePoint now);
 
+/// Records the rate of requests that the target stated. Returns true if it is another than before.
+bool recordRate(
+    Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds, double requestsPerSecond, Core::TimePoint now);
+
+/// Records that the target states no rate any more. Returns true if it had stated one.
+bool withdrawRate(Directory &directory, const std::string &name, std::int64_t startedAtMilliseconds);
+
 /// The self-report of the start that the record describes, or null.
 const SelfReport *findSelfReport(const Directory &directory, const TargetRecord &record);
 
 /// The targets that reported that they leave.
 std::vector<TargetStart> leavingTargets(const Directory &directory);
 
-/// Removes self-reports of targets that have not been listed for SELF_REPORT_RETENTION.
+/// Removes self-reports of starts that have not been listed for SELF_REPORT_RETENTION.
 void expireSelfReports(Directory &directory, Core::TimePoint now);
 
 /// Removes missing entries once the grace period after a store outage is over. Returns true if any was removed.
--- a/Libraries/LibGateway/Reflector.h
+++ b/Libraries/LibGateway/Reflector.h
@@ -24,15 +24,35 @@
     Suspend,
 };
 
+/// Where a reflector learnt of changes.
+enum class ChangeSource {
+    Listing,
+    Watch,
+    /// A watcher among the peers.
+    Peer,
+    /// All objects of a peer.
+    Snapshot,
+};
+
+std::string_view nameOf(ChangeSource source);
+
+/// Changes that a reflector learnt of at once.
+struct ChangeBatch {
+    ChangeSource source{ChangeSource::Watch};
+    /// `all` holds every change after this revision and up to its own; zero where earlier changes are unknown.
+    Revision previous{0};
+    Changes all;
+    /// Those of them that are newer than what was known here; after a listing or a snapshot also objects missing in it, as removed.
+    Changes newer;
+};
+
 /// Mirrors the objects of one kind: lists them once, then watches the store or receives changes from peers. Relists only where the store
 /// has dropped its history or a relist is requested.
 class Reflector
 {
 public:
     struct Callbacks {
-        /// Called with changes newer than those reported before; after a listing also with objects missing in it, as removed. Previous is
-        /// zero for the first listing.
-        std::function<void(Revision previous, const Changes &)> onChanges;
+        std::function<void(const ChangeBatch &batch)> onChanges;
         std::function<ReflectorMode(Revision revision)> mode;
         /// Called after each usable response of the store.
         std::function<void()> onResponse;
@@ -57,8 +77,9 @@
     /// Records that all changes up to the revision are known, because peers reported no others.
     void advanceTo(Revision revision);
     /// Applies changes that a peer sent. Returns true if any of them was new.
-    bool applyPeerChanges(Revision previous, const Changes &changes);
-    /// Applies a peer's snapshot while the store does not respond. The next listing of the store corrects it.
+    bool applyPeerChanges(Revision previous, Changes changes);
+    /// Applies a peer's snapshot while the store does not respond, unless it is older than what is known here. Objects missing in it are
+    /// reported as removed.
     void applySnapshot(const Listing &listing);
     /// The revision of an object's last known change; zero where none is known.
     Revision revisionOf(const std::string &name) const;
@@ -67,6 +88,10 @@
     boost::asio::awaitable<bool> list();
     /// The changes that lead from what is known to the listing.
     Changes difference(const Listing &listing) const;
+    /// The changes after the revision that the listing shows.
+    static Changes changesAfter(Revision previous, const Listing &listing, const Changes &difference);
+    /// Records the listing's objects as known, beside later changes that peers reported.
+    void adoptListing(const Listing &listing);
     boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait);
     boost::asio::awaitable<void> idle();
     /// Returns the changes that are newer than the known revisions of their objects, and records them as known.
@@ -82,7 +107,7 @@
     Revision revision{0};
     /// The revision of the last change of each object, also of removed ones.
     std::map<std::string, Revision> knownRevisions;
-    /// Revision of the last listing. It covers all changes up to that revision, including removals, which it cannot show.
+    /// Revision of the last listing or snapshot. It covers all changes up to that revision, including removals, which it cannot show.
     Revision listedRevision{0};
     boost::asio::steady_timer wakeTimer;
     bool needsListing{true};
--- a/Tests/LibGateway/TestReflector.cpp
+++ b/Tests/LibGateway/TestReflector.cpp
@@ -45,9 +45,10 @@
                     ObjectKind::Targets,
                     15s,
                     {.onChanges =
-                         [this](Revision previous, const Changes &changes) {
-                             this->heard.push_back((previous == 0 ? "list@" : "changes@") + std::to_string(changes.revision));
-                             this->told = changes;
+                         [this](const ChangeBatch &batch) {
+                             this->heard.push_back((batch.previous == 0 ? "list@" : "changes@") + std::to_string(batch.newer.revision));
+                             this->told = batch.newer;
+                             this->toldForPeers = batch.all;
                          },
                      .mode =
                          [this](Revision revision) {
@@ -81,6 +82,7 @@
     Core::Random random{5};
     std::vector<std::string> heard;
     Changes told;
+    Changes toldForPeers;
     std::function<ReflectorMode(Revision revision)> mode = [](Revision) {
         return ReflectorMode::Watch;
     };
@@ -213,6 +215,28 @@
     EXPECT_EQ(this->told.revision, 6U);
 }
 
+// A listing is as old as its oldest page, and peers may have reported later changes.
+TEST_F(ReflectorTest, listingDoesNotRevokeLaterChangesOfPeers)
+{
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 3});
+    });
+    this->mode = [](Revision) {
+        return ReflectorMode::AwaitPeers;
+    };
+    this->runFor(50ms);
+    this->reflector.applyPeerChanges(7, changesAt(8));
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+    });
+    this->reflector.requestRelist();
+    this->context.restart();
+    this->context.run_for(200ms);
+    EXPECT_EQ(this->reflector.syncedRevision(), 5U);
+    EXPECT_EQ(this->reflector.revisionOf("one"), 8U);
+    EXPECT_TRUE(this->told.changes.empty()) << "the object is not removed";
+}
+
 TEST_F(ReflectorTest, staleReplicaDoesNotLowerRevision)
 {
     const InSequence order;
@@ -258,6 +282,36 @@
     EXPECT_EQ(this->heard, (std::vector<std::string>{"list@5", "answer", "changes@8"}));
 }
 
+// A watcher that omits from what it publishes the changes that it had from peers hides them from an instance which missed those messages:
+// the batch counts as complete there.
+TEST_F(ReflectorTest, batchForPeersHoldsChangesThatWereKnownHere)
+{
+    const InSequence order;
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+    });
+    EXPECT_CALL(this->store, watch(_, 5, _, _)).WillOnce([] {
+        return now<WatchResult>(Changes{.changes = {Change{{.name = "two", .revision = 6, .content = {}}, false},
+                                                    Change{{.name = "one", .revision = 8, .content = {}}, false}},
+                                        .revision = 8});
+    });
+    EXPECT_CALL(this->store, watch(_, 8, _, _)).WillOnce([] {
+        return never();
+    });
+    bool isAwaitingPeers = true;
+    this->mode = [&isAwaitingPeers](Revision) {
+        return isAwaitingPeers ? ReflectorMode::AwaitPeers : ReflectorMode::Watch;
+    };
+    this->runFor(50ms);
+    this->reflector.applyPeerChanges(7, changesAt(8));
+    isAwaitingPeers = false;
+    this->context.restart();
+    this->context.run_for(400ms);
+    ASSERT_EQ(this->told.changes.size(), 1U);
+    EXPECT_EQ(this->told.changes[0].object.name, "two");
+    EXPECT_EQ(this->toldForPeers.changes.size(), 2U);
+}
+
 TEST_F(ReflectorTest, catchUpFetchesMissingChangesFromLastRevision)
 {
     const InSequence order;
@@ -278,6 +332,40 @@
     EXPECT_EQ(this->heard.back(), "answer");
 }
 
+// A snapshot moves the revision past removals that this instance has missed. A target that was removed without leaving first stayed in use,
+// since nothing showed its removal afterwards.
+TEST_F(ReflectorTest, peerSnapshotRemovesWhatThePeerNoLongerHolds)
+{
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{
+            .objects = {{.name = "one", .revision = 3, .content = {}}, {.name = "two", .revision = 4, .content = {}}}, .revision = 5});
+    });
+    this->mode = [](Revision) {
+        return ReflectorMode::AwaitPeers;
+    };
+    this->runFor(50ms);
+    this->reflector.applySnapshot({.objects = {{.name = "two", .revision = 8, .content = {}}}, .revision = 9});
+    ASSERT_EQ(this->told.changes.size(), 2U);
+    EXPECT_EQ(this->told.changes[0].object.name, "two");
+    EXPECT_EQ(this->told.changes[1].object.name, "one");
+    EXPECT_TRUE(this->told.changes[1].isRemoved);
+    EXPECT_EQ(this->reflector.syncedRevision(), 9U);
+}
+
+TEST_F(ReflectorTest, olderPeerSnapshotRemovesNothing)
+{
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {{.name = "one", .revision = 3, .content = {}}}, .revision = 5});
+    });
+    this->mode = [](Revision) {
+        return ReflectorMode::AwaitPeers;
+    };
+    this->runFor(50ms);
+    this->reflector.applySnapshot({.objects = {}, .revision = 4});
+    EXPECT_EQ(this->heard, (std::vector<std::string>{"list@5", "answer"}));
+    EXPECT_EQ(this->reflector.syncedRevision(), 5U);
+}
+
 TEST_F(ReflectorTest, listingCorrectsPeerSnapshotOnceStoreResponds)
 {
     bool isStoreLost = true;
