LibGateway: Log the oldest and the newest page of each listing

Behaviour is unchanged. pagedListFromReplicasOfDifferentAgeHasRevisionOfOldestPage checks the new field.

--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -175,6 +175,10 @@
                                                [this, kind](const ChangeBatch &batch) {
                                                    this->applyChanges(kind, batch);
                                                },
+                                           .onListing =
+                                               [this, kind](const Listing &listing) {
+                                                   this->logListing(kind, listing);
+                                               },
                                            .mode =
                                                [this, kind](Revision revision) {
                                                    const bool isHeartbeat = kind == ObjectKind::RoutingConfiguration;
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -42,6 +42,7 @@
     std::optional<Listing> snapshotOf(ObjectKind kind) const;
     std::vector<StoredObject> objectsOf(ObjectKind kind) const;
     void applySnapshot(ObjectKind kind, const Listing &listing);
+    void logListing(ObjectKind kind, const Listing &listing);
     void makeStoreDissemination();
     void makeTargetDissemination();
     void applyRemoval(ObjectKind kind, ChangeSource source, const StoredObject &object);
--- a/Libraries/LibGateway/InstanceObjects.cpp
+++ b/Libraries/LibGateway/InstanceObjects.cpp
@@ -172,6 +172,17 @@
     return objects;
 }
 
+void Instance::logListing(ObjectKind kind, const Listing &listing)
+{
+    this->state.log.write(Importance::Routine,
+                          "listed",
+                          {{"kind", nameOf(kind)},
+                           {"objects", listing.objects.size()},
+                           {"revision", listing.revision},
+                           {"newest_page", listing.newestPage},
+                           {"known_revision", this->followerOf(kind).syncedRevision()}});
+}
+
 void Instance::applySnapshot(ObjectKind kind, const Listing &listing)
 {
     if (!this->needsSnapshot(kind)) {
--- a/Libraries/LibGateway/Reflector.cpp
+++ b/Libraries/LibGateway/Reflector.cpp
@@ -127,6 +127,7 @@
         co_return false;
     }
     const auto &listing = std::get<Listing>(result);
+    this->callbacks.onListing(listing);
     const auto previous = this->revision;
     if (listing.revision < previous) {
         // A stale replica may lack objects that are already known.
--- a/Libraries/LibGateway/Reflector.h
+++ b/Libraries/LibGateway/Reflector.h
@@ -53,6 +53,8 @@
 public:
     struct Callbacks {
         std::function<void(const ChangeBatch &batch)> onChanges;
+        /// Called with each listing of the store before its changes.
+        std::function<void(const Listing &listing)> onListing;
         std::function<ReflectorMode(Revision revision)> mode;
         /// Called after each usable response of the store.
         std::function<void()> onResponse;
--- a/Tests/LibGateway/TestReflector.cpp
+++ b/Tests/LibGateway/TestReflector.cpp
@@ -50,6 +50,7 @@
                              this->told = batch.newer;
                              this->toldForPeers = batch.all;
                          },
+                     .onListing = [](const Listing &) {},
                      .mode =
                          [this](Revision revision) {
                              return this->mode(revision);
--- a/Tests/platform/TestStoreClient.cpp
+++ b/Tests/platform/TestStoreClient.cpp
@@ -125,7 +125,9 @@
         return request.target().find("after=") == boost::beast::string_view::npos ? json(page(server("a"), true, 53))
                                                                                   : json(page(server("b"), false, 50));
     });
-    EXPECT_EQ(std::get<Listing>(this->list(Freshness::Relaxed)).revision, 50U);
+    const auto listing = std::get<Listing>(this->list(Freshness::Relaxed));
+    EXPECT_EQ(listing.revision, 50U);
+    EXPECT_EQ(listing.newestPage, 53U);
 }
 
 TEST_F(StoreClientTest, listPercentEncodesContinuationName)
