LibNetwork: Accept the connections that wait before a listener closes

Callers saw a reset instead of an answer, in both daemons.

Cause: closing a listening socket resets the connections in its queue. Their callers are connected already and have sent their request; a process that gets little processor time has not accepted them yet when the time to stop listening comes. The gateway ended in the same turn, so that requests of connections accepted just before were lost too. Change: before the acceptor is closed, what waits is accepted without blocking.

Not covered: a connection established in the microseconds between the last accept and the close.

--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -205,8 +205,9 @@
 
 void CallerFrontend::stopListening()
 {
-    boost::system::error_code ignored;
-    this->acceptor.close(ignored);
+    Network::closeAcceptor(this->acceptor, [this](Asio::ip::tcp::socket socket) {
+        this->take(std::move(socket));
+    });
 }
 
 void CallerFrontend::refuseNewRequests()
@@ -216,14 +217,19 @@
 
 Asio::awaitable<void> CallerFrontend::acceptLoop()
 {
-    const auto most = static_cast<std::uint32_t>(this->state.settings.instance.maximumDescriptors * CALLER_DESCRIPTOR_SHARE);
-    co_await Network::acceptConnections(this->acceptor, [this, most](Asio::ip::tcp::socket socket) {
-        if (this->state.callerConnections < most) {
-            spawn(this->state, "caller", this->serve(std::move(socket)));
-        }
+    co_await Network::acceptConnections(this->acceptor, [this](Asio::ip::tcp::socket socket) {
+        this->take(std::move(socket));
     });
 }
 
+void CallerFrontend::take(Asio::ip::tcp::socket socket)
+{
+    const auto most = static_cast<std::uint32_t>(this->state.settings.instance.maximumDescriptors * CALLER_DESCRIPTOR_SHARE);
+    if (this->state.callerConnections < most) {
+        spawn(this->state, "caller", this->serve(std::move(socket)));
+    }
+}
+
 Asio::awaitable<void> CallerFrontend::serve(Asio::ip::tcp::socket socket)
 {
     const Core::Presence connection(this->state.callerConnections);
--- a/Libraries/LibGateway/CallerFrontend.h
+++ b/Libraries/LibGateway/CallerFrontend.h
@@ -27,13 +27,14 @@
 
     /// The address on which callers are accepted.
     boost::asio::ip::tcp::endpoint localEndpoint() const;
-    /// Accepts no more connections.
+    /// Accepts no more connections than are established.
     void stopListening();
     /// Refuses all further requests because there is no time left to serve them.
     void refuseNewRequests();
 
 private:
     boost::asio::awaitable<void> acceptLoop();
+    void take(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     /// Reads and answers one request whose first byte has arrived. Returns whether the connection may carry another request.
     boost::asio::awaitable<bool> serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer);
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -275,8 +275,12 @@
     }
     this->callers->refuseNewRequests();
     const bool isOverdue = sinceStop >= this->state.settings.stop.grace - STOP_MARGIN;
-    if ((this->state.requestsInFlight == 0 || isOverdue) && this->onStopped) {
+    if (this->state.requestsInFlight == 0 && !std::exchange(this->hasStoppedListening, true)) {
+        // Callers that waited to be accepted still get their response. The next check sees their requests.
         this->callers->stopListening();
+        return;
+    }
+    if ((this->state.requestsInFlight == 0 || isOverdue) && this->onStopped) {
         this->peers->leave();
         this->state.log.write(Importance::Notable, "stopped", {{"in_flight", this->state.requestsInFlight}});
         this->state.log.flush();
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -82,6 +82,7 @@
     std::vector<std::unique_ptr<Core::TimerSubscription>> subscriptions;
     std::function<void()> onStopped;
     Core::TimePoint stopStartedAt;
+    bool hasStoppedListening{false};
     Core::TimePoint lastTick;
     std::chrono::nanoseconds lastTickBootTime{0};
     Core::TimePoint lastFreezeEnd;
--- a/Libraries/LibNetwork/HttpServer.cpp
+++ b/Libraries/LibNetwork/HttpServer.cpp
@@ -49,6 +49,19 @@
     }
 }
 
+void closeAcceptor(Asio::ip::tcp::acceptor &acceptor, const std::function<void(Asio::ip::tcp::socket socket)> &take)
+{
+    boost::system::error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error || error == Asio::error::connection_aborted) {
+        auto socket = acceptor.accept(error);
+        if (!error) {
+            take(std::move(socket));
+        }
+    }
+    acceptor.close(error);
+}
+
 Asio::ip::tcp::acceptor openAcceptor(Asio::io_context &context, const Endpoint &endpoint)
 {
     const auto local = endpoint.tcp();
--- a/Libraries/LibNetwork/HttpServer.h
+++ b/Libraries/LibNetwork/HttpServer.h
@@ -58,6 +58,10 @@
 boost::asio::awaitable<void> acceptConnections(boost::asio::ip::tcp::acceptor &acceptor,
                                                std::function<void(boost::asio::ip::tcp::socket socket)> take);
 
+/// Hands over the connections that wait to be accepted, then closes the acceptor. Closing alone would reset them, although their peers are
+/// connected already and may have sent a request.
+void closeAcceptor(boost::asio::ip::tcp::acceptor &acceptor, const std::function<void(boost::asio::ip::tcp::socket socket)> &take);
+
 /// Opens a listening socket with address reuse. Throws boost::system::system_error.
 boost::asio::ip::tcp::acceptor openAcceptor(boost::asio::io_context &context, const Endpoint &endpoint);
 
--- a/Libraries/LibRelay/CallerListener.cpp
+++ b/Libraries/LibRelay/CallerListener.cpp
@@ -66,19 +66,25 @@
 
 void CallerListener::stop()
 {
-    boost::system::error_code ignored;
-    this->acceptor.close(ignored);
+    Network::closeAcceptor(this->acceptor, [this](Asio::ip::tcp::socket socket) {
+        this->take(std::move(socket));
+    });
 }
 
 Asio::awaitable<void> CallerListener::acceptLoop()
 {
     co_await Network::acceptConnections(this->acceptor, [this](Asio::ip::tcp::socket socket) {
-        if (this->relay.callerConnections < this->relay.limits.callerConnections) {
-            Asio::co_spawn(this->acceptor.get_executor(), serve(this->relay, std::move(socket)), Asio::detached);
-        }
+        this->take(std::move(socket));
     });
 }
 
+void CallerListener::take(Asio::ip::tcp::socket socket)
+{
+    if (this->relay.callerConnections < this->relay.limits.callerConnections) {
+        Asio::co_spawn(this->acceptor.get_executor(), serve(this->relay, std::move(socket)), Asio::detached);
+    }
+}
+
 Asio::awaitable<void> CallerListener::serve(RelayState &relay, Asio::ip::tcp::socket socket)
 {
     const Core::Presence connection(relay.callerConnections);
--- a/Libraries/LibRelay/CallerListener.h
+++ b/Libraries/LibRelay/CallerListener.h
@@ -16,11 +16,12 @@
     CallerListener(boost::asio::io_context &context, const Network::Endpoint &endpoint, RelayState &relay);
 
     Network::Endpoint endpoint() const;
-    /// Accepts no more connections. Requests in flight go on.
+    /// Accepts no more connections than are established. Requests in flight go on.
     void stop();
 
 private:
     boost::asio::awaitable<void> acceptLoop();
+    void take(boost::asio::ip::tcp::socket socket);
     static boost::asio::awaitable<void> serve(RelayState &relay, boost::asio::ip::tcp::socket socket);
 
     RelayState &relay;
--- a/Tests/LibGateway/TestCallerFrontend.cpp
+++ b/Tests/LibGateway/TestCallerFrontend.cpp
@@ -62,4 +62,31 @@
     context.run_for(100ms);
 }
 
+// A planned stop under load reset callers that were connected but not yet accepted.
+TEST(CallerFrontend, callersThatWaitToBeAcceptedAreAnsweredAfterListeningStopped)
+{
+    Asio::io_context context;
+    GatewayState state(context.get_executor(), settings(), Platform::wireDialect(), 17);
+    CallerFrontend frontend(context, state);
+    context.poll();
+    // Connected by the kernel while this process, which accepts them, is busy.
+    std::vector<Asio::ip::tcp::socket> sockets;
+    std::vector<std::string> heads(3);
+    for (std::size_t caller = 0; caller < heads.size(); ++caller) {
+        sockets.emplace_back(context).connect(frontend.localEndpoint());
+    }
+    frontend.stopListening();
+    for (std::size_t caller = 0; caller < heads.size(); ++caller) {
+        Asio::co_spawn(context, ask(sockets[caller]), [&head = heads[caller]](const std::exception_ptr &failure, std::string answer) {
+            head = failure ? "no answer" : std::move(answer);
+        });
+    }
+    context.run_for(100ms);
+    for (const auto &head : heads) {
+        EXPECT_TRUE(head.starts_with("HTTP/1.1 503")) << head;
+    }
+    sockets.clear();
+    context.run_for(100ms);
+}
+
 } // namespace Briarbend::Gateway
