LibGateway: Fetch announced changes that a pending watch does not report

Cause: the active watcher of a data centre reads with a relaxed watch of up to 15 s. If the replica that serves it is behind, nothing ends the watch, though the watchers of other data centres announce the change: its neighbours ask the store after 250 ms, the watcher itself does not and goes on using a target that has begun to leave. Change: modeFor says catch up to a watcher too once an announced change is missing for longer than its delivery takes, and Reflector::overtakeWatches makes that call, linearizable, beside the watch in progress. What the watch reports later is known by then and is not applied twice. A listing that has become due meanwhile is made at once as well. Ruled out: shorter watches (each call is priced, and most wait for nothing); cancelling the watch (the connection goes with it).

watchAtAStaleReplicaDoesNotDelayAnnouncedChanges, watchAtAStaleReplicaDoesNotDelayTheListingAfterLostHistory and activeWatcherThatLacksAnAnnouncedChangeCatchesUp fail without the change.

--- a/Libraries/LibGateway/ChangeDisseminator.cpp
+++ b/Libraries/LibGateway/ChangeDisseminator.cpp
@@ -92,12 +92,12 @@
     if (!hearsWatchers && isJoining && Membership::countAlive(this->peers.state().members) <= 1) {
         return ReflectorMode::AwaitPeers;
     }
-    if (this->isActiveWatcher() || (!hearsWatchers && !isJoining)) {
-        return ReflectorMode::Watch;
-    }
     const auto deliveryTimeout = kind == ObjectKind::RoutingConfiguration ? CONFIGURATION_DELIVERY_TIMEOUT : DELIVERY_TIMEOUT;
     const bool mayBeInTransit = now - this->missingSince[indexOf(kind)] < deliveryTimeout;
-    return this->isBehind(kind, revision) && !mayBeInTransit ? ReflectorMode::CatchUp : ReflectorMode::AwaitPeers;
+    if (this->isBehind(kind, revision) && !mayBeInTransit) {
+        return ReflectorMode::CatchUp;
+    }
+    return this->isActiveWatcher() || (!hearsWatchers && !isJoining) ? ReflectorMode::Watch : ReflectorMode::AwaitPeers;
 }
 
 bool ChangeDisseminator::isBehind(ObjectKind kind, Revision revision) const
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -80,6 +80,7 @@
     for (const auto kind : ALL_OBJECT_KINDS) {
         this->followers.push_back(this->makeFollower(kind));
         spawn(this->state, "follower", this->followers.back()->follow());
+        spawn(this->state, "watch_overtaker", this->followers.back()->overtakeWatches());
     }
     this->subscriptions.push_back(this->timers.every(LOG_FLUSH_INTERVAL, [this](Core::TimePoint) {
         this->state.log.flush();
--- a/Libraries/LibGateway/Reflector.cpp
+++ b/Libraries/LibGateway/Reflector.cpp
@@ -96,7 +96,9 @@
         if (this->needsListing) {
             isDone = co_await this->list();
         } else if (mode == ReflectorMode::Watch) {
+            this->isWatchPending = true;
             isDone = co_await this->watch(this->watchWait);
+            this->isWatchPending = false;
         } else if (mode == ReflectorMode::CatchUp) {
             isDone = co_await this->watch(CATCH_UP_WAIT);
         } else {
@@ -115,6 +117,21 @@
     }
 }
 
+Asio::awaitable<void> Reflector::overtakeWatches()
+{
+    while (true) {
+        co_await this->pause(IDLE_POLL_INTERVAL);
+        if (!this->isWatchPending || this->callbacks.mode(this->revision) != ReflectorMode::CatchUp) {
+            continue;
+        }
+        this->linearizableReadsUntil = std::max(this->linearizableReadsUntil, Core::Clock::now() + STALE_REPLICA_PERIOD);
+        const bool isDone = this->needsListing ? co_await this->list() : co_await this->watch(CATCH_UP_WAIT);
+        if (isDone) {
+            this->callbacks.onResponse();
+        }
+    }
+}
+
 Asio::awaitable<bool> Reflector::list()
 {
     // Cleared before the call, so that a requestRelist during it is not lost.
--- a/Libraries/LibGateway/Reflector.h
+++ b/Libraries/LibGateway/Reflector.h
@@ -70,6 +70,9 @@
 
     /// Runs for as long as the reflector exists. To be spawned once.
     boost::asio::awaitable<void> follow();
+    /// Runs beside follow(): fetches changes that a watch in progress does not report although peers have announced them, since the watch
+    /// may be served by a stale replica. To be spawned once.
+    boost::asio::awaitable<void> overtakeWatches();
     /// Makes the next request a listing, because the known state may be out of date.
     void requestRelist();
     /// True once a listing has been received that was requested after the last requestRelist.
@@ -113,6 +116,7 @@
     Revision listedRevision{0};
     boost::asio::steady_timer wakeTimer;
     bool needsListing{true};
+    bool isWatchPending{false};
     std::uint32_t consecutiveFailures{0};
     /// Until then, reads are linearizable, since a replica may be stale.
     Core::TimePoint linearizableReadsUntil;
--- a/Tests/LibGateway/TestChangeDisseminator.cpp
+++ b/Tests/LibGateway/TestChangeDisseminator.cpp
@@ -267,6 +267,16 @@
 
 // Found by randomised simulation (tsh-scan, configuration-under-refusal --vary --seed 8): the store refused both watchers of a data centre,
 // and each new configuration, 400 ms apart, restarted the other instances' delivery timeout for the previous one.
+TEST_F(ChangeDisseminatorTest, activeWatcherThatLacksAnAnnouncedChangeCatchesUp)
+{
+    const auto watchers = this->watchersOf("a");
+    auto &watcher = *this->instances.at(this->instances.at(watchers[0])->disseminator.isActiveWatcher() ? watchers[0] : watchers[1]);
+    watcher.disseminator.recordLatestRevision(TARGETS, 20);
+    EXPECT_EQ(watcher.mode(TARGETS), ReflectorMode::Watch) << "its watch may be about to report it";
+    this->timers.runFor(300ms);
+    EXPECT_EQ(watcher.mode(TARGETS), ReflectorMode::CatchUp);
+}
+
 TEST_F(ChangeDisseminatorTest, laterChangesDoNotPostponeCatchUp)
 {
     const auto other = this->otherThan(this->watchersOf("a"), "a");
--- a/Tests/LibGateway/TestReflector.cpp
+++ b/Tests/LibGateway/TestReflector.cpp
@@ -69,6 +69,7 @@
     void runFor(std::chrono::milliseconds duration)
     {
         boost::asio::co_spawn(this->context, this->reflector.follow(), boost::asio::detached);
+        boost::asio::co_spawn(this->context, this->reflector.overtakeWatches(), boost::asio::detached);
         this->context.run_for(duration);
     }
 
@@ -333,6 +334,58 @@
     EXPECT_EQ(this->heard.back(), "answer");
 }
 
+// A watcher went on waiting for up to the whole watch at a replica that lacked a change of which it had heard: a target that began to leave
+// stayed in use there.
+TEST_F(ReflectorTest, watchAtAStaleReplicaDoesNotDelayAnnouncedChanges)
+{
+    const InSequence order;
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+    });
+    EXPECT_CALL(this->store, watch(_, 5, 15'000ms, Freshness::Relaxed)).WillOnce([] {
+        return never();
+    });
+    EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Linearizable)).WillOnce([] {
+        return now<WatchResult>(changesAt(9));
+    });
+    Revision announced = 5;
+    this->mode = [&announced](Revision revision) {
+        return revision < announced ? ReflectorMode::CatchUp : ReflectorMode::Watch;
+    };
+    this->runFor(300ms);
+    announced = 9;
+    this->context.restart();
+    this->context.run_for(500ms);
+    EXPECT_EQ(this->heard, (std::vector<std::string>{"list@5", "answer", "changes@9", "answer"}));
+}
+
+// The history is gone while the watch at the stale replica still waits.
+TEST_F(ReflectorTest, watchAtAStaleReplicaDoesNotDelayTheListingAfterLostHistory)
+{
+    const InSequence order;
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+    });
+    EXPECT_CALL(this->store, watch(_, 5, 15'000ms, Freshness::Relaxed)).WillOnce([] {
+        return never();
+    });
+    EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Linearizable)).WillOnce([] {
+        return now<WatchResult>(HistoryGone{});
+    });
+    EXPECT_CALL(this->store, list(_, Freshness::Linearizable)).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = 9});
+    });
+    Revision announced = 5;
+    this->mode = [&announced](Revision revision) {
+        return revision < announced ? ReflectorMode::CatchUp : ReflectorMode::Watch;
+    };
+    this->runFor(300ms);
+    announced = 9;
+    this->context.restart();
+    this->context.run_for(700ms);
+    EXPECT_EQ(this->reflector.syncedRevision(), 9U);
+}
+
 // A snapshot moves the revision past removals that this instance has missed. A target that was removed without leaving first stayed in use,
 // since nothing showed its removal afterwards.
 TEST_F(ReflectorTest, peerSnapshotRemovesWhatThePeerNoLongerHolds)
