Soak: Let targets say only in their answers that they leave

The ledger notices work at such a start of a target that was sent to an instance later than the bound after that instance had passed on such an answer, whatever the store's state; only the end or a freeze of the instance excuses it.

The checks themselves are tested in TestLedger.newWorkAtATargetThatToldTheInstanceThatItLeavesIsNoticed.

--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -29,6 +29,15 @@
 constexpr std::chrono::milliseconds PAUSE{60};
 constexpr std::chrono::milliseconds PAUSE_AFTER_FAILURE{150};
 
+std::optional<PassedReport> reportIn(const Network::Response &response)
+{
+    if (response.count("Soak-Start") == 0) {
+        return std::nullopt;
+    }
+    return PassedReport{.start = {std::string(response["Soak-Target"]), std::stoll(std::string(response["Soak-Start"]))},
+                        .isLeaving = response.count("Server-Leaving") > 0};
+}
+
 } // namespace
 
 struct Callers::Connection {
@@ -125,6 +134,7 @@
         outcome.status = response.result_int();
         outcome.isBodyRight = response.body() == bodyFor(attemptId);
         outcome.isOwnAnswer = response["Attempt-Id"] == attemptId;
+        outcome.report = reportIn(response);
     }
     if (error || !response.keep_alive()) {
         connection.stream.close();
--- a/Tests/Soak/Checks/TestLedger.cpp
+++ b/Tests/Soak/Checks/TestLedger.cpp
@@ -14,6 +14,8 @@
 using namespace std::chrono_literals;
 
 const Core::TimePoint START{100s};
+const TargetStart ONE{"one", 1};
+const TargetStart TWO{"two", 1};
 
 CallerOutcome outcomeOf(const std::string &id, Core::TimePoint sentAt, std::optional<unsigned> status, bool mayRepeat = false)
 {
@@ -41,7 +43,15 @@
     void serve(const std::string &id, Core::TimePoint at)
     {
         this->ledger.recordOutcome(outcomeOf(id, at, 200));
-        this->ledger.recordRun(id, {"one", at + 10ms});
+        this->ledger.recordRun(id, {ONE, at + 10ms});
+    }
+
+    void hearReport(const std::string &id, Core::TimePoint at, PassedReport report)
+    {
+        auto outcome = outcomeOf(id, at, 200);
+        outcome.report = std::move(report);
+        this->ledger.recordOutcome(outcome);
+        this->ledger.recordRun(id, {ONE, at + 10ms});
     }
 
     std::size_t broken() const
@@ -63,10 +73,10 @@
 TEST_F(LedgerTest, aSecondRunIsNoticedWhereARequestMayRunOnce)
 {
     this->serve("once", START);
-    this->ledger.recordRun("once", {"two", START + 20ms});
+    this->ledger.recordRun("once", {TWO, START + 20ms});
     this->ledger.recordOutcome(outcomeOf("repeatable", START, 200, true));
-    this->ledger.recordRun("repeatable", {"one", START});
-    this->ledger.recordRun("repeatable", {"two", START});
+    this->ledger.recordRun("repeatable", {ONE, START});
+    this->ledger.recordRun("repeatable", {TWO, START});
     EXPECT_EQ(this->broken(), 1U);
 }
 
@@ -75,7 +85,7 @@
     for (const auto status : {503U, 429U, 502U}) {
         const auto id = std::to_string(status);
         this->ledger.recordOutcome(outcomeOf(id, START, status));
-        this->ledger.recordRun(id, {"one", START});
+        this->ledger.recordRun(id, {ONE, START});
     }
     EXPECT_EQ(this->broken(), 2U) << "502 promises nothing";
 }
@@ -87,14 +97,14 @@
     auto foreign = outcomeOf("foreign", START, 503);
     foreign.isOwnAnswer = false;
     this->ledger.recordOutcome(cut);
-    this->ledger.recordRun("cut", {"one", START});
+    this->ledger.recordRun("cut", {ONE, START});
     this->ledger.recordOutcome(foreign);
     EXPECT_EQ(this->broken(), 2U);
 }
 
 TEST_F(LedgerTest, aRunThatNobodyAskedForIsNoticed)
 {
-    this->ledger.recordRun("stranger", {"one", START});
+    this->ledger.recordRun("stranger", {ONE, START});
     EXPECT_EQ(this->broken(), 1U);
 }
 
@@ -117,6 +127,18 @@
     EXPECT_EQ(this->broken(), 2U);
 }
 
+TEST_F(LedgerTest, newWorkAtATargetThatToldTheInstanceThatItLeavesIsNoticed)
+{
+    this->ledger.begin({.instance = {}, .begin = START, .end = {}});
+    this->hearReport("told", START, {.start = ONE, .isLeaving = true});
+    this->serve("soon", START + 1s);
+    EXPECT_EQ(this->broken(), 1U) << "the last one came an hour later, and trouble of the store excuses nothing";
+    this->serve("late", START + 3s);
+    EXPECT_EQ(this->broken(), 2U);
+    this->ledger.end(this->ledger.begin({.instance = 0, .begin = START + 2s, .end = {}}), START + 2500ms);
+    EXPECT_EQ(this->broken(), 0U) << "the instance started again";
+}
+
 TEST_F(LedgerTest, newWorkInADataCentreThatIsOutIsNoticedAfterItsTime)
 {
     this->ledger.recordOut({"one"}, START);
@@ -131,7 +153,7 @@
 {
     this->ledger.recordStop(0, START);
     this->ledger.recordOutcome(outcomeOf("cut", START - 10ms, std::nullopt));
-    this->ledger.recordRun("cut", {"one", START});
+    this->ledger.recordRun("cut", {ONE, START});
     EXPECT_EQ(this->broken(), 1U);
 }
 
--- a/Tests/Soak/Ledger.cpp
+++ b/Tests/Soak/Ledger.cpp
@@ -101,12 +101,32 @@
     });
 }
 
+bool Ledger::hasRun(std::size_t instance, Core::TimePoint from, Core::TimePoint until) const
+{
+    return std::ranges::none_of(this->disturbances, [=](const Disturbance &disturbance) {
+        return disturbance.instance == instance && disturbance.begin < until && (!disturbance.end || *disturbance.end > from);
+    });
+}
+
+std::map<std::pair<std::size_t, TargetStart>, Core::TimePoint> Ledger::firstTold(bool PassedReport::*says) const
+{
+    std::map<std::pair<std::size_t, TargetStart>, Core::TimePoint> first;
+    for (const auto &[id, outcome] : this->outcomes) {
+        if (outcome.report && (*outcome.report).*says) {
+            auto &at = first.try_emplace({outcome.instance, outcome.report->start}, outcome.endedAt).first->second;
+            at = std::min(at, outcome.endedAt);
+        }
+    }
+    return first;
+}
+
 std::vector<std::string> Ledger::brokenPromises(Core::TimePoint faultsEnded) const
 {
     std::vector<std::string> broken;
     this->checkRuns(broken);
     this->checkAnswers(broken);
     this->checkPlacement(broken);
+    this->checkLeaving(broken);
     this->checkStops(broken);
     this->checkRecovery(broken, faultsEnded);
     std::ranges::copy(this->unknownRoutes, std::back_inserter(broken));
@@ -158,16 +178,32 @@
             if (found == this->outcomes.end() || !this->isCalm(found->second.instance, run.at - STABLE_WINDOW - OUT_BOUND, run.at)) {
                 continue;
             }
-            const auto left = this->leaving.find(run.target);
+            const auto &target = run.start.first;
+            const auto left = this->leaving.find(target);
             if (left != this->leaving.end() && run.at > left->second + LEAVING_BOUND) {
-                broken.push_back(id + " ran at " + run.target + ", which leaves");
+                broken.push_back(id + " ran at " + target + ", which leaves");
             }
-            const auto [first, last] = this->out.equal_range(run.target);
+            const auto [first, last] = this->out.equal_range(target);
             const bool isOut = std::any_of(first, last, [&run](const auto &entry) {
                 return run.at > entry.second.begin + OUT_BOUND && (!entry.second.end || run.at < *entry.second.end);
             });
             if (isOut) {
-                broken.push_back(id + " ran at " + run.target + ", whose data centre is out");
+                broken.push_back(id + " ran at " + target + ", whose data centre is out");
+            }
+        }
+    }
+}
+
+void Ledger::checkLeaving(std::vector<std::string> &broken) const
+{
+    const auto told = this->firstTold(&PassedReport::isLeaving);
+    for (const auto &[id, outcome] : this->outcomes) {
+        const auto found = this->runs.find(id);
+        for (const auto &run : found == this->runs.end() ? std::vector<Run>{} : found->second) {
+            const auto since = told.find({outcome.instance, run.start});
+            if (since != told.end() && outcome.sentAt > since->second + LEAVING_BOUND
+                && this->hasRun(outcome.instance, since->second, run.at)) {
+                broken.push_back(id + " ran at " + run.start.first + ", which had told its instance that it leaves");
             }
         }
     }
--- a/Tests/Soak/Ledger.h
+++ b/Tests/Soak/Ledger.h
@@ -10,6 +10,15 @@
 namespace Briarbend::Soak
 {
 
+/// One start of a target: its name, and when it started in milliseconds of the wall clock.
+using TargetStart = std::pair<std::string, std::int64_t>;
+
+/// What a target said of itself in an answer that an instance passed on.
+struct PassedReport {
+    TargetStart start;
+    bool isLeaving{false};
+};
+
 /// How a request ended, as its caller saw it.
 struct CallerOutcome {
     std::string attemptId;
@@ -25,11 +34,12 @@
     bool wasSent{false};
     /// The caller's time was over; it closed the connection itself.
     bool hasGivenUp{false};
+    std::optional<PassedReport> report{};
 };
 
 /// One run of a request at a target.
 struct Run {
-    std::string target;
+    TargetStart start;
     Core::TimePoint at;
 };
 
@@ -70,9 +80,14 @@
     };
 
     bool isCalm(std::size_t instance, Core::TimePoint from, Core::TimePoint until) const;
+    /// As isCalm, for bounds that hold while the store is in trouble too.
+    bool hasRun(std::size_t instance, Core::TimePoint from, Core::TimePoint until) const;
+    /// When each instance first passed on an answer in which a start of a target said it.
+    std::map<std::pair<std::size_t, TargetStart>, Core::TimePoint> firstTold(bool PassedReport::*says) const;
     void checkRuns(std::vector<std::string> &broken) const;
     void checkAnswers(std::vector<std::string> &broken) const;
     void checkPlacement(std::vector<std::string> &broken) const;
+    void checkLeaving(std::vector<std::string> &broken) const;
     void checkStops(std::vector<std::string> &broken) const;
     void checkRecovery(std::vector<std::string> &broken, Core::TimePoint faultsEnded) const;
 
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -81,6 +81,7 @@
 {
     this->born = std::max(this->born + 1, wallMilliseconds());
     this->held = 0;
+    this->saysItLeaves = false;
 }
 
 Asio::awaitable<void> SoakTarget::acceptLoop()
@@ -96,7 +97,13 @@
     const auto running = std::min(this->held, SLOTS);
     const auto load = std::to_string(running) + "," + std::to_string(this->held - running) + "," + std::to_string(SLOTS) + ","
         + std::to_string(100 * this->slowness);
-    return message(200, "Instance-Id: " + this->ownName + "\r\nServer-Load: " + load + "\r\n", "");
+    return message(
+        this->saysItLeaves ? 503 : 200, "Instance-Id: " + this->ownName + "\r\nServer-Load: " + load + "\r\n" + this->selfReport(), "");
+}
+
+std::string SoakTarget::selfReport() const
+{
+    return this->saysItLeaves ? "Server-Leaving: 1\r\n" : "";
 }
 
 Asio::awaitable<void> SoakTarget::serve(std::shared_ptr<Asio::ip::tcp::socket> socket)
@@ -132,11 +139,11 @@
         co_return message(421, echo, "");
     }
     if (this->held >= SLOTS + QUEUE) {
-        co_return message(503, echo + "Not-Executed: 1\r\n", "");
+        co_return message(503, echo + "Not-Executed: 1\r\n" + this->selfReport(), "");
     }
     const auto start = this->born;
     ++this->held;
-    this->ledger.recordRun(id, {this->ownName, Core::Clock::now()});
+    this->ledger.recordRun(id, {{this->ownName, start}, Core::Clock::now()});
     Asio::steady_timer work(this->context, (SHORTEST_WORK + std::chrono::milliseconds(this->random.below(MORE_WORK_MS))) * this->slowness);
     boost::system::error_code ignored;
     co_await work.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
@@ -145,7 +152,8 @@
         co_return "";
     }
     --this->held;
-    auto text = message(200, echo + "Response-Stamp: stamp\r\n", bodyFor(id));
+    const auto origin = "Soak-Target: " + this->ownName + "\r\nSoak-Start: " + std::to_string(start) + "\r\n";
+    auto text = message(200, echo + origin + "Response-Stamp: stamp\r\n" + this->selfReport(), bodyFor(id));
     co_return this->isGarbling &&this->random.below(GARBLED_EVERY) == 0 ? this->garbled(text) : text;
 }
 
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -32,6 +32,8 @@
     int slowness{1};
     /// Answers are cut, doubled or lost at random.
     bool isGarbling{false};
+    /// It says in its answers that it leaves, until it starts again.
+    bool saysItLeaves{false};
 
 private:
     boost::asio::awaitable<void> acceptLoop();
@@ -39,6 +41,7 @@
     /// The answer's bytes; empty where the connection is to end instead.
     boost::asio::awaitable<std::string> answer(const Network::Request &request, std::shared_ptr<boost::asio::ip::tcp::socket> socket);
     std::string healthAnswer() const;
+    std::string selfReport() const;
     std::string garbled(const std::string &text);
 
     boost::asio::io_context &context;
--- a/Tests/Soak/Timeline.cpp
+++ b/Tests/Soak/Timeline.cpp
@@ -10,24 +10,10 @@
 {
 
 constexpr std::array<std::string_view, FAULT_KINDS> NAMES{
-    "instance frozen",
-    "instance killed",
-    "instance stopped",
-    "instance reloaded",
-    "store refuses",
-    "store closes",
-    "store silent",
-    "store slow",
-    "link delayed",
-    "link reset",
-    "link silent",
-    "link one way",
-    "target crashed",
-    "target slow",
-    "target garbles",
-    "target leaves",
-    "route added",
-    "data centre out",
+    "instance frozen", "instance killed", "instance stopped", "instance reloaded",     "store refuses",
+    "store closes",    "store silent",    "store slow",       "link delayed",          "link reset",
+    "link silent",     "link one way",    "target crashed",   "target slow",           "target garbles",
+    "target leaves",   "route added",     "data centre out",  "target says it leaves",
 };
 /// Faults of a run at the least, and how many more there may be.
 constexpr std::size_t FEWEST_FAULTS = 4;
--- a/Tests/Soak/Timeline.h
+++ b/Tests/Soak/Timeline.h
@@ -29,9 +29,10 @@
     TargetLeaves,
     RouteAdded,
     DataCentreOut,
+    TargetSaysItLeaves,
 };
 
-constexpr std::size_t FAULT_KINDS = static_cast<std::size_t>(FaultKind::DataCentreOut) + 1;
+constexpr std::size_t FAULT_KINDS = static_cast<std::size_t>(FaultKind::TargetSaysItLeaves) + 1;
 
 struct Fault {
     FaultKind kind{FaultKind::InstanceFrozen};
--- a/Tests/Soak/World.cpp
+++ b/Tests/Soak/World.cpp
@@ -218,6 +218,8 @@
         co_return co_await this->harmTarget(fault);
     case FaultKind::TargetLeaves:
         co_return co_await this->letLeave(pick(this->targets, fault));
+    case FaultKind::TargetSaysItLeaves:
+        co_return co_await this->letLeaveUnlisted(pick(this->targets, fault));
     case FaultKind::RouteAdded:
         co_return co_await this->addRoute();
     case FaultKind::DataCentreOut:
@@ -337,6 +339,17 @@
     target.link->setMode(LinkMode::Closed);
 }
 
+Asio::awaitable<void> World::letLeaveUnlisted(Target &target)
+{
+    if (std::exchange(target.isLeaving, true)) {
+        co_return;
+    }
+    target.target->saysItLeaves = true;
+    co_await this->pause(2 * LEAVING_TIME);
+    this->store.remove("servers", target.target->name());
+    target.link->setMode(LinkMode::Closed);
+}
+
 Asio::awaitable<void> World::addRoute()
 {
     const auto route = "/added-" + std::to_string(this->addedRoutes.size()) + "/";
--- a/Tests/Soak/World.h
+++ b/Tests/Soak/World.h
@@ -61,6 +61,8 @@
     boost::asio::awaitable<void> harmLink(Fault fault);
     boost::asio::awaitable<void> harmTarget(Fault fault);
     boost::asio::awaitable<void> letLeave(Target &target);
+    /// The target says that it leaves in its answers only.
+    boost::asio::awaitable<void> letLeaveUnlisted(Target &target);
     boost::asio::awaitable<void> addRoute();
     boost::asio::awaitable<void> takeOut(Fault fault);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds duration);
