LibGateway: Log the first page of a listing in place of the newest

The store changes between two pages, which harms nothing: the watch begins at the older, first page. Only a first page that is newer than a later one hid changes before, and the line could not tell the two apart. It names the first page now.

--- a/Libraries/LibGateway/InstanceObjects.cpp
+++ b/Libraries/LibGateway/InstanceObjects.cpp
@@ -179,7 +179,7 @@
                           {{"kind", nameOf(kind)},
                            {"objects", listing.objects.size()},
                            {"revision", listing.revision},
-                           {"newest_page", listing.newestPage},
+                           {"first_page", listing.firstPage},
                            {"known_revision", this->followerOf(kind).syncedRevision()}});
 }
 
--- a/Libraries/LibGateway/PlatformStore.h
+++ b/Libraries/LibGateway/PlatformStore.h
@@ -117,8 +117,8 @@
 struct Listing {
     std::vector<StoredObject> objects;
     Revision revision{0};
-    /// Revision of the newest page. Greater than `revision` if the store changed between two pages or replicas of different age sent them.
-    Revision newestPage{0};
+    /// Revision of the first page. Greater than `revision` if a replica that was behind sent a later page.
+    Revision firstPage{0};
 };
 
 struct Change {
--- a/Tests/platform/TestStoreClient.cpp
+++ b/Tests/platform/TestStoreClient.cpp
@@ -127,7 +127,7 @@
     });
     const auto listing = std::get<Listing>(this->list(Freshness::Relaxed));
     EXPECT_EQ(listing.revision, 50U);
-    EXPECT_EQ(listing.newestPage, 53U);
+    EXPECT_EQ(listing.firstPage, 53U);
 }
 
 TEST_F(StoreClientTest, listPercentEncodesContinuationName)
