Soak: Let targets state a rate of requests

The ledger counts the requests in any 4 s that come from instances which had passed on such an answer half a second before, have run since, and come after the stable window: more than 1.5 times the rate and 5 break the promise. moreRequestsThanAStatedRateAllowsAreNoticed tests the check.

--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -35,6 +35,7 @@
         return std::nullopt;
     }
     return PassedReport{.start = {std::string(response["Soak-Target"]), std::stoll(std::string(response["Soak-Start"]))},
+                        .statesRate = response.count("Server-Limit") > 0,
                         .isLeaving = response.count("Server-Leaving") > 0};
 }
 
--- a/Tests/Soak/Checks/TestLedger.cpp
+++ b/Tests/Soak/Checks/TestLedger.cpp
@@ -139,6 +139,20 @@
     EXPECT_EQ(this->broken(), 0U) << "the instance started again";
 }
 
+TEST_F(LedgerTest, moreRequestsThanAStatedRateAllowsAreNoticed)
+{
+    this->ledger.recordRate(ONE, 1, START);
+    this->hearReport("told", START, {.start = ONE, .statesRate = true});
+    for (int number = 0; number < 11; ++number) {
+        this->serve(std::to_string(number), START + 4s + number * 300ms);
+    }
+    EXPECT_EQ(this->broken(), 0U) << "11 are allowed";
+    this->serve("before", START + 3900ms);
+    EXPECT_EQ(this->broken(), 1U);
+    this->ledger.recordRateEnd(ONE, START + 5s);
+    EXPECT_EQ(this->broken(), 0U);
+}
+
 TEST_F(LedgerTest, newWorkInADataCentreThatIsOutIsNoticedAfterItsTime)
 {
     this->ledger.recordOut({"one"}, START);
--- a/Tests/Soak/Ledger.cpp
+++ b/Tests/Soak/Ledger.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::seconds LEAVING_BOUND{2};
 /// A data centre that is out gets nothing new after this time.
 constexpr std::chrono::seconds OUT_BOUND{5};
+/// Span over which requests to a target that states a rate are counted, and from when an instance that was told counts.
+constexpr std::chrono::seconds RATE_SPAN{4};
+constexpr std::chrono::milliseconds TOLD_DELAY{500};
 /// A calm instance answers at the latest this long after the caller's deadline, which the caller waits longer than.
 constexpr std::chrono::milliseconds LATE_ANSWER{500};
 constexpr std::chrono::milliseconds CALLER_DEADLINE{2000};
@@ -77,6 +80,19 @@
     }
 }
 
+void Ledger::recordRate(const TargetStart &start, double requestsPerSecond, Core::TimePoint begin)
+{
+    this->rates[start] = {.requestsPerSecond = requestsPerSecond, .begin = begin, .end = {}};
+}
+
+void Ledger::recordRateEnd(const TargetStart &start, Core::TimePoint end)
+{
+    const auto found = this->rates.find(start);
+    if (found != this->rates.end() && !found->second.end) {
+        found->second.end = end;
+    }
+}
+
 std::size_t Ledger::begin(Disturbance disturbance)
 {
     this->disturbances.push_back(disturbance);
@@ -127,6 +143,7 @@
     this->checkAnswers(broken);
     this->checkPlacement(broken);
     this->checkLeaving(broken);
+    this->checkRates(broken);
     this->checkStops(broken);
     this->checkRecovery(broken, faultsEnded);
     std::ranges::copy(this->unknownRoutes, std::back_inserter(broken));
@@ -209,6 +226,40 @@
     }
 }
 
+std::vector<Core::TimePoint> Ledger::limitedRuns(const TargetStart &start, const StatedRate &rate) const
+{
+    const auto told = this->firstTold(&PassedReport::statesRate);
+    std::vector<Core::TimePoint> counted;
+    for (const auto &[id, outcome] : this->outcomes) {
+        const auto since = told.find({outcome.instance, start});
+        const auto found = this->runs.find(id);
+        for (const auto &run : found == this->runs.end() || since == told.end() ? std::vector<Run>{} : found->second) {
+            const bool isJudged = run.start == start && run.at >= rate.begin + STABLE_WINDOW && run.at <= rate.end.value_or(run.at)
+                && run.at > since->second + TOLD_DELAY;
+            if (isJudged && this->hasRun(outcome.instance, since->second, run.at)) {
+                counted.push_back(run.at);
+            }
+        }
+    }
+    std::ranges::sort(counted);
+    return counted;
+}
+
+void Ledger::checkRates(std::vector<std::string> &broken) const
+{
+    for (const auto &[start, rate] : this->rates) {
+        const auto allowed = static_cast<std::ptrdiff_t>(1.5 * rate.requestsPerSecond * RATE_SPAN.count() + 5);
+        const auto counted = this->limitedRuns(start, rate);
+        std::ptrdiff_t most = 0;
+        for (auto first = counted.begin(); first != counted.end(); ++first) {
+            most = std::max(most, std::upper_bound(first, counted.end(), *first + RATE_SPAN) - first);
+        }
+        if (most > allowed) {
+            broken.push_back(start.first + " got " + std::to_string(most) + " requests in 4 s, allowed " + std::to_string(allowed));
+        }
+    }
+}
+
 void Ledger::checkStops(std::vector<std::string> &broken) const
 {
     for (const auto &[instance, at] : this->stops) {
--- a/Tests/Soak/Ledger.h
+++ b/Tests/Soak/Ledger.h
@@ -16,6 +16,7 @@
 /// What a target said of itself in an answer that an instance passed on.
 struct PassedReport {
     TargetStart start;
+    bool statesRate{false};
     bool isLeaving{false};
 };
 
@@ -63,6 +64,9 @@
     void recordBack(const std::vector<std::string> &targets, Core::TimePoint end);
     /// A request on an added route that the instance did not know, asked after the route had to be in force.
     void recordUnknownRoute(std::size_t instance, const std::string &route, Core::TimePoint at);
+    /// A target names how many requests a second it takes from all instances; it starts to, and no longer does.
+    void recordRate(const TargetStart &start, double requestsPerSecond, Core::TimePoint begin);
+    void recordRateEnd(const TargetStart &start, Core::TimePoint end);
     std::size_t begin(Disturbance disturbance);
     void end(std::size_t disturbance, Core::TimePoint at);
     /// A planned stop of an instance was ordered.
@@ -79,6 +83,12 @@
         std::optional<Core::TimePoint> end;
     };
 
+    struct StatedRate {
+        double requestsPerSecond{0};
+        Core::TimePoint begin;
+        std::optional<Core::TimePoint> end;
+    };
+
     bool isCalm(std::size_t instance, Core::TimePoint from, Core::TimePoint until) const;
     /// As isCalm, for bounds that hold while the store is in trouble too.
     bool hasRun(std::size_t instance, Core::TimePoint from, Core::TimePoint until) const;
@@ -88,6 +98,9 @@
     void checkAnswers(std::vector<std::string> &broken) const;
     void checkPlacement(std::vector<std::string> &broken) const;
     void checkLeaving(std::vector<std::string> &broken) const;
+    /// Requests that count against a stated rate: of instances that were told of it and have run since.
+    std::vector<Core::TimePoint> limitedRuns(const TargetStart &start, const StatedRate &rate) const;
+    void checkRates(std::vector<std::string> &broken) const;
     void checkStops(std::vector<std::string> &broken) const;
     void checkRecovery(std::vector<std::string> &broken, Core::TimePoint faultsEnded) const;
 
@@ -95,6 +108,7 @@
     std::map<std::string, CallerOutcome> outcomes;
     std::map<std::string, Core::TimePoint> leaving;
     std::multimap<std::string, OutTime> out;
+    std::map<TargetStart, StatedRate> rates;
     std::vector<std::pair<std::size_t, Core::TimePoint>> stops;
     std::vector<std::string> unknownRoutes;
     std::vector<Disturbance> disturbances;
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -81,6 +81,7 @@
 {
     this->born = std::max(this->born + 1, wallMilliseconds());
     this->held = 0;
+    this->statedRate.reset();
     this->saysItLeaves = false;
 }
 
@@ -103,7 +104,8 @@
 
 std::string SoakTarget::selfReport() const
 {
-    return this->saysItLeaves ? "Server-Leaving: 1\r\n" : "";
+    return (this->statedRate ? "Server-Limit: " + std::to_string(*this->statedRate) + "\r\n" : std::string())
+        + (this->saysItLeaves ? "Server-Leaving: 1\r\n" : "");
 }
 
 Asio::awaitable<void> SoakTarget::serve(std::shared_ptr<Asio::ip::tcp::socket> socket)
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -32,7 +32,8 @@
     int slowness{1};
     /// Answers are cut, doubled or lost at random.
     bool isGarbling{false};
-    /// It says in its answers that it leaves, until it starts again.
+    /// What it says of itself in its answers until it starts again: how many requests a second it takes, and that it leaves.
+    std::optional<double> statedRate;
     bool saysItLeaves{false};
 
 private:
--- a/Tests/Soak/Timeline.cpp
+++ b/Tests/Soak/Timeline.cpp
@@ -13,7 +13,7 @@
     "instance frozen", "instance killed", "instance stopped", "instance reloaded",     "store refuses",
     "store closes",    "store silent",    "store slow",       "link delayed",          "link reset",
     "link silent",     "link one way",    "target crashed",   "target slow",           "target garbles",
-    "target leaves",   "route added",     "data centre out",  "target says it leaves",
+    "target leaves",   "route added",     "data centre out",  "target says it leaves", "target states a rate",
 };
 /// Faults of a run at the least, and how many more there may be.
 constexpr std::size_t FEWEST_FAULTS = 4;
--- a/Tests/Soak/Timeline.h
+++ b/Tests/Soak/Timeline.h
@@ -30,9 +30,10 @@
     RouteAdded,
     DataCentreOut,
     TargetSaysItLeaves,
+    TargetStatesRate,
 };
 
-constexpr std::size_t FAULT_KINDS = static_cast<std::size_t>(FaultKind::TargetSaysItLeaves) + 1;
+constexpr std::size_t FAULT_KINDS = static_cast<std::size_t>(FaultKind::TargetStatesRate) + 1;
 
 struct Fault {
     FaultKind kind{FaultKind::InstanceFrozen};
--- a/Tests/Soak/World.cpp
+++ b/Tests/Soak/World.cpp
@@ -30,6 +30,11 @@
 constexpr int SLOW{8};
 /// A leaving target serves for the platform's two seconds and a little longer.
 constexpr std::chrono::milliseconds LEAVING_TIME{3000};
+/// Targets state rates of less than one request a second for each instance. The platform's bound applies after its stable window.
+constexpr double LOWEST_RATE = 0.4;
+constexpr double RATE_STEP = 0.7;
+constexpr std::size_t RATES = 8;
+constexpr std::chrono::seconds SHORTEST_LIMIT{5};
 /// Configurations have to be in force after this time.
 constexpr std::chrono::seconds IN_FORCE{2};
 /// Time after the last fault: calm instances have to serve again, which the ledger checks.
@@ -220,6 +225,8 @@
         co_return co_await this->letLeave(pick(this->targets, fault));
     case FaultKind::TargetSaysItLeaves:
         co_return co_await this->letLeaveUnlisted(pick(this->targets, fault));
+    case FaultKind::TargetStatesRate:
+        co_return co_await this->limitTarget(*pick(this->targets, fault).target, fault);
     case FaultKind::RouteAdded:
         co_return co_await this->addRoute();
     case FaultKind::DataCentreOut:
@@ -314,6 +321,7 @@
     auto &target = pick(this->targets, fault);
     if (fault.kind == FaultKind::TargetCrashed) {
         target.link->setMode(LinkMode::Closed);
+        this->ledger.recordRateEnd({target.target->name(), target.target->startedAt()}, Core::Clock::now());
         target.target->restart();
         co_await this->pause(fault.duration);
         target.link->setMode(LinkMode::Pass);
@@ -350,6 +358,21 @@
     target.link->setMode(LinkMode::Closed);
 }
 
+Asio::awaitable<void> World::limitTarget(SoakTarget &target, Fault fault)
+{
+    const TargetStart start{target.name(), target.startedAt()};
+    if (target.statedRate) {
+        co_return;
+    }
+    target.statedRate = LOWEST_RATE + RATE_STEP * static_cast<double>(fault.subject % RATES);
+    this->ledger.recordRate(start, *target.statedRate, Core::Clock::now());
+    co_await this->pause(SHORTEST_LIMIT + 2 * fault.duration);
+    this->ledger.recordRateEnd(start, Core::Clock::now());
+    if (target.startedAt() == start.second) {
+        target.statedRate.reset();
+    }
+}
+
 Asio::awaitable<void> World::addRoute()
 {
     const auto route = "/added-" + std::to_string(this->addedRoutes.size()) + "/";
--- a/Tests/Soak/World.h
+++ b/Tests/Soak/World.h
@@ -63,6 +63,7 @@
     boost::asio::awaitable<void> letLeave(Target &target);
     /// The target says that it leaves in its answers only.
     boost::asio::awaitable<void> letLeaveUnlisted(Target &target);
+    boost::asio::awaitable<void> limitTarget(SoakTarget &target, Fault fault);
     boost::asio::awaitable<void> addRoute();
     boost::asio::awaitable<void> takeOut(Fault fault);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds duration);
