--- a/Tests/Soak/Ledger.cpp
+++ b/Tests/Soak/Ledger.cpp
@@ -195,17 +195,16 @@
             if (found == this->outcomes.end() || !this->isCalm(found->second.instance, run.at - STABLE_WINDOW - OUT_BOUND, run.at)) {
                 continue;
             }
-            const auto &target = run.start.first;
-            const auto left = this->leaving.find(target);
+            const auto left = this->leaving.find(run.start.first);
             if (left != this->leaving.end() && run.at > left->second + LEAVING_BOUND) {
-                broken.push_back(id + " ran at " + target + ", which leaves");
+                broken.push_back(id + " ran at " + run.start.first + ", which leaves");
             }
-            const auto [first, last] = this->out.equal_range(target);
+            const auto [first, last] = this->out.equal_range(run.start.first);
             const bool isOut = std::any_of(first, last, [&run](const auto &entry) {
                 return run.at > entry.second.begin + OUT_BOUND && (!entry.second.end || run.at < *entry.second.end);
             });
             if (isOut) {
-                broken.push_back(id + " ran at " + target + ", whose data centre is out");
+                broken.push_back(id + " ran at " + run.start.first + ", whose data centre is out");
             }
         }
     }
