LibFleet: Try an outdated rate with one request, one instance after another

What callers of a target would have caused: a rate that was not named again for 20 s was withdrawn by the next health check that named none, and the withdrawal was told to the whole data centre. Instances of a data centre without a sender hear of the rate from nobody, so this comes 20 s after the last of them was told.

Change: a health check without a rate says nothing. Once a rate is outdated one request tries the target, and its answer withdraws the rate or states it anew. The instances of a data centre try by rendezvous order, 2 s apart: the first one's result reaches the others within a second. Fewer health checks too: only who may try asks. Ruled out: telling other data centres (traffic between them is dear, and their answers may differ); a trial by each instance.

healthCheckWithoutARateTellsPeersNothing failed before: the peers were told {0, none, 0}. healthChecksWithoutARateWithdrawOnlyAnOutdatedOne keeps all its checks under a name that fits what happens now. anOutdatedRateIsTriedByOneInstanceAfterAnother: 60 instances, no answers, within the bound of the platform.

--- a/Libraries/LibFleet/RateLimit.cpp
+++ b/Libraries/LibFleet/RateLimit.cpp
@@ -17,6 +17,11 @@
 /// Bounds the window of a rate near zero.
 constexpr std::chrono::hours MAXIMUM_WINDOW{1};
 
+Core::TimePoint nextTrialAt(const RateLimit &limit)
+{
+    return std::max(limit.rate.statedAt, limit.lastTrialAt) + RATE_LIMIT_LIFETIME + RATE_TRIAL_INTERVAL * limit.trialRank;
+}
+
 } // namespace
 
 std::size_t senderCount(double requestsPerSecond, std::size_t members)
@@ -52,23 +57,24 @@
     } else {
         Limits::resizeRateQuota(limit.quota, permits, share.window);
     }
+    limit.trialRank = Limits::senderRank(sharers.self, sharers.neighbours, target);
     limit.sharersFingerprint = sharers.fingerprint;
     limit.sharedRate = rate;
 }
 
-bool isOutdated(const StatedRate &rate, Core::TimePoint now)
+bool isTrialDue(const RateLimit &limit, Core::TimePoint now)
 {
-    return now - rate.statedAt >= RATE_LIMIT_LIFETIME;
+    return now >= nextTrialAt(limit);
 }
 
 Core::TimePoint nextSendAt(const RateLimit &limit, Core::TimePoint now)
 {
-    const auto outdatedAt = limit.rate.statedAt + RATE_LIMIT_LIFETIME;
+    const auto trialAt = nextTrialAt(limit);
     if (limit.rate.requestsPerSecond <= 0) {
-        return outdatedAt;
+        return trialAt;
     }
     const auto own = limit.quota.permits > 0 ? Limits::nextFreePermit(limit.quota) : std::nullopt;
-    return std::min(outdatedAt, own.value_or(now + limit.quota.window));
+    return std::min(trialAt, own.value_or(now + limit.quota.window));
 }
 
 } // namespace Briarbend::Fleet
--- a/Libraries/LibFleet/RateLimit.h
+++ b/Libraries/LibFleet/RateLimit.h
@@ -18,14 +18,19 @@
     Core::InstanceId self;
     /// Running instances, this one included.
     std::vector<Core::InstanceId> members;
+    /// Those of the own data centre, which tell each other of rates, this one included.
+    std::vector<Core::InstanceId> neighbours;
     /// Differs whenever the members do.
     std::size_t fingerprint{0};
 };
 
-/// Time after which a limit that was not stated again no longer binds, unless the target's next health check states it. Instances that may
-/// not send to the target do not hear otherwise that it needs no limit any more.
+/// Time after which a limit that was not stated again is tried with one request. Instances that may not send to the target do not hear
+/// otherwise that it needs no limit any more.
 constexpr std::chrono::seconds RATE_LIMIT_LIFETIME{20};
 
+/// Time between the trials of two instances of a data centre. The first one's result reaches the others within a second.
+constexpr std::chrono::seconds RATE_TRIAL_INTERVAL{2};
+
 /// Interval at which peers are told again of a rate that the target still states: several times within RATE_LIMIT_LIFETIME.
 constexpr std::chrono::seconds RATE_SHARING_INTERVAL{5};
 
@@ -47,6 +52,10 @@
     /// The members of which `quota` was computed, and the rate.
     std::optional<std::size_t> sharersFingerprint;
     double sharedRate{0};
+    /// Number of instances of the data centre that try the target before this one once the rate is outdated.
+    std::size_t trialRank{0};
+    /// When this instance last tried the target with an outdated rate.
+    Core::TimePoint lastTrialAt;
 };
 
 /// What one sender may send.
@@ -68,8 +77,8 @@
 /// window, since those that they follow may just have sent.
 void updateQuota(RateLimit &limit, const Core::TargetId &target, const RateSharers &sharers, Core::TimePoint now);
 
-/// True if the limit was not stated for RATE_LIMIT_LIFETIME.
-bool isOutdated(const StatedRate &rate, Core::TimePoint now);
+/// True if the limit was not stated for RATE_LIMIT_LIFETIME and it is this instance's turn to try the target.
+bool isTrialDue(const RateLimit &limit, Core::TimePoint now);
 
 /// When this instance may send again; for one that is no sender, when a sender may.
 Core::TimePoint nextSendAt(const RateLimit &limit, Core::TimePoint now);
--- a/Libraries/LibFleet/ServiceState.cpp
+++ b/Libraries/LibFleet/ServiceState.cpp
@@ -216,7 +216,7 @@
 bool hasSendPermit(const TargetState &target, Core::TimePoint now)
 {
     const auto *limit = target.rateLimit.get();
-    return limit == nullptr || isOutdated(limit->rate, now) || Limits::hasFreePermit(limit->quota, now);
+    return limit == nullptr || isTrialDue(*limit, now) || Limits::hasFreePermit(limit->quota, now);
 }
 
 bool takeSendPermit(TargetState &target, Core::TimePoint now)
@@ -224,12 +224,16 @@
     if (!target.rateLimit) {
         return true;
     }
-    auto &quota = target.rateLimit->quota;
-    if (!Limits::reservePermit(quota, now)) {
-        return false;
+    auto &limit = *target.rateLimit;
+    if (Limits::reservePermit(limit.quota, now)) {
+        Limits::confirmPermit(limit.quota, now);
+        return true;
     }
-    Limits::confirmPermit(quota, now);
-    return true;
+    const bool isTrial = isTrialDue(limit, now);
+    if (isTrial) {
+        limit.lastTrialAt = now;
+    }
+    return isTrial;
 }
 
 bool takeColdToken(const ServiceConfiguration &configuration, TargetState &target, std::size_t instances, Core::TimePoint now)
--- a/Libraries/LibFleet/ServiceState.h
+++ b/Libraries/LibFleet/ServiceState.h
@@ -148,8 +148,7 @@
 /// The decayed share of requests to the target that fail: the larger of this instance's own and the other instances' share.
 double failureShare(const TargetState &target, Core::TimePoint now);
 
-/// Whether the rate that the target states lets this instance send a request to it now. An outdated rate does: the health check before the
-/// send shows whether the target still states it.
+/// Whether the rate that the target states lets this instance send a request to it now, if only to try an outdated rate.
 bool hasSendPermit(const TargetState &target, Core::TimePoint now);
 /// Takes the permit for a request that is about to be sent. Returns false if there is none.
 bool takeSendPermit(TargetState &target, Core::TimePoint now);
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -145,7 +145,15 @@
     this->state.instances = std::max<std::size_t>(1, Membership::countAlive(members));
     const auto fingerprint = Membership::aliveFingerprint(members);
     if (this->state.rateSharers.members.empty() || fingerprint != this->state.rateSharers.fingerprint) {
-        this->state.rateSharers = {.self = members.self, .members = Membership::aliveMembers(members), .fingerprint = fingerprint};
+        const auto dataCentreOf = [&members](const Core::InstanceId &id) {
+            return Membership::find(members, id)->update.dataCentre;
+        };
+        Fleet::RateSharers sharers{
+            .self = members.self, .members = Membership::aliveMembers(members), .neighbours = {}, .fingerprint = fingerprint};
+        std::ranges::copy_if(sharers.members, std::back_inserter(sharers.neighbours), [&](const Core::InstanceId &id) {
+            return dataCentreOf(id) == dataCentreOf(members.self);
+        });
+        this->state.rateSharers = std::move(sharers);
     }
 }
 
--- a/Libraries/LibGateway/TargetDisseminator.h
+++ b/Libraries/LibGateway/TargetDisseminator.h
@@ -10,9 +10,8 @@
 {
 
 /// Shares among the instances of a data centre which targets fail, which have announced that they are leaving, and which state a rate of
-/// requests. Each instance reports to
-/// the aggregators, which are the watchers of the store, and the active watcher sends a digest to all. Nothing is sent to other data
-/// centres, since the same target may serve their instances differently.
+/// requests. Each instance reports to the aggregators, which are the watchers of the store, and the active watcher sends a digest to all.
+/// Nothing is sent to other data centres, since the same target may serve their instances differently.
 class TargetDisseminator
 {
 public:
--- a/Libraries/LibGateway/TargetReports.cpp
+++ b/Libraries/LibGateway/TargetReports.cpp
@@ -52,15 +52,6 @@
     }
 }
 
-/// Whether a response that states no rate withdraws an earlier one.
-bool withdrawsRate(const Fleet::SelfReport &report, ReportSource source, const ResponseMetadata &metadata, Core::TimePoint now)
-{
-    // Targets may state their rate in responses to requests only, so a health check withdraws no rate that was stated recently.
-    const bool isOutdated = report.rate && Fleet::isOutdated(*report.rate, now);
-    return !metadata.statesRate
-        && ((source == ReportSource::Response && metadata.hasResponseStamp) || (source == ReportSource::HealthCheck && isOutdated));
-}
-
 void logRate(GatewayState &state, const std::string &target, std::optional<double> requestsPerSecond, ReportSource source)
 {
     nlohmann::ordered_json fields{{"target", target}, {"via", nameOf(source)}};
@@ -95,8 +86,8 @@
         shareRate(state, target, startedAtMilliseconds, now);
         return true;
     }
-    const auto known = state.directory.selfReports.find({target, startedAtMilliseconds});
-    const bool isWithdrawn = known != state.directory.selfReports.end() && withdrawsRate(known->second, source, metadata, now)
+    // Targets may state their rate in responses to requests only, so a health check without one says nothing.
+    const bool isWithdrawn = !metadata.statesRate && source == ReportSource::Response && metadata.hasResponseStamp
         && Fleet::withdrawRate(state.directory, target, startedAtMilliseconds);
     if (isWithdrawn) {
         logRate(state, target, std::nullopt, source);
--- a/Libraries/LibGateway/TargetReports.h
+++ b/Libraries/LibGateway/TargetReports.h
@@ -17,7 +17,7 @@
 
 /// Records what a start of a target reports about itself in the header of a response, whichever request that belongs to: that it is
 /// leaving, that this instance should send it nothing for a while, or how many requests it takes from all instances. The rate holds until
-/// a response to a request states none, or it is outdated and a health check states none. An unreadable rate changes nothing.
+/// a response to a request states none. An unreadable rate changes nothing.
 void recordTargetReport(GatewayState &state,
                         Fleet::ServiceState &service,
                         const std::string &target,
--- a/Tests/LibFleet/TestRateLimit.cpp
+++ b/Tests/LibFleet/TestRateLimit.cpp
@@ -1,4 +1,4 @@
-#include <LibFleet/RateLimit.h>
+#include <LibFleet/ServiceState.h>
 
 #include <LibCore/Random.h>
 
@@ -54,7 +54,7 @@
     std::vector<EagerInstance> instances(count);
     for (std::size_t index = 0; index < count; ++index) {
         instances[index].limit.rate = {.requestsPerSecond = requestsPerSecond, .statedAt = START, .sharedAt = {}};
-        instances[index].sharers = {.self = members[index], .members = members, .fingerprint = 1};
+        instances[index].sharers = {.self = members[index], .members = members, .neighbours = {}, .fingerprint = 1};
     }
     return instances;
 }
@@ -171,7 +171,7 @@
         for (std::size_t target = 0; target < TARGETS; ++target) {
             auto &limit = limits[instance][target];
             limit.rate = {.requestsPerSecond = RATE, .statedAt = START, .sharedAt = {}};
-            updateQuota(limit, {"target-" + std::to_string(target)}, {members[instance], members, 1}, START);
+            updateQuota(limit, {"target-" + std::to_string(target)}, {members[instance], members, {}, 1}, START);
         }
     }
     std::size_t sent = 0;
@@ -224,11 +224,38 @@
     EXPECT_GE(sent.size() - before, 3U);
 }
 
-TEST(RateLimit, aRateThatIsNotStatedAgainIsOutdated)
+TEST(RateLimit, aRateThatIsNotStatedAgainIsTried)
 {
-    const StatedRate rate{.requestsPerSecond = 1, .statedAt = START, .sharedAt = {}};
-    EXPECT_FALSE(isOutdated(rate, START + RATE_LIMIT_LIFETIME - 1ms));
-    EXPECT_TRUE(isOutdated(rate, START + RATE_LIMIT_LIFETIME));
+    RateLimit limit;
+    limit.rate = {.requestsPerSecond = 1, .statedAt = START, .sharedAt = {}};
+    EXPECT_FALSE(isTrialDue(limit, START + RATE_LIMIT_LIFETIME - 1ms));
+    EXPECT_TRUE(isTrialDue(limit, START + RATE_LIMIT_LIFETIME));
+}
+
+// None of sixty instances of a data centre may send, none hears of the target any more, and the trials get no answer.
+TEST(RateLimit, anOutdatedRateIsTriedByOneInstanceAfterAnother)
+{
+    constexpr double RATE = 0.1;
+    const auto members = makeMembers(60);
+    std::vector<TargetState> targets;
+    for (const auto &self : members) {
+        RateLimit limit;
+        limit.rate = {.requestsPerSecond = RATE, .statedAt = START, .sharedAt = {}};
+        updateQuota(limit, TARGET, {self, members, members, 1}, START);
+        if (limit.quota.permits == 0) {
+            targets.emplace_back().rateLimit = std::make_unique<RateLimit>(limit);
+        }
+    }
+    std::vector<Core::TimePoint> sent;
+    for (auto now = START; now < START + 60s; now += 20ms) {
+        for (auto &target : targets) {
+            if (hasSendPermit(target, now) && takeSendPermit(target, now)) {
+                sent.push_back(now);
+            }
+        }
+    }
+    EXPECT_GE(sent.size(), 10U);
+    EXPECT_LE(static_cast<double>(mostWithinSpan(sent)), allowedWithinSpan(RATE));
 }
 
 } // namespace Briarbend::Fleet
--- a/Tests/LibGateway/TestRateLimits.cpp
+++ b/Tests/LibGateway/TestRateLimits.cpp
@@ -93,8 +93,26 @@
     EXPECT_EQ(target.runs().size(), 4U);
 }
 
-// A target may state its rate in responses to requests only; these are the health checks of later requests.
-TEST_F(RequestFlowTest, healthChecksWithoutARateWithdrawOnlyAnOutdatedOne)
+// A health check without a rate withdrew an outdated one for the whole data centre, and all its instances sent at once to a target that
+// states its rate in responses to requests only.
+TEST_F(RequestFlowTest, healthCheckWithoutARateTellsPeersNothing)
+{
+    this->addTarget("one", [](const auto &) {
+        return limitedTo("0");
+    });
+    this->configureRoute(RouteKind::Once);
+    std::vector<std::optional<double>> told;
+    this->state.onTargetRate = [&told](const std::string &, std::int64_t, std::optional<double> rate) {
+        told.push_back(rate);
+    };
+    this->run("a1");
+    this->state.directory.selfReports.at({"one", 1}).rate->statedAt -= Fleet::RATE_LIMIT_LIFETIME;
+    updateServiceStates(this->state, Core::Clock::now());
+    EXPECT_EQ(this->run("a2").response.result_int(), 200U) << "one request tries it";
+    EXPECT_EQ(told, (std::vector<std::optional<double>>{0.0}));
+}
+
+TEST_F(RequestFlowTest, outdatedRateIsTriedOnceUnlessAHealthCheckStatesIt)
 {
     this->addTarget("one", [](const auto &) {
         return limitedTo("0");
@@ -152,7 +170,7 @@
         return limitedTo("1");
     });
     this->configureRoute(RouteKind::Once);
-    Fleet::RateSharers sharers{.self = {"self"}, .members = {{"self"}}, .fingerprint = 1};
+    Fleet::RateSharers sharers{.self = {"self"}, .members = {{"self"}}, .neighbours = {{"self"}}, .fingerprint = 1};
     for (int other = 0; other < 20; ++other) {
         sharers.members.push_back({"other-" + std::to_string(other)});
     }
