Soak: Judge instances by the last answer that told them

LIMIT and the target's own word of leaving share this check, and an instance that had started again since it was first told was excused for the rest of the run, even if it was told again. The last answer before the bound counts now.

--- a/Tests/Soak/Ledger.cpp
+++ b/Tests/Soak/Ledger.cpp
@@ -124,16 +124,27 @@
     });
 }
 
-std::map<std::pair<std::size_t, TargetStart>, Core::TimePoint> Ledger::firstTold(bool PassedReport::*says) const
+Ledger::ToldTimes Ledger::toldTimes(bool PassedReport::*says) const
 {
-    std::map<std::pair<std::size_t, TargetStart>, Core::TimePoint> first;
+    ToldTimes told;
     for (const auto &[id, outcome] : this->outcomes) {
         if (outcome.report && (*outcome.report).*says) {
-            auto &at = first.try_emplace({outcome.instance, outcome.report->start}, outcome.endedAt).first->second;
-            at = std::min(at, outcome.endedAt);
+            told[{outcome.instance, outcome.report->start}].push_back(outcome.endedAt);
         }
     }
-    return first;
+    for (auto &[key, times] : told) {
+        std::ranges::sort(times);
+    }
+    return told;
+}
+
+bool Ledger::isBound(const ToldTimes &told, std::size_t instance, const Run &run, Core::TimePoint toldBy) const
+{
+    const auto found = told.find({instance, run.start});
+    if (found == told.end() || found->second.front() > toldBy) {
+        return false;
+    }
+    return this->hasRun(instance, *std::prev(std::ranges::upper_bound(found->second, toldBy)), run.at);
 }
 
 std::vector<std::string> Ledger::brokenPromises(Core::TimePoint faultsEnded) const
@@ -212,13 +223,11 @@
 
 void Ledger::checkLeaving(std::vector<std::string> &broken) const
 {
-    const auto told = this->firstTold(&PassedReport::isLeaving);
+    const auto told = this->toldTimes(&PassedReport::isLeaving);
     for (const auto &[id, outcome] : this->outcomes) {
         const auto found = this->runs.find(id);
         for (const auto &run : found == this->runs.end() ? std::vector<Run>{} : found->second) {
-            const auto since = told.find({outcome.instance, run.start});
-            if (since != told.end() && outcome.sentAt > since->second + LEAVING_BOUND
-                && this->hasRun(outcome.instance, since->second, run.at)) {
+            if (this->isBound(told, outcome.instance, run, outcome.sentAt - LEAVING_BOUND)) {
                 broken.push_back(id + " ran at " + run.start.first + ", which had told its instance that it leaves");
             }
         }
@@ -227,15 +236,13 @@
 
 std::vector<Core::TimePoint> Ledger::limitedRuns(const TargetStart &start, const StatedRate &rate) const
 {
-    const auto told = this->firstTold(&PassedReport::statesRate);
+    const auto told = this->toldTimes(&PassedReport::statesRate);
     std::vector<Core::TimePoint> counted;
     for (const auto &[id, outcome] : this->outcomes) {
-        const auto since = told.find({outcome.instance, start});
         const auto found = this->runs.find(id);
-        for (const auto &run : found == this->runs.end() || since == told.end() ? std::vector<Run>{} : found->second) {
-            const bool isJudged = run.start == start && run.at >= rate.begin + STABLE_WINDOW && run.at <= rate.end.value_or(run.at)
-                && run.at > since->second + TOLD_DELAY;
-            if (isJudged && this->hasRun(outcome.instance, since->second, run.at)) {
+        for (const auto &run : found == this->runs.end() ? std::vector<Run>{} : found->second) {
+            const bool isJudged = run.start == start && run.at >= rate.begin + STABLE_WINDOW && run.at <= rate.end.value_or(run.at);
+            if (isJudged && this->isBound(told, outcome.instance, run, run.at - TOLD_DELAY)) {
                 counted.push_back(run.at);
             }
         }
--- a/Tests/Soak/Ledger.h
+++ b/Tests/Soak/Ledger.h
@@ -92,8 +92,12 @@
     bool isCalm(std::size_t instance, Core::TimePoint from, Core::TimePoint until) const;
     /// As isCalm, for bounds that hold while the store is in trouble too.
     bool hasRun(std::size_t instance, Core::TimePoint from, Core::TimePoint until) const;
-    /// When each instance first passed on an answer in which a start of a target said it.
-    std::map<std::pair<std::size_t, TargetStart>, Core::TimePoint> firstTold(bool PassedReport::*says) const;
+    using ToldTimes = std::map<std::pair<std::size_t, TargetStart>, std::vector<Core::TimePoint>>;
+
+    /// When each instance passed on answers in which a start of a target said it, in order.
+    ToldTimes toldTimes(bool PassedReport::*says) const;
+    /// Whether the instance of a run was told by that time, and has run since.
+    bool isBound(const ToldTimes &told, std::size_t instance, const Run &run, Core::TimePoint toldBy) const;
     void checkRuns(std::vector<std::string> &broken) const;
     void checkAnswers(std::vector<std::string> &broken) const;
     void checkPlacement(std::vector<std::string> &broken) const;
