Tests: Share the bound of stated rates, and the case of the stale watch

No behaviour of the product changes. What a target with a stated rate may get in 4 s, and the most requests within such a span, stood in three files: both tests of rates and the soak's ledger call Tests/Support/RateBound.h now. The counts are whole numbers, so that comparing them with the bound rounded down checks the same. Two tests of the reflector shared ten lines that lead to the same situation (runPastStaleWatch). The ledger collects the answers that told of rates once and not for each rate.

All checks stay.

--- a/Tests/LibFleet/TestRateLimit.cpp
+++ b/Tests/LibFleet/TestRateLimit.cpp
@@ -1,4 +1,5 @@
 #include <LibFleet/ServiceState.h>
+#include <Tests/Support/RateBound.h>
 
 #include <LibCore/Random.h>
 
@@ -13,16 +14,11 @@
 {
 
 using namespace std::chrono_literals;
+using Tests::allowedWithinSpan;
+using Tests::mostWithinSpan;
 
 const Core::TargetId TARGET{"target"};
 constexpr Core::TimePoint START{100s};
-constexpr auto COUNTED_SPAN = 4s;
-
-/// What the platform allows a target within COUNTED_SPAN.
-double allowedWithinSpan(double requestsPerSecond)
-{
-    return 1.5 * requestsPerSecond * 4 + 5;
-}
 
 std::vector<Core::InstanceId> makeMembers(std::size_t count)
 {
@@ -73,16 +69,6 @@
     ++instance.sharers.fingerprint;
 }
 
-std::size_t mostWithinSpan(const std::vector<Core::TimePoint> &sent)
-{
-    std::size_t most = 0;
-    for (auto first = sent.begin(); first != sent.end(); ++first) {
-        const auto end = std::upper_bound(first, sent.end(), *first + COUNTED_SPAN);
-        most = std::max(most, static_cast<std::size_t>(std::distance(first, end)));
-    }
-    return most;
-}
-
 } // namespace
 
 // Any number of instances, rates far below and above one request an instance, and views that each lack other members, one in twenty.
@@ -108,7 +94,7 @@
             }
         }
     }
-    EXPECT_LE(static_cast<double>(mostWithinSpan(sent)), allowedWithinSpan(rate));
+    EXPECT_LE(mostWithinSpan(sent), allowedWithinSpan(rate));
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RateLimitSeeds, testing::Range<std::uint64_t>(1, 101));
@@ -138,7 +124,7 @@
             instance.step(sent, now);
         }
     }
-    RC_ASSERT(static_cast<double>(mostWithinSpan(sent)) <= allowedWithinSpan(rate));
+    RC_ASSERT(mostWithinSpan(sent) <= allowedWithinSpan(rate));
 }
 
 TEST(RateLimit, steadyDemandUsesMostOfTheRate)
@@ -255,7 +241,7 @@
         }
     }
     EXPECT_GE(sent.size(), 10U);
-    EXPECT_LE(static_cast<double>(mostWithinSpan(sent)), allowedWithinSpan(RATE));
+    EXPECT_LE(mostWithinSpan(sent), allowedWithinSpan(RATE));
 }
 
 } // namespace Briarbend::Fleet
--- a/Tests/LibGateway/TestRateLimits.cpp
+++ b/Tests/LibGateway/TestRateLimits.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/TargetReports.h>
 #include <LibLimits/SenderSelection.h>
 #include <Tests/LibGateway/RequestFlowTest.h>
+#include <Tests/Support/RateBound.h>
 
 /// Targets that state how many requests a second they take from all instances together.
 namespace Briarbend::Gateway
@@ -9,13 +10,8 @@
 namespace
 {
 
-/// The span over which the platform counts requests, and what it allows a target within it.
-constexpr std::chrono::seconds COUNTED_SPAN{4};
-
-std::size_t allowedWithinSpan(double requestsPerSecond)
-{
-    return static_cast<std::size_t>(1.5 * requestsPerSecond * COUNTED_SPAN.count() + 5);
-}
+using Tests::allowedWithinSpan;
+using Tests::RATE_SPAN;
 
 Reaction limitedTo(const std::string &requestsPerSecond)
 {
@@ -35,7 +31,7 @@
     });
     this->configureRoute(RouteKind::Safe);
     std::size_t sent = 0;
-    const auto until = Core::Clock::now() + COUNTED_SPAN;
+    const auto until = Core::Clock::now() + RATE_SPAN;
     while (Core::Clock::now() < until) {
         EXPECT_EQ(this->run("a" + std::to_string(++sent)).response.result_int(), 200U) << "the other target has room";
     }
@@ -52,7 +48,7 @@
     }
     this->configureRoute(RouteKind::Safe, 3);
     std::size_t sent = 0;
-    const auto until = Core::Clock::now() + COUNTED_SPAN;
+    const auto until = Core::Clock::now() + RATE_SPAN;
     while (Core::Clock::now() < until) {
         this->run("a" + std::to_string(++sent));
     }
--- a/Tests/LibGateway/TestReflector.cpp
+++ b/Tests/LibGateway/TestReflector.cpp
@@ -73,6 +73,33 @@
         this->context.run_for(duration);
     }
 
+    /// The reflector knows revision 5 and watches at a stale replica; then peers announce revision 9, of which it fetches the given result.
+    void runPastStaleWatch(const WatchResult &announced, std::chrono::milliseconds duration)
+    {
+        const InSequence order;
+        EXPECT_CALL(this->store, list).WillOnce([] {
+            return now<ListResult>(Listing{.objects = {}, .revision = 5});
+        });
+        EXPECT_CALL(this->store, watch(_, 5, 15'000ms, Freshness::Relaxed)).WillOnce([] {
+            return never();
+        });
+        EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Linearizable)).WillOnce([announced] {
+            return now<WatchResult>(announced);
+        });
+        if (std::holds_alternative<HistoryGone>(announced)) {
+            EXPECT_CALL(this->store, list(_, Freshness::Linearizable)).WillOnce([] {
+                return now<ListResult>(Listing{.objects = {}, .revision = 9});
+            });
+        }
+        this->mode = [this](Revision revision) {
+            return revision < this->latest ? ReflectorMode::CatchUp : ReflectorMode::Watch;
+        };
+        this->runFor(300ms);
+        this->latest = 9;
+        this->context.restart();
+        this->context.run_for(duration);
+    }
+
     /// A reflector does not read the content of objects.
     static Changes changesAt(Revision revision)
     {
@@ -85,6 +112,8 @@
     std::vector<std::string> heard;
     Changes told;
     Changes toldForPeers;
+    /// The revision that peers announced last.
+    Revision latest{0};
     std::function<ReflectorMode(Revision revision)> mode = [](Revision) {
         return ReflectorMode::Watch;
     };
@@ -338,51 +367,14 @@
 // stayed in use there.
 TEST_F(ReflectorTest, watchAtAStaleReplicaDoesNotDelayAnnouncedChanges)
 {
-    const InSequence order;
-    EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 5});
-    });
-    EXPECT_CALL(this->store, watch(_, 5, 15'000ms, Freshness::Relaxed)).WillOnce([] {
-        return never();
-    });
-    EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Linearizable)).WillOnce([] {
-        return now<WatchResult>(changesAt(9));
-    });
-    Revision announced = 5;
-    this->mode = [&announced](Revision revision) {
-        return revision < announced ? ReflectorMode::CatchUp : ReflectorMode::Watch;
-    };
-    this->runFor(300ms);
-    announced = 9;
-    this->context.restart();
-    this->context.run_for(500ms);
+    this->runPastStaleWatch(changesAt(9), 500ms);
     EXPECT_EQ(this->heard, (std::vector<std::string>{"list@5", "answer", "changes@9", "answer"}));
 }
 
 // The history is gone while the watch at the stale replica still waits.
 TEST_F(ReflectorTest, watchAtAStaleReplicaDoesNotDelayTheListingAfterLostHistory)
 {
-    const InSequence order;
-    EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 5});
-    });
-    EXPECT_CALL(this->store, watch(_, 5, 15'000ms, Freshness::Relaxed)).WillOnce([] {
-        return never();
-    });
-    EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Linearizable)).WillOnce([] {
-        return now<WatchResult>(HistoryGone{});
-    });
-    EXPECT_CALL(this->store, list(_, Freshness::Linearizable)).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 9});
-    });
-    Revision announced = 5;
-    this->mode = [&announced](Revision revision) {
-        return revision < announced ? ReflectorMode::CatchUp : ReflectorMode::Watch;
-    };
-    this->runFor(300ms);
-    announced = 9;
-    this->context.restart();
-    this->context.run_for(700ms);
+    this->runPastStaleWatch(HistoryGone{}, 700ms);
     EXPECT_EQ(this->reflector.syncedRevision(), 9U);
 }
 
--- a/Tests/Soak/Ledger.cpp
+++ b/Tests/Soak/Ledger.cpp
@@ -1,5 +1,7 @@
 #include "Ledger.h"
 
+#include <Tests/Support/RateBound.h>
+
 #include <algorithm>
 #include <set>
 
@@ -10,6 +12,8 @@
 {
 
 using namespace std::chrono_literals;
+using Tests::allowedWithinSpan;
+using Tests::mostWithinSpan;
 
 /// Time after a disturbance from which the promises with a time bound hold again: the platform's stable window.
 constexpr std::chrono::seconds STABLE_WINDOW{3};
@@ -17,8 +21,7 @@
 constexpr std::chrono::seconds LEAVING_BOUND{2};
 /// A data centre that is out gets nothing new after this time.
 constexpr std::chrono::seconds OUT_BOUND{5};
-/// Span over which requests to a target that states a rate are counted, and from when an instance that was told counts.
-constexpr std::chrono::seconds RATE_SPAN{4};
+/// Time after which an instance that was told of a rate is bound by it.
 constexpr std::chrono::milliseconds TOLD_DELAY{500};
 /// A calm instance answers at the latest this long after the caller's deadline, which the caller waits longer than.
 constexpr std::chrono::milliseconds LATE_ANSWER{500};
@@ -234,9 +237,8 @@
     }
 }
 
-std::vector<Core::TimePoint> Ledger::limitedRuns(const TargetStart &start, const StatedRate &rate) const
+std::vector<Core::TimePoint> Ledger::limitedRuns(const ToldTimes &told, const TargetStart &start, const StatedRate &rate) const
 {
-    const auto told = this->toldTimes(&PassedReport::statesRate);
     std::vector<Core::TimePoint> counted;
     for (const auto &[id, outcome] : this->outcomes) {
         const auto found = this->runs.find(id);
@@ -253,13 +255,10 @@
 
 void Ledger::checkRates(std::vector<std::string> &broken) const
 {
+    const auto told = this->toldTimes(&PassedReport::statesRate);
     for (const auto &[start, rate] : this->rates) {
-        const auto allowed = static_cast<std::ptrdiff_t>(1.5 * rate.requestsPerSecond * RATE_SPAN.count() + 5);
-        const auto counted = this->limitedRuns(start, rate);
-        std::ptrdiff_t most = 0;
-        for (auto first = counted.begin(); first != counted.end(); ++first) {
-            most = std::max(most, std::upper_bound(first, counted.end(), *first + RATE_SPAN) - first);
-        }
+        const auto allowed = allowedWithinSpan(rate.requestsPerSecond);
+        const auto most = mostWithinSpan(this->limitedRuns(told, start, rate));
         if (most > allowed) {
             broken.push_back(start.first + " got " + std::to_string(most) + " requests in 4 s, allowed " + std::to_string(allowed));
         }
--- a/Tests/Soak/Ledger.h
+++ b/Tests/Soak/Ledger.h
@@ -103,7 +103,7 @@
     void checkPlacement(std::vector<std::string> &broken) const;
     void checkLeaving(std::vector<std::string> &broken) const;
     /// Requests that count against a stated rate: of instances that were told of it and have run since.
-    std::vector<Core::TimePoint> limitedRuns(const TargetStart &start, const StatedRate &rate) const;
+    std::vector<Core::TimePoint> limitedRuns(const ToldTimes &told, const TargetStart &start, const StatedRate &rate) const;
     void checkRates(std::vector<std::string> &broken) const;
     void checkStops(std::vector<std::string> &broken) const;
     void checkRecovery(std::vector<std::string> &broken, Core::TimePoint faultsEnded) const;
