LibGateway: Log how many instances an instance knows

Neither logs nor metrics tell how many instances an instance knows.

The line 'traffic' and the gauge briarbend_instances_known do now. Behaviour is unchanged.

--- a/Libraries/LibGateway/Metrics.cpp
+++ b/Libraries/LibGateway/Metrics.cpp
@@ -76,6 +76,7 @@
     formatPeerTraffic(text, sent);
     text << "# TYPE briarbend_requests_in_flight gauge\nbriarbend_requests_in_flight " << state.requestsInFlight
          << "\n# TYPE briarbend_caller_connections gauge\nbriarbend_caller_connections " << state.callerConnections
+         << "\n# TYPE briarbend_instances_known gauge\nbriarbend_instances_known " << state.instances
          << "\n# TYPE briarbend_configuration_version gauge\nbriarbend_configuration_version "
          << (state.routingConfiguration ? state.routingConfiguration->version : 0)
          << "\n# TYPE briarbend_log_lines_dropped_total counter\nbriarbend_log_lines_dropped_total " << state.log.droppedLines() << '\n';
@@ -90,7 +91,8 @@
                                   {"probes", counters.probes},
                                   {"far_probes", counters.farProbes},
                                   {"connections", counters.connectionsOpened},
-                                  {"far_answer_bytes", counters.farResponseBytes}};
+                                  {"far_answer_bytes", counters.farResponseBytes},
+                                  {"instances_known", state.instances}};
     for (const auto &[key, total] : sent.totals) {
         const auto name = std::string(Coordination::nameOf(key.first)) + "_" + std::string(Coordination::nameOf(key.second));
         values[name + "_messages"] = total.messages;
