Tests: Add the failing case of hundreds of instances that start together

After 10 s, when the first requests come, an instance knows 227 of them and counts 207 as alive, one of them 127; after 40 s 284, 264 and 121.

Cause: a new instance gets at most 128 members of a peer's table, the first by name, and everything else travels four to a message under a budget of 2,400 bytes a second, behind all the other news of members that a start brings. The watchers of a data centre send changes of the store to the instances that they know. An instance that they do not know hears heartbeats of others that take themselves for watchers and does not read the store itself. All other sites have fewer than 128 instances.

--- a/Tests/LibMembership/TestMembership.cpp
+++ b/Tests/LibMembership/TestMembership.cpp
@@ -33,6 +33,18 @@
 
 } // namespace
 
+// Watchers send changes of the store to the instances that they know. Where hundreds started at once, most were unknown to most for minutes,
+// and targets that left stayed in use there.
+TEST(Membership, hundredsOfInstancesThatStartTogetherKnowEachOtherBeforeTheFirstRequest)
+{
+    constexpr std::size_t INSTANCES = 472;
+    // Requests come this long after the platform has started the instances.
+    constexpr seconds UNTIL_FIRST_REQUEST{10};
+    Fleet fleet{INSTANCES, 1};
+    fleet.run(UNTIL_FIRST_REQUEST);
+    EXPECT_EQ(minimumAlive(fleet), INSTANCES);
+}
+
 TEST(Membership, leavingInstanceIsDroppedWithinTwoSecondsUnderMessageLoss)
 {
     milliseconds slowest{0};
