LibRelay: Check the permit of a target again after the guard's wait

Cause, by traces of the choices and the target's side: after the target's restart the requests that were in flight are suspect, and the same request of other callers waits for the guard. Each had been chosen while the cold target had its one permit free; when the trial ended, all were sent, up to four at once from one instance. The permit was checked at the choice and taken at the send. Ruled out: two senders at once (all requests came from one instance), a target taken for warm after its restart (none was), requests in the target's backlog from before its restart (all connections were opened 30 ms later).

Change: after the guard's wait the permission is asked again; a request whose target left, turned cold or gave its permit away is chosen a target anew. The request counts from the moment at which its exchange is made, in the same step.

--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -67,12 +67,13 @@
     , head(this->request->head)
     , targetId(target)
 {
+    // Counted from here on, so that a choice made before open() runs sees this request.
+    this->record.emplace(this->relay, *this->service, this->targetId, Core::Clock::now());
 }
 
 Asio::awaitable<bool> Exchange::open()
 {
     const auto startedAt = Core::Clock::now();
-    this->record.emplace(this->relay, *this->service, this->targetId, startedAt);
     bool hasHead = co_await this->connect();
     if (hasHead) {
         hasHead = co_await this->send();
--- a/Libraries/LibRelay/RequestHandler.cpp
+++ b/Libraries/LibRelay/RequestHandler.cpp
@@ -165,6 +165,15 @@
     if (verdict == RequestGuard::Verdict::Refuse) {
         co_return Next::Refuse;
     }
+    // The guard may have held the request back while the target left, turned cold or got another request on the same permit.
+    const auto permission = permissionToSend(this->relay, *this->service, *choice.target);
+    if (!permission) {
+        if (verdict == RequestGuard::Verdict::SendAsTrial) {
+            this->relay.guard->endTrial(this->fingerprint);
+        }
+        co_return Next::TryAgain;
+    }
+    choice.isColdTrial = *permission == Routing::Permission::PermittedCold;
     if (this->submission) {
         if (const auto refused = this->submission->beginSending()) {
             this->submission.reset();
--- a/Libraries/LibRelay/TargetSelection.cpp
+++ b/Libraries/LibRelay/TargetSelection.cpp
@@ -42,4 +42,15 @@
     return Routing::chooseTarget(service.table, input, now, relay.random);
 }
 
+std::optional<Routing::Permission> permissionToSend(const RelayState &relay, const ServiceState &service, const Core::TargetId &target)
+{
+    const auto *state = Routing::findTarget(service.table, target);
+    if (state == nullptr || !Routing::isEligible(*state, {.dataCentresOut = service.dataCentresOut})) {
+        return std::nullopt;
+    }
+    const auto permission = permissionFor(relay, service, *state, Core::Clock::now());
+    const bool isPermitted = permission == Routing::Permission::Permitted || permission == Routing::Permission::PermittedCold;
+    return isPermitted ? std::optional(permission) : std::nullopt;
+}
+
 } // namespace Briarbend::Relay
--- a/Libraries/LibRelay/TargetSelection.h
+++ b/Libraries/LibRelay/TargetSelection.h
@@ -3,6 +3,7 @@
 #include <LibRelay/RelayState.h>
 #include <LibRouting/Choice.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,4 +15,7 @@
 Routing::Choice
 selectTarget(RelayState &relay, ServiceState &service, const std::string &routePrefix, const std::vector<Core::TargetId> &tried);
 
+/// The permission to send a request now to a target that was chosen earlier; nothing if the target no longer takes requests.
+std::optional<Routing::Permission> permissionToSend(const RelayState &relay, const ServiceState &service, const Core::TargetId &target);
+
 } // namespace Briarbend::Relay
--- a/Libraries/LibRouting/Choice.cpp
+++ b/Libraries/LibRouting/Choice.cpp
@@ -13,14 +13,6 @@
 
 using Candidates = std::vector<std::size_t>;
 
-bool isEligible(const TargetState &target, const ChoiceInput &input)
-{
-    const auto &record = target.record;
-    const bool reportsLeaving = target.latestReport && target.latestReport->report.isLeaving;
-    return !record.isLeaving && !reportsLeaving && std::ranges::find(input.dataCentresOut, record.dataCentre) == input.dataCentresOut.end()
-        && std::ranges::find(input.excluded, record.id) == input.excluded.end();
-}
-
 Candidates eligibleTargets(const TargetTable &table, const ChoiceInput &input)
 {
     Candidates eligible;
@@ -134,6 +126,14 @@
 
 } // namespace
 
+bool isEligible(const TargetState &target, const ChoiceInput &input)
+{
+    const auto &record = target.record;
+    const bool reportsLeaving = target.latestReport && target.latestReport->report.isLeaving;
+    return !record.isLeaving && !reportsLeaving && std::ranges::find(input.dataCentresOut, record.dataCentre) == input.dataCentresOut.end()
+        && std::ranges::find(input.excluded, record.id) == input.excluded.end();
+}
+
 Choice chooseTarget(TargetTable &table, const ChoiceInput &input, Core::TimePoint now, Core::Random &random)
 {
     const auto eligible = eligibleTargets(table, input);
--- a/Libraries/LibRouting/Choice.h
+++ b/Libraries/LibRouting/Choice.h
@@ -49,6 +49,9 @@
     bool isColdTrial{false};
 };
 
+/// False if the target is leaving or excluded, or its data centre is out.
+bool isEligible(const TargetState &target, const ChoiceInput &input);
+
 /// Chooses the target for one request by the table's policy. The cost grows with the size of the table's subset, not of the service.
 Choice chooseTarget(TargetTable &table, const ChoiceInput &input, Core::TimePoint now, Core::Random &random);
 
--- a/Tests/Processes/ColdTargets/TestColdTargets.cpp
+++ b/Tests/Processes/ColdTargets/TestColdTargets.cpp
@@ -1,7 +1,14 @@
 #include <Tests/Processes/Support/Cluster.h>
 
 #include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
 #include <gtest/gtest.h>
+#include <list>
+#include <thread>
 
 namespace Briarbend::Processes
 {
@@ -64,6 +71,51 @@
     EXPECT_LE(largest(cluster, "connections_peak"), CONNECTION_BUDGET);
 }
 
+// Requests that waited for the trial of a suspect one were all sent to a cold target at once when the trial ended: each had been permitted
+// when it was chosen.
+TEST(ColdTargets, bearNoMoreThanOneOfTheRequestsThatWaitForATrial)
+{
+    constexpr std::size_t REQUESTS = 30;
+    // Longer than the time for which an instance must have been a sender of the target.
+    constexpr std::chrono::seconds SETTLED{9};
+    ClusterPlan plan;
+    plan.dataCentres = {"sfax-1"};
+    plan.targetsPerDataCentre = 1;
+    plan.instances = 1;
+    plan.targetConditions = {{"mean_ms", 200}, {"spread", 0}};
+    Cluster cluster(std::move(plan));
+    const auto &instance = cluster.instances.front();
+    const auto &target = cluster.targetGroups.front();
+    std::this_thread::sleep_for(SETTLED);
+
+    boost::asio::io_context context;
+    std::list<boost::beast::tcp_stream> callers;
+    const auto send = [&] {
+        auto &caller = callers.emplace_back(context);
+        caller.connect(instance.callers.tcp());
+        auto request = Network::makeRequest(Network::Http::verb::get, "/x", instance.callers.text());
+        Network::Http::write(caller, request);
+    };
+    send();
+    ASSERT_TRUE(eventually(
+        [&] {
+            return runsOf(target) == 1;
+        },
+        EXCHANGE_TIMEOUT));
+    // The request's connection is lost, which makes it suspect.
+    target.apply({{"restart", true}});
+    for (std::size_t index = 0; index < REQUESTS; ++index) {
+        send();
+    }
+    for (auto &caller : callers) {
+        boost::beast::flat_buffer buffer;
+        Network::Response response;
+        Network::Http::read(caller, buffer, response);
+    }
+    EXPECT_GT(runsOf(target), 2U) << "the cold target gets requests again";
+    EXPECT_EQ(cluster.sumOfCounter("violations"), 0U);
+}
+
 TEST(ColdTargets, ofAServiceThatIsConfiguredLaterAreNotTakenForNew)
 {
     constexpr std::size_t INSTANCES = 3;
