LibMembership: Give a new instance the whole table of members

Instances of a fleet of 472 knew less than half of each other, for as long as they ran: a reply to a request for the member table held the first 128 members by name, and the rest travelled four to a message under 2,400 bytes a second, behind everybody's news of everybody. The watchers of a data centre send the store's changes to the instances that they know; an instance that they do not know heard the heartbeats of others that took themselves for watchers, and did not read the store itself. Targets that left, configurations and data centres taken out so reached it seconds late. Shares that are divided by the number of instances (cold targets, stated rates) were twice too large.

Change: the reply holds all members, and all times at which they were heard, since only members that were heard count. A new instance asks until a reply holds nobody new, and again after a freeze. What it learns so it does not forward: all others ask too.

--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-/// Maximum number of updates in the reply to a new instance's request for the member table.
-constexpr std::size_t MAX_JOIN_UPDATES = 128;
-
 /// True where the member has been heard and is neither leaving nor gone.
 bool isAlive(const Member &member)
 {
@@ -28,11 +25,12 @@
 
 /// Both kinds of ages in an acknowledgement count from the time the acknowledged ping was sent. The acknowledgement was sent later, so a
 /// member ran no earlier than that. The ages in a ping count from its arrival, which proves nothing because the ping may have been delayed.
-void applyAges(State &state, const std::vector<HeardAge> &ages, Core::TimePoint reference, bool isAcknowledged)
+void applyAges(State &state, std::vector<HeardAge> ages, Core::TimePoint reference, bool isAcknowledged)
 {
+    std::ranges::sort(ages, {}, &HeardAge::memberHash);
     for (auto &[id, member] : state.members) {
-        const auto age = std::ranges::find(ages, memberHash(id), &HeardAge::memberHash);
-        if (age == ages.end() || id == state.self) {
+        const auto age = std::ranges::lower_bound(ages, memberHash(id), {}, &HeardAge::memberHash);
+        if (age == ages.end() || age->memberHash != memberHash(id) || id == state.self) {
             continue;
         }
         raise(member.lastHeard, reference - age->heard);
@@ -42,6 +40,14 @@
     }
 }
 
+/// True if the message carries the member table that this instance requested.
+bool isTableReply(const State &state, const Message &message)
+{
+    const auto *acknowledgement = std::get_if<Acknowledgement>(&message.body);
+    const auto pending = acknowledgement == nullptr ? state.pendingPings.end() : state.pendingPings.find(acknowledgement->sequence);
+    return pending != state.pendingPings.end() && pending->second.wantsMembers;
+}
+
 void recordHeard(State &state, const Core::InstanceId &id, Core::TimePoint moment, bool isAcknowledged)
 {
     const auto found = state.members.find(id);
@@ -74,9 +80,10 @@
         if (!this->state.isConfirmed && this->now - this->state.unconfirmedSince < TICK_INTERVAL) {
             return;
         }
-        auto reply = makeMessage(this->state, Acknowledgement{ping.sequence, heardAges(this->state, this->now)});
+        auto ages = ping.wantsMembers ? allAges(this->state, this->now) : recentAges(this->state, this->now);
+        auto reply = makeMessage(this->state, Acknowledgement{ping.sequence, std::move(ages)});
         if (ping.wantsMembers) {
-            reply.updates = allUpdates(this->state, MAX_JOIN_UPDATES);
+            reply.updates = allUpdates(this->state);
         }
         // A sender that is not alive in this table must learn it from the first reply, to refute it.
         const auto &sender = this->state.members.at(this->message.sender.id);
@@ -111,7 +118,7 @@
     {
         const auto sequence = this->state.nextSequence++;
         this->state.pendingPings[sequence]
-            = {request.target, std::nullopt, this->now, true, this->message.sender.address, request.sequence};
+            = {request.target, std::nullopt, this->now, true, false, this->message.sender.address, request.sequence};
         this->decision.messages.push_back({request.target, makeMessage(this->state, Ping{sequence, false, {}})});
     }
 
@@ -167,8 +174,17 @@
     if (const auto sender = state.members.find(message.sender.id); sender != state.members.end()) {
         sender->second.isInformed = message.isInformed;
     }
+    const bool isTable = isTableReply(state, message);
+    // A reply that the sender's byte budget cut short holds no members.
+    state.hasWholeTable = isTable ? !message.updates.empty() : state.hasWholeTable;
     std::ranges::for_each(message.updates, [&](const MemberUpdate &update) {
+        const bool isKnown = state.members.contains(update.id);
         decision.hasRefuted |= applyUpdate(state, update, now, decision.changes);
+        // Other new instances request the table as well. Forwarding all of it would hold up later updates.
+        if (isTable && !isKnown) {
+            state.hasWholeTable = false;
+            stopForwarding(state, update.id);
+        }
     });
     std::visit(Receiver{state, message, now, decision}, message.body);
     return decision;
@@ -298,8 +314,9 @@
     if (pause <= FREEZE_LIMIT) {
         return;
     }
-    // This process itself was frozen, so no member is suspected for its silence during the pause.
+    // This process itself was frozen, so no member is suspected for its silence during the pause. Others may have joined meanwhile.
     state.isConfirmed = false;
+    state.hasWholeTable = false;
     state.unconfirmedSince = now;
     state.pendingPings.clear();
     state.nextProbe = now;
--- a/Libraries/LibMembership/Probing.cpp
+++ b/Libraries/LibMembership/Probing.cpp
@@ -44,16 +44,17 @@
 
 void ping(State &state, const PeerAddress &to, std::optional<Core::InstanceId> expected, Core::TimePoint now, Decision &decision)
 {
-    const bool isNew = now - state.startedAt < JOIN_PERIOD && now >= state.nextTableRequest;
-    if (isNew) {
+    const bool needsTable = (now - state.startedAt < JOIN_PERIOD || !state.hasWholeTable) && now >= state.nextTableRequest;
+    if (needsTable) {
         state.nextTableRequest = now + TABLE_REQUEST_INTERVAL;
     }
-    auto message = makeMessage(state, Ping{state.nextSequence++, isNew || !hasHeardAnyone(state), heardAges(state, now)});
+    const Ping body{state.nextSequence++, needsTable || !hasHeardAnyone(state), recentAges(state, now)};
+    auto message = makeMessage(state, body);
     const auto *member = expected ? find(state, *expected) : nullptr;
     if (member != nullptr && member->update.state != MemberState::Alive) {
         message.updates.push_back(member->update);
     }
-    state.pendingPings[std::get<Ping>(message.body).sequence] = {to, std::move(expected), now, false, std::nullopt, 0};
+    state.pendingPings[body.sequence] = {to, std::move(expected), now, false, body.wantsMembers, std::nullopt, 0};
     decision.messages.push_back({to, std::move(message)});
 }
 
--- a/Libraries/LibMembership/State.h
+++ b/Libraries/LibMembership/State.h
@@ -29,7 +29,8 @@
 constexpr std::chrono::milliseconds FREEZE_LIMIT{1000};
 /// Interval between probes of a seed or of a gone member's address, by which two sides find each other after a network partition.
 constexpr std::chrono::milliseconds SEED_INTERVAL{2000};
-/// A new instance requests the member table at this interval during JOIN_PERIOD, because others may be starting at the same time.
+/// A new instance requests the member table at this interval during JOIN_PERIOD, because others may be starting at the same time, and then
+/// until a reply holds no member that it does not know.
 constexpr std::chrono::milliseconds TABLE_REQUEST_INTERVAL{1000};
 constexpr std::chrono::seconds JOIN_PERIOD{6};
 /// How long a member that announced its leaving is kept as leaving.
@@ -52,6 +53,8 @@
     std::optional<Core::InstanceId> expected;
     Core::TimePoint sentAt;
     bool isIndirectSent{false};
+    /// The ping requests the member table.
+    bool wantsMembers{false};
     /// Set when the probe is made for a peer: the address and the sequence number for the IndirectAcknowledgement.
     std::optional<PeerAddress> requester;
     std::uint64_t requesterSequence{0};
@@ -74,6 +77,8 @@
     Core::TimePoint nextSeedProbe;
     Core::TimePoint startedAt;
     Core::TimePoint nextTableRequest;
+    /// The last reply to a request for the member table held no unknown member.
+    bool hasWholeTable{false};
     /// Last time at which this process certainly ran.
     Core::TimePoint lastActive;
     bool isConfirmed{false};
--- a/Libraries/LibMembership/Table.cpp
+++ b/Libraries/LibMembership/Table.cpp
@@ -13,8 +13,8 @@
 namespace
 {
 
-/// Maximum number of heard ages in one message. The most recent ones are kept.
-constexpr std::size_t MAX_HEARD_AGES = 16;
+/// Maximum number of heard ages in one routine message.
+constexpr std::size_t MAX_RECENT_AGES = 16;
 
 bool supersedes(const MemberUpdate &incoming, const MemberUpdate &held)
 {
@@ -112,7 +112,19 @@
     });
 }
 
-std::vector<HeardAge> heardAges(const State &state, Core::TimePoint now)
+std::vector<HeardAge> recentAges(const State &state, Core::TimePoint now)
+{
+    auto ages = allAges(state, now);
+    std::erase_if(ages, [](const HeardAge &age) {
+        return age.heard > SILENCE_THRESHOLD;
+    });
+    const auto kept = std::min(ages.size(), MAX_RECENT_AGES);
+    std::ranges::partial_sort(ages, ages.begin() + static_cast<std::ptrdiff_t>(kept), {}, &HeardAge::heard);
+    ages.resize(kept);
+    return ages;
+}
+
+std::vector<HeardAge> allAges(const State &state, Core::TimePoint now)
 {
     const auto inUnits = [now](Core::TimePoint moment) {
         const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - moment);
@@ -120,28 +132,32 @@
     };
     std::vector<HeardAge> ages;
     for (const auto &[id, member] : state.members) {
-        if (id != state.self && member.lastHeard && now - *member.lastHeard <= SILENCE_THRESHOLD) {
+        if (id != state.self && member.lastHeard) {
             const auto acknowledged = member.lastAcknowledged ? inUnits(*member.lastAcknowledged) : MAX_HEARD_AGE;
             ages.push_back({memberHash(id), inUnits(*member.lastHeard), acknowledged});
         }
     }
-    const auto kept = std::min(ages.size(), MAX_HEARD_AGES);
-    std::ranges::partial_sort(ages, ages.begin() + static_cast<std::ptrdiff_t>(kept), {}, &HeardAge::heard);
-    ages.resize(kept);
     return ages;
 }
 
-std::vector<MemberUpdate> allUpdates(const State &state, std::size_t count)
+std::vector<MemberUpdate> allUpdates(const State &state)
 {
     std::vector<MemberUpdate> updates;
     for (const auto &[id, member] : state.members) {
-        if (member.update.state != MemberState::Gone && id != state.self && updates.size() < count) {
+        if (member.update.state != MemberState::Gone && id != state.self) {
             updates.push_back(member.update);
         }
     }
     return updates;
 }
 
+void stopForwarding(State &state, const Core::InstanceId &id)
+{
+    if (const auto found = state.members.find(id); found != state.members.end()) {
+        found->second.transmissions = transmissionLimit(state.members.size());
+    }
+}
+
 Message makeMessage(const State &state, Body body)
 {
     return {state.members.at(state.self).update, state.isConfirmed, state.isInformed, std::move(body), {}};
--- a/Libraries/LibMembership/Table.h
+++ b/Libraries/LibMembership/Table.h
@@ -21,11 +21,17 @@
 /// Marks members as gone whose suspicion or leaving has timed out, and removes members after GONE_RETENTION.
 void advanceStates(State &state, Core::TimePoint now, std::vector<MemberChange> &changes);
 
-/// Returns the ages of members that were heard within SILENCE_THRESHOLD.
-std::vector<HeardAge> heardAges(const State &state, Core::TimePoint now);
+/// Returns the most recent ages of members that were heard within SILENCE_THRESHOLD, as many as a routine message carries.
+std::vector<HeardAge> recentAges(const State &state, Core::TimePoint now);
 
-/// Returns at most `count` updates of the table for a new instance, without this instance and members that are gone.
-std::vector<MemberUpdate> allUpdates(const State &state, std::size_t count);
+/// Returns the ages of all members that have been heard, for a new instance.
+std::vector<HeardAge> allAges(const State &state, Core::TimePoint now);
+
+/// Returns the whole table for a new instance, without this instance and members that are gone.
+std::vector<MemberUpdate> allUpdates(const State &state);
+
+/// Stops forwarding the latest update about a member.
+void stopForwarding(State &state, const Core::InstanceId &id);
 
 Message makeMessage(const State &state, Body body);
 
