LibMembership: Let the time to a probe out of turn grow with the members

DRAIN on the large deployment, second cause of unknown instances. Every instance probes members out of turn that neither it nor its peers have heard for 3 s. Messages tell of 16 members each, so that among 472 some hundred are silent at any time at every instance: the probes and their answers exceed the budget of 2,400 bytes a second, answers are withheld, and running members are taken for gone.

Change: the threshold is at least 25 ms a member: as before up to 120 members, 12 s for 472. Members that fail are still found by the routine probes of all others, as in SWIM.

--- a/Libraries/LibMembership/Probing.cpp
+++ b/Libraries/LibMembership/Probing.cpp
@@ -96,9 +96,11 @@
 
 void pingSilent(State &state, Core::TimePoint now, Core::Random &random, Decision &decision)
 {
-    const auto isSilent = [now](const Member &member) {
+    const auto members = static_cast<std::int64_t>(state.members.size());
+    const std::chrono::milliseconds threshold = std::max(SILENCE_THRESHOLD, SILENCE_THRESHOLD_PER_MEMBER * members);
+    const auto isSilent = [now, threshold](const Member &member) {
         // A new member has the same time to be heard through peers.
-        return isPresent(member) && now - member.lastHeard.value_or(member.stateSince) > SILENCE_THRESHOLD;
+        return isPresent(member) && now - member.lastHeard.value_or(member.stateSince) > threshold;
     };
     const auto waiting = static_cast<std::size_t>(std::ranges::count_if(state.pendingPings, [&](const auto &item) {
         const auto *member = item.second.expected ? find(state, *item.second.expected) : nullptr;
