LibGateway: Search again where a target was withdrawn before the send

Where that target left, asked for quiet or gave its last permit under a stated rate to another request meanwhile, the request was refused with 503 although other targets had room. Without the guard's wait no request can lose its target: the choice and the permit are one step (two requests at once, tried in a test that passed before).

Change: the attempt searches again, three times at most, and only then ends without a target.

RequestFlowTest.requestWhoseTargetLeavesWhileTheGuardHoldsItIsSentElsewhere: 503 before, 200 from the other target after.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -28,6 +28,8 @@
 constexpr std::chrono::milliseconds MINIMUM_TIME_TO_SEND{20};
 /// Divisor of the objective that gives the longest time for which a suspect request waits for its trial.
 constexpr int TRIAL_WAIT_DIVISOR = 4;
+/// Searches for a target of which the first ones found targets that were withdrawn before the send.
+constexpr std::size_t MAXIMUM_SEARCHES = 3;
 constexpr std::uint32_t MAXIMUM_RESPONSE_HEADER_BYTES = 64U * 1024;
 constexpr std::size_t READ_BUFFER_BYTES = 16UL * 1024;
 
@@ -64,6 +66,18 @@
 }
 
 Asio::awaitable<void> Attempt::run()
+{
+    for (std::size_t searches = 0; this->result == AttemptResult::Pending && searches < MAXIMUM_SEARCHES; ++searches) {
+        co_await this->searchAndSend();
+    }
+    if (this->result == AttemptResult::Pending) {
+        this->result = AttemptResult::NoTarget;
+    }
+    this->connection.reset();
+    this->onEnded();
+}
+
+Asio::awaitable<void> Attempt::searchAndSend()
 {
     auto query = this->query();
     const auto split = this->drawVersion(query);
@@ -86,8 +100,6 @@
     } else {
         co_await this->sendIfPermitted(std::move(found));
     }
-    this->connection.reset();
-    this->onEnded();
 }
 
 TargetQuery Attempt::query() const
@@ -137,7 +149,6 @@
         if (isTrial) {
             state.guard->endTrial(this->context->fingerprint);
         }
-        this->result = AttemptResult::NoTarget;
         co_return;
     }
     this->context->triedTargets.push_back(this->name);
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -62,7 +62,10 @@
     /// Keeps the attempt alive until it has ended.
     static boost::asio::awaitable<void> runKeepingAlive(std::shared_ptr<Attempt> self);
     boost::asio::awaitable<void> run();
-    /// Sends the request to the target that was found, unless the guard refuses a request that recently crashed targets.
+    /// Leaves the result pending if the target that was found was withdrawn before the send.
+    boost::asio::awaitable<void> searchAndSend();
+    /// Sends the request to the target that was found, unless the guard refuses a request that recently crashed targets or the target was
+    /// withdrawn.
     boost::asio::awaitable<void> sendIfPermitted(FoundTarget found);
     boost::asio::awaitable<void> reportToGuard(bool isTrial);
     boost::asio::awaitable<void> sendAndReceive();
--- a/Tests/LibGateway/TestRequestFlow.cpp
+++ b/Tests/LibGateway/TestRequestFlow.cpp
@@ -11,7 +11,7 @@
 {
 
 /// Delays every request until its deadline, then refuses it.
-class RefusingGuard final : public Relay::RequestGuard
+class RefusingGuard : public Relay::RequestGuard
 {
 public:
     bool isUnsuspected(const Quarantine::Fingerprint &) const override
@@ -48,6 +48,25 @@
     }
 };
 
+/// Permits every request, after something that happens while the request waits.
+class DelayingGuard final : public RefusingGuard
+{
+public:
+    explicit DelayingGuard(std::function<void()> callback)
+        : onWait(std::move(callback))
+    {
+    }
+
+    boost::asio::awaitable<Permission> awaitPermission(Quarantine::Fingerprint, Core::TargetId, Core::TimePoint) override
+    {
+        this->onWait();
+        co_return Permission{Verdict::SendAsTrial};
+    }
+
+private:
+    std::function<void()> onWait;
+};
+
 Reaction always(Reaction reaction)
 {
     return reaction;
@@ -272,6 +291,25 @@
     EXPECT_EQ(this->runsOf("a1"), 0U);
 }
 
+// A suspect request was refused when its target left or gave its last permit away while the guard held it, although another had room.
+TEST_F(RequestFlowTest, requestWhoseTargetLeavesWhileTheGuardHoldsItIsSentElsewhere)
+{
+    const auto react = [](const auto &) {
+        return Reaction{};
+    };
+    auto &leaving = this->addTarget("leaving", react);
+    this->addTarget("other", react).load = "5,0,6,100";
+    this->configureRoute(RouteKind::Once);
+    DelayingGuard guard([this] {
+        Fleet::recordLeaving(this->state.directory, "leaving", 1, Core::Clock::now());
+        updateServiceStates(this->state, Core::Clock::now());
+    });
+    this->state.guard = &guard;
+    EXPECT_EQ(this->run("a1").response.result_int(), 200U);
+    EXPECT_EQ(leaving.runs().size(), 0U);
+    EXPECT_EQ(this->runsOf("a1"), 1U);
+}
+
 TEST_F(RequestFlowTest, addressOfAnotherTargetReceivesNoRequest)
 {
     auto &target = this->addTarget("one", [](const auto &) {
--- a/Tests/LibMembership/TestMembership.cpp
+++ b/Tests/LibMembership/TestMembership.cpp
@@ -33,8 +33,8 @@
 
 } // namespace
 
-// Watchers send changes of the store to the instances that they know. Where hundreds started at once, most were unknown to most for minutes,
-// and targets that left stayed in use there.
+// Watchers send changes of the store to the instances that they know. Where hundreds started at once, most were unknown to most for
+// minutes, and targets that left stayed in use there.
 TEST(Membership, hundredsOfInstancesThatStartTogetherKnowEachOtherBeforeTheFirstRequest)
 {
     constexpr std::size_t INSTANCES = 472;
