docs, LibMembership: Say how members are known among hundreds

The design page and the bound of failure detection said nothing of fleets above 120 members. Behaviour is unchanged.

--- a/Libraries/LibMembership/State.h
+++ b/Libraries/LibMembership/State.h
@@ -41,7 +41,8 @@
 constexpr std::chrono::minutes GONE_RETENTION{10};
 
 /// Longest time from a member's failure until it is gone at every instance that can reach a peer, without the time for disseminating the
-/// update. Simultaneous failures queue for the MAX_OUT_OF_TURN_PROBES, one of which starts at each tick.
+/// update, among at most SILENCE_THRESHOLD / SILENCE_THRESHOLD_PER_MEMBER members. Simultaneous failures queue for the
+/// MAX_OUT_OF_TURN_PROBES, one of which starts at each tick.
 constexpr std::chrono::milliseconds detectionBound(std::size_t simultaneousFailures)
 {
     const auto rounds = static_cast<std::int64_t>((simultaneousFailures + MAX_OUT_OF_TURN_PROBES - 1) / MAX_OUT_OF_TURN_PROBES);
