--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -28,7 +28,7 @@
 constexpr std::chrono::milliseconds MINIMUM_TIME_TO_SEND{20};
 /// Divisor of the objective that gives the longest time for which a suspect request waits for its trial.
 constexpr int TRIAL_WAIT_DIVISOR = 4;
-/// Searches for a target of which the first ones found targets that were withdrawn before the send.
+/// Another search follows where the target that was found was withdrawn before the send.
 constexpr std::size_t MAXIMUM_SEARCHES = 3;
 constexpr std::uint32_t MAXIMUM_RESPONSE_HEADER_BYTES = 64U * 1024;
 constexpr std::size_t READ_BUFFER_BYTES = 16UL * 1024;
--- a/Libraries/LibMembership/State.h
+++ b/Libraries/LibMembership/State.h
@@ -23,7 +23,8 @@
 constexpr std::chrono::milliseconds SUSPICION_TIMEOUT{2000};
 /// A member that neither this instance nor its peers have heard for this long is probed out of turn.
 constexpr std::chrono::milliseconds SILENCE_THRESHOLD{3000};
-/// The same for each member, where that is longer. Messages tell of a fixed number of members, so that one is heard less often among many.
+/// The threshold is at least this long for each member. Messages tell of a fixed number of members, so that among many each is heard less
+/// often.
 constexpr std::chrono::milliseconds SILENCE_THRESHOLD_PER_MEMBER{25};
 /// Maximum number of out-of-turn probes that wait for an acknowledgement.
 constexpr std::size_t MAX_OUT_OF_TURN_PROBES = 4;
--- a/Libraries/LibMembership/Table.h
+++ b/Libraries/LibMembership/Table.h
@@ -24,7 +24,7 @@
 /// Returns the most recent ages of members that were heard within SILENCE_THRESHOLD, as many as a routine message carries.
 std::vector<HeardAge> recentAges(const State &state, Core::TimePoint now);
 
-/// Returns the ages of all members that have been heard, for a new instance.
+/// Returns the ages of all members that have been heard, at most MAX_HEARD_AGE each, for a new instance.
 std::vector<HeardAge> allAges(const State &state, Core::TimePoint now);
 
 /// Returns the whole table for a new instance, without this instance and members that are gone.
