LibMembership: Hash each member once where ages are applied

Since the ages are searched by halves, the hash of each member was computed twice for each message with ages, at every ping and acknowledgement. The state of the table reads as a condition in place of a conditional expression that assigns itself. Behaviour is unchanged.

--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -29,8 +29,9 @@
 {
     std::ranges::sort(ages, {}, &HeardAge::memberHash);
     for (auto &[id, member] : state.members) {
-        const auto age = std::ranges::lower_bound(ages, memberHash(id), {}, &HeardAge::memberHash);
-        if (age == ages.end() || age->memberHash != memberHash(id) || id == state.self) {
+        const auto hash = memberHash(id);
+        const auto age = std::ranges::lower_bound(ages, hash, {}, &HeardAge::memberHash);
+        if (age == ages.end() || age->memberHash != hash || id == state.self) {
             continue;
         }
         raise(member.lastHeard, reference - age->heard);
@@ -175,8 +176,10 @@
         sender->second.isInformed = message.isInformed;
     }
     const bool isTable = isTableReply(state, message);
-    // A reply that the sender's byte budget cut short holds no members.
-    state.hasWholeTable = isTable ? !message.updates.empty() : state.hasWholeTable;
+    if (isTable) {
+        // A reply that the sender's byte budget cut short holds no members.
+        state.hasWholeTable = !message.updates.empty();
+    }
     std::ranges::for_each(message.updates, [&](const MemberUpdate &update) {
         const bool isKnown = state.members.contains(update.id);
         decision.hasRefuted |= applyUpdate(state, update, now, decision.changes);
