LibCoordination, LibGateway: Log what a process does that stands still

Two instances stand still for about a second, again and again; neither logs nor metrics tell a stopped process from a busy one, nor what keeps it busy. Hypotheses: (1) an instance that evaluates a rollout handles the evidence of all others; (2) reports of requests that broke targets reach one instance from all others at once; (3) relists after each standstill cause the next.

woke_after_freeze names the processor time used meanwhile, and the messages and the time of handling by channel; traffic has the totals; rollout_evaluator says which instances evaluate a rollout.

--- a/Libraries/LibCoordination/PeerLink.cpp
+++ b/Libraries/LibCoordination/PeerLink.cpp
@@ -127,25 +127,35 @@
     return this->sent;
 }
 
+const ReceivedTraffic &PeerLink::receivedTraffic() const
+{
+    return this->received;
+}
+
 void PeerLink::receive(const std::string &peer, std::string_view bytes)
 {
     if (bytes.empty()) {
         return;
     }
-    const char channel = bytes.front();
+    const auto channel = static_cast<Channel>(bytes.front());
+    const auto callback = this->messageCallbacks.find(bytes.front());
+    if (channel != Channel::Gossip && callback == this->messageCallbacks.end()) {
+        return;
+    }
     bytes.remove_prefix(1);
+    const auto startedAt = this->timers.now();
     try {
-        if (channel == static_cast<char>(Channel::Gossip)) {
-            this->execute(Gossip::receive(this->gossip, bytes, this->timers.now(), this->random));
-            return;
-        }
-        const auto found = this->messageCallbacks.find(channel);
-        if (found != this->messageCallbacks.end()) {
-            found->second(peer, bytes);
+        if (channel == Channel::Gossip) {
+            this->execute(Gossip::receive(this->gossip, bytes, startedAt, this->random));
+        } else {
+            callback->second(peer, bytes);
         }
     } catch (const std::exception &exception) {
         this->logMessage("dropped a message from " + peer + " that could not be processed: " + exception.what());
     }
+    auto &total = this->received[channel];
+    ++total.messages;
+    total.handling += this->timers.now() - startedAt;
 }
 
 void PeerLink::execute(const Gossip::Decision &decision)
--- a/Libraries/LibCoordination/PeerLink.h
+++ b/Libraries/LibCoordination/PeerLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCoordination/ReceivedTraffic.h>
 #include <LibCoordination/SentTraffic.h>
 #include <LibCore/Random.h>
 #include <LibCore/TimerService.h>
@@ -48,6 +49,7 @@
     const Gossip::State &state() const;
     Peers::TransportCounters counters() const;
     const SentTraffic &sentTraffic() const;
+    const ReceivedTraffic &receivedTraffic() const;
 
 private:
     void transmit(Channel channel, const std::string &peer, std::string_view bytes);
@@ -59,6 +61,7 @@
     Gossip::State gossip;
     Core::Random &random;
     SentTraffic sent;
+    ReceivedTraffic received;
     ChangesCallback changesCallback;
     LogMessageCallback logMessageCallback;
     std::unordered_map<char, MessageCallback> messageCallbacks;
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -95,7 +95,8 @@
         Fleet::expireSelfReports(this->state.directory, now);
     }));
     this->subscriptions.push_back(this->timers.every(TRAFFIC_LOG_INTERVAL, [this](Core::TimePoint) {
-        this->state.log.write(Importance::Routine, "traffic", describeTraffic(this->state, this->peers->sentTraffic()));
+        this->state.log.write(
+            Importance::Routine, "traffic", describeTraffic(this->state, this->peers->sentTraffic(), this->peers->receivedTraffic()));
     }));
     this->state.log.write(Importance::Notable,
                           "started",
@@ -242,14 +243,26 @@
     const auto gap = std::max(std::chrono::nanoseconds(now - this->lastTick), boot - this->lastTickBootTime);
     this->lastTick = now;
     this->lastTickBootTime = boot;
+    const auto processorTime = Network::processorNow();
     if (gap >= FREEZE_THRESHOLD) {
-        this->recoverFromFreeze(std::chrono::duration_cast<std::chrono::milliseconds>(gap));
+        this->logFreeze(gap, processorTime - this->processorTimeAtLastTick);
+        this->recoverFromFreeze();
     }
+    this->processorTimeAtLastTick = processorTime;
+    this->receivedAtLastTick = this->peers->receivedTraffic();
 }
 
-void Instance::recoverFromFreeze(std::chrono::milliseconds length)
+void Instance::logFreeze(std::chrono::nanoseconds length, std::chrono::nanoseconds processorTime)
+{
+    using Milliseconds = std::chrono::milliseconds;
+    nlohmann::ordered_json values{{"length_ms", std::chrono::duration_cast<Milliseconds>(length).count()},
+                                  {"processor_ms", std::chrono::duration_cast<Milliseconds>(processorTime).count()}};
+    values.update(describeReceived(Coordination::receivedSince(this->receivedAtLastTick, this->peers->receivedTraffic())));
+    this->state.log.write(Importance::Notable, "woke_after_freeze", std::move(values));
+}
+
+void Instance::recoverFromFreeze()
 {
-    this->state.log.write(Importance::Notable, "woke_after_freeze", {{"length_ms", length.count()}});
     this->lastFreezeEnd = this->timers.now();
     this->state.pool.closeIdle(this->lastFreezeEnd, Core::Duration{0});
     std::ranges::for_each(this->followers, [](const auto &follower) {
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -54,7 +54,9 @@
     void recordStoreResponse();
     void recordStoreFailure(const std::string &reason);
     void detectFreeze(Core::TimePoint now);
-    void recoverFromFreeze(std::chrono::milliseconds length);
+    /// Logs what tells a stopped process from a busy one: processor time, and messages handled meanwhile.
+    void logFreeze(std::chrono::nanoseconds length, std::chrono::nanoseconds processorTime);
+    void recoverFromFreeze();
     void expireTargets(Core::TimePoint now);
     void startPeers(std::uint64_t seed);
     void updateInstances();
@@ -85,6 +87,8 @@
     bool hasStoppedListening{false};
     Core::TimePoint lastTick;
     std::chrono::nanoseconds lastTickBootTime{0};
+    std::chrono::nanoseconds processorTimeAtLastTick{0};
+    Coordination::ReceivedTraffic receivedAtLastTick;
     Core::TimePoint lastFreezeEnd;
     bool isStoreUnavailable{false};
 };
--- a/Libraries/LibGateway/Metrics.cpp
+++ b/Libraries/LibGateway/Metrics.cpp
@@ -83,7 +83,19 @@
     return text.str();
 }
 
-nlohmann::ordered_json describeTraffic(const GatewayState &state, const Coordination::SentTraffic &sent)
+nlohmann::ordered_json describeReceived(const Coordination::ReceivedTraffic &received)
+{
+    auto values = nlohmann::ordered_json::object();
+    for (const auto &[channel, total] : received) {
+        const auto name = std::string(Coordination::nameOf(channel)) + "_received";
+        values[name + "_messages"] = total.messages;
+        values[name + "_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(total.handling).count();
+    }
+    return values;
+}
+
+nlohmann::ordered_json
+describeTraffic(const GatewayState &state, const Coordination::SentTraffic &sent, const Coordination::ReceivedTraffic &received)
 {
     const auto &counters = state.counters;
     nlohmann::ordered_json values{{"sends", counters.sends},
@@ -98,6 +110,7 @@
         values[name + "_messages"] = total.messages;
         values[name + "_bytes"] = total.bytes;
     }
+    values.update(describeReceived(received));
     return values;
 }
 
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -169,11 +169,12 @@
     const auto &members = this->peers.state().members;
     const auto evaluators = Rollout::evaluators(*rollout.state, Membership::aliveMembers(members));
     const bool isEvaluator = std::ranges::find(evaluators, members.self) != evaluators.end();
-    if (!isEvaluator) {
-        rollout.evaluatorSince.reset();
-    } else if (!rollout.evaluatorSince) {
-        rollout.evaluatorSince = now;
+    if (isEvaluator == rollout.evaluatorSince.has_value()) {
+        return;
     }
+    rollout.evaluatorSince = isEvaluator ? std::optional(now) : std::nullopt;
+    this->state.log.write(
+        Importance::Notable, "rollout_evaluator", {{"service", rollout.order.service.value}, {"is_evaluator", isEvaluator}});
 }
 
 void RolloutDriver::rollBackIfUnproven(TrackedRollout &rollout, Core::TimePoint now)
--- a/Libraries/LibNetwork/WallClock.h
+++ b/Libraries/LibNetwork/WallClock.h
@@ -22,6 +22,14 @@
     return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
 }
 
+/// Processor time that this process has used.
+inline std::chrono::nanoseconds processorNow()
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 /// Time of day that goes on with the time since the host started: steps of the host's clock do not show. For courses that several instances
 /// follow by the time of day.
 class SteadyWallClock
