--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -37,6 +37,8 @@
     std::uint64_t farSends{0};
     std::uint64_t farProbes{0};
     std::uint64_t farResponseBytes{0};
+    /// Comparisons of the versions of a rollout over the evidence that this instance has.
+    std::uint64_t rolloutEvaluations{0};
 };
 
 /// Where a request is sent if no target of the version selected for it is available.
--- a/Libraries/LibGateway/Metrics.cpp
+++ b/Libraries/LibGateway/Metrics.cpp
@@ -30,6 +30,7 @@
     Counter{"far_sends_total", "Requests sent to targets of other data centres.", &GatewayCounters::farSends},
     Counter{"far_probes_total", "Health checks sent to targets of other data centres.", &GatewayCounters::farProbes},
     Counter{"far_answer_bytes_total", "Bytes of bodies that came from other data centres.", &GatewayCounters::farResponseBytes},
+    Counter{"rollout_evaluations_total", "Comparisons of the versions of a rollout.", &GatewayCounters::rolloutEvaluations},
     Counter{"store_failures_total", "Calls to the store without a usable answer.", &GatewayCounters::storeFailures},
 };
 
@@ -104,7 +105,8 @@
                                   {"far_probes", counters.farProbes},
                                   {"connections", counters.connectionsOpened},
                                   {"far_answer_bytes", counters.farResponseBytes},
-                                  {"instances_known", state.instances}};
+                                  {"instances_known", state.instances},
+                                  {"rollout_evaluations", counters.rolloutEvaluations}};
     for (const auto &[key, total] : sent.totals) {
         const auto name = std::string(Coordination::nameOf(key.first)) + "_" + std::string(Coordination::nameOf(key.second));
         values[name + "_messages"] = total.messages;
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -257,6 +257,7 @@
 
 void RolloutDriver::advance(TrackedRollout &rollout)
 {
+    ++this->state.counters.rolloutEvaluations;
     const auto status = Rollout::advanceRollout(*rollout.state, this->clock.now());
     if (status) {
         this->logStatus(rollout, *status);
