LibRollout: Let the time between evaluations grow with the members

Instances that evaluate a rollout compared the versions over the evidence of all instances for each message of evidence: work in proportion to the members, as often as there are members.

Change: a comparison is due 0.5 ms for each member after the last one, 5 ms at least: 53 ms among 107 instances, 236 ms among 472. In both daemons, at ticks, after messages and after failures.

--- a/Libraries/LibGateway/RolloutDissemination.cpp
+++ b/Libraries/LibGateway/RolloutDissemination.cpp
@@ -94,7 +94,7 @@
         return;
     }
     Rollout::mergeEvidence(*found->second.state, evidence->member, evidence->evidence);
-    this->advance(found->second);
+    this->advanceWhenDue(found->second);
 }
 
 void RolloutDriver::applyStatus(const Rollout::Status &status)
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -238,7 +238,7 @@
                       .slowThreshold = observation.objective},
                      this->clock.now());
     if (observation.isFailure && observation.version == rollout.order.version) {
-        this->advance(rollout);
+        this->advanceWhenDue(rollout);
     }
 }
 
@@ -247,7 +247,7 @@
     for (auto &[service, rollout] : this->rollouts) {
         if (rollout.state) {
             this->refreshTargets(rollout);
-            this->advance(rollout);
+            this->advanceWhenDue(rollout);
             this->updateEvaluatorSince(rollout, now);
             this->rollBackIfUnproven(rollout, now);
         }
@@ -255,17 +255,20 @@
     }
 }
 
-void RolloutDriver::advance(TrackedRollout &rollout)
+void RolloutDriver::advanceWhenDue(TrackedRollout &rollout)
 {
-    ++this->state.counters.rolloutEvaluations;
-    const auto status = Rollout::advanceRollout(*rollout.state, this->clock.now());
-    if (status) {
-        this->logStatus(rollout, *status);
-    }
-    if (status && status->phase == Rollout::Phase::RolledBack) {
-        this->broadcastStatus(*status);
+    const auto now = this->clock.now();
+    if (Rollout::isEvaluationDue(*rollout.state, now)) {
+        ++this->state.counters.rolloutEvaluations;
+        const auto status = Rollout::advanceRollout(*rollout.state, now);
+        if (status) {
+            this->logStatus(rollout, *status);
+        }
+        if (status && status->phase == Rollout::Phase::RolledBack) {
+            this->broadcastStatus(*status);
+        }
     }
-    if (Rollout::isEvidenceUrgent(*rollout.state, this->clock.now())) {
+    if (Rollout::isEvidenceUrgent(*rollout.state, now)) {
         this->sendEvidence(rollout);
     }
 }
--- a/Libraries/LibGateway/RolloutDriver.h
+++ b/Libraries/LibGateway/RolloutDriver.h
@@ -50,7 +50,8 @@
     void logStatus(const TrackedRollout &rollout, const Rollout::Status &status) const;
     void broadcastStatus(const Rollout::Status &status);
     void tick(Core::TimePoint now);
-    void advance(TrackedRollout &rollout);
+    /// Advances the rollout if an evaluation is due. Call it at ticks and after new evidence.
+    void advanceWhenDue(TrackedRollout &rollout);
     void refreshTargets(TrackedRollout &rollout) const;
     void sendEvidence(TrackedRollout &rollout);
     void sendConfirmation(TrackedRollout &rollout);
--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -166,8 +166,17 @@
     return chosen;
 }
 
+bool isEvaluationDue(const RolloutState &state, Core::WallTime now)
+{
+    return now >= state.nextEvaluationAt;
+}
+
 std::optional<Status> advanceRollout(RolloutState &state, Core::WallTime now)
 {
+    const auto members = state.peerEvidence.size() + 1;
+    state.nextEvaluationAt = now
+        + std::max(state.settings.minimumEvaluationInterval,
+                   std::chrono::duration_cast<std::chrono::milliseconds>(state.settings.evaluationIntervalPerMember * members));
     const auto oldest = intervalAt(state, now) - state.settings.retainedIntervals;
     pruneBefore(state.ownEvidence, oldest);
     auto sum = state.ownEvidence;
--- a/Libraries/LibRollout/Rollout.h
+++ b/Libraries/LibRollout/Rollout.h
@@ -56,6 +56,9 @@
     double overspentShareFactor{0.5};
     /// Minimum time between two urgent evidence messages.
     std::chrono::milliseconds minimumUrgentInterval{50};
+    /// Minimum time between two evaluations, which take time in proportion to the number of instances whose evidence is known.
+    std::chrono::milliseconds minimumEvaluationInterval{5};
+    std::chrono::microseconds evaluationIntervalPerMember{500};
     DetectionSettings detection;
 };
 
@@ -99,6 +102,8 @@
     /// True where the new version failed since the evidence was last sent urgently.
     bool hasUnreportedFailure{false};
     Core::WallTime nextUrgentAt;
+    /// Earliest time of the next evaluation.
+    Core::WallTime nextEvaluationAt;
 };
 
 /// Samples the targets of both versions. Call when targets change and about once a second.
@@ -125,11 +130,15 @@
 /// suspicion. Call after each observed failure and after each call of advanceRollout. A result of true counts as sent.
 bool isEvidenceUrgent(RolloutState &state, Core::WallTime now);
 
-/// The instances that receive urgent evidence, a few selected by rendezvous hash. They call advanceRollout when it arrives. They only
-/// reduce the delay: every instance evaluates the evidence that it has.
+/// The instances that receive urgent evidence, a few selected by rendezvous hash. They evaluate it when it arrives, if an evaluation is due.
+/// They only reduce the delay: every instance evaluates the evidence that it has.
 std::vector<Core::InstanceId> evaluators(const RolloutState &state, const std::vector<Core::InstanceId> &members);
 
-/// Advances the rollout by time and evidence. Call about every 100 ms, and after each failure of the new version. Returns the status if its
+/// True where enough time has passed since the last call of advanceRollout. Messages of evidence become more frequent with the number of
+/// instances, and evaluations take longer.
+bool isEvaluationDue(const RolloutState &state, Core::WallTime now);
+
+/// Advances the rollout by time and evidence. Call about every 100 ms, and after new evidence, if an evaluation is due. Returns the status if its
 /// phase or step changed: push it to the peers, then write it to the store with merge on conflict.
 std::optional<Status> advanceRollout(RolloutState &state, Core::WallTime now);
 
--- a/Services/briarbendd/RolloutRunner.cpp
+++ b/Services/briarbendd/RolloutRunner.cpp
@@ -188,13 +188,15 @@
 
 void RolloutRunner::decide(Running &running)
 {
-    if (const auto status = Rollout::advanceRollout(running.state, Network::wallNow())) {
+    const auto now = Network::wallNow();
+    const auto status = Rollout::isEvaluationDue(running.state, now) ? Rollout::advanceRollout(running.state, now) : std::nullopt;
+    if (status) {
         LOG4CXX_INFO(logger(),
                      "the move of " << status->service.value << " is now " << Rollout::nameOf(status->phase) << " at step "
                                     << status->step);
         this->tellStatus(*status);
     }
-    if (Rollout::isEvidenceUrgent(running.state, Network::wallNow())) {
+    if (Rollout::isEvidenceUrgent(running.state, now)) {
         this->sendEvidence(running);
     }
 }
--- a/Tests/LibRollout/RolloutSimulation.cpp
+++ b/Tests/LibRollout/RolloutSimulation.cpp
@@ -191,12 +191,19 @@
         auto &state = this->states[inFlightRequest.instance];
         observe(state, inFlightRequest.observation, this->wallNow());
         if (inFlightRequest.observation.isFailure && inFlightRequest.observation.role == VersionRole::New) {
-            this->push(inFlightRequest.instance, advanceRollout(state, this->wallNow()));
+            this->evaluate(inFlightRequest.instance);
             this->pushUrgentEvidence(inFlightRequest.instance);
         }
     }
 }
 
+void RolloutSimulation::evaluate(std::size_t index)
+{
+    if (isEvaluationDue(this->states[index], this->wallNow())) {
+        this->push(index, advanceRollout(this->states[index], this->wallNow()));
+    }
+}
+
 void RolloutSimulation::pushUrgentEvidence(std::size_t from)
 {
     if (!isEvidenceUrgent(this->states[from], this->wallNow())) {
@@ -230,7 +237,7 @@
         const auto evaluatorIds = evaluators(state, this->names);
         const auto isEvaluator = std::ranges::find(evaluatorIds, state.self) != evaluatorIds.end();
         if (isEvaluator || tick % TICKS_BETWEEN_DECISIONS == index % TICKS_BETWEEN_DECISIONS) {
-            this->push(index, advanceRollout(state, this->wallNow()));
+            this->evaluate(index);
         }
         this->pushUrgentEvidence(index);
         if (tick % 3 == index % 3) {
@@ -255,7 +262,7 @@
             mergeEvidence(state, this->states[message.from].self, *message.evidence);
         }
         if (message.isUrgent) {
-            this->push(message.to, advanceRollout(state, this->wallNow()));
+            this->evaluate(message.to);
         }
     }
 }
--- a/Tests/LibRollout/RolloutSimulation.h
+++ b/Tests/LibRollout/RolloutSimulation.h
@@ -94,6 +94,8 @@
     void completeRequests();
     void gossip(std::size_t tick);
     void push(std::size_t from, const std::optional<Status> &status);
+    /// Advances the rollout at one instance, if an evaluation is due.
+    void evaluate(std::size_t index);
     void pushUrgentEvidence(std::size_t from);
     void deliverMessages();
 
