LibCoordination: Let the instances with the widest links evaluate rollouts

Change: the order of the watchers of the store, widest links first, in one function (Membership::widestFirst) for watchers, evaluators and the order of writes. The evaluators are selected when the members change and no longer hashed anew at each tick and each message. In fleets of equal links nothing changes. The simulation of rollouts keeps the evaluators that it had.

--- a/Libraries/LibGateway/ChangeDisseminator.cpp
+++ b/Libraries/LibGateway/ChangeDisseminator.cpp
@@ -1,7 +1,5 @@
 #include <LibGateway/ChangeDisseminator.h>
 
-#include <LibCore/RendezvousHash.h>
-
 #include <algorithm>
 #include <map>
 
@@ -40,21 +38,17 @@
 
 /// Returns the watchers of each data centre, the preferred one first: the live members with the widest links, in rendezvous hash order.
 /// They send each configuration, which may have hundreds of kibibytes, to all other instances of the data centre.
-std::map<Core::DataCentreName, std::vector<std::string>> watchersOf(const Membership::State &members)
+std::map<Core::DataCentreName, std::vector<Core::InstanceId>> watchersOf(const Membership::State &members)
 {
-    std::map<Core::DataCentreName, std::vector<std::string>> names;
+    std::map<Core::DataCentreName, std::vector<Core::InstanceId>> watchers;
     for (const auto &id : Membership::aliveMembers(members)) {
-        names[Membership::find(members, id)->update.dataCentre].push_back(id.value);
+        watchers[Membership::find(members, id)->update.dataCentre].push_back(id);
     }
-    const auto width = [&members](const std::string &name) {
-        return Membership::find(members, {name})->update.linkMegabits;
-    };
-    for (auto &[dataCentre, candidates] : names) {
-        candidates = Core::rendezvousOrder(candidates, "watchers", candidates.size());
-        std::ranges::stable_sort(candidates, std::ranges::greater{}, width);
+    for (auto &[dataCentre, candidates] : watchers) {
+        candidates = Membership::widestFirst(members, candidates, "watchers");
         candidates.resize(std::min(candidates.size(), WATCHERS_PER_DATA_CENTRE));
     }
-    return names;
+    return watchers;
 }
 
 } // namespace
@@ -278,17 +272,13 @@
     const auto watchers = watchersOf(members);
     const auto &dataCentre = this->ownDataCentre();
     const auto own = watchers.find(dataCentre);
-    this->isWatching = own != watchers.end() && std::ranges::find(own->second, members.self.value) != own->second.end();
-    this->isPreferredWatcher = this->isWatching && own->second.front() == members.self.value;
+    this->isWatching = own != watchers.end() && std::ranges::find(own->second, members.self) != own->second.end();
+    this->isPreferredWatcher = this->isWatching && own->second.front() == members.self;
     this->neighbours.clear();
     this->farWatchers.clear();
     this->watcherPeerAddresses.clear();
     if (own != watchers.end()) {
-        for (const auto &name : own->second) {
-            if (name != members.self.value) {
-                this->watcherPeerAddresses.push_back(Membership::find(members, {name})->update.address.value);
-            }
-        }
+        this->watcherPeerAddresses = Membership::addressesOf(members, own->second);
     }
     if (!this->isWatching) {
         return;
@@ -301,7 +291,7 @@
         }
         if (update.dataCentre == dataCentre) {
             this->neighbours.push_back(update.address.value);
-        } else if (std::ranges::find(theirs, id.value) != theirs.end()) {
+        } else if (std::ranges::find(theirs, id) != theirs.end()) {
             this->farWatchers.push_back({update.address.value, update.dataCentre});
         }
     }
--- a/Libraries/LibGateway/RolloutDissemination.cpp
+++ b/Libraries/LibGateway/RolloutDissemination.cpp
@@ -34,7 +34,7 @@
                                                                                         .start = rollout.state->rollout.start,
                                                                                         .member = members.self,
                                                                                         .evidence = Rollout::nextEvidence(*rollout.state)});
-    this->peers.sendTo(Channel::Rollout, Rollout::evaluators(*rollout.state, Membership::aliveMembers(members)), bytes);
+    this->peers.sendTo(Channel::Rollout, rollout.evaluators.instances, bytes);
 }
 
 bool RolloutDriver::hasOldInFlight(const TrackedRollout &rollout) const
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -164,10 +164,11 @@
     return std::min(MAXIMUM_TRIAL_SHARE, TRIAL_EXPOSURE_FRACTION * (settings.exposedShare + settings.exposedRequests / expected));
 }
 
-void RolloutDriver::updateEvaluatorSince(TrackedRollout &rollout, Core::TimePoint now) const
+void RolloutDriver::updateEvaluators(TrackedRollout &rollout, Core::TimePoint now) const
 {
     const auto &members = this->peers.state().members;
-    const auto evaluators = Rollout::evaluators(*rollout.state, Membership::aliveMembers(members));
+    Coordination::updateEvaluators(rollout.evaluators, members, rollout.order.service);
+    const auto &evaluators = rollout.evaluators.instances;
     const bool isEvaluator = std::ranges::find(evaluators, members.self) != evaluators.end();
     if (isEvaluator == rollout.evaluatorSince.has_value()) {
         return;
@@ -246,9 +247,9 @@
 {
     for (auto &[service, rollout] : this->rollouts) {
         if (rollout.state) {
+            this->updateEvaluators(rollout, now);
             this->refreshTargets(rollout);
             this->advanceWhenDue(rollout);
-            this->updateEvaluatorSince(rollout, now);
             this->rollBackIfUnproven(rollout, now);
         }
         this->writeWhenDue(service, rollout, now);
--- a/Libraries/LibGateway/RolloutDriver.h
+++ b/Libraries/LibGateway/RolloutDriver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCoordination/PeerLink.h>
+#include <LibCoordination/RolloutEvaluators.h>
 #include <LibCoordination/RolloutMessage.h>
 #include <LibGateway/GatewayState.h>
 #include <LibNetwork/WallClock.h>
@@ -33,7 +34,8 @@
         /// When this instance first had a state to write.
         std::optional<Core::TimePoint> writeDueSince;
         bool isWriting{false};
-        /// Since when this instance has been one of the evaluators, which receive the evidence of all instances.
+        Coordination::RolloutEvaluators evaluators;
+        /// Since when this instance has been one of the evaluators.
         std::optional<Core::TimePoint> evaluatorSince;
         /// Members that have confirmed that they no longer send requests to the old version.
         std::set<Core::InstanceId> confirmed;
@@ -44,7 +46,7 @@
     void startRollout(TrackedRollout &rollout);
     /// Fraction of the requests that the new version receives during its trial.
     double trialShare(const TrackedRollout &rollout) const;
-    void updateEvaluatorSince(TrackedRollout &rollout, Core::TimePoint now) const;
+    void updateEvaluators(TrackedRollout &rollout, Core::TimePoint now) const;
     /// Rolls the version back if its trial ends without evidence that it serves requests.
     void rollBackIfUnproven(TrackedRollout &rollout, Core::TimePoint now);
     void logStatus(const TrackedRollout &rollout, const Rollout::Status &status) const;
--- a/Libraries/LibGateway/RolloutPersistence.cpp
+++ b/Libraries/LibGateway/RolloutPersistence.cpp
@@ -1,6 +1,5 @@
 #include <LibGateway/RolloutDriver.h>
 
-#include <LibCore/RendezvousHash.h>
 #include <LibNetwork/WallClock.h>
 
 #include <algorithm>
@@ -55,10 +54,8 @@
 std::size_t RolloutDriver::writeRank(const std::string &service) const
 {
     const auto &members = this->peers.state().members;
-    std::vector<std::string> names;
-    std::ranges::transform(Membership::aliveMembers(members), std::back_inserter(names), &Core::InstanceId::value);
-    const auto order = Core::rendezvousOrder(names, "rollout/" + service, names.size());
-    const auto own = std::ranges::find(order, members.self.value);
+    const auto order = Coordination::rankForRollout(members, {service});
+    const auto own = std::ranges::find(order, members.self);
     return std::min<std::size_t>(MAXIMUM_STAGGER_STEPS, static_cast<std::size_t>(own - order.begin()));
 }
 
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -1,5 +1,6 @@
 #include <LibMembership/Membership.h>
 
+#include <LibCore/RendezvousHash.h>
 #include <LibMembership/Probing.h>
 #include <LibMembership/Table.h>
 
@@ -268,6 +269,21 @@
     return fingerprint;
 }
 
+std::vector<Core::InstanceId> widestFirst(const State &state, const std::vector<Core::InstanceId> &candidates, std::string_view key)
+{
+    std::vector<std::string> names;
+    std::ranges::transform(candidates, std::back_inserter(names), &Core::InstanceId::value);
+    std::vector<Core::InstanceId> ranked;
+    std::ranges::transform(Core::rendezvousOrder(names, key, names.size()), std::back_inserter(ranked), [](std::string &name) {
+        return Core::InstanceId{std::move(name)};
+    });
+    std::ranges::stable_sort(ranked, std::ranges::greater{}, [&state](const Core::InstanceId &id) {
+        const auto *member = find(state, id);
+        return member == nullptr ? 0 : member->update.linkMegabits;
+    });
+    return ranked;
+}
+
 std::vector<std::string> addressesOf(const State &state, const std::vector<Core::InstanceId> &members)
 {
     std::vector<std::string> addresses;
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -48,6 +48,10 @@
 /// A hash over aliveMembers and their link bandwidths. It changes whenever these change, except for a collision.
 std::size_t aliveFingerprint(const State &state);
 
+/// The candidates in the order in which they take work that grows with the number of instances: those with the widest links first, in
+/// rendezvous hash order for the key among equals. Processor time is planned in proportion to links.
+std::vector<Core::InstanceId> widestFirst(const State &state, const std::vector<Core::InstanceId> &candidates, std::string_view key);
+
 /// Peer addresses of those of the members that are known, without this instance.
 std::vector<std::string> addressesOf(const State &state, const std::vector<Core::InstanceId> &members);
 
--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -1,4 +1,3 @@
-#include <LibCore/RendezvousHash.h>
 #include <LibRollout/Progress.h>
 #include <LibRollout/Rollout.h>
 
@@ -153,19 +152,6 @@
     return true;
 }
 
-std::vector<Core::InstanceId> evaluators(const RolloutState &state, const std::vector<Core::InstanceId> &members)
-{
-    std::vector<std::string> names;
-    std::ranges::transform(members, std::back_inserter(names), &Core::InstanceId::value);
-    std::vector<Core::InstanceId> chosen;
-    std::ranges::transform(Core::rendezvousOrder(names, "rollout/" + state.rollout.service.value, state.settings.evaluatorCount),
-                           std::back_inserter(chosen),
-                           [](const std::string &name) {
-                               return Core::InstanceId{name};
-                           });
-    return chosen;
-}
-
 bool isEvaluationDue(const RolloutState &state, Core::WallTime now)
 {
     return now >= state.nextEvaluationAt;
--- a/Libraries/LibRollout/Rollout.h
+++ b/Libraries/LibRollout/Rollout.h
@@ -38,7 +38,6 @@
     double relevantTrafficFraction{0.02};
     /// Targets of each version that are sampled. The trial share goes to the sampled targets of the new version.
     std::size_t sampledTargets{3};
-    std::size_t evaluatorCount{2};
     /// Time after which other targets are sampled.
     std::chrono::milliseconds sampleLifetime{std::chrono::seconds{24}};
     /// Within each period, each sampled target in turn gets all trial traffic for one burst, so that faults which show only under load show
@@ -130,16 +129,12 @@
 /// suspicion. Call after each observed failure and after each call of advanceRollout. A result of true counts as sent.
 bool isEvidenceUrgent(RolloutState &state, Core::WallTime now);
 
-/// The instances that receive urgent evidence, a few selected by rendezvous hash. They evaluate it when it arrives, if an evaluation is due.
-/// They only reduce the delay: every instance evaluates the evidence that it has.
-std::vector<Core::InstanceId> evaluators(const RolloutState &state, const std::vector<Core::InstanceId> &members);
-
 /// True where enough time has passed since the last call of advanceRollout. Messages of evidence become more frequent with the number of
 /// instances, and evaluations take longer.
 bool isEvaluationDue(const RolloutState &state, Core::WallTime now);
 
-/// Advances the rollout by time and evidence. Call about every 100 ms, and after new evidence, if an evaluation is due. Returns the status if its
-/// phase or step changed: push it to the peers, then write it to the store with merge on conflict.
+/// Advances the rollout by time and evidence. Call about every 100 ms, and after new evidence, if an evaluation is due. Returns the status
+/// if its phase or step changed: push it to the peers, then write it to the store with merge on conflict.
 std::optional<Status> advanceRollout(RolloutState &state, Core::WallTime now);
 
 /// Sum of the responses of both versions over all segments, as of the last call of advanceRollout.
--- a/Services/briarbendd/RolloutRunner.cpp
+++ b/Services/briarbendd/RolloutRunner.cpp
@@ -212,7 +212,8 @@
                                                                                         .start = running.state.rollout.start,
                                                                                         .member = members.self,
                                                                                         .evidence = Rollout::nextEvidence(running.state)});
-    this->peers.sendTo(Coordination::Channel::Rollout, Rollout::evaluators(running.state, Membership::aliveMembers(members)), bytes);
+    Coordination::updateEvaluators(running.evaluators, members, running.state.rollout.service);
+    this->peers.sendTo(Coordination::Channel::Rollout, running.evaluators.instances, bytes);
 }
 
 void RolloutRunner::refreshTargets()
--- a/Services/briarbendd/RolloutRunner.h
+++ b/Services/briarbendd/RolloutRunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCoordination/PeerLink.h>
+#include <LibCoordination/RolloutEvaluators.h>
 #include <LibCoordination/RolloutMessage.h>
 
 #include <LibConfiguration/Model.h>
@@ -40,6 +41,7 @@
 
         Rollout::RolloutState state;
         Rollout::LoadLevel level{Rollout::LoadLevel::Low};
+        Coordination::RolloutEvaluators evaluators;
     };
 
     void begin(const Configuration::Rollout &move);
--- a/Tests/LibRollout/RolloutSimulation.cpp
+++ b/Tests/LibRollout/RolloutSimulation.cpp
@@ -1,5 +1,7 @@
 #include "RolloutSimulation.h"
 
+#include <LibCore/RendezvousHash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <string>
@@ -25,6 +27,7 @@
 constexpr std::int64_t LONGEST_DETECTION_MICROSECONDS = 6'000'000;
 constexpr std::size_t TICK_MILLISECONDS = 100;
 constexpr std::size_t TICKS_BETWEEN_DECISIONS = 5;
+constexpr std::size_t EVALUATORS = 2;
 
 std::vector<Core::TargetId> namesOf(const std::string &prefix, std::size_t count)
 {
@@ -55,6 +58,11 @@
         this->names.push_back({std::to_string(index)});
         this->states.emplace_back(rollout, this->names.back(), Settings{});
     }
+    std::vector<std::string> instances;
+    std::ranges::transform(this->names, std::back_inserter(instances), &Core::InstanceId::value);
+    for (const auto &name : Core::rendezvousOrder(instances, "rollout/" + rollout.service.value, EVALUATORS)) {
+        this->evaluators.push_back(std::stoul(name));
+    }
     std::ranges::for_each(this->oldTargets, [](Target &target) {
         target.completed = WARM_AFTER;
     });
@@ -210,9 +218,9 @@
         return;
     }
     const auto evidence = std::make_shared<const MemberEvidence>(nextEvidence(this->states[from]));
-    for (const auto &evaluator : evaluators(this->states[from], this->names)) {
+    for (const auto evaluator : this->evaluators) {
         const auto delay = static_cast<std::int64_t>(1000 + this->random.below(5000));
-        this->pendingMessages.push({this->now + delay, from, std::stoul(evaluator.value), evidence, std::nullopt, true});
+        this->pendingMessages.push({this->now + delay, from, evaluator, evidence, std::nullopt, true});
     }
 }
 
@@ -234,8 +242,7 @@
         if (tick % 10 == 0) {
             setTargets(state, this->oldNames, this->newNames, this->wallNow());
         }
-        const auto evaluatorIds = evaluators(state, this->names);
-        const auto isEvaluator = std::ranges::find(evaluatorIds, state.self) != evaluatorIds.end();
+        const auto isEvaluator = std::ranges::find(this->evaluators, index) != this->evaluators.end();
         if (isEvaluator || tick % TICKS_BETWEEN_DECISIONS == index % TICKS_BETWEEN_DECISIONS) {
             this->evaluate(index);
         }
--- a/Tests/LibRollout/RolloutSimulation.h
+++ b/Tests/LibRollout/RolloutSimulation.h
@@ -104,6 +104,7 @@
     std::int64_t now{0};
     std::vector<Core::InstanceId> names;
     std::vector<RolloutState> states;
+    std::vector<std::size_t> evaluators;
     std::vector<Target> oldTargets;
     std::vector<Target> newTargets;
     std::vector<Core::TargetId> oldNames;
