LibGateway: Confirm the end of a rollout to those that write it

Once a version has all traffic each instance confirmed to all others, three times a second, that it sends nothing to the old one: among 472 that is 1,570 messages a second at each instance, most of which have a tenth of a core, until the store has the end of the rollout.

Change: confirmations go to the first six in the order of writes. Only they can know that all have confirmed, and they try to write 400 ms apart as before; six, since the store may refuse some instances. Weighed: the evaluators only, which leaves the end unwritten where the store refuses both.

confirmationsAreNotSentToAllInstances: 4,719 messages of one instance in 3 s before, bound 80.

--- a/Libraries/LibGateway/RolloutDissemination.cpp
+++ b/Libraries/LibGateway/RolloutDissemination.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-/// Rollout messages between instances: evidence goes to the evaluators, rollbacks and confirmations go to all instances.
+/// Rollout messages between instances: evidence goes to the evaluators, confirmations to the writers, rollbacks to all.
 namespace Briarbend::Gateway
 {
 
@@ -34,7 +34,7 @@
                                                                                         .start = rollout.state->rollout.start,
                                                                                         .member = members.self,
                                                                                         .evidence = Rollout::nextEvidence(*rollout.state)});
-    this->peers.sendTo(Channel::Rollout, rollout.evaluators.instances, bytes);
+    this->peers.sendTo(Channel::Rollout, rollout.roles.evaluators, bytes);
 }
 
 bool RolloutDriver::hasOldInFlight(const TrackedRollout &rollout) const
@@ -56,7 +56,7 @@
     rollout.confirmed.insert(members.self);
     const auto bytes = Coordination::encodeRolloutMessage(
         Coordination::RolloutConfirmation{rollout.order.service, rollout.state->rollout.start, members.self});
-    this->peers.sendToAll(Channel::Rollout, bytes);
+    this->peers.sendTo(Channel::Rollout, rollout.roles.writers, bytes);
 }
 
 void RolloutDriver::gossipStatuses()
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -169,11 +169,10 @@
     return std::min(MAXIMUM_TRIAL_SHARE, TRIAL_EXPOSURE_FRACTION * (settings.exposedShare + settings.exposedRequests / expected));
 }
 
-void RolloutDriver::updateEvaluators(TrackedRollout &rollout, Core::TimePoint now) const
+void RolloutDriver::updateEvaluatorSince(TrackedRollout &rollout, Core::TimePoint now) const
 {
     const auto &members = this->peers.state().members;
-    Coordination::updateEvaluators(rollout.evaluators, members, rollout.order.service);
-    const auto &evaluators = rollout.evaluators.instances;
+    const auto &evaluators = rollout.roles.evaluators;
     const bool isEvaluator = std::ranges::find(evaluators, members.self) != evaluators.end();
     if (isEvaluator == rollout.evaluatorSince.has_value()) {
         return;
@@ -252,8 +251,9 @@
 void RolloutDriver::tick(Core::TimePoint now)
 {
     for (auto &[service, rollout] : this->rollouts) {
+        Coordination::updateRoles(rollout.roles, this->peers.state().members, rollout.order.service);
         if (rollout.state) {
-            this->updateEvaluators(rollout, now);
+            this->updateEvaluatorSince(rollout, now);
             this->refreshTargets(rollout);
             this->advanceWhenDue(rollout);
             this->report(rollout, now);
--- a/Libraries/LibGateway/RolloutDriver.h
+++ b/Libraries/LibGateway/RolloutDriver.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibCoordination/PeerLink.h>
-#include <LibCoordination/RolloutEvaluators.h>
 #include <LibCoordination/RolloutMessage.h>
+#include <LibCoordination/RolloutRoles.h>
 #include <LibGateway/GatewayState.h>
 #include <LibNetwork/WallClock.h>
 #include <LibRollout/Rollout.h>
@@ -34,7 +34,7 @@
         /// When this instance first had a state to write.
         std::optional<Core::TimePoint> writeDueSince;
         bool isWriting{false};
-        Coordination::RolloutEvaluators evaluators;
+        Coordination::RolloutRoles roles;
         /// Since when this instance has been one of the evaluators.
         std::optional<Core::TimePoint> evaluatorSince;
         /// When this instance next sends its evidence or its confirmation.
@@ -48,7 +48,7 @@
     void startRollout(TrackedRollout &rollout);
     /// Fraction of the requests that the new version receives during its trial.
     double trialShare(const TrackedRollout &rollout) const;
-    void updateEvaluators(TrackedRollout &rollout, Core::TimePoint now) const;
+    void updateEvaluatorSince(TrackedRollout &rollout, Core::TimePoint now) const;
     /// Rolls the version back if its trial ends without evidence that it serves requests.
     void rollBackIfUnproven(TrackedRollout &rollout, Core::TimePoint now);
     void logStatus(const TrackedRollout &rollout, const Rollout::Status &status) const;
@@ -69,7 +69,7 @@
     bool isConfirmedByAll(const TrackedRollout &rollout) const;
     void writeWhenDue(const std::string &service, TrackedRollout &rollout, Core::TimePoint now);
     boost::asio::awaitable<void> write(std::string service, RolloutProgress progress);
-    std::size_t writeRank(const std::string &service) const;
+    std::size_t writeRank(const TrackedRollout &rollout) const;
     bool hasOldInFlight(const TrackedRollout &rollout) const;
 
     GatewayState &state;
--- a/Libraries/LibGateway/RolloutPersistence.cpp
+++ b/Libraries/LibGateway/RolloutPersistence.cpp
@@ -17,7 +17,6 @@
 
 /// Delay of a write for each instance with a better rank, so that a single write suffices for all instances.
 constexpr std::chrono::milliseconds WRITE_STAGGER{400};
-constexpr std::size_t MAXIMUM_STAGGER_STEPS = 6;
 
 } // namespace
 
@@ -51,12 +50,10 @@
     return isConfirmedByAlive && 2 * alive.size() > static_cast<std::size_t>(known);
 }
 
-std::size_t RolloutDriver::writeRank(const std::string &service) const
+std::size_t RolloutDriver::writeRank(const TrackedRollout &rollout) const
 {
-    const auto &members = this->peers.state().members;
-    const auto order = Coordination::rankForRollout(members, {service});
-    const auto own = std::ranges::find(order, members.self);
-    return std::min<std::size_t>(MAXIMUM_STAGGER_STEPS, static_cast<std::size_t>(own - order.begin()));
+    const auto &writers = rollout.roles.writers;
+    return static_cast<std::size_t>(std::ranges::find(writers, this->peers.state().members.self) - writers.begin());
 }
 
 void RolloutDriver::writeWhenDue(const std::string &service, TrackedRollout &rollout, Core::TimePoint now)
@@ -69,7 +66,7 @@
     if (!rollout.writeDueSince) {
         rollout.writeDueSince = now;
     }
-    if (now - *rollout.writeDueSince < WRITE_STAGGER * this->writeRank(service)) {
+    if (now - *rollout.writeDueSince < WRITE_STAGGER * this->writeRank(rollout)) {
         return;
     }
     rollout.isWriting = true;
--- a/Services/briarbendd/RolloutRunner.cpp
+++ b/Services/briarbendd/RolloutRunner.cpp
@@ -212,8 +212,8 @@
                                                                                         .start = running.state.rollout.start,
                                                                                         .member = members.self,
                                                                                         .evidence = Rollout::nextEvidence(running.state)});
-    Coordination::updateEvaluators(running.evaluators, members, running.state.rollout.service);
-    this->peers.sendTo(Coordination::Channel::Rollout, running.evaluators.instances, bytes);
+    Coordination::updateRoles(running.roles, members, running.state.rollout.service);
+    this->peers.sendTo(Coordination::Channel::Rollout, running.roles.evaluators, bytes);
 }
 
 void RolloutRunner::refreshTargets()
--- a/Services/briarbendd/RolloutRunner.h
+++ b/Services/briarbendd/RolloutRunner.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibCoordination/PeerLink.h>
-#include <LibCoordination/RolloutEvaluators.h>
 #include <LibCoordination/RolloutMessage.h>
+#include <LibCoordination/RolloutRoles.h>
 
 #include <LibConfiguration/Model.h>
 #include <LibRelay/RelayState.h>
@@ -41,7 +41,7 @@
 
         Rollout::RolloutState state;
         Rollout::LoadLevel level{Rollout::LoadLevel::Low};
-        Coordination::RolloutEvaluators evaluators;
+        Coordination::RolloutRoles roles;
     };
 
     void begin(const Configuration::Rollout &move);
