LibMembership: Begin the rounds of members at different ones

Reports of requests that broke targets are repeated to one peer a second, and the states of rollouts to one every 300 ms, in the order of names: all instances began with the same one, so that all their messages met there, and then at the next.

Change: each begins with the member that follows itself, so that instances that go at the same pace each contact another one.

statusesOfInstancesThatStartTogetherGoToDifferentMembers and reportsOf...: 23 and 24 messages of 24 instances at one of them before, one at each now.

--- a/Libraries/LibCoordination/QuarantineLink.cpp
+++ b/Libraries/LibCoordination/QuarantineLink.cpp
@@ -199,7 +199,7 @@
 {
     Quarantine::expire(this->state, now);
     const auto reports = Quarantine::recentReports(this->state, MAX_REPAIR_REPORTS, now);
-    const auto live = this->livePeers();
+    const auto live = Membership::addressesInTurn(this->peers.state().members);
     if (reports.isEmpty() || live.empty()) {
         return;
     }
--- a/Libraries/LibGateway/RolloutDissemination.cpp
+++ b/Libraries/LibGateway/RolloutDissemination.cpp
@@ -61,8 +61,7 @@
 
 void RolloutDriver::gossipStatuses()
 {
-    const auto &members = this->peers.state().members;
-    const auto addresses = Membership::addressesOf(members, Membership::aliveMembers(members));
+    const auto addresses = Membership::addressesInTurn(this->peers.state().members);
     if (addresses.empty()) {
         return;
     }
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -296,6 +296,14 @@
     return addresses;
 }
 
+std::vector<std::string> addressesInTurn(const State &state)
+{
+    auto alive = aliveMembers(state);
+    const auto following = std::ranges::upper_bound(alive, state.self);
+    std::rotate(alive.begin(), following, alive.end());
+    return addressesOf(state, alive);
+}
+
 const Member *find(const State &state, const Core::InstanceId &id)
 {
     const auto found = state.members.find(id);
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -55,6 +55,10 @@
 /// Peer addresses of those of the members that are known, without this instance.
 std::vector<std::string> addressesOf(const State &state, const std::vector<Core::InstanceId> &members);
 
+/// Peer addresses of the live members other than this instance, in cyclic order from the one that follows it. Instances that contact one
+/// after the other at the same pace each contact a different one.
+std::vector<std::string> addressesInTurn(const State &state);
+
 /// Returns the member's row of the table, or null.
 const Member *find(const State &state, const Core::InstanceId &id);
 
--- a/Services/briarbendd/RolloutRunner.cpp
+++ b/Services/briarbendd/RolloutRunner.cpp
@@ -239,8 +239,7 @@
 
 void RolloutRunner::tellOnePeer()
 {
-    const auto &members = this->peers.state().members;
-    const auto addresses = Membership::addressesOf(members, Membership::aliveMembers(members));
+    const auto addresses = Membership::addressesInTurn(this->peers.state().members);
     if (addresses.empty()) {
         return;
     }
