LibGateway: Ask targets again where a choice has become old before the send

DRAIN, the class behind the standstills: an instance that stands still, for whatever reason, sends by what it knew when it chose. The health check before each send shows targets that leave, but a second or more may pass between its answer and the send where the process is busy, or where the guard holds the request.

Change: a target that was asked over a second ago is not sent to; the attempt searches again, three times at most, and the request is refused after that, so that its caller goes to another instance. Decisions name the age of the choice (choice_age_ms). Not covered: a process that stops between this check and the system call that sends.

targetIsAskedAgainWhereTheProcessStandsStillAfterTheChoice: without the change the request runs at the target that leaves.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -28,8 +28,11 @@
 constexpr std::chrono::milliseconds MINIMUM_TIME_TO_SEND{20};
 /// Divisor of the objective that gives the longest time for which a suspect request waits for its trial.
 constexpr int TRIAL_WAIT_DIVISOR = 4;
-/// Another search follows where the target that was found was withdrawn before the send.
+/// Another search follows where the target that was found was withdrawn, or the choice was outdated, before the send.
 constexpr std::size_t MAXIMUM_SEARCHES = 3;
+/// A target that was asked longer ago may have left meanwhile. Only a busy process takes so long: the answer comes within
+/// HEALTH_CHECK_TIMEOUT.
+constexpr std::chrono::milliseconds MAXIMUM_CHOICE_AGE{1000};
 constexpr std::uint32_t MAXIMUM_RESPONSE_HEADER_BYTES = 64U * 1024;
 constexpr std::size_t READ_BUFFER_BYTES = 16UL * 1024;
 
@@ -144,8 +147,9 @@
             co_return;
         }
     }
-    if (!this->isStillAvailable() || !this->takeSendPermit()) {
-        this->context->recordDecision("target_withdrawn", {{"target", this->name}});
+    const auto choiceAge = std::chrono::duration_cast<std::chrono::milliseconds>(Network::bootNow() - found.askedAtBoot);
+    if (choiceAge > MAXIMUM_CHOICE_AGE || !this->isStillAvailable() || !this->takeSendPermit()) {
+        this->context->recordDecision("target_withdrawn", {{"target", this->name}, {"choice_age_ms", choiceAge.count()}});
         if (isTrial) {
             state.guard->endTrial(this->context->fingerprint);
         }
@@ -157,6 +161,7 @@
                                    {"version", this->version.value},
                                    {"probes", found.probes},
                                    {"expected_us", found.expectedTime.count()},
+                                   {"choice_age_ms", choiceAge.count()},
                                    {"cold", found.isCold},
                                    {"trial", isTrial}});
     co_await this->sendAndReceive();
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -64,8 +64,8 @@
     boost::asio::awaitable<void> run();
     /// Leaves the result pending if the target that was found was withdrawn before the send.
     boost::asio::awaitable<void> searchAndSend();
-    /// Sends the request to the target that was found, unless the guard refuses a request that recently crashed targets or the target was
-    /// withdrawn.
+    /// Sends the request to the target that was found, unless the guard refuses a request that recently crashed targets, the target was
+    /// withdrawn or it was asked too long ago.
     boost::asio::awaitable<void> sendIfPermitted(FoundTarget found);
     boost::asio::awaitable<void> reportToGuard(bool isTrial);
     boost::asio::awaitable<void> sendAndReceive();
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Presence.h>
 #include <LibGateway/HealthCheck.h>
+#include <LibNetwork/WallClock.h>
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -27,6 +28,12 @@
 /// A request is sent while the expected time is below this multiple of the remaining time: the run time of work varies by half.
 constexpr int MAXIMUM_EXPECTED_TIME_FACTOR = 2;
 
+/// A target that answered its probe.
+struct Answer {
+    std::unique_ptr<Relay::TargetConnection> connection;
+    std::chrono::nanoseconds askedAtBoot{0};
+};
+
 /// The probes of one search that are in progress.
 struct Search {
     explicit Search(const Asio::any_io_executor &executor)
@@ -34,8 +41,7 @@
     {
     }
 
-    /// The connection of each target that answered.
-    std::map<std::string, std::unique_ptr<Relay::TargetConnection>> answered;
+    std::map<std::string, Answer> answered;
     std::size_t pending{0};
     Asio::steady_timer changed;
     bool isOver{false};
@@ -44,12 +50,13 @@
 Asio::awaitable<void>
 probe(GatewayState &state, std::shared_ptr<Search> search, std::shared_ptr<Fleet::ServiceState> service, std::string name)
 {
+    const auto askedAtBoot = Network::bootNow();
     auto connection = co_await checkHealth(state, std::move(service), name);
     --search->pending;
     if (connection && search->isOver) {
         state.pool.returnIdle(std::move(connection), Core::Clock::now());
     } else if (connection) {
-        search->answered.emplace(name, std::move(connection));
+        search->answered.emplace(name, Answer{std::move(connection), askedAtBoot});
     }
     search->changed.cancel();
 }
@@ -92,7 +99,7 @@
     const auto now = Core::Clock::now();
     const auto &statistics = state.routes.at(query.route->name).statistics;
     std::optional<RankedTarget> best;
-    for (const auto &[name, connection] : search.answered) {
+    for (const auto &[name, answer] : search.answered) {
         const auto *target = Fleet::findTarget(*query.service, name);
         const auto use = target == nullptr ? Fleet::Usability::Unusable : Fleet::usability(*target, query.input, now);
         if (use != Fleet::Usability::Usable && use != Fleet::Usability::LastResort) {
@@ -173,11 +180,13 @@
     }
     if (found.searchFailure == SearchFailure::None) {
         found.version = Fleet::findTarget(*query.service, found.name)->record.version;
-        found.connection = std::move(search.answered[found.name]);
+        auto &answer = search.answered.at(found.name);
+        found.connection = std::move(answer.connection);
+        found.askedAtBoot = answer.askedAtBoot;
     }
-    for (auto &[name, connection] : search.answered) {
-        if (connection) {
-            state.pool.returnIdle(std::move(connection), Core::Clock::now());
+    for (auto &[name, answer] : search.answered) {
+        if (answer.connection) {
+            state.pool.returnIdle(std::move(answer.connection), Core::Clock::now());
         }
     }
     search.answered.clear();
@@ -213,6 +222,7 @@
     if (name.empty()) {
         co_return found;
     }
+    found.askedAtBoot = Network::bootNow();
     found.connection = co_await checkHealth(state, query.service, name);
     const auto *target = Fleet::findTarget(*query.service, name);
     const bool isAllowed = found.connection && target != nullptr
--- a/Libraries/LibGateway/TargetFinder.h
+++ b/Libraries/LibGateway/TargetFinder.h
@@ -20,6 +20,8 @@
     Core::VersionName version;
     std::unique_ptr<Relay::TargetConnection> connection;
     bool isCold{false};
+    /// Time since the host started, at which the target was asked for its load.
+    std::chrono::nanoseconds askedAtBoot{0};
     /// Inputs of the decision, for the log.
     std::chrono::microseconds expectedTime{0};
     std::uint32_t probes{0};
--- a/Tests/LibGateway/TestRequestFlow.cpp
+++ b/Tests/LibGateway/TestRequestFlow.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <thread>
 
 namespace Briarbend::Gateway
 {
@@ -310,6 +311,26 @@
     EXPECT_EQ(this->runsOf("a1"), 1U);
 }
 
+// A busy instance sent a request seconds after its choice, to a target that had said meanwhile that it leaves.
+TEST_F(RequestFlowTest, targetIsAskedAgainWhereTheProcessStandsStillAfterTheChoice)
+{
+    const auto react = [](const auto &) {
+        return Reaction{};
+    };
+    auto &leaving = this->addTarget("leaving", react);
+    this->addTarget("other", react).load = "3,0,6,100";
+    this->configureRoute(RouteKind::Once, 2, 5s);
+    DelayingGuard guard([&leaving] {
+        if (std::exchange(leaving.healthFields, "Server-Leaving: 1\r\n").empty()) {
+            std::this_thread::sleep_for(1100ms);
+        }
+    });
+    this->state.guard = &guard;
+    EXPECT_EQ(this->run("a1", 5s).response.result_int(), 200U);
+    EXPECT_EQ(leaving.runs().size(), 0U);
+    EXPECT_EQ(this->runsOf("a1"), 1U);
+}
+
 TEST_F(RequestFlowTest, addressOfAnotherTargetReceivesNoRequest)
 {
     auto &target = this->addTarget("one", [](const auto &) {
