LibFleet: Let an instance send to limited targets once it knows the others

What callers of a limited target would have caused: an instance that starts again while its peers do not answer knows only itself, takes itself for the only sender and begins, one window later, with the whole rate that the target named for all instances.

Change: until a peer has told a new instance of all members, or nobody has answered for 6 s (JOIN_PERIOD), it is no sender. The others count it as a member as soon as they know it, so that the rate is used less for that time, not more. Ruled out: to wait for a majority, which an instance that is alone cannot know.

instancesThatDoNotKnowTheOthersYetAreNoSenders: 48 requests in 4 s before where 21 are allowed.

--- a/Libraries/LibFleet/RateLimit.cpp
+++ b/Libraries/LibFleet/RateLimit.cpp
@@ -43,14 +43,15 @@
 
 void updateQuota(RateLimit &limit, const Core::TargetId &target, const RateSharers &sharers, Core::TimePoint now)
 {
-    if (limit.sharersFingerprint == sharers.fingerprint && limit.sharedRate == limit.rate.requestsPerSecond) {
+    const bool hasSameSharers = limit.sharersFingerprint == sharers.fingerprint && limit.areSharersComplete == sharers.isComplete;
+    if (hasSameSharers && limit.sharedRate == limit.rate.requestsPerSecond) {
         return;
     }
     const auto rate = limit.rate.requestsPerSecond;
     const auto share = senderShare(rate, sharers.members.size());
     const auto senders = senderCount(rate, sharers.members.size());
     const auto rank = Limits::senderRank(sharers.self, sharers.members, target);
-    const auto permits = rank < senders ? share.permits : 0;
+    const auto permits = sharers.isComplete && rank < senders ? share.permits : 0;
     if (limit.quota.permits == 0 && permits > 0) {
         limit.quota = Limits::startRateQuota(permits, now, share.window);
         limit.quota.openFrom = now + share.window * (rank + 1) / senders;
@@ -59,6 +60,7 @@
     }
     limit.trialRank = Limits::senderRank(sharers.self, sharers.neighbours, target);
     limit.sharersFingerprint = sharers.fingerprint;
+    limit.areSharersComplete = sharers.isComplete;
     limit.sharedRate = rate;
 }
 
--- a/Libraries/LibFleet/RateLimit.h
+++ b/Libraries/LibFleet/RateLimit.h
@@ -22,6 +22,8 @@
     std::vector<Core::InstanceId> neighbours;
     /// Differs whenever the members do.
     std::size_t fingerprint{0};
+    /// False in a new instance that does not know the others yet. It is no sender: alone it would take the whole rate.
+    bool isComplete{true};
 };
 
 /// Time after which a limit that was not stated again is tried with one request. Instances that may not send to the target do not hear
@@ -51,6 +53,7 @@
     Limits::RateQuota quota;
     /// The members of which `quota` was computed, and the rate.
     std::optional<std::size_t> sharersFingerprint;
+    bool areSharersComplete{true};
     double sharedRate{0};
     /// Number of instances of the data centre that try the target before this one once the rate is outdated.
     std::size_t trialRank{0};
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -156,6 +156,7 @@
         });
         this->state.rateSharers = std::move(sharers);
     }
+    this->state.rateSharers.isComplete = Membership::hasJoined(members, this->timers.now());
 }
 
 void Instance::reload(const std::string &file)
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -239,6 +239,11 @@
     });
 }
 
+bool hasJoined(const State &state, Core::TimePoint now)
+{
+    return state.hasWholeTable || now - state.startedAt >= JOIN_PERIOD;
+}
+
 std::vector<Core::InstanceId> aliveMembers(const State &state)
 {
     std::vector<Core::InstanceId> alive;
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -39,6 +39,9 @@
 /// Cancels the pending pings to a peer that could not be sent, so that no member is suspected because of them.
 void cancelPing(State &state, const PeerAddress &peer);
 
+/// False in a new instance until a peer has told it of all members, or nobody has answered during JOIN_PERIOD.
+bool hasJoined(const State &state, Core::TimePoint now);
+
 /// Members that are alive or suspect and have been heard, including this instance unless it leaves. Sorted by identifier.
 std::vector<Core::InstanceId> aliveMembers(const State &state);
 
--- a/Tests/LibFleet/TestRateLimit.cpp
+++ b/Tests/LibFleet/TestRateLimit.cpp
@@ -99,6 +99,32 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RateLimitSeeds, testing::Range<std::uint64_t>(1, 101));
 
+// Instances that start again know nobody until a peer answers. Each took itself for the only sender.
+TEST(RateLimit, instancesThatDoNotKnowTheOthersYetAreNoSenders)
+{
+    constexpr double RATE = 2.8;
+    constexpr std::size_t NEW_INSTANCES = 3;
+    auto instances = makeInstances(24, RATE);
+    for (std::size_t index = 0; index < NEW_INSTANCES; ++index) {
+        auto &sharers = instances[index].sharers;
+        sharers = {.self = sharers.self, .members = {sharers.self}, .neighbours = {}, .fingerprint = 2, .isComplete = false};
+    }
+    std::vector<Core::TimePoint> sent;
+    for (auto now = START; now < START + 10s; now += 10ms) {
+        if (now == START + 6s) {
+            std::ranges::for_each(instances, [](EagerInstance &instance) {
+                auto &sharers = instance.sharers;
+                sharers = {.self = sharers.self, .members = makeMembers(24), .neighbours = {}, .fingerprint = 1, .isComplete = true};
+            });
+        }
+        for (auto &instance : instances) {
+            instance.step(sent, now);
+        }
+    }
+    EXPECT_LE(mostWithinSpan(sent), allowedWithinSpan(RATE));
+    EXPECT_GE(static_cast<double>(sent.size()), 10 * RATE / 2) << "the others go on";
+}
+
 // Changes of the members move the permits of some targets to other instances.
 RC_GTEST_PROP(RateLimit, changesOfTheMembersKeepTheRate, (std::uint64_t seed))
 {
