LibGateway: Send evidence to the evaluators about twice a second among hundreds

The evaluators spent 65 us on a message (3,331 in 217 ms), so that the interval was longer than it needs to be.

Change: 1 ms a member in place of 2.5 (472: 0.5 s).

--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -259,7 +259,7 @@
     nlohmann::ordered_json values{{"length_ms", std::chrono::duration_cast<Milliseconds>(length).count()},
                                   {"processor_ms", std::chrono::duration_cast<Milliseconds>(processorTime).count()}};
     values.update(describeReceived(Coordination::receivedSince(this->receivedAtLastTick, this->peers->receivedTraffic())));
-    this->state.log.write(Importance::Notable, "woke_after_freeze", std::move(values));
+    this->state.log.write(Importance::Notable, "woke_after_freeze", values);
 }
 
 void Instance::recoverFromFreeze()
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -17,8 +17,9 @@
 constexpr std::chrono::milliseconds TICK_INTERVAL{100};
 constexpr std::chrono::milliseconds STATUS_INTERVAL{300};
 constexpr std::chrono::milliseconds MINIMUM_EVIDENCE_INTERVAL{300};
-/// Bounds what an evaluator receives from all instances together to 400 messages a second.
-constexpr std::chrono::microseconds EVIDENCE_INTERVAL_PER_MEMBER{2500};
+/// Bounds what an evaluator receives from all instances together to 1,000 messages a second. A longer interval would let failures, which
+/// are sent at once, arrive long before the successes of the same time.
+constexpr std::chrono::microseconds EVIDENCE_INTERVAL_PER_MEMBER{1000};
 /// Fraction of the time between order and deadline by which a good version is to receive all requests; the rest is for confirmations and
 /// the write.
 constexpr double FINISH_FRACTION = 0.95;
--- a/Tests/LibGateway/TestPeerLoad.cpp
+++ b/Tests/LibGateway/TestPeerLoad.cpp
@@ -183,7 +183,8 @@
     RolloutInstance instance(timers, network, 0, INSTANCES, WIDE);
     instance.startRollout(0ms);
     constexpr std::uint64_t SECONDS = 10;
-    constexpr std::uint64_t MAXIMUM_PER_SECOND = 500;
+    // A tenth of the time of an instance of half a core, which takes 0.1 ms for a message.
+    constexpr std::uint64_t MAXIMUM_PER_SECOND = 1000;
     timers.runFor(std::chrono::seconds{SECONDS});
     const auto received = wide.messages[Channel::Rollout];
     EXPECT_GT(received, 1U);
