LibMembership: Pick the peer of a turn in one place

Which peer comes up at which turn is unchanged while there is something to send; turns no longer pass while there is not. The comment of widestFirst says of links and processor time what holds.

--- a/Libraries/LibCoordination/QuarantineLink.cpp
+++ b/Libraries/LibCoordination/QuarantineLink.cpp
@@ -199,12 +199,12 @@
 {
     Quarantine::expire(this->state, now);
     const auto reports = Quarantine::recentReports(this->state, MAX_REPAIR_REPORTS, now);
-    const auto live = Membership::addressesInTurn(this->peers.state().members);
-    if (reports.isEmpty() || live.empty()) {
+    if (reports.isEmpty()) {
         return;
     }
-    this->peers.send(
-        Channel::Quarantine, live[this->nextPeer++ % live.size()], encodeQuarantineMessage(QuarantineBroadcast{0, {}, reports}));
+    if (const auto peer = Membership::peerInTurn(this->peers.state().members, this->nextTurn++)) {
+        this->peers.send(Channel::Quarantine, *peer, encodeQuarantineMessage(QuarantineBroadcast{0, {}, reports}));
+    }
 }
 
 std::vector<std::string> QuarantineLink::livePeers() const
--- a/Libraries/LibCoordination/QuarantineLink.h
+++ b/Libraries/LibCoordination/QuarantineLink.h
@@ -66,7 +66,7 @@
     std::set<Core::TargetStartId> unverifiedStarts;
     std::unordered_map<std::uint64_t, std::shared_ptr<PendingBroadcast>> broadcasts;
     std::uint64_t nextId{1};
-    std::size_t nextPeer{0};
+    std::size_t nextTurn{0};
     std::unique_ptr<Core::TimerSubscription> ticking;
 };
 
--- a/Libraries/LibGateway/RolloutDissemination.cpp
+++ b/Libraries/LibGateway/RolloutDissemination.cpp
@@ -61,14 +61,16 @@
 
 void RolloutDriver::gossipStatuses()
 {
-    const auto addresses = Membership::addressesInTurn(this->peers.state().members);
-    if (addresses.empty()) {
+    if (this->rollouts.empty()) {
+        return;
+    }
+    const auto peer = Membership::peerInTurn(this->peers.state().members, this->nextTurn++);
+    if (!peer) {
         return;
     }
-    const auto &peer = addresses[this->nextPeer++ % addresses.size()];
     for (const auto &[service, rollout] : this->rollouts) {
         if (rollout.state) {
-            this->peers.send(Channel::Rollout, peer, Coordination::encodeRolloutMessage(rollout.state->status));
+            this->peers.send(Channel::Rollout, *peer, Coordination::encodeRolloutMessage(rollout.state->status));
         }
     }
 }
--- a/Libraries/LibGateway/RolloutDriver.h
+++ b/Libraries/LibGateway/RolloutDriver.h
@@ -78,7 +78,7 @@
     Network::SteadyWallClock clock;
     std::map<std::string, TrackedRollout> rollouts;
     std::vector<std::unique_ptr<Core::TimerSubscription>> subscriptions;
-    std::size_t nextPeer{0};
+    std::size_t nextTurn{0};
 };
 
 } // namespace Briarbend::Gateway
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -301,12 +301,15 @@
     return addresses;
 }
 
-std::vector<std::string> addressesInTurn(const State &state)
+std::optional<std::string> peerInTurn(const State &state, std::size_t turn)
 {
-    auto alive = aliveMembers(state);
-    const auto following = std::ranges::upper_bound(alive, state.self);
-    std::rotate(alive.begin(), following, alive.end());
-    return addressesOf(state, alive);
+    auto others = aliveMembers(state);
+    std::erase(others, state.self);
+    if (others.empty()) {
+        return std::nullopt;
+    }
+    const auto following = static_cast<std::size_t>(std::ranges::upper_bound(others, state.self) - others.begin());
+    return find(state, others[(following + turn) % others.size()])->update.address.value;
 }
 
 const Member *find(const State &state, const Core::InstanceId &id)
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -52,15 +52,15 @@
 std::size_t aliveFingerprint(const State &state);
 
 /// The candidates in the order in which they take work that grows with the number of instances: those with the widest links first, in
-/// rendezvous hash order for the key among equals. Processor time is planned in proportion to links.
+/// rendezvous hash order for the key among equals. Hosts with wider links have more processor time as well.
 std::vector<Core::InstanceId> widestFirst(const State &state, const std::vector<Core::InstanceId> &candidates, std::string_view key);
 
 /// Peer addresses of those of the members that are known, without this instance.
 std::vector<std::string> addressesOf(const State &state, const std::vector<Core::InstanceId> &members);
 
-/// Peer addresses of the live members other than this instance, in cyclic order from the one that follows it. Instances that contact one
-/// after the other at the same pace each contact a different one.
-std::vector<std::string> addressesInTurn(const State &state);
+/// Peer address of the live member that comes up at this turn: the one that follows this instance at the first turn, then the next, in
+/// cyclic order. Instances that take their turns at the same pace each contact a different member. Nothing if there is no other member.
+std::optional<std::string> peerInTurn(const State &state, std::size_t turn);
 
 /// Returns the member's row of the table, or null.
 const Member *find(const State &state, const Core::InstanceId &id);
--- a/Services/briarbendd/RolloutRunner.cpp
+++ b/Services/briarbendd/RolloutRunner.cpp
@@ -239,13 +239,15 @@
 
 void RolloutRunner::tellOnePeer()
 {
-    const auto addresses = Membership::addressesInTurn(this->peers.state().members);
-    if (addresses.empty()) {
+    if (this->moves.empty()) {
+        return;
+    }
+    const auto peer = Membership::peerInTurn(this->peers.state().members, this->nextTurn++);
+    if (!peer) {
         return;
     }
-    const auto &peer = addresses[this->nextPeer++ % addresses.size()];
     for (const auto &[service, running] : this->moves) {
-        this->peers.send(Coordination::Channel::Rollout, peer, Coordination::encodeRolloutMessage(running->state.status));
+        this->peers.send(Coordination::Channel::Rollout, *peer, Coordination::encodeRolloutMessage(running->state.status));
     }
 }
 
--- a/Services/briarbendd/RolloutRunner.h
+++ b/Services/briarbendd/RolloutRunner.h
@@ -62,7 +62,7 @@
     Relay::RelayState &relay;
     std::map<Core::ServiceName, std::shared_ptr<Running>> moves;
     std::vector<std::unique_ptr<Core::TimerSubscription>> subscriptions;
-    std::size_t nextPeer{0};
+    std::size_t nextTurn{0};
 };
 
 } // namespace Briarbend::Daemon
