LibFleet: Derive whether the sharers of a rate were complete

RateLimit kept a flag beside the fingerprint of the members for which its quota was computed. The fingerprint is not set while the members are incomplete, which says the same: the quota is computed again until they are complete.

--- a/Libraries/LibFleet/RateLimit.cpp
+++ b/Libraries/LibFleet/RateLimit.cpp
@@ -43,7 +43,7 @@
 
 void updateQuota(RateLimit &limit, const Core::TargetId &target, const RateSharers &sharers, Core::TimePoint now)
 {
-    const bool hasSameSharers = limit.sharersFingerprint == sharers.fingerprint && limit.areSharersComplete == sharers.isComplete;
+    const bool hasSameSharers = sharers.isComplete && limit.sharersFingerprint == sharers.fingerprint;
     if (hasSameSharers && limit.sharedRate == limit.rate.requestsPerSecond) {
         return;
     }
@@ -59,8 +59,7 @@
         Limits::resizeRateQuota(limit.quota, permits, share.window);
     }
     limit.trialRank = Limits::senderRank(sharers.self, sharers.neighbours, target);
-    limit.sharersFingerprint = sharers.fingerprint;
-    limit.areSharersComplete = sharers.isComplete;
+    limit.sharersFingerprint = sharers.isComplete ? std::optional(sharers.fingerprint) : std::nullopt;
     limit.sharedRate = rate;
 }
 
--- a/Libraries/LibFleet/RateLimit.h
+++ b/Libraries/LibFleet/RateLimit.h
@@ -51,9 +51,8 @@
 struct RateLimit {
     StatedRate rate;
     Limits::RateQuota quota;
-    /// The members of which `quota` was computed, and the rate.
+    /// The members of which `quota` was computed, and the rate. Not set while they are incomplete.
     std::optional<std::size_t> sharersFingerprint;
-    bool areSharersComplete{true};
     double sharedRate{0};
     /// Number of instances of the data centre that try the target before this one once the rate is outdated.
     std::size_t trialRank{0};
