LibGateway: Use the number of instances that is known already

The rollout driver counted all members ten times a second for each rollout, though GatewayState::instances holds the count, at most one tick old; and it selected the instances that work on a rollout also for rollouts that have ended.

Two tests of PeerLoad shared their set-up line by line: messagesToWidest. Their bounds and checks are the same.

--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -189,7 +189,7 @@
     const auto &schedule = rollout.state->rollout;
     const auto due = schedule.start
         + std::chrono::duration_cast<std::chrono::milliseconds>((schedule.finishBy - schedule.start) * PROOF_DEADLINE_FRACTION);
-    const auto evidenceDelay = evidenceInterval(Membership::countAlive(this->peers.state().members)) * MISSING_EVIDENCE_INTERVALS;
+    const auto evidenceDelay = evidenceInterval(this->state.instances) * MISSING_EVIDENCE_INTERVALS;
     const bool hasEvidence = rollout.evaluatorSince && now - *rollout.evaluatorSince >= evidenceDelay;
     if (wallNow < due || !hasEvidence || !Rollout::isUnproven(*rollout.state)) {
         return;
@@ -252,7 +252,9 @@
 void RolloutDriver::tick(Core::TimePoint now)
 {
     for (auto &[service, rollout] : this->rollouts) {
-        Coordination::updateRoles(rollout.roles, this->peers.state().members, rollout.order.service);
+        if (!isFinal(rollout.order.progress.state)) {
+            Coordination::updateRoles(rollout.roles, this->peers.state().members, rollout.order.service);
+        }
         if (rollout.state) {
             this->updateEvaluatorSince(rollout, now);
             this->refreshTargets(rollout);
@@ -269,7 +271,7 @@
     if (now < rollout.nextReportAt) {
         return;
     }
-    rollout.nextReportAt = now + evidenceInterval(Membership::countAlive(this->peers.state().members));
+    rollout.nextReportAt = now + evidenceInterval(this->state.instances);
     this->sendEvidence(rollout);
     this->sendConfirmation(rollout);
 }
--- a/Tests/LibGateway/TestPeerLoad.cpp
+++ b/Tests/LibGateway/TestPeerLoad.cpp
@@ -84,6 +84,7 @@
         , link(timers, *this->transport, gossipOf(index, instances, wide, timers.now()), this->state.random)
         , driver(this->state, timers, this->store, this->link)
     {
+        this->state.instances = instances;
     }
 
     void startRollout(std::chrono::milliseconds elapsed)
@@ -122,6 +123,19 @@
     Core::WallTime startedAt{Network::wallNow()};
 };
 
+/// Rollout messages that the one instance with a wide link gets from another while a rollout is in its trial.
+std::size_t messagesToWidest(std::chrono::seconds duration)
+{
+    ManualTimers timers;
+    FakeNetwork network;
+    constexpr std::size_t WIDE = 300;
+    Sink wide(network, nameOf(WIDE));
+    RolloutInstance instance(timers, network, 0, INSTANCES, WIDE);
+    instance.startRollout(0ms);
+    timers.runFor(duration);
+    return wide.messages[Channel::Rollout];
+}
+
 } // namespace
 
 // An evaluator on a tenth of a core compared the versions anew for each message of evidence. It did nothing else for a second at a time,
@@ -148,14 +162,7 @@
 // The instances with the narrowest links have the least processor time.
 TEST(PeerLoad, evidenceIsSentToTheInstancesWithTheWidestLinks)
 {
-    ManualTimers timers;
-    FakeNetwork network;
-    constexpr std::size_t WIDE = 300;
-    Sink wide(network, nameOf(WIDE));
-    RolloutInstance instance(timers, network, 0, INSTANCES, WIDE);
-    instance.startRollout(0ms);
-    timers.runFor(5s);
-    EXPECT_GT(wide.messages[Channel::Rollout], 1U);
+    EXPECT_GT(messagesToWidest(5s), 1U);
 }
 
 // Each instance confirmed to all others, three times a second, that it no longer uses the old version.
@@ -176,17 +183,10 @@
 // Messages of evidence that one instance receives in a second, whatever the number of instances.
 TEST(PeerLoad, evidenceThatOneInstanceReceivesIsBounded)
 {
-    ManualTimers timers;
-    FakeNetwork network;
-    constexpr std::size_t WIDE = 300;
-    Sink wide(network, nameOf(WIDE));
-    RolloutInstance instance(timers, network, 0, INSTANCES, WIDE);
-    instance.startRollout(0ms);
     constexpr std::uint64_t SECONDS = 10;
     // A tenth of the time of an instance of half a core, which takes 0.1 ms for a message.
     constexpr std::uint64_t MAXIMUM_PER_SECOND = 1000;
-    timers.runFor(std::chrono::seconds{SECONDS});
-    const auto received = wide.messages[Channel::Rollout];
+    const auto received = messagesToWidest(std::chrono::seconds{SECONDS});
     EXPECT_GT(received, 1U);
     EXPECT_LE(received * INSTANCES, MAXIMUM_PER_SECOND * SECONDS);
 }
