platform, LibGateway: Read the store's era and log it with each listing

A listing below the known revision looked the same for a stale replica and for a store that was restored. The era of the answer tells them apart.

--- a/Libraries/LibGateway/InstanceObjects.cpp
+++ b/Libraries/LibGateway/InstanceObjects.cpp
@@ -178,6 +178,7 @@
                           "listed",
                           {{"kind", nameOf(kind)},
                            {"objects", listing.objects.size()},
+                           {"era", listing.era},
                            {"revision", listing.revision},
                            {"first_page", listing.firstPage},
                            {"known_revision", this->followerOf(kind).syncedRevision()}});
--- a/Libraries/LibGateway/PlatformStore.h
+++ b/Libraries/LibGateway/PlatformStore.h
@@ -117,6 +117,8 @@
 struct Listing {
     std::vector<StoredObject> objects;
     Revision revision{0};
+    /// Number of times that the store was restored from a copy, as its answer states it; zero if it does not.
+    std::uint64_t era{0};
     /// Revision of the first page. Greater than `revision` if a replica that was behind sent a later page.
     Revision firstPage{0};
 };
