--- a/Tests/Soak/SoakStore.cpp
+++ b/Tests/Soak/SoakStore.cpp
@@ -25,11 +25,6 @@
     return at == std::string::npos ? std::nullopt : std::optional(std::stoull(target.substr(at + parameter.size() + 1)));
 }
 
-Network::Response ok(const json &body)
-{
-    return Network::makeResponse(Network::Http::status::ok, "application/json", body.dump());
-}
-
 } // namespace
 
 SoakStore::SoakStore(Asio::io_context &ioContext)
@@ -47,47 +42,65 @@
 
 void SoakStore::put(const std::string &kind, const std::string &name, json spec)
 {
-    ++this->revision;
-    auto &object = this->objects[kind][name];
-    object = {{"metadata", {{"name", name}, {"revision", this->revision}}}, {"spec", std::move(spec)}};
+    ++this->content.revision;
+    auto &object = this->content.objects[kind][name];
+    object = {{"metadata", {{"name", name}, {"revision", this->content.revision}}}, {"spec", std::move(spec)}};
     this->note(kind, object, false);
 }
 
 void SoakStore::remove(const std::string &kind, const std::string &name)
 {
-    ++this->revision;
-    auto removed = this->objects[kind].extract(name);
+    ++this->content.revision;
+    auto removed = this->content.objects[kind].extract(name);
     if (!removed.empty()) {
-        removed.mapped()["metadata"]["revision"] = this->revision;
+        removed.mapped()["metadata"]["revision"] = this->content.revision;
         this->note(kind, removed.mapped(), true);
     }
 }
 
 void SoakStore::note(const std::string &kind, const json &object, bool isRemoved)
 {
-    this->history.push_back({kind, this->revision, {{"object", object}, {"removed", isRemoved}}});
+    this->content.history.push_back({kind, this->content.revision, {{"object", object}, {"removed", isRemoved}}});
+}
+
+void SoakStore::takeCopy()
+{
+    this->copy = this->content;
+}
+
+void SoakStore::restore()
+{
+    this->content = this->copy;
+    ++this->era;
+}
+
+Network::Response SoakStore::ok(const json &body) const
+{
+    auto response = Network::makeResponse(Network::Http::status::ok, "application/json", body.dump());
+    response.set("Store-Era", std::to_string(this->era));
+    return response;
 }
 
 json SoakStore::list(const std::string &kind) const
 {
     auto items = json::array();
-    if (const auto found = this->objects.find(kind); found != this->objects.end()) {
+    if (const auto found = this->content.objects.find(kind); found != this->content.objects.end()) {
         for (const auto &[name, object] : found->second) {
             items.push_back(object);
         }
     }
-    return {{"items", items}, {"more", false}, {"storeRevision", this->revision}};
+    return {{"items", items}, {"more", false}, {"storeRevision", this->content.revision}};
 }
 
 json SoakStore::eventsAfter(const std::string &kind, std::uint64_t after) const
 {
     auto events = json::array();
-    for (const auto &event : this->history) {
+    for (const auto &event : this->content.history) {
         if (event.kind == kind && event.revision > after) {
             events.push_back(event.event);
         }
     }
-    return {{"events", events}, {"storeRevision", this->revision}};
+    return {{"events", events}, {"storeRevision", this->content.revision}};
 }
 
 Asio::awaitable<Network::Response> SoakStore::answer(Network::Request request)
@@ -103,6 +116,7 @@
         Asio::steady_timer timer(this->context, SLOW_ANSWER);
         co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
     }
+    ++this->calls;
     const std::string target(request.target());
     const auto path = target.substr(0, target.find('?'));
     const auto kind = path.substr(path.rfind('/') + 1);
@@ -111,17 +125,24 @@
     }
     const auto watched = numberOf(target, "watch");
     if (!watched) {
-        co_return ok(this->list(kind));
+        co_return this->ok(this->list(kind));
     }
     const auto after = *watched;
+    const auto eraAtStart = this->era;
+    if (after > this->content.revision) {
+        throw Network::HttpError(Network::Http::status::gone, "no such revision");
+    }
     const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(numberOf(target, "waitMs").value_or(0));
     Asio::steady_timer poll(this->context);
     while (this->eventsAfter(kind, after).at("events").empty() && std::chrono::steady_clock::now() < until
-           && this->mode == StoreMode::Serves) {
+           && this->mode == StoreMode::Serves && this->era == eraAtStart) {
         poll.expires_after(WATCH_POLL);
         co_await poll.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
     }
-    co_return ok(this->eventsAfter(kind, after));
+    if (this->era != eraAtStart) {
+        throw Network::ExchangeAbandoned();
+    }
+    co_return this->ok(this->eventsAfter(kind, after));
 }
 
 } // namespace Briarbend::Soak
--- a/Tests/Soak/SoakStore.h
+++ b/Tests/Soak/SoakStore.h
@@ -28,7 +28,13 @@
     Network::Endpoint endpoint() const;
     void put(const std::string &kind, const std::string &name, nlohmann::json spec);
     void remove(const std::string &kind, const std::string &name);
+    /// Keeps the present content for a later restore().
+    void takeCopy();
+    /// Replaces the content by that of the last copy. What was written since is lost, and its revisions are given out again.
+    void restore();
 
+    /// Calls that were answered.
+    std::size_t calls{0};
     StoreMode mode{StoreMode::Serves};
 
 private:
@@ -43,10 +49,19 @@
     nlohmann::json eventsAfter(const std::string &kind, std::uint64_t revision) const;
     void note(const std::string &kind, const nlohmann::json &object, bool isRemoved);
 
+    /// What is lost when the store is restored.
+    struct Content {
+        std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+        std::vector<Event> history;
+        std::uint64_t revision{1};
+    };
+
+    Network::Response ok(const nlohmann::json &body) const;
+
     boost::asio::io_context &context;
-    std::map<std::string, std::map<std::string, nlohmann::json>> objects;
-    std::vector<Event> history;
-    std::uint64_t revision{1};
+    Content content;
+    Content copy;
+    std::uint64_t era{1};
     Network::HttpServer server;
 };
 
