--- a/Libraries/LibFleet/Directory.cpp
+++ b/Libraries/LibFleet/Directory.cpp
@@ -52,9 +52,18 @@
     }
 }
 
+void recordStoreRestored(Directory &directory, Core::TimePoint now)
+{
+    directory.outageEndedAt = now;
+}
+
 void applyRecord(Directory &directory, const TargetRecord &record)
 {
-    directory.entries.insert_or_assign(record.name, DirectoryEntry{record, std::nullopt});
+    auto &entry = directory.entries[record.name];
+    const bool isSameStart = record.startedAtMilliseconds != 0 && entry.record.startedAtMilliseconds == record.startedAtMilliseconds;
+    const bool wasLeaving = isSameStart && entry.record.isLeaving;
+    entry = {.record = record, .missingSince = std::nullopt};
+    entry.record.isLeaving = record.isLeaving || wasLeaving;
 }
 
 void applyRemoval(Directory &directory, const std::string &name, Core::TimePoint now)
--- a/Libraries/LibFleet/Directory.h
+++ b/Libraries/LibFleet/Directory.h
@@ -95,7 +95,10 @@
 /// Records how many entries are about to be removed at once. A removal of many is treated as the end of a store outage.
 void recordPendingRemovals(Directory &directory, std::size_t removals, Core::TimePoint now);
 
-/// Adds or replaces one entry.
+/// Records that the store was restored from an older copy: entries written since then are missing until their targets register again.
+void recordStoreRestored(Directory &directory, Core::TimePoint now);
+
+/// Adds or replaces one entry. A start that leaves does not stop doing so, whatever an outdated entry states.
 void applyRecord(Directory &directory, const TargetRecord &record);
 
 /// Removes an entry. Shortly after a store outage, the entry is only marked as missing, unless its target is leaving.
--- a/Libraries/LibGateway/ChangeDisseminationMessage.cpp
+++ b/Libraries/LibGateway/ChangeDisseminationMessage.cpp
@@ -30,6 +30,32 @@
     RoutingConfiguration,
 };
 
+Json encodeRevision(const Revision &revision)
+{
+    return Json::array({revision.era, revision.number});
+}
+
+Revision decodeRevision(const Json &value)
+{
+    return {.era = value.at(0).get<std::uint64_t>(), .number = value.at(1).get<std::uint64_t>()};
+}
+
+Json encodeRevisions(const KindRevisions &revisions)
+{
+    auto row = Json::array();
+    std::ranges::transform(revisions, std::back_inserter(row), encodeRevision);
+    return row;
+}
+
+KindRevisions decodeRevisions(const Json &row)
+{
+    KindRevisions revisions;
+    for (std::size_t index = 0; index < OBJECT_KIND_COUNT; ++index) {
+        revisions[index] = decodeRevision(row.at(index));
+    }
+    return revisions;
+}
+
 Json encodeTarget(const Fleet::TargetRecord &record)
 {
     return Json::array({ContentTag::Target,
@@ -125,13 +151,13 @@
 
 Json encodeObject(const StoredObject &object)
 {
-    return Json::array({object.name, object.revision, std::visit(ContentEncoder{}, object.content)});
+    return Json::array({object.name, encodeRevision(object.revision), std::visit(ContentEncoder{}, object.content)});
 }
 
 StoredObject decodeObject(const Json &row)
 {
     const auto name = row.at(0).get<std::string>();
-    return {.name = name, .revision = row.at(1).get<Revision>(), .content = decodeContent(name, row.at(2))};
+    return {.name = name, .revision = decodeRevision(row.at(1)), .content = decodeContent(name, row.at(2))};
 }
 
 Json encodeChange(const Change &change)
@@ -141,7 +167,7 @@
 
 Change decodeChange(const Json &row)
 {
-    return {.object = decodeObject(row.at(0)), .isRemoved = row.at(1).get<bool>()};
+    return {.object = decodeObject(row.at(0)), .isRemoved = row.at(1).get<bool>(), .mayBeOutdated = false};
 }
 
 ObjectKind decodeKind(const Json &value)
@@ -158,17 +184,22 @@
     {
         auto changes = Json::array();
         std::ranges::transform(news.changes.changes, std::back_inserter(changes), encodeChange);
-        return Json::array(
-            {MessageTag::Changes, news.kind, news.previous, news.changes.revision, std::move(changes), news.sourceDataCentre.value});
+        return Json::array({MessageTag::Changes,
+                            news.kind,
+                            encodeRevision(news.previous),
+                            encodeRevision(news.changes.revision),
+                            std::move(changes),
+                            news.sourceDataCentre.value});
     }
 
     Json operator()(const WatcherHeartbeat &heartbeat) const
     {
         return Json::array({MessageTag::Heartbeat,
-                            heartbeat.latest,
-                            heartbeat.positions,
+                            encodeRevisions(heartbeat.latest),
+                            encodeRevisions(heartbeat.positions),
                             heartbeat.timeSinceStoreResponse.count(),
-                            heartbeat.activeForDataCentre.value});
+                            heartbeat.activeForDataCentre.value,
+                            heartbeat.kindsAheadOfStore});
     }
 
     Json operator()(const SnapshotRequest &request) const
@@ -180,14 +211,14 @@
     {
         auto objects = Json::array();
         std::ranges::transform(snapshot.listing.objects, std::back_inserter(objects), encodeObject);
-        return Json::array({MessageTag::Snapshot, snapshot.kind, snapshot.listing.revision, std::move(objects)});
+        return Json::array({MessageTag::Snapshot, snapshot.kind, encodeRevision(snapshot.listing.revision), std::move(objects)});
     }
 };
 
 ChangeNotification decodeChangeNotification(const Json &row)
 {
-    ChangeNotification news{.kind = decodeKind(row.at(1)), .previous = row.at(2).get<Revision>(), .changes = {}, .sourceDataCentre = {}};
-    news.changes.revision = row.at(3).get<Revision>();
+    ChangeNotification news{.kind = decodeKind(row.at(1)), .previous = decodeRevision(row.at(2)), .changes = {}, .sourceDataCentre = {}};
+    news.changes.revision = decodeRevision(row.at(3));
     std::ranges::transform(row.at(4), std::back_inserter(news.changes.changes), decodeChange);
     news.sourceDataCentre = {row.at(5).get<std::string>()};
     return news;
@@ -195,10 +226,13 @@
 
 WatcherHeartbeat decodeHeartbeat(const Json &row)
 {
-    return {.latest = row.at(1).get<KindRevisions>(),
-            .positions = row.at(2).get<KindRevisions>(),
-            .timeSinceStoreResponse = std::chrono::milliseconds(row.at(3).get<std::int64_t>()),
-            .activeForDataCentre = {row.at(4).get<std::string>()}};
+    WatcherHeartbeat heartbeat{.latest = decodeRevisions(row.at(1)),
+                               .positions = decodeRevisions(row.at(2)),
+                               .timeSinceStoreResponse = std::chrono::milliseconds(row.at(3).get<std::int64_t>()),
+                               .activeForDataCentre = {row.at(4).get<std::string>()},
+                               .kindsAheadOfStore = {}};
+    std::ranges::transform(row.at(5), std::back_inserter(heartbeat.kindsAheadOfStore), decodeKind);
+    return heartbeat;
 }
 
 SnapshotRequest decodeSnapshotRequest(const Json &row)
@@ -210,7 +244,7 @@
 
 Snapshot decodeSnapshot(const Json &row)
 {
-    Snapshot snapshot{.kind = decodeKind(row.at(1)), .listing = {.objects = {}, .revision = row.at(2).get<Revision>()}};
+    Snapshot snapshot{.kind = decodeKind(row.at(1)), .listing = {.objects = {}, .revision = decodeRevision(row.at(2))}};
     std::ranges::transform(row.at(3), std::back_inserter(snapshot.listing.objects), decodeObject);
     return snapshot;
 }
--- a/Libraries/LibGateway/ChangeDisseminationMessage.h
+++ b/Libraries/LibGateway/ChangeDisseminationMessage.h
@@ -15,7 +15,7 @@
 struct ChangeNotification {
     ObjectKind kind{ObjectKind::RoutingConfiguration};
     /// The message holds all changes after this revision, up to the revision of the changes.
-    Revision previous{0};
+    Revision previous{};
     Changes changes;
     /// The data centre of the instance that read them from the store.
     Core::DataCentreName sourceDataCentre;
@@ -34,6 +34,8 @@
     std::chrono::milliseconds timeSinceStoreResponse{0};
     /// The data centre for which the sender is the active watcher; empty if it is on standby or the store does not respond to it.
     Core::DataCentreName activeForDataCentre;
+    /// Kinds of which the sender knows facts that a restored store does not show any more.
+    std::vector<ObjectKind> kindsAheadOfStore;
 };
 
 /// Asks a peer for objects that the sender cannot get from the store.
--- a/Libraries/LibGateway/ChangeDisseminator.cpp
+++ b/Libraries/LibGateway/ChangeDisseminator.cpp
@@ -64,14 +64,15 @@
     , startedAt(timerService.now())
     , storeLastRespondedAt(this->startedAt)
 {
-    this->peers.onMessage(Channel::News, [this](const std::string &, std::string_view bytes) {
-        this->receive(bytes);
+    this->peers.onMessage(Channel::News, [this](const std::string &peer, std::string_view bytes) {
+        this->receive(peer, bytes);
     });
     this->subscriptions.push_back(this->timers.every(MEMBERSHIP_CHECK_INTERVAL, [this](Core::TimePoint) {
         this->updateWatchers();
     }));
     this->subscriptions.push_back(this->timers.every(SNAPSHOT_REQUEST_INTERVAL, [this](Core::TimePoint) {
         this->requestMissingKinds();
+        this->requestLostFacts();
     }));
     this->subscriptions.push_back(this->timers.every(HEARTBEAT_INTERVAL, [this](Core::TimePoint now) {
         this->sendHeartbeat(now);
@@ -108,6 +109,14 @@
     this->notify({.kind = kind, .previous = previous, .changes = changes, .sourceDataCentre = this->ownDataCentre()});
 }
 
+void ChangeDisseminator::publishListing(ObjectKind kind, const Listing &listing)
+{
+    this->recordLatestRevision(kind, listing.revision);
+    if (this->isWatching && !this->neighbours.empty()) {
+        this->send(this->neighbours, encodeChangeDissemination(Snapshot{.kind = kind, .listing = listing}));
+    }
+}
+
 void ChangeDisseminator::recordLatestRevision(ObjectKind kind, Revision revision)
 {
     auto &known = this->latest[indexOf(kind)];
@@ -158,12 +167,12 @@
     return this->neighbours;
 }
 
-void ChangeDisseminator::receive(std::string_view bytes)
+void ChangeDisseminator::receive(const std::string &peer, std::string_view bytes)
 {
     const auto message = decodeChangeDissemination(bytes);
     if (const auto *news = std::get_if<ChangeNotification>(&message)) {
         this->heardAt = this->timers.now();
-        this->handleChanges(*news);
+        this->handleChanges(*news, peer);
     } else if (const auto *heartbeat = std::get_if<WatcherHeartbeat>(&message)) {
         this->heardAt = this->timers.now();
         this->handleHeartbeat(*heartbeat);
@@ -171,7 +180,8 @@
         this->respond(*request);
     } else {
         const auto &snapshot = std::get<Snapshot>(message);
-        this->callbacks.onSnapshot(snapshot.kind, snapshot.listing);
+        this->recordLatestRevision(snapshot.kind, snapshot.listing.revision);
+        this->callbacks.onSnapshot(snapshot.kind, snapshot.listing, peer);
     }
 }
 
@@ -203,11 +213,28 @@
                      encodeChangeDissemination(SnapshotRequest{.requester = self.address.value, .kinds = std::move(kinds)}));
 }
 
-void ChangeDisseminator::handleChanges(const ChangeNotification &news)
+void ChangeDisseminator::requestLostFacts()
+{
+    auto kinds = this->kindsWatchersKnowMoreOf;
+    const auto ownKinds = this->callbacks.kindsAheadOfStore();
+    std::erase_if(kinds, [&ownKinds](ObjectKind kind) {
+        return std::ranges::find(ownKinds, kind) != ownKinds.end();
+    });
+    if (kinds.empty() || this->watcherPeerAddresses.empty()) {
+        return;
+    }
+    this->kindsWatchersKnowMoreOf.clear();
+    const auto &members = this->peers.state().members;
+    const auto bytes = encodeChangeDissemination(
+        SnapshotRequest{.requester = members.members.at(members.self).update.address.value, .kinds = std::move(kinds)});
+    this->peers.send(Channel::News, this->watcherPeerAddresses[this->random.below(this->watcherPeerAddresses.size())], bytes);
+}
+
+void ChangeDisseminator::handleChanges(const ChangeNotification &news, const std::string &peer)
 {
     const bool isNew = news.changes.revision > this->latest[indexOf(news.kind)];
     this->recordLatestRevision(news.kind, news.changes.revision);
-    this->callbacks.onChanges(news.kind, news.previous, news.changes);
+    this->callbacks.onChanges(news.kind, news.previous, news.changes, peer);
     const bool hasContentToForward = news.kind == ObjectKind::RoutingConfiguration || !news.changes.changes.empty();
     if (isNew && hasContentToForward && this->isWatching && news.sourceDataCentre != this->ownDataCentre()) {
         // The store may refuse the active watcher here while it serves that of another data centre, which sends changes to all watchers
@@ -221,6 +248,7 @@
     const auto now = this->timers.now();
     if (heartbeat.activeForDataCentre == this->ownDataCentre()) {
         this->activeWatcherHeardAt = now;
+        this->kindsWatchersKnowMoreOf = heartbeat.kindsAheadOfStore;
     } else if (!heartbeat.activeForDataCentre.value.empty()) {
         this->farActiveWatchersHeardAt[heartbeat.activeForDataCentre] = now;
     }
@@ -247,7 +275,8 @@
                                    .positions = {},
                                    .timeSinceStoreResponse
                                    = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->storeLastRespondedAt),
-                                   .activeForDataCentre = {}};
+                                   .activeForDataCentre = {},
+                                   .kindsAheadOfStore = this->callbacks.kindsAheadOfStore()};
         if (isReading && this->isStoreAvailable) {
             heartbeat.activeForDataCentre = this->ownDataCentre();
         }
--- a/Libraries/LibGateway/ChangeDisseminator.h
+++ b/Libraries/LibGateway/ChangeDisseminator.h
@@ -17,7 +17,7 @@
 public:
     struct Callbacks {
         /// Called with changes that a watcher sent. An empty list only announces the watcher's revision.
-        std::function<void(ObjectKind kind, Revision previous, const Changes &changes)> onChanges;
+        std::function<void(ObjectKind kind, Revision previous, const Changes &changes, const std::string &peer)> onChanges;
         /// Called when no changes up to the revision are missing here.
         std::function<void(ObjectKind kind, Revision position)> onSyncedRevision;
         /// Called with whether the store is known to respond to any watcher.
@@ -29,7 +29,9 @@
         /// Returns this instance's objects of a kind for a peer that is missing them; nothing if they may be out of date.
         std::function<std::optional<Listing>(ObjectKind kind)> snapshot;
         /// Called with the snapshot that a peer sent.
-        std::function<void(ObjectKind kind, const Listing &listing)> onSnapshot;
+        std::function<void(ObjectKind kind, const Listing &listing, const std::string &peer)> onSnapshot;
+        /// Returns the kinds of which this instance knows facts that a restored store does not show any more.
+        std::function<std::vector<ObjectKind>()> kindsAheadOfStore;
     };
 
     ChangeDisseminator(Core::TimerService &timers, Coordination::PeerLink &peers, Core::Random &random, Callbacks callbacks);
@@ -38,6 +40,9 @@
     ReflectorMode modeFor(ObjectKind kind, Revision revision) const;
     /// Sends changes read from the store to the other instances if this instance is a watcher.
     void publish(ObjectKind kind, Revision previous, const Changes &changes);
+    /// Sends all objects of a kind to the other instances of the data centre if this instance is a watcher: those of an earlier era cannot
+    /// apply changes of the listing's.
+    void publishListing(ObjectKind kind, const Listing &listing);
     /// Records the revision of a change that this instance knows of, from any source.
     void recordLatestRevision(ObjectKind kind, Revision revision);
     /// Records whether the store responds to this instance.
@@ -55,11 +60,13 @@
     const std::vector<std::string> &dataCentrePeers() const;
 
 private:
-    void receive(std::string_view bytes);
-    void handleChanges(const ChangeNotification &news);
+    void receive(const std::string &peer, std::string_view bytes);
+    void handleChanges(const ChangeNotification &news, const std::string &peer);
     void handleHeartbeat(const WatcherHeartbeat &heartbeat);
     void respond(const SnapshotRequest &request);
     void requestMissingKinds();
+    /// Asks a watcher of the data centre for the facts that the store has lost, where this instance started too late to know them.
+    void requestLostFacts();
     void sendHeartbeat(Core::TimePoint now);
     void updateWatchers();
     const Core::DataCentreName &ownDataCentre() const;
@@ -90,6 +97,8 @@
     std::map<Core::DataCentreName, Core::TimePoint> farActiveWatchersHeardAt;
     std::vector<std::string> watcherPeerAddresses;
     KindRevisions latest{};
+    /// Kinds of which the watchers of the data centre last reported to know more than the store shows.
+    std::vector<ObjectKind> kindsWatchersKnowMoreOf;
     /// Since when this instance has known of a change that it does not have.
     std::array<Core::TimePoint, OBJECT_KIND_COUNT> missingSince{};
     Core::TimePoint startedAt;
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -89,6 +89,7 @@
         this->detectFreeze(now);
         this->updateInstances();
         this->expireTargets(now);
+        this->applyDueChanges(now);
     }));
     this->subscriptions.push_back(this->timers.every(IDLE_SWEEP_INTERVAL, [this](Core::TimePoint now) {
         this->state.pool.closeIdle(now, IDLE_CONNECTION_TIMEOUT);
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -3,6 +3,7 @@
 #include <LibCoordination/QuarantineLink.h>
 #include <LibGateway/CallerFrontend.h>
 #include <LibGateway/ChangeDisseminator.h>
+#include <LibGateway/DeferredChanges.h>
 #include <LibGateway/Reflector.h>
 #include <LibGateway/RolloutDriver.h>
 #include <LibGateway/TargetDisseminator.h>
@@ -41,16 +42,25 @@
     /// The objects of a kind that this instance holds, for a peer; nothing if they may be out of date.
     std::optional<Listing> snapshotOf(ObjectKind kind) const;
     std::vector<StoredObject> objectsOf(ObjectKind kind) const;
-    void applySnapshot(ObjectKind kind, const Listing &listing);
+    void applySnapshot(ObjectKind kind, const Listing &listing, const std::string &peer);
+    void applyChange(ObjectKind kind, const ChangeBatch &batch, const Change &change);
+    /// Has the other reflectors list the store that was restored, and keeps targets that it has lost for a while.
+    void followRestoredStore(ObjectKind kind, const ChangeBatch &batch);
+    /// The changes of the batch that apply now; those that would take back what is known are deferred.
+    std::vector<Change> applicableChanges(ObjectKind kind, const ChangeBatch &batch);
+    void applyDueChanges(Core::TimePoint now);
+    std::vector<ObjectKind> kindsAheadOfStore() const;
+    /// Takes over what a peer knows and the restored store does not show.
+    void adoptLostFacts(ObjectKind kind, const Listing &listing);
     void logListing(ObjectKind kind, const Listing &listing);
     void makeStoreDissemination();
     void makeTargetDissemination();
-    void applyRemoval(ObjectKind kind, ChangeSource source, const StoredObject &object);
-    void applyContent(const Unreadable &unreadable, ChangeSource source, const StoredObject &object);
-    void applyContent(const Fleet::RoutingConfiguration &configuration, ChangeSource source, const StoredObject &object);
-    void applyContent(const Fleet::TargetRecord &record, ChangeSource source, const StoredObject &object);
-    void applyContent(const RolloutOrder &order, ChangeSource source, const StoredObject &object);
-    void applyContent(const Core::DataCentreName &dataCentre, ChangeSource source, const StoredObject &object);
+    void applyRemoval(ObjectKind kind, const ChangeBatch &batch, const StoredObject &object);
+    void applyContent(const Unreadable &unreadable, const ChangeBatch &batch, const StoredObject &object);
+    void applyContent(const Fleet::RoutingConfiguration &configuration, const ChangeBatch &batch, const StoredObject &object);
+    void applyContent(const Fleet::TargetRecord &record, const ChangeBatch &batch, const StoredObject &object);
+    void applyContent(const RolloutOrder &order, const ChangeBatch &batch, const StoredObject &object);
+    void applyContent(const Core::DataCentreName &dataCentre, const ChangeBatch &batch, const StoredObject &object);
     void recordStoreResponse();
     void recordStoreFailure(const std::string &reason);
     void detectFreeze(Core::TimePoint now);
@@ -91,6 +101,9 @@
     Coordination::ReceivedTraffic receivedAtLastTick;
     Core::TimePoint lastFreezeEnd;
     bool isStoreUnavailable{false};
+    DeferredChanges deferredChanges;
+    /// Version of the configuration that the store holds. One that was in force before the store was restored may be newer.
+    std::uint64_t storedConfigurationVersion{0};
 };
 
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/InstanceDissemination.cpp
+++ b/Libraries/LibGateway/InstanceDissemination.cpp
@@ -31,40 +31,44 @@
 
 void Instance::makeStoreDissemination()
 {
-    this->news = std::make_unique<ChangeDisseminator>(this->timers,
-                                                      *this->peers,
-                                                      this->state.random,
-                                                      ChangeDisseminator::Callbacks{
-                                                          .onChanges =
-                                                              [this](ObjectKind kind, Revision previous, const Changes &changes) {
-                                                                  this->followerOf(kind).applyPeerChanges(previous, changes);
-                                                              },
-                                                          .onSyncedRevision =
-                                                              [this](ObjectKind kind, Revision position) {
-                                                                  this->followerOf(kind).advanceTo(position);
-                                                              },
-                                                          .onStoreAvailability =
-                                                              [this](bool isResponsive) {
-                                                                  (isResponsive ? Fleet::recordStoreAnswer : Fleet::recordStoreFailure)(
-                                                                      this->state.directory, this->timers.now());
-                                                              },
-                                                          .syncedRevision =
-                                                              [this](ObjectKind kind) {
-                                                                  return this->followerOf(kind).syncedRevision();
-                                                              },
-                                                          .missingKinds =
-                                                              [this] {
-                                                                  return this->kindsNeedingSnapshot();
-                                                              },
-                                                          .snapshot =
-                                                              [this](ObjectKind kind) {
-                                                                  return this->snapshotOf(kind);
-                                                              },
-                                                          .onSnapshot =
-                                                              [this](ObjectKind kind, const Listing &listing) {
-                                                                  this->applySnapshot(kind, listing);
-                                                              },
-                                                      });
+    this->news = std::make_unique<ChangeDisseminator>(
+        this->timers,
+        *this->peers,
+        this->state.random,
+        ChangeDisseminator::Callbacks{
+            .onChanges =
+                [this](ObjectKind kind, Revision previous, const Changes &changes, const std::string &peer) {
+                    this->followerOf(kind).applyPeerChanges(previous, changes, peer);
+                },
+            .onSyncedRevision =
+                [this](ObjectKind kind, Revision position) {
+                    this->followerOf(kind).advanceTo(position);
+                },
+            .onStoreAvailability =
+                [this](bool isResponsive) {
+                    (isResponsive ? Fleet::recordStoreAnswer : Fleet::recordStoreFailure)(this->state.directory, this->timers.now());
+                },
+            .syncedRevision =
+                [this](ObjectKind kind) {
+                    return this->followerOf(kind).syncedRevision();
+                },
+            .missingKinds =
+                [this] {
+                    return this->kindsNeedingSnapshot();
+                },
+            .snapshot =
+                [this](ObjectKind kind) {
+                    return this->snapshotOf(kind);
+                },
+            .onSnapshot =
+                [this](ObjectKind kind, const Listing &listing, const std::string &peer) {
+                    this->applySnapshot(kind, listing, peer);
+                },
+            .kindsAheadOfStore =
+                [this] {
+                    return this->kindsAheadOfStore();
+                },
+        });
 }
 
 void Instance::makeTargetDissemination()
--- a/Libraries/LibGateway/PlatformStore.h
+++ b/Libraries/LibGateway/PlatformStore.h
@@ -2,6 +2,7 @@
 
 #include <LibFleet/Directory.h>
 #include <LibFleet/RoutingConfiguration.h>
+#include <LibGateway/Revision.h>
 
 #include <array>
 #include <boost/asio/awaitable.hpp>
@@ -16,9 +17,6 @@
 namespace Briarbend::Gateway
 {
 
-/// Revision of the whole store; increases with every change.
-using Revision = std::uint64_t;
-
 enum class ObjectKind {
     /// The configuration in force: one object.
     RoutingConfiguration,
@@ -108,30 +106,30 @@
 
 struct StoredObject {
     std::string name;
-    /// The store's revision of the object's last change.
-    Revision revision{0};
+    /// The store's revision of the object's last change. In an era that began after the change it has the number of the change.
+    Revision revision{};
     Content content;
 };
 
 /// All objects of one kind. A watch from the revision on misses no changes.
 struct Listing {
     std::vector<StoredObject> objects;
-    Revision revision{0};
-    /// Number of times that the store was restored from a copy, as its answer states it; zero if it does not.
-    std::uint64_t era{0};
+    Revision revision{};
     /// Revision of the first page. Greater than `revision` if a replica that was behind sent a later page.
-    Revision firstPage{0};
+    Revision firstPage{};
 };
 
 struct Change {
     StoredObject object;
     bool isRemoved{false};
+    /// The store was restored from a copy that may be older than what was last known of the object.
+    bool mayBeOutdated{false};
 };
 
 /// Changes after the revision from which the watch started, in order; none if the wait has expired.
 struct Changes {
     std::vector<Change> changes;
-    Revision revision{0};
+    Revision revision{};
 };
 
 /// The store no longer has the history after the revision from which the watch started.
@@ -143,12 +141,12 @@
     std::string reason;
 };
 
-/// The object's revision differs from the one given.
+/// The object's revision differs from the one given, or the store was restored meanwhile.
 struct RevisionConflict {
 };
 
 struct Written {
-    Revision revision{0};
+    Revision revision{};
 };
 
 enum class Freshness {
--- a/Libraries/LibGateway/Reflector.cpp
+++ b/Libraries/LibGateway/Reflector.cpp
@@ -30,6 +30,8 @@
 /// Time after lost history in which reads are linearizable, as they also are while requests fail: replicas of a store in trouble may be
 /// seconds behind. As long as the history that the platform keeps.
 constexpr std::chrono::seconds LINEARIZABLE_READ_PERIOD{20};
+/// Age up to which removals are remembered. Copies from which the store is restored are some seconds old.
+constexpr std::chrono::seconds REMOVAL_RETENTION{60};
 
 } // namespace
 
@@ -72,7 +74,9 @@
 
 void Reflector::advanceTo(Revision newRevision)
 {
-    this->revision = std::max(this->revision, newRevision);
+    if (newRevision.era == this->revision.era) {
+        this->revision = std::max(this->revision, newRevision);
+    }
 }
 
 void Reflector::requestRelist()
@@ -99,7 +103,8 @@
         } else if (mode == ReflectorMode::Watch) {
             this->isWatchPending = true;
             this->watchBegins.cancel();
-            isDone = co_await this->watch(this->watchWait);
+            // A store that was restored may wait with its answer as long as a watch lasts: the first one after a failure is short.
+            isDone = co_await this->watch(this->consecutiveFailures > 0 ? CATCH_UP_WAIT : this->watchWait);
             this->isWatchPending = false;
         } else if (mode == ReflectorMode::CatchUp) {
             isDone = co_await this->watch(CATCH_UP_WAIT);
@@ -128,10 +133,10 @@
             continue;
         }
         co_await this->pause(IDLE_POLL_INTERVAL);
-        if (!this->isWatchPending || this->callbacks.mode(this->revision) != ReflectorMode::CatchUp) {
+        if (!this->isWatchPending || (!this->needsListing && this->callbacks.mode(this->revision) != ReflectorMode::CatchUp)) {
             continue;
         }
-        this->linearizableReadsUntil = std::max(this->linearizableReadsUntil, Core::Clock::now() + STALE_REPLICA_PERIOD);
+        this->readLinearizablyFor(STALE_REPLICA_PERIOD);
         const bool isDone = this->needsListing ? co_await this->list() : co_await this->watch(CATCH_UP_WAIT);
         if (isDone) {
             this->callbacks.onResponse();
@@ -156,31 +161,68 @@
     if (listing.revision < previous) {
         // A stale replica may lack objects that are already known.
         this->needsListing = true;
-        this->linearizableReadsUntil = Core::Clock::now() + STALE_REPLICA_PERIOD;
+        this->readLinearizablyFor(STALE_REPLICA_PERIOD);
+        co_return !needsLinearizableRead;
+    }
+    const bool isRestored = this->beginsEra(listing);
+    if (isRestored && !needsLinearizableRead) {
+        // A replica may still show what the restored store has lost.
+        this->needsListing = true;
+        this->readLinearizablyFor(LINEARIZABLE_READ_PERIOD);
         co_return true;
     }
     auto newer = this->difference(listing);
     this->adoptListing(listing);
-    auto all = changesAfter(previous, listing, newer);
-    this->callbacks.onChanges({.source = ChangeSource::Listing, .previous = previous, .all = std::move(all), .newer = std::move(newer)});
+    auto all = changesAfter(isRestored ? Revision{} : previous, listing, newer);
+    this->callbacks.onChanges({.source = ChangeSource::Listing,
+                               .previous = isRestored ? Revision{} : previous,
+                               .all = std::move(all),
+                               .newer = std::move(newer),
+                               .isRestored = isRestored,
+                               .peer = {}});
     co_return true;
 }
 
+bool Reflector::beginsEra(const Listing &listing) const
+{
+    return this->revision.isKnown() && listing.revision.era > this->revision.era;
+}
+
+void Reflector::readLinearizablyFor(Core::Duration period)
+{
+    this->linearizableReadsUntil = std::max(this->linearizableReadsUntil, Core::Clock::now() + period);
+}
+
+std::optional<Revision> Reflector::lastChangeOf(const std::string &name) const
+{
+    std::optional<Revision> last;
+    if (const auto known = this->knownRevisions.find(name); known != this->knownRevisions.end()) {
+        last = known->second;
+    }
+    if (const auto removal = this->removals.find(name); removal != this->removals.end()) {
+        last = std::max(last.value_or(Revision{}), removal->second.revision);
+    }
+    return last;
+}
+
 Changes Reflector::difference(const Listing &listing) const
 {
     Changes changes{.changes = {}, .revision = listing.revision};
     std::set<std::string_view> listed;
     for (const auto &object : listing.objects) {
         listed.insert(object.name);
-        const auto found = this->knownRevisions.find(object.name);
-        if (found == this->knownRevisions.end() || object.revision > found->second) {
-            changes.changes.push_back({object, false});
+        const auto last = this->lastChangeOf(object.name);
+        if (!last || object.revision > *last) {
+            const bool mayBeOutdated = last && last->era < object.revision.era && object.revision.number <= last->number;
+            changes.changes.push_back({.object = object, .isRemoved = false, .mayBeOutdated = mayBeOutdated});
         }
     }
     for (const auto &[name, revisionOfObject] : this->knownRevisions) {
         if (!listed.contains(name) && revisionOfObject <= listing.revision) {
             changes.changes.push_back(
-                {{.name = name, .revision = listing.revision, .content = Unreadable{"missing in the listing"}}, true});
+                {.object = {.name = name, .revision = listing.revision, .content = Unreadable{"missing in the listing"}},
+                 .isRemoved = true,
+                 .mayBeOutdated = revisionOfObject.era < listing.revision.era});
         }
     }
     return changes;
@@ -192,7 +234,7 @@
     std::ranges::copy_if(difference.changes, std::back_inserter(all.changes), &Change::isRemoved);
     for (const auto &object : listing.objects) {
         if (object.revision > previous) {
-            all.changes.push_back({object, false});
+            all.changes.push_back({.object = object});
         }
     }
     return all;
@@ -200,6 +242,18 @@
 
 void Reflector::adoptListing(const Listing &listing)
 {
+    const auto now = Core::Clock::now();
+    std::erase_if(this->removals, [now](const auto &removal) {
+        return now - removal.second.at >= REMOVAL_RETENTION;
+    });
+    std::set<std::string_view> listed;
+    std::ranges::transform(listing.objects, std::inserter(listed, listed.end()), &StoredObject::name);
+    for (const auto &[name, known] : this->knownRevisions) {
+        // An object that only a restored store lacks was not removed.
+        if (!listed.contains(name) && known.era == listing.revision.era) {
+            this->removals.try_emplace(name, Removal{.revision = listing.revision, .at = now});
+        }
+    }
     this->revision = listing.revision;
     this->listedRevision = listing.revision;
     std::erase_if(this->knownRevisions, [&listing](const auto &known) {
@@ -214,30 +268,40 @@
 Asio::awaitable<bool> Reflector::watch(std::chrono::milliseconds wait)
 {
     const bool needsLinearizableRead = Core::Clock::now() < this->linearizableReadsUntil || this->consecutiveFailures > 0;
-    auto result = co_await this->store.watch(
-        this->kind, this->revision, wait, needsLinearizableRead ? Freshness::Linearizable : Freshness::Relaxed);
+    const auto after = this->revision;
+    auto result = co_await this->store.watch(this->kind, after, wait, needsLinearizableRead ? Freshness::Linearizable : Freshness::Relaxed);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         this->callbacks.onFailure(failure->reason);
         co_return false;
     }
     if (std::holds_alternative<HistoryGone>(result)) {
         this->needsListing = true;
-        this->linearizableReadsUntil = Core::Clock::now() + LINEARIZABLE_READ_PERIOD;
+        this->readLinearizablyFor(LINEARIZABLE_READ_PERIOD);
         co_return true;
     }
     auto &changes = std::get<Changes>(result);
+    if (changes.revision.era != after.era || this->revision.era != after.era) {
+        // Changes after a revision of another era leave out what happened between the eras.
+        this->needsListing = this->needsListing || changes.revision.era > this->revision.era;
+        this->readLinearizablyFor(LINEARIZABLE_READ_PERIOD);
+        co_return this->needsListing || this->revision.era != after.era || !needsLinearizableRead;
+    }
     const auto previous = this->revision;
     if (wait == CATCH_UP_WAIT && changes.changes.empty() && !needsLinearizableRead) {
         // The replica does not yet have the changes that peers announced.
-        this->linearizableReadsUntil = Core::Clock::now() + STALE_REPLICA_PERIOD;
+        this->readLinearizablyFor(STALE_REPLICA_PERIOD);
     }
     auto newer = this->applyNewer(changes);
     const bool hasNewer = !newer.changes.empty();
     // A relaxed response may come from a stale replica.
     this->revision = std::max(this->revision, changes.revision);
     if (!changes.changes.empty()) {
-        this->callbacks.onChanges(
-            {.source = ChangeSource::Watch, .previous = previous, .all = std::move(changes), .newer = std::move(newer)});
+        this->callbacks.onChanges({.source = ChangeSource::Watch,
+                                   .previous = previous,
+                                   .all = std::move(changes),
+                                   .newer = std::move(newer),
+                                   .isRestored = false,
+                                   .peer = {}});
     }
     if (hasNewer || wait == CATCH_UP_WAIT) {
         co_await this->pause(BATCHING_DELAY);
@@ -253,41 +317,53 @@
         if (change.object.revision > std::max(revisionOfObject, this->listedRevision)) {
             revisionOfObject = change.object.revision;
             newer.changes.push_back(change);
+            if (change.isRemoved) {
+                this->removals[change.object.name] = {.revision = change.object.revision, .at = Core::Clock::now()};
+            } else {
+                this->removals.erase(change.object.name);
+            }
         }
     }
     return newer;
 }
 
-bool Reflector::applyPeerChanges(Revision previous, Changes changes)
+bool Reflector::applyPeerChanges(Revision previous, Changes changes, const std::string &peer)
 {
     auto newer = this->applyNewer(changes);
     const bool hasNewer = !newer.changes.empty();
-    if (previous <= this->revision && !changes.changes.empty()) {
+    const bool isOfKnownEra = previous.era == this->revision.era && changes.revision.era == this->revision.era;
+    if (isOfKnownEra && previous <= this->revision && !changes.changes.empty()) {
         this->revision = std::max(this->revision, changes.revision);
     }
     if (hasNewer) {
-        this->callbacks.onChanges(
-            {.source = ChangeSource::Peer, .previous = previous, .all = std::move(changes), .newer = std::move(newer)});
+        this->callbacks.onChanges({.source = ChangeSource::Peer,
+                                   .previous = previous,
+                                   .all = std::move(changes),
+                                   .newer = std::move(newer),
+                                   .isRestored = false,
+                                   .peer = peer});
     }
     this->wakeTimer.cancel();
     return hasNewer;
 }
 
-void Reflector::applySnapshot(const Listing &listing)
+void Reflector::applySnapshot(const Listing &listing, const std::string &peer)
 {
     if (listing.revision < this->revision) {
         // The peer lacks changes that are known here, so an object that it does not hold may exist.
         return;
     }
+    const bool isRestored = this->beginsEra(listing);
     auto newer = this->difference(listing);
     this->adoptListing(listing);
-    this->callbacks.onChanges({.source = ChangeSource::Snapshot, .previous = 0, .all = {}, .newer = std::move(newer)});
+    this->callbacks.onChanges(
+        {.source = ChangeSource::Snapshot, .previous = {}, .all = {}, .newer = std::move(newer), .isRestored = isRestored, .peer = peer});
 }
 
 Revision Reflector::revisionOf(const std::string &name) const
 {
     const auto found = this->knownRevisions.find(name);
-    return found == this->knownRevisions.end() ? 0 : found->second;
+    return found == this->knownRevisions.end() ? Revision{} : found->second;
 }
 
 Asio::awaitable<void> Reflector::idle()
--- a/Libraries/LibGateway/Reflector.h
+++ b/Libraries/LibGateway/Reflector.h
@@ -39,11 +39,15 @@
 /// Changes that a reflector learnt of at once.
 struct ChangeBatch {
     ChangeSource source{ChangeSource::Watch};
-    /// `all` holds every change after this revision and up to its own; zero where earlier changes are unknown.
-    Revision previous{0};
+    /// `all` holds every change after this revision and up to its own; unknown where earlier changes are.
+    Revision previous{};
     Changes all;
     /// Those of them that are newer than what was known here; after a listing or a snapshot also objects missing in it, as removed.
     Changes newer;
+    /// The changes come from the first listing of an era after an earlier one was known; `all` holds its objects.
+    bool isRestored{false};
+    /// Address of the peer that sent the changes; empty if they come from the store.
+    std::string peer;
 };
 
 /// Mirrors the objects of one kind: lists them once, then watches the store or receives changes from peers. Relists only where the store
@@ -82,17 +86,21 @@
     /// Records that all changes up to the revision are known, because peers reported no others.
     void advanceTo(Revision revision);
     /// Applies changes that a peer sent. Returns true if any of them was new.
-    bool applyPeerChanges(Revision previous, Changes changes);
-    /// Applies a peer's snapshot while the store does not respond, unless it is older than what is known here. Objects missing in it are
-    /// reported as removed.
-    void applySnapshot(const Listing &listing);
-    /// The revision of an object's last known change; zero where none is known.
+    bool applyPeerChanges(Revision previous, Changes changes, const std::string &peer);
+    /// Applies a peer's snapshot, unless it is older than what is known here. Objects missing in it are reported as removed.
+    void applySnapshot(const Listing &listing, const std::string &peer);
+    /// The revision of an object's last known change; not known where there is none.
     Revision revisionOf(const std::string &name) const;
 
 private:
     boost::asio::awaitable<bool> list();
-    /// The changes that lead from what is known to the listing.
+    /// The changes that lead from what is known to the listing. Those between eras may be outdated.
     Changes difference(const Listing &listing) const;
+    /// The last change of an object, also of one that was removed before the last listing.
+    std::optional<Revision> lastChangeOf(const std::string &name) const;
+    /// Whether the listing is the first of an era after an earlier one was known.
+    bool beginsEra(const Listing &listing) const;
+    void readLinearizablyFor(Core::Duration period);
     /// The changes after the revision that the listing shows.
     static Changes changesAfter(Revision previous, const Listing &listing, const Changes &difference);
     /// Records the listing's objects as known, beside later changes that peers reported.
@@ -109,11 +117,18 @@
     ObjectKind kind;
     std::chrono::milliseconds watchWait;
     Callbacks callbacks;
-    Revision revision{0};
+    Revision revision;
     /// The revision of the last change of each object, also of removed ones.
     std::map<std::string, Revision> knownRevisions;
+    struct Removal {
+        Revision revision;
+        Core::TimePoint at;
+    };
+
+    /// Objects that were removed recently: a restored store may show them again.
+    std::map<std::string, Removal> removals;
     /// Revision of the last listing or snapshot. It covers all changes up to that revision, including removals, which it cannot show.
-    Revision listedRevision{0};
+    Revision listedRevision;
     boost::asio::steady_timer wakeTimer;
     bool needsListing{true};
     bool isWatchPending{false};
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -50,6 +50,11 @@
     return settings;
 }
 
+bool isBehind(const RolloutProgress &stored, const RolloutProgress &known)
+{
+    return !isFinal(stored.state) && stored.state < known.state;
+}
+
 Rollout::LoadLevel loadLevelOfService(const Fleet::ServiceState &service)
 {
     std::uint32_t slots = 0;
@@ -101,29 +106,61 @@
     if (revision < rollout.revision) {
         return;
     }
-    const bool isNew = rollout.revision == 0 || rollout.order.version != order.version;
-    const bool isProgress = isNew || rollout.order.progress != order.progress;
+    const bool isNew = !rollout.revision.isKnown() || rollout.order.version != order.version;
+    const bool mayBeLost = revision.era > rollout.revision.era || isLost(rollout);
+    const bool isLost = !isNew && mayBeLost && isBehind(order.progress, rollout.order.progress);
+    const bool isProgress = isNew || isLost || rollout.order.progress != order.progress;
     if (isNew) {
         rollout = TrackedRollout{};
     }
+    const auto known = rollout.order.progress;
     rollout.order = order;
     rollout.revision = revision;
-    if (isFinal(order.progress.state)) {
-        rollout.state.reset();
-        rollout.writeDueSince.reset();
-    } else if (order.progress.state == RolloutState::Running) {
-        this->startRollout(rollout);
+    rollout.stored = order.progress;
+    if (isLost) {
+        rollout.order.progress = known;
     }
+    this->followProgress(rollout);
     if (isProgress) {
         this->state.log.write(Importance::Notable,
                               "rollout",
                               {{"service", order.service.value},
                                {"version", order.version.value},
-                               {"state", nameOf(order.progress.state)},
-                               {"revision", revision}});
+                               {"state", nameOf(rollout.order.progress.state)},
+                               {"stored_state", nameOf(order.progress.state)},
+                               {"era", revision.era},
+                               {"revision", revision.number}});
+    }
+}
+
+void RolloutDriver::followProgress(TrackedRollout &rollout)
+{
+    if (isFinal(rollout.order.progress.state)) {
+        rollout.state.reset();
+        rollout.writeDueSince.reset();
+    } else if (rollout.order.progress.state == RolloutState::Running) {
+        this->startRollout(rollout);
     }
 }
 
+void RolloutDriver::adoptProgress(const RolloutOrder &order)
+{
+    const auto found = this->rollouts.find(order.service.value);
+    if (found == this->rollouts.end()) {
+        this->applyOrder(order, {});
+    } else if (found->second.order.version == order.version && isBehind(found->second.order.progress, order.progress)) {
+        found->second.order.progress = order.progress;
+        this->followProgress(found->second);
+    }
+}
+
+bool RolloutDriver::isAheadOfStore() const
+{
+    return std::ranges::any_of(this->rollouts, [](const auto &entry) {
+        return isLost(entry.second);
+    });
+}
+
 std::map<std::string, RolloutOrder> RolloutDriver::orders() const
 {
     std::map<std::string, RolloutOrder> orders;
--- a/Libraries/LibGateway/RolloutDriver.h
+++ b/Libraries/LibGateway/RolloutDriver.h
@@ -23,11 +23,17 @@
     void removeOrder(const std::string &service);
     /// All orders, by their name in the store.
     std::map<std::string, RolloutOrder> orders() const;
+    /// Takes over the progress of an order that a peer knows and the store has lost.
+    void adoptProgress(const RolloutOrder &order);
+    /// Whether the store has lost progress that is known here and has to be written again.
+    bool isAheadOfStore() const;
 
 private:
     struct TrackedRollout {
         RolloutOrder order;
-        Revision revision{0};
+        Revision revision{};
+        /// The progress that the store shows, which is behind that of the order after the store was restored.
+        RolloutProgress stored{};
         /// Set while the order runs.
         std::unique_ptr<Rollout::RolloutState> state;
         Rollout::LoadLevel level{Rollout::LoadLevel::Low};
@@ -45,6 +51,8 @@
 
     std::optional<VersionSplit> split(const Core::ServiceName &service, const std::string &route) const;
     void observe(const AttemptObservation &observation);
+    /// Starts or ends what follows from the progress of the order.
+    void followProgress(TrackedRollout &rollout);
     void startRollout(TrackedRollout &rollout);
     /// Fraction of the requests that the new version receives during its trial.
     double trialShare(const TrackedRollout &rollout) const;
@@ -64,6 +72,8 @@
     void gossipStatuses();
     void receive(std::string_view bytes);
     void applyStatus(const Rollout::Status &status);
+    /// Whether the store has lost progress of the order.
+    static bool isLost(const TrackedRollout &rollout);
     /// The state to write to the store; nothing if the store is up to date.
     std::optional<RolloutState> stateToWrite(const TrackedRollout &rollout) const;
     bool isConfirmedByAll(const TrackedRollout &rollout) const;
--- a/Libraries/LibGateway/RolloutPersistence.cpp
+++ b/Libraries/LibGateway/RolloutPersistence.cpp
@@ -20,13 +20,21 @@
 
 } // namespace
 
+bool RolloutDriver::isLost(const TrackedRollout &rollout)
+{
+    return rollout.revision.isKnown() && !isFinal(rollout.stored.state) && rollout.stored.state < rollout.order.progress.state;
+}
+
 std::optional<RolloutState> RolloutDriver::stateToWrite(const TrackedRollout &rollout) const
 {
-    const auto stored = rollout.order.progress.state;
-    if (isFinal(stored)) {
+    const auto known = rollout.order.progress.state;
+    if (isLost(rollout)) {
+        return known;
+    }
+    if (isFinal(known)) {
         return std::nullopt;
     }
-    if (stored == RolloutState::Ordered) {
+    if (known == RolloutState::Ordered) {
         return RolloutState::Running;
     }
     if (rollout.state && rollout.state->status.phase == Rollout::Phase::RolledBack) {
@@ -72,6 +80,9 @@
     rollout.isWriting = true;
     RolloutProgress progress{
         .state = *wanted, .version = rollout.order.version, .startedAt = rollout.state ? rollout.state->rollout.start : this->clock.now()};
+    if (isLost(rollout)) {
+        progress = rollout.order.progress;
+    }
     spawn(this->state, "rollout", this->write(service, progress));
 }
 
@@ -85,7 +96,8 @@
                           "rollout_written",
                           {{"service", service},
                            {"state", nameOf(progress.state)},
-                           {"revision", revision},
+                           {"era", revision.era},
+                           {"revision", revision.number},
                            {"outcome",
                             written != nullptr       ? "written"
                                 : failure != nullptr ? failure->reason
@@ -97,7 +109,8 @@
     found->second.isWriting = false;
     // The next attempt is due after the stagger delay; by then the store has reported its current state.
     found->second.writeDueSince = Core::Clock::now() + WRITE_STAGGER;
-    if (written != nullptr && found->second.revision == revision) {
+    // In a later era the same number may be that of another change.
+    if (written != nullptr && found->second.revision == revision && written->revision.era == revision.era) {
         auto order = found->second.order;
         order.progress = progress;
         this->applyOrder(order, written->revision);
--- a/Tests/LibFleet/TestDirectory.cpp
+++ b/Tests/LibFleet/TestDirectory.cpp
@@ -157,4 +157,31 @@
     EXPECT_TRUE(directory.selfReports.contains({"two", 0})) << "still listed";
 }
 
+// DRAIN: a store that was restored from an older copy lists a leaving target as ready, which was then used again.
+TEST(Directory, startThatLeavesIsNotUsedAgainThoughAnOutdatedEntryIsReady)
+{
+    Directory directory;
+    auto leaving = record("one", true);
+    leaving.startedAtMilliseconds = 5;
+    applyRecord(directory, leaving);
+    auto outdated = leaving;
+    outdated.isLeaving = false;
+    applyRecord(directory, outdated);
+    EXPECT_TRUE(directory.entries.at("one").record.isLeaving);
+    outdated.startedAtMilliseconds = 9;
+    applyRecord(directory, outdated);
+    EXPECT_FALSE(directory.entries.at("one").record.isLeaving) << "another start";
+}
+
+TEST(Directory, entriesThatARestoredStoreLacksAreKeptForReregistration)
+{
+    const Core::TimePoint now{100s};
+    auto directory = knownDirectory(now);
+    recordStoreRestored(directory, now);
+    applyRemoval(directory, "one", now);
+    EXPECT_TRUE(directory.entries.contains("one"));
+    EXPECT_TRUE(expireMissing(directory, now + REREGISTRATION_GRACE_PERIOD));
+    EXPECT_FALSE(directory.entries.contains("one"));
+}
+
 } // namespace Briarbend::Fleet
--- a/Tests/LibGateway/TestChangeDisseminationMessage.cpp
+++ b/Tests/LibGateway/TestChangeDisseminationMessage.cpp
@@ -1,4 +1,5 @@
 #include <LibGateway/ChangeDisseminationMessage.h>
+#include <Tests/LibGateway/Revisions.h>
 
 #include <gtest/gtest.h>
 
@@ -28,16 +29,16 @@
                              .ramp = 15s,
                              .progress
                              = {.state = RolloutState::Running, .version = {"v2"}, .startedAt = Core::WallTime(7ms), .share = 0.5}};
-    ChangeNotification news{.kind = ObjectKind::Targets, .previous = 4, .changes = {}, .sourceDataCentre = {"there"}};
-    news.changes.revision = 9;
-    news.changes.changes = {{{.name = "one", .revision = 7, .content = record}, false},
-                            {{.name = "benches", .revision = 8, .content = order}, false},
-                            {{.name = "there", .revision = 9, .content = Core::DataCentreName{"there"}}, true},
-                            {{.name = "broken", .revision = 9, .content = Unreadable{"why"}}, false}};
+    ChangeNotification news{.kind = ObjectKind::Targets, .previous = at(4), .changes = {}, .sourceDataCentre = {"there"}};
+    news.changes.revision = at(9);
+    news.changes.changes = {{{.name = "one", .revision = at(7), .content = record}, false},
+                            {{.name = "benches", .revision = at(8), .content = order}, false},
+                            {{.name = "there", .revision = at(9), .content = Core::DataCentreName{"there"}}, true},
+                            {{.name = "broken", .revision = at(9), .content = Unreadable{"why"}}, false}};
     const auto decoded = std::get<ChangeNotification>(decodeChangeDissemination(encodeChangeDissemination(news)));
     EXPECT_EQ(decoded.kind, ObjectKind::Targets);
-    EXPECT_EQ(decoded.previous, 4U);
-    EXPECT_EQ(decoded.changes.revision, 9U);
+    EXPECT_EQ(decoded.previous, at(4));
+    EXPECT_EQ(decoded.changes.revision, at(9));
     EXPECT_EQ(decoded.sourceDataCentre.value, "there");
     ASSERT_EQ(decoded.changes.changes.size(), 4U);
     EXPECT_EQ(std::get<Fleet::TargetRecord>(decoded.changes.changes[0].object.content), record);
@@ -48,12 +49,17 @@
 
 TEST(ChangeDisseminationMessage, roundTripsHeartbeats)
 {
-    const auto decoded = std::get<WatcherHeartbeat>(decodeChangeDissemination(encodeChangeDissemination(WatcherHeartbeat{
-        .latest = {1, 2, 3, 4}, .positions = {5, 6, 7, 8}, .timeSinceStoreResponse = 250ms, .activeForDataCentre = {"a"}})));
-    EXPECT_EQ(decoded.latest, (KindRevisions{1, 2, 3, 4}));
-    EXPECT_EQ(decoded.positions, (KindRevisions{5, 6, 7, 8}));
+    const auto decoded = std::get<WatcherHeartbeat>(decodeChangeDissemination(
+        encodeChangeDissemination(WatcherHeartbeat{.latest = {at(1), at(2), at(3), at(4)},
+                                                   .positions = {at(5), at(6), at(7), Revision{.era = 2, .number = 1}},
+                                                   .timeSinceStoreResponse = 250ms,
+                                                   .activeForDataCentre = {"a"},
+                                                   .kindsAheadOfStore = {ObjectKind::Rollouts}})));
+    EXPECT_EQ(decoded.latest, (KindRevisions{at(1), at(2), at(3), at(4)}));
+    EXPECT_EQ(decoded.positions, (KindRevisions{at(5), at(6), at(7), Revision{.era = 2, .number = 1}}));
     EXPECT_EQ(decoded.timeSinceStoreResponse, 250ms);
     EXPECT_EQ(decoded.activeForDataCentre.value, "a");
+    EXPECT_EQ(decoded.kindsAheadOfStore, (std::vector{ObjectKind::Rollouts}));
 }
 
 TEST(ChangeDisseminationMessage, roundTripsSnapshotRequests)
@@ -80,13 +86,13 @@
     plan.services[{"benches"}] = {.healthPath = "/healthz", .connectionsPerTarget = 260, .coldRequestsPerSecond = 2.5};
     plan.limits = {.headerBytes = 1, .bodyBytes = 2, .headerTimeout = 3ms, .idleTimeout = 4ms};
     const Snapshot snapshot{.kind = ObjectKind::RoutingConfiguration,
-                            .listing = {.objects = {{.name = "main", .revision = 7, .content = plan}}, .revision = 9}};
+                            .listing = {.objects = {{.name = "main", .revision = at(7), .content = plan}}, .revision = at(9)}};
     const auto decoded = std::get<Snapshot>(decodeChangeDissemination(encodeChangeDissemination(snapshot)));
     EXPECT_EQ(decoded.kind, ObjectKind::RoutingConfiguration);
-    EXPECT_EQ(decoded.listing.revision, 9U);
+    EXPECT_EQ(decoded.listing.revision, at(9));
     ASSERT_EQ(decoded.listing.objects.size(), 1U);
     EXPECT_EQ(decoded.listing.objects[0].name, "main");
-    EXPECT_EQ(decoded.listing.objects[0].revision, 7U);
+    EXPECT_EQ(decoded.listing.objects[0].revision, at(7));
     const auto &received = std::get<Fleet::RoutingConfiguration>(decoded.listing.objects[0].content);
     EXPECT_EQ(received.version, plan.version);
     EXPECT_EQ(received.routes, plan.routes);
--- a/Tests/LibGateway/TestChangeDisseminator.cpp
+++ b/Tests/LibGateway/TestChangeDisseminator.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/ChangeDisseminator.h>
 #include <Tests/LibGateway/FakePeers.h>
+#include <Tests/LibGateway/Revisions.h>
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -35,7 +36,7 @@
                        this->link,
                        this->random,
                        {.onChanges =
-                            [this](ObjectKind kind, Revision previous, const Changes &changes) {
+                            [this](ObjectKind kind, Revision previous, const Changes &changes, const std::string &) {
                                 auto &position = this->positions[static_cast<std::size_t>(kind)];
                                 ++this->timesTold;
                                 if (previous <= position && !changes.changes.empty()) {
@@ -61,12 +62,16 @@
                             },
                         .snapshot = [this](ObjectKind) -> std::optional<Listing> {
                             ++this->timesAsked;
-                            return this->lacking.empty() ? std::optional(Listing{.objects = {}, .revision = 10}) : std::nullopt;
+                            return this->lacking.empty() ? std::optional(Listing{.objects = {}, .revision = at(10)}) : std::nullopt;
                         },
                         .onSnapshot =
-                            [this](ObjectKind kind, const Listing &listing) {
+                            [this](ObjectKind kind, const Listing &listing, const std::string &) {
                                 this->positions[static_cast<std::size_t>(kind)] = listing.revision;
                                 std::erase(this->lacking, kind);
+                            },
+                        .kindsAheadOfStore =
+                            [this] {
+                                return this->kindsAheadOfStore;
                             }})
     {
         this->positions.fill(listedRevision);
@@ -82,6 +87,7 @@
 
     Core::Random random{9};
     KindRevisions positions{};
+    std::vector<ObjectKind> kindsAheadOfStore;
     bool isStoreAvailable{true};
     std::vector<ObjectKind> lacking;
     std::size_t timesAsked{0};
@@ -98,10 +104,10 @@
     ChangeDisseminatorTest()
     {
         for (const auto *name : {"a1", "a2", "a3", "a4"}) {
-            this->start(name, "a", 10);
+            this->start(name, "a", at(10));
         }
         for (const auto *name : {"b1", "b2", "b3", "b4"}) {
-            this->start(name, "b", 10);
+            this->start(name, "b", at(10));
         }
         this->timers.runFor(8s);
     }
@@ -165,7 +171,7 @@
     this->instances.erase(active);
     this->timers.runFor(1300ms);
     EXPECT_EQ(standby.mode(TARGETS), ReflectorMode::Watch);
-    this->start(active, "a", 10);
+    this->start(active, "a", at(10));
     this->timers.runFor(8s);
     EXPECT_EQ(standby.mode(TARGETS), ReflectorMode::AwaitPeers);
 }
@@ -187,19 +193,20 @@
 TEST_F(ChangeDisseminatorTest, changeReachesEveryInstanceOfDataCentre)
 {
     auto &watcher = *this->instances.at(this->watchersOf("a").front());
-    watcher.positions.fill(11);
-    watcher.disseminator.publish(TARGETS, 10, changeAt(11));
+    watcher.positions.fill(at(11));
+    watcher.disseminator.publish(TARGETS, at(10), changeAt(at(11)));
     for (const auto &[name, instance] : this->instances) {
         const bool isNear = name.starts_with("a");
         EXPECT_LE(instance->timesTold, 1U) << name;
-        EXPECT_EQ(instance->positions[static_cast<std::size_t>(TARGETS)], isNear ? 11U : 10U) << name;
+        EXPECT_EQ(instance->positions[static_cast<std::size_t>(TARGETS)], isNear ? at(11) : at(10)) << name;
     }
     for (const auto &name : this->watchersOf("b")) {
-        EXPECT_TRUE(this->instances.at(name)->disseminator.isBehind(TARGETS, 10)) << name << ": it knows that there is something to read";
+        EXPECT_TRUE(this->instances.at(name)->disseminator.isBehind(TARGETS, at(10)))
+            << name << ": it knows that there is something to read";
     }
     this->timers.runFor(600ms);
     for (const auto &[name, instance] : this->instances) {
-        EXPECT_TRUE(instance->disseminator.isBehind(TARGETS, 10)) << name;
+        EXPECT_TRUE(instance->disseminator.isBehind(TARGETS, at(10))) << name;
     }
 }
 
@@ -210,10 +217,10 @@
     }
     this->timers.runFor(1300ms);
     auto &watcher = *this->instances.at(this->watchersOf("a").front());
-    watcher.positions.fill(11);
-    watcher.disseminator.publish(TARGETS, 10, changeAt(11));
+    watcher.positions.fill(at(11));
+    watcher.disseminator.publish(TARGETS, at(10), changeAt(at(11)));
     for (const auto &[name, instance] : this->instances) {
-        EXPECT_GE(instance->positions[static_cast<std::size_t>(TARGETS)], 11U) << name;
+        EXPECT_GE(instance->positions[static_cast<std::size_t>(TARGETS)], at(11)) << name;
     }
 }
 
@@ -221,15 +228,15 @@
 TEST_F(ChangeDisseminatorTest, newConfigurationIsSentWithContent)
 {
     auto &watcher = *this->instances.at(this->watchersOf("a").front());
-    watcher.positions.fill(11);
-    watcher.disseminator.publish(PLAN, 10, changeAt(11));
+    watcher.positions.fill(at(11));
+    watcher.disseminator.publish(PLAN, at(10), changeAt(at(11)));
     for (const auto &[name, instance] : this->instances) {
         const bool isNear = name.starts_with("a");
-        EXPECT_EQ(instance->positions[static_cast<std::size_t>(PLAN)], isNear ? 11U : 10U) << name;
+        EXPECT_EQ(instance->positions[static_cast<std::size_t>(PLAN)], isNear ? at(11) : at(10)) << name;
         EXPECT_NE(instance->mode(PLAN), ReflectorMode::CatchUp) << name << ": the watchers of b read it, and tell the others";
         // Found by randomised simulation (chembak-signs, configuration-under-refusal --vary --seed 703125568386): if the store refuses an
         // instance that it served a moment ago, nothing else announces a new configuration in time.
-        EXPECT_TRUE(instance->disseminator.isBehind(PLAN, 10)) << name << " knows that there is one";
+        EXPECT_TRUE(instance->disseminator.isBehind(PLAN, at(10))) << name << " knows that there is one";
     }
 }
 
@@ -238,17 +245,17 @@
 {
     const auto watchers = this->watchersOf("a");
     auto &active = *this->instances.at(this->instances.at(watchers[0])->disseminator.isActiveWatcher() ? watchers[0] : watchers[1]);
-    active.positions.fill(11);
-    active.disseminator.publish(PLAN, 10, changeAt(11));
+    active.positions.fill(at(11));
+    active.disseminator.publish(PLAN, at(10), changeAt(at(11)));
     EXPECT_EQ(this->instances.at(this->otherThan(watchers, "a"))->timesTold, 1U);
 }
 
 TEST_F(ChangeDisseminatorTest, watchersAreInstancesWithWidestLinks)
 {
-    this->start("a5", "a", 10, 200);
+    this->start("a5", "a", at(10), 200);
     this->timers.runFor(8s);
     EXPECT_TRUE(this->instances.at("a5")->disseminator.isActiveWatcher());
-    this->start("a6", "a", 10, 200);
+    this->start("a6", "a", at(10), 200);
     this->timers.runFor(8s);
     EXPECT_EQ(this->watchersOf("a"), (std::vector<std::string>{"a5", "a6"}));
 }
@@ -258,8 +265,8 @@
     const auto watchers = this->watchersOf("a");
     const auto other = this->otherThan(watchers, "a");
     for (const auto &name : watchers) {
-        this->instances.at(name)->positions.fill(12);
-        this->instances.at(name)->disseminator.recordLatestRevision(TARGETS, 12);
+        this->instances.at(name)->positions.fill(at(12));
+        this->instances.at(name)->disseminator.recordLatestRevision(TARGETS, at(12));
     }
     this->timers.runFor(900ms);
     EXPECT_EQ(this->instances.at(other)->mode(TARGETS), ReflectorMode::CatchUp);
@@ -271,7 +278,7 @@
 {
     const auto watchers = this->watchersOf("a");
     auto &watcher = *this->instances.at(this->instances.at(watchers[0])->disseminator.isActiveWatcher() ? watchers[0] : watchers[1]);
-    watcher.disseminator.recordLatestRevision(TARGETS, 20);
+    watcher.disseminator.recordLatestRevision(TARGETS, at(20));
     EXPECT_EQ(watcher.mode(TARGETS), ReflectorMode::Watch) << "its watch may be about to report it";
     this->timers.runFor(300ms);
     EXPECT_EQ(watcher.mode(TARGETS), ReflectorMode::CatchUp);
@@ -280,7 +287,7 @@
 TEST_F(ChangeDisseminatorTest, laterChangesDoNotPostponeCatchUp)
 {
     const auto other = this->otherThan(this->watchersOf("a"), "a");
-    for (const Revision revision : {11U, 12U, 13U}) {
+    for (const Revision revision : {at(11), at(12), at(13)}) {
         for (const auto &[name, instance] : this->instances) {
             instance->disseminator.recordLatestRevision(PLAN, revision);
         }
@@ -315,13 +322,13 @@
     this->timers.runFor(300ms);
     for (const auto *name : {"a1", "a2", "a3", "a4", "b1", "b2"}) {
         if (name != other) {
-            this->start(name, std::string(name).substr(0, 1), 20);
+            this->start(name, std::string(name).substr(0, 1), at(20));
         }
     }
     this->timers.runFor(8s);
     const auto &survivor = *this->instances.at(other);
     EXPECT_TRUE(survivor.disseminator.isWatcher() || survivor.mode(PLAN) == ReflectorMode::CatchUp);
-    EXPECT_EQ(survivor.positions, (KindRevisions{10, 10, 10, 10}));
+    EXPECT_EQ(survivor.positions, (KindRevisions{at(10), at(10), at(10), at(10)}));
 }
 
 TEST_F(ChangeDisseminatorTest, reportsStoreUnavailableOnlyIfNoWatcherReachesIt)
@@ -342,12 +349,12 @@
 
 TEST_F(ChangeDisseminatorTest, instanceStartedWithoutStoreRequestsSnapshot)
 {
-    this->start("a5", "a", 0);
+    this->start("a5", "a", {});
     auto &fresh = *this->instances["a5"];
     fresh.lacking = {PLAN, TARGETS};
     this->timers.runFor(3s);
     EXPECT_TRUE(fresh.lacking.empty());
-    EXPECT_EQ(fresh.positions[0], 10U);
+    EXPECT_EQ(fresh.positions[0], at(10));
     std::size_t asked = 0;
     for (const auto &[name, instance] : this->instances) {
         asked += instance->timesAsked;
@@ -366,4 +373,46 @@
     }));
 }
 
+// CONFIG: after the store was restored, positions with lower numbers were taken for old news.
+TEST_F(ChangeDisseminatorTest, revisionOfALaterEraIsNewerWhateverItsNumber)
+{
+    const Revision restored{.era = 2, .number = 3};
+    auto &watcher = *this->instances.at(this->watchersOf("a").front());
+    watcher.positions.fill(restored);
+    watcher.disseminator.recordLatestRevision(PLAN, restored);
+    this->timers.runFor(2s);
+    for (const auto &[name, instance] : this->instances) {
+        EXPECT_TRUE(instance->disseminator.isBehind(PLAN, at(10))) << name;
+        instance->disseminator.recordLatestRevision(PLAN, at(50));
+        EXPECT_FALSE(instance->disseminator.isBehind(PLAN, restored)) << name;
+    }
+}
+
+TEST_F(ChangeDisseminatorTest, watcherSendsTheListingOfARestoredStoreToItsDataCentre)
+{
+    const Revision restored{.era = 2, .number = 3};
+    const auto watchers = this->watchersOf("a");
+    const auto other = this->otherThan(watchers, "a");
+    this->instances.at(watchers.front())->disseminator.publishListing(TARGETS, {.objects = {}, .revision = restored});
+    this->timers.runFor(100ms);
+    EXPECT_EQ(this->instances.at(other)->positions[static_cast<std::size_t>(TARGETS)], restored);
+}
+
+// CONFIG: an instance that started after the restore knew only what the older copy shows, for as long as the operator had not written
+// again.
+TEST_F(ChangeDisseminatorTest, instanceThatStartsAfterTheRestoreAsksWatchersForLostFacts)
+{
+    for (const auto &name : this->watchersOf("a")) {
+        this->instances.at(name)->kindsAheadOfStore = {PLAN};
+    }
+    this->start("a5", "a", at(3));
+    this->timers.runFor(5s);
+    std::size_t asked = 0;
+    for (const auto &name : this->watchersOf("a")) {
+        asked += this->instances.at(name)->timesAsked;
+    }
+    EXPECT_GE(asked, 1U);
+    EXPECT_EQ(this->instances.at("a5")->positions[static_cast<std::size_t>(PLAN)], at(10)) << "the answer reached it";
+}
+
 } // namespace Briarbend::Gateway
--- a/Tests/LibGateway/TestPeerLoad.cpp
+++ b/Tests/LibGateway/TestPeerLoad.cpp
@@ -93,7 +93,7 @@
                                  .version = {"v2"},
                                  .ramp = 20s,
                                  .progress = {.state = RolloutState::Running, .version = {"v2"}, .startedAt = this->startedAt - elapsed}},
-                                1);
+                                {.era = 1, .number = 1});
     }
 
     /// Delivers the evidence of another instance, which has seen one response.
--- a/Tests/LibGateway/TestReflector.cpp
+++ b/Tests/LibGateway/TestReflector.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/Reflector.h>
 #include <Tests/LibGateway/MockPlatformStore.h>
+#include <Tests/LibGateway/Revisions.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -46,7 +47,8 @@
                     15s,
                     {.onChanges =
                          [this](const ChangeBatch &batch) {
-                             this->heard.push_back((batch.previous == 0 ? "list@" : "changes@") + std::to_string(batch.newer.revision));
+                             this->heard.push_back((!batch.previous.isKnown() ? "list@" : "changes@")
+                                                   + std::to_string(batch.newer.revision.number));
                              this->told = batch.newer;
                              this->toldForPeers = batch.all;
                          },
@@ -78,24 +80,24 @@
     {
         const InSequence order;
         EXPECT_CALL(this->store, list).WillOnce([] {
-            return now<ListResult>(Listing{.objects = {}, .revision = 5});
+            return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
         });
-        EXPECT_CALL(this->store, watch(_, 5, 15'000ms, Freshness::Relaxed)).WillOnce([] {
+        EXPECT_CALL(this->store, watch(_, at(5), 15'000ms, Freshness::Relaxed)).WillOnce([] {
             return never();
         });
-        EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Linearizable)).WillOnce([announced] {
+        EXPECT_CALL(this->store, watch(_, at(5), _, Freshness::Linearizable)).WillOnce([announced] {
             return now<WatchResult>(announced);
         });
         if (std::holds_alternative<HistoryGone>(announced)) {
             EXPECT_CALL(this->store, list(_, Freshness::Linearizable)).WillOnce([] {
-                return now<ListResult>(Listing{.objects = {}, .revision = 9});
+                return now<ListResult>(Listing{.objects = {}, .revision = at(9)});
             });
         }
         this->mode = [this](Revision revision) {
             return revision < this->latest ? ReflectorMode::CatchUp : ReflectorMode::Watch;
         };
         this->runFor(300ms);
-        this->latest = 9;
+        this->latest = at(9);
         this->context.restart();
         this->context.run_for(duration);
     }
@@ -113,7 +115,7 @@
     Changes told;
     Changes toldForPeers;
     /// The revision that peers announced last.
-    Revision latest{0};
+    Revision latest;
     std::function<ReflectorMode(Revision revision)> mode = [](Revision) {
         return ReflectorMode::Watch;
     };
@@ -126,12 +128,12 @@
 {
     const InSequence order;
     EXPECT_CALL(this->store, list(ObjectKind::Targets, _)).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
     });
-    EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Relaxed)).WillOnce([] {
-        return now<WatchResult>(changesAt(9));
+    EXPECT_CALL(this->store, watch(_, at(5), _, Freshness::Relaxed)).WillOnce([] {
+        return now<WatchResult>(changesAt(at(9)));
     });
-    EXPECT_CALL(this->store, watch(_, 9, _, Freshness::Relaxed)).WillOnce([] {
+    EXPECT_CALL(this->store, watch(_, at(9), _, Freshness::Relaxed)).WillOnce([] {
         return never();
     });
     this->runFor(300ms);
@@ -152,9 +154,9 @@
 TEST_F(ReflectorTest, watchUsesConfiguredWait)
 {
     EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
     });
-    EXPECT_CALL(this->store, watch(_, 5, 15'000ms, _)).WillOnce([] {
+    EXPECT_CALL(this->store, watch(_, at(5), 15'000ms, _)).WillOnce([] {
         return never();
     });
     this->runFor(50ms);
@@ -164,15 +166,15 @@
 {
     const InSequence order;
     EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
     });
-    EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Relaxed)).WillOnce([] {
+    EXPECT_CALL(this->store, watch(_, at(5), _, Freshness::Relaxed)).WillOnce([] {
         return now<WatchResult>(HistoryGone{});
     });
     EXPECT_CALL(this->store, list(_, Freshness::Linearizable)).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 50});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(50)});
     });
-    EXPECT_CALL(this->store, watch(_, 50, _, Freshness::Linearizable)).WillOnce([] {
+    EXPECT_CALL(this->store, watch(_, at(50), _, Freshness::Linearizable)).WillOnce([] {
         return never();
     });
     this->runFor(300ms);
@@ -182,15 +184,15 @@
 {
     const InSequence order;
     EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
     });
-    EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Relaxed)).WillOnce([] {
+    EXPECT_CALL(this->store, watch(_, at(5), _, Freshness::Relaxed)).WillOnce([] {
         return now<WatchResult>(StoreFailure{"status 503"});
     });
-    EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Linearizable)).WillOnce([] {
-        return now<WatchResult>(changesAt(6));
+    EXPECT_CALL(this->store, watch(_, at(5), _, Freshness::Linearizable)).WillOnce([] {
+        return now<WatchResult>(changesAt(at(6)));
     });
-    EXPECT_CALL(this->store, watch(_, 6, _, Freshness::Relaxed)).WillOnce([] {
+    EXPECT_CALL(this->store, watch(_, at(6), _, Freshness::Relaxed)).WillOnce([] {
         return never();
     });
     this->runFor(600ms);
@@ -205,13 +207,15 @@
     };
     const InSequence order;
     EXPECT_CALL(this->store, list).WillOnce([&] {
-        return now<ListResult>(Listing{.objects = {object("stays", 1), object("changes", 2), object("goes", 3)}, .revision = 5});
+        return now<ListResult>(
+            Listing{.objects = {object("stays", at(1)), object("changes", at(2)), object("goes", at(3))}, .revision = at(5)});
     });
     EXPECT_CALL(this->store, watch).WillOnce([] {
         return now<WatchResult>(HistoryGone{});
     });
     EXPECT_CALL(this->store, list).WillOnce([&] {
-        return now<ListResult>(Listing{.objects = {object("stays", 1), object("changes", 30), object("comes", 31)}, .revision = 50});
+        return now<ListResult>(
+            Listing{.objects = {object("stays", at(1)), object("changes", at(30)), object("comes", at(31))}, .revision = at(50)});
     });
     EXPECT_CALL(this->store, watch).WillOnce([] {
         return never();
@@ -228,13 +232,13 @@
 {
     const InSequence order;
     EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
     });
     EXPECT_CALL(this->store, list(_, Freshness::Relaxed)).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 3});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(3)});
     });
     EXPECT_CALL(this->store, list(_, Freshness::Linearizable)).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 6});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(6)});
     });
     this->mode = [](Revision) {
         return ReflectorMode::AwaitPeers;
@@ -243,28 +247,28 @@
     this->reflector.requestRelist();
     this->context.run_for(300ms);
     EXPECT_EQ(this->heard.back(), "answer");
-    EXPECT_EQ(this->told.revision, 6U);
+    EXPECT_EQ(this->told.revision, at(6));
 }
 
 // A listing is as old as its oldest page, and peers may have reported later changes.
 TEST_F(ReflectorTest, listingDoesNotRevokeLaterChangesOfPeers)
 {
     EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 3});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(3)});
     });
     this->mode = [](Revision) {
         return ReflectorMode::AwaitPeers;
     };
     this->runFor(50ms);
-    this->reflector.applyPeerChanges(7, changesAt(8));
+    this->reflector.applyPeerChanges(at(7), changesAt(at(8)), "peer");
     EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
     });
     this->reflector.requestRelist();
     this->context.restart();
     this->context.run_for(200ms);
-    EXPECT_EQ(this->reflector.syncedRevision(), 5U);
-    EXPECT_EQ(this->reflector.revisionOf("one"), 8U);
+    EXPECT_EQ(this->reflector.syncedRevision(), at(5));
+    EXPECT_EQ(this->reflector.revisionOf("one"), at(8));
     EXPECT_TRUE(this->told.changes.empty()) << "the object is not removed";
 }
 
@@ -272,12 +276,12 @@
 {
     const InSequence order;
     EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
     });
-    EXPECT_CALL(this->store, watch(_, 5, _, _)).WillOnce([] {
-        return now<WatchResult>(Changes{.changes = {}, .revision = 3});
+    EXPECT_CALL(this->store, watch(_, at(5), _, _)).WillOnce([] {
+        return now<WatchResult>(Changes{.changes = {}, .revision = at(3)});
     });
-    EXPECT_CALL(this->store, watch(_, 5, _, _)).WillOnce([] {
+    EXPECT_CALL(this->store, watch(_, at(5), _, _)).WillOnce([] {
         return never();
     });
     this->runFor(300ms);
@@ -299,17 +303,17 @@
 TEST_F(ReflectorTest, appliesPeerChangesOnceWithoutStoreRequest)
 {
     EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
     });
     EXPECT_CALL(this->store, watch).Times(0);
     this->mode = [](Revision) {
         return ReflectorMode::AwaitPeers;
     };
     this->runFor(50ms);
-    EXPECT_TRUE(this->reflector.applyPeerChanges(5, changesAt(8)));
-    EXPECT_FALSE(this->reflector.applyPeerChanges(5, changesAt(8))) << "from a second watcher";
-    EXPECT_FALSE(this->reflector.applyPeerChanges(5, changesAt(7))) << "older than what is known";
-    EXPECT_FALSE(this->reflector.applyPeerChanges(2, changesAt(4))) << "older than the listing, which may lack the object";
+    EXPECT_TRUE(this->reflector.applyPeerChanges(at(5), changesAt(at(8)), "peer"));
+    EXPECT_FALSE(this->reflector.applyPeerChanges(at(5), changesAt(at(8)), "peer")) << "from a second watcher";
+    EXPECT_FALSE(this->reflector.applyPeerChanges(at(5), changesAt(at(7)), "peer")) << "older than what is known";
+    EXPECT_FALSE(this->reflector.applyPeerChanges(at(2), changesAt(at(4)), "peer")) << "older than the listing, which may lack the object";
     EXPECT_EQ(this->heard, (std::vector<std::string>{"list@5", "answer", "changes@8"}));
 }
 
@@ -319,14 +323,14 @@
 {
     const InSequence order;
     EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
     });
-    EXPECT_CALL(this->store, watch(_, 5, _, _)).WillOnce([] {
-        return now<WatchResult>(Changes{.changes = {Change{{.name = "two", .revision = 6, .content = {}}, false},
-                                                    Change{{.name = "one", .revision = 8, .content = {}}, false}},
-                                        .revision = 8});
+    EXPECT_CALL(this->store, watch(_, at(5), _, _)).WillOnce([] {
+        return now<WatchResult>(Changes{.changes = {Change{{.name = "two", .revision = at(6), .content = {}}, false},
+                                                    Change{{.name = "one", .revision = at(8), .content = {}}, false}},
+                                        .revision = at(8)});
     });
-    EXPECT_CALL(this->store, watch(_, 8, _, _)).WillOnce([] {
+    EXPECT_CALL(this->store, watch(_, at(8), _, _)).WillOnce([] {
         return never();
     });
     bool isAwaitingPeers = true;
@@ -334,7 +338,7 @@
         return isAwaitingPeers ? ReflectorMode::AwaitPeers : ReflectorMode::Watch;
     };
     this->runFor(50ms);
-    this->reflector.applyPeerChanges(7, changesAt(8));
+    this->reflector.applyPeerChanges(at(7), changesAt(at(8)), "peer");
     isAwaitingPeers = false;
     this->context.restart();
     this->context.run_for(400ms);
@@ -347,19 +351,19 @@
 {
     const InSequence order;
     EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {}, .revision = 5});
+        return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
     });
-    EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Relaxed)).WillOnce([] {
-        return now<WatchResult>(Changes{.changes = {}, .revision = 5});
+    EXPECT_CALL(this->store, watch(_, at(5), _, Freshness::Relaxed)).WillOnce([] {
+        return now<WatchResult>(Changes{.changes = {}, .revision = at(5)});
     });
-    EXPECT_CALL(this->store, watch(_, 5, _, Freshness::Linearizable)).WillOnce([] {
-        return now<WatchResult>(changesAt(9));
+    EXPECT_CALL(this->store, watch(_, at(5), _, Freshness::Linearizable)).WillOnce([] {
+        return now<WatchResult>(changesAt(at(9)));
     });
     this->mode = [](Revision revision) {
-        return revision < 9 ? ReflectorMode::CatchUp : ReflectorMode::AwaitPeers;
+        return revision < at(9) ? ReflectorMode::CatchUp : ReflectorMode::AwaitPeers;
     };
     this->runFor(500ms);
-    this->reflector.applyPeerChanges(7, changesAt(9));
+    this->reflector.applyPeerChanges(at(7), changesAt(at(9)), "peer");
     EXPECT_EQ(this->heard.back(), "answer");
 }
 
@@ -367,7 +371,7 @@
 // stayed in use there.
 TEST_F(ReflectorTest, watchAtAStaleReplicaDoesNotDelayAnnouncedChanges)
 {
-    this->runPastStaleWatch(changesAt(9), 500ms);
+    this->runPastStaleWatch(changesAt(at(9)), 500ms);
     EXPECT_EQ(this->heard, (std::vector<std::string>{"list@5", "answer", "changes@9", "answer"}));
 }
 
@@ -375,7 +379,7 @@
 TEST_F(ReflectorTest, watchAtAStaleReplicaDoesNotDelayTheListingAfterLostHistory)
 {
     this->runPastStaleWatch(HistoryGone{}, 700ms);
-    EXPECT_EQ(this->reflector.syncedRevision(), 9U);
+    EXPECT_EQ(this->reflector.syncedRevision(), at(9));
 }
 
 // A snapshot moves the revision past removals that this instance has missed. A target that was removed without leaving first stayed in use,
@@ -383,33 +387,34 @@
 TEST_F(ReflectorTest, peerSnapshotRemovesWhatThePeerNoLongerHolds)
 {
     EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{
-            .objects = {{.name = "one", .revision = 3, .content = {}}, {.name = "two", .revision = 4, .content = {}}}, .revision = 5});
+        return now<ListResult>(
+            Listing{.objects = {{.name = "one", .revision = at(3), .content = {}}, {.name = "two", .revision = at(4), .content = {}}},
+                    .revision = at(5)});
     });
     this->mode = [](Revision) {
         return ReflectorMode::AwaitPeers;
     };
     this->runFor(50ms);
-    this->reflector.applySnapshot({.objects = {{.name = "two", .revision = 8, .content = {}}}, .revision = 9});
+    this->reflector.applySnapshot({.objects = {{.name = "two", .revision = at(8), .content = {}}}, .revision = at(9)}, "peer");
     ASSERT_EQ(this->told.changes.size(), 2U);
     EXPECT_EQ(this->told.changes[0].object.name, "two");
     EXPECT_EQ(this->told.changes[1].object.name, "one");
     EXPECT_TRUE(this->told.changes[1].isRemoved);
-    EXPECT_EQ(this->reflector.syncedRevision(), 9U);
+    EXPECT_EQ(this->reflector.syncedRevision(), at(9));
 }
 
 TEST_F(ReflectorTest, olderPeerSnapshotRemovesNothing)
 {
     EXPECT_CALL(this->store, list).WillOnce([] {
-        return now<ListResult>(Listing{.objects = {{.name = "one", .revision = 3, .content = {}}}, .revision = 5});
+        return now<ListResult>(Listing{.objects = {{.name = "one", .revision = at(3), .content = {}}}, .revision = at(5)});
     });
     this->mode = [](Revision) {
         return ReflectorMode::AwaitPeers;
     };
     this->runFor(50ms);
-    this->reflector.applySnapshot({.objects = {}, .revision = 4});
+    this->reflector.applySnapshot({.objects = {}, .revision = at(4)}, "peer");
     EXPECT_EQ(this->heard, (std::vector<std::string>{"list@5", "answer"}));
-    EXPECT_EQ(this->reflector.syncedRevision(), 5U);
+    EXPECT_EQ(this->reflector.syncedRevision(), at(5));
 }
 
 TEST_F(ReflectorTest, listingCorrectsPeerSnapshotOnceStoreResponds)
@@ -417,18 +422,20 @@
     bool isStoreLost = true;
     EXPECT_CALL(this->store, list).WillRepeatedly([&isStoreLost] {
         return isStoreLost ? now<ListResult>(StoreFailure{"silent"})
-                           : now<ListResult>(Listing{.objects = {{.name = "two", .revision = 9, .content = {}}}, .revision = 12});
+                           : now<ListResult>(Listing{.objects = {{.name = "two", .revision = at(9), .content = {}}}, .revision = at(12)});
     });
     this->mode = [](Revision revision) {
-        return revision < 12 ? ReflectorMode::Watch : ReflectorMode::AwaitPeers;
+        return revision < at(12) ? ReflectorMode::Watch : ReflectorMode::AwaitPeers;
     };
     this->runFor(50ms);
     this->reflector.applySnapshot(
-        {.objects = {{.name = "one", .revision = 3, .content = {}}, {.name = "two", .revision = 9, .content = {}}}, .revision = 10});
+        {.objects = {{.name = "one", .revision = at(3), .content = {}}, {.name = "two", .revision = at(9), .content = {}}},
+         .revision = at(10)},
+        "peer");
     EXPECT_EQ(this->heard.back(), "list@10");
     EXPECT_EQ(this->told.changes.size(), 2U);
-    EXPECT_EQ(this->reflector.syncedRevision(), 10U);
-    EXPECT_EQ(this->reflector.revisionOf("two"), 9U);
+    EXPECT_EQ(this->reflector.syncedRevision(), at(10));
+    EXPECT_EQ(this->reflector.revisionOf("two"), at(9));
     EXPECT_FALSE(this->reflector.isCurrent()) << "the store is still to be asked for the whole list";
     isStoreLost = false;
     this->context.restart();
@@ -439,4 +446,117 @@
     EXPECT_TRUE(this->reflector.isCurrent());
 }
 
+// CONFIG: what a store shows after it was restored from an older copy was applied as if it were newer than what was known.
+TEST_F(ReflectorTest, restoredListingTellsWhichObjectsMayBeOutdated)
+{
+    const auto objectAt = [](std::string name, Revision revision) {
+        return StoredObject{.name = std::move(name), .revision = revision, .content = {}};
+    };
+    const auto restored = [](std::uint64_t number) {
+        return Revision{.era = 2, .number = number};
+    };
+    EXPECT_CALL(this->store, list)
+        .WillOnce([objectAt] {
+            return now<ListResult>(
+                Listing{.objects = {objectAt("same", at(3)), objectAt("older", at(8)), objectAt("gone", at(2)), objectAt("lost", at(9))},
+                        .revision = at(10)});
+        })
+        .WillOnce([objectAt, restored] {
+            return now<ListResult>(Listing{.objects = {objectAt("same", restored(3)),
+                                                       objectAt("older", restored(5)),
+                                                       objectAt("gone", restored(2)),
+                                                       objectAt("written", restored(7))},
+                                           .revision = restored(7)});
+        });
+    this->mode = [](Revision) {
+        return ReflectorMode::AwaitPeers;
+    };
+    this->runFor(50ms);
+    const Change removal{.object = objectAt("gone", at(11)), .isRemoved = true};
+    this->reflector.applyPeerChanges(at(10), {.changes = {removal}, .revision = at(11)}, "peer");
+    EXPECT_CALL(this->store, watch).WillOnce([] {
+        return now<WatchResult>(HistoryGone{});
+    });
+    this->mode = [](Revision revision) {
+        return revision.era < 2 ? ReflectorMode::CatchUp : ReflectorMode::AwaitPeers;
+    };
+    this->context.restart();
+    this->context.run_for(500ms);
+    std::map<std::string, std::pair<bool, bool>> seen;
+    for (const auto &change : this->told.changes) {
+        seen[change.object.name] = {change.isRemoved, change.mayBeOutdated};
+    }
+    using Seen = std::pair<bool, bool>;
+    EXPECT_EQ(seen.at("same"), Seen(false, true));
+    EXPECT_EQ(seen.at("older"), Seen(false, true));
+    EXPECT_EQ(seen.at("gone"), Seen(false, true)) << "its removal is lost";
+    EXPECT_EQ(seen.at("lost"), Seen(true, true));
+    EXPECT_EQ(seen.at("written"), Seen(false, false));
+    EXPECT_EQ(this->reflector.syncedRevision(), restored(7)) << "although its number is lower than the one before";
+}
+
+// CONFIG: a replica that still held what the restored store has lost would be taken for the new state.
+TEST_F(ReflectorTest, listingThatBeginsAnEraIsReadLinearizably)
+{
+    const InSequence order;
+    EXPECT_CALL(this->store, list(_, Freshness::Relaxed)).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
+    });
+    EXPECT_CALL(this->store, list(_, Freshness::Relaxed)).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = {.era = 2, .number = 9}});
+    });
+    EXPECT_CALL(this->store, list(_, Freshness::Linearizable)).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = {.era = 2, .number = 4}});
+    });
+    this->mode = [](Revision) {
+        return ReflectorMode::AwaitPeers;
+    };
+    this->runFor(50ms);
+    this->reflector.requestRelist();
+    this->context.restart();
+    this->context.run_for(500ms);
+    EXPECT_EQ(this->reflector.syncedRevision(), (Revision{.era = 2, .number = 4}));
+}
+
+// CONFIG: a watch that a restored store answers from a revision of the former era leaves out what was lost and written in between.
+TEST_F(ReflectorTest, watchAnsweredInALaterEraIsFollowedByAListing)
+{
+    const InSequence order;
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = at(5)});
+    });
+    EXPECT_CALL(this->store, watch).WillOnce([] {
+        return now<WatchResult>(Changes{.changes = {}, .revision = {.era = 2, .number = 8}});
+    });
+    EXPECT_CALL(this->store, list(_, Freshness::Linearizable)).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = {.era = 2, .number = 8}});
+    });
+    EXPECT_CALL(this->store, watch).WillRepeatedly([] {
+        return never();
+    });
+    this->runFor(300ms);
+    EXPECT_EQ(this->heard, (std::vector<std::string>{"list@5", "answer", "answer", "list@8", "answer"}));
+}
+
+// CONFIG: instances took each other's positions of different eras for older or newer ones of the same.
+TEST_F(ReflectorTest, changesOfPeersApplyInTheOrderOfErasOnly)
+{
+    EXPECT_CALL(this->store, list).WillOnce([] {
+        return now<ListResult>(Listing{.objects = {}, .revision = {.era = 2, .number = 5}});
+    });
+    this->mode = [](Revision) {
+        return ReflectorMode::AwaitPeers;
+    };
+    this->runFor(50ms);
+    const auto changeOf = [](std::uint64_t era, std::uint64_t number) {
+        return ReflectorTest::changesAt({.era = era, .number = number});
+    };
+    EXPECT_FALSE(this->reflector.applyPeerChanges(at(90), changeOf(1, 99), "late")) << "of the former era";
+    this->reflector.advanceTo(at(99));
+    EXPECT_EQ(this->reflector.syncedRevision(), (Revision{.era = 2, .number = 5}));
+    EXPECT_TRUE(this->reflector.applyPeerChanges({.era = 3, .number = 2}, changeOf(3, 3), "ahead")) << "written after the restore";
+    EXPECT_EQ(this->reflector.syncedRevision(), (Revision{.era = 2, .number = 5})) << "the listing of the era is still to come";
+    EXPECT_FALSE(this->reflector.applyPeerChanges({.era = 2, .number = 5}, changeOf(2, 50), "behind"));
+}
+
 } // namespace Briarbend::Gateway
--- a/Tests/platform/TestDecode.cpp
+++ b/Tests/platform/TestDecode.cpp
@@ -26,6 +26,8 @@
     R"("services":{"huvo11a":{"healthPath":"/healthz","maxConns":260,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":7.8}},)"
     R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}})"};
 
+constexpr std::uint64_t ERA = 3;
+
 std::string listOf(std::string_view object)
 {
     return R"({"items":[)" + std::string(object) + R"(],"more":false,"storeRevision":530})";
@@ -33,7 +35,7 @@
 
 Content contentOf(ObjectKind kind, std::string_view object)
 {
-    return decodeListPage(kind, listOf(object)).listing.objects.at(0).content;
+    return decodeListPage(kind, listOf(object), ERA).listing.objects.at(0).content;
 }
 
 /// Returns the object with the value at the JSON pointer replaced.
@@ -74,7 +76,7 @@
                                                   changed(SERVER, "/spec/info/slots", "six")};
     for (const auto &object : invalidEntries) {
         const auto page
-            = decodeListPage(ObjectKind::Targets, R"({"items":[)" + object + "," + std::string(SERVER) + R"(],"storeRevision":9})");
+            = decodeListPage(ObjectKind::Targets, R"({"items":[)" + object + "," + std::string(SERVER) + R"(],"storeRevision":9})", ERA);
         ASSERT_EQ(page.listing.objects.size(), 2U);
         EXPECT_TRUE(std::holds_alternative<Unreadable>(page.listing.objects[0].content)) << object;
         EXPECT_TRUE(std::holds_alternative<Fleet::TargetRecord>(page.listing.objects[1].content)) << object;
@@ -111,27 +113,28 @@
 
 TEST(Decode, incompleteListPageContinuesAfterItsLastName)
 {
-    const auto page = decodeListPage(ObjectKind::Targets, R"({"items":[)" + std::string(SERVER) + R"(],"more":true,"storeRevision":9})");
+    const auto page
+        = decodeListPage(ObjectKind::Targets, R"({"items":[)" + std::string(SERVER) + R"(],"more":true,"storeRevision":9})", ERA);
     EXPECT_EQ(page.nextPageAfter, "i-304a770bbe");
-    EXPECT_EQ(page.listing.revision, 9U);
-    EXPECT_TRUE(decodeListPage(ObjectKind::Targets, listOf(SERVER)).nextPageAfter.empty());
+    EXPECT_EQ(page.listing.revision, (Revision{.era = ERA, .number = 9}));
+    EXPECT_TRUE(decodeListPage(ObjectKind::Targets, listOf(SERVER), ERA).nextPageAfter.empty());
 }
 
 TEST(Decode, removedEventDecodesToRemoval)
 {
-    const auto changes = decodeChanges(ObjectKind::Targets,
-                                       R"({"events":[{"removed":true,"object":)" + std::string(SERVER) + R"(}],"storeRevision":533})");
-    EXPECT_EQ(changes.revision, 533U);
+    const auto changes = decodeChanges(
+        ObjectKind::Targets, R"({"events":[{"removed":true,"object":)" + std::string(SERVER) + R"(}],"storeRevision":533})", ERA);
+    EXPECT_EQ(changes.revision, (Revision{.era = ERA, .number = 533}));
     ASSERT_EQ(changes.changes.size(), 1U);
     EXPECT_TRUE(changes.changes[0].isRemoved);
-    EXPECT_EQ(changes.changes[0].object.revision, 7U);
+    EXPECT_EQ(changes.changes[0].object.revision, (Revision{.era = ERA, .number = 7}));
 }
 
 TEST(Decode, malformedListOrWatchResponseThrows)
 {
     for (const auto *body : {"", "[]", "{}", R"({"items":7,"storeRevision":1})", R"({"items":[{}],"storeRevision":1})", "\xff"}) {
-        EXPECT_THROW(decodeListPage(ObjectKind::Targets, body), std::exception) << body;
-        EXPECT_THROW(decodeChanges(ObjectKind::Targets, body), std::exception) << body;
+        EXPECT_THROW(decodeListPage(ObjectKind::Targets, body, ERA), std::exception) << body;
+        EXPECT_THROW(decodeChanges(ObjectKind::Targets, body, ERA), std::exception) << body;
     }
 }
 
@@ -139,7 +142,7 @@
 {
     const RolloutProgress progress{
         .state = RolloutState::RolledBack, .version = {"v2"}, .startedAt = Core::WallTime(1785029705045ms), .share = 0.25};
-    const auto written = nlohmann::json::parse(encodeProgress("huvo11a", 12, progress));
+    const auto written = nlohmann::json::parse(encodeProgress("huvo11a", {.era = ERA, .number = 12}, progress));
     EXPECT_EQ(written["metadata"]["revision"], 12);
     EXPECT_EQ(written["status"]["state"], "rolled_back");
     EXPECT_EQ(written["status"]["targetVersion"], "v2");
--- a/Tests/platform/TestStoreClient.cpp
+++ b/Tests/platform/TestStoreClient.cpp
@@ -71,13 +71,15 @@
 
     WatchResult watch(std::chrono::milliseconds length = 100ms)
     {
-        return this->wait(this->client.watch(ObjectKind::Targets, 41, length, Freshness::Relaxed));
+        return this->wait(this->client.watch(ObjectKind::Targets, Revision{.era = 0, .number = 41}, length, Freshness::Relaxed));
     }
 
     WriteResult write()
     {
         return this->wait(this->client.writeProgress(
-            "huda62a", 12, {.state = RolloutState::Running, .version = {"v2"}, .startedAt = Core::WallTime(7ms), .share = 0.5}));
+            "huda62a",
+            Revision{.era = 0, .number = 12},
+            {.state = RolloutState::Running, .version = {"v2"}, .startedAt = Core::WallTime(7ms), .share = 0.5}));
     }
 
     Asio::awaitable<Network::Response> handle(Network::Request request)
@@ -113,7 +115,7 @@
     const auto listing = std::get<Listing>(this->list());
     ASSERT_EQ(listing.objects.size(), 2U);
     EXPECT_EQ(listing.objects[1].name, "b");
-    EXPECT_EQ(listing.revision, 50U) << "a change between the pages is still to be watched for";
+    EXPECT_EQ(listing.revision, (Revision{.era = 0, .number = 50})) << "a change between the pages is still to be watched for";
     EXPECT_EQ(this->targets, (std::vector<std::string>{"/v1/objects/servers", "/v1/objects/servers?after=a"}));
 }
 
@@ -126,8 +128,8 @@
                                                                                   : json(page(server("b"), false, 50));
     });
     const auto listing = std::get<Listing>(this->list(Freshness::Relaxed));
-    EXPECT_EQ(listing.revision, 50U);
-    EXPECT_EQ(listing.firstPage, 53U);
+    EXPECT_EQ(listing.revision, (Revision{.era = 0, .number = 50}));
+    EXPECT_EQ(listing.firstPage, (Revision{.era = 0, .number = 53}));
 }
 
 TEST_F(StoreClientTest, listPercentEncodesContinuationName)
@@ -215,7 +217,7 @@
     this->respondWith([](const Network::Request &) {
         return json(R"({"metadata":{"name":"huda62a","revision":77},"spec":{},"status":{}})");
     });
-    EXPECT_EQ(std::get<Written>(this->write()).revision, 77U);
+    EXPECT_EQ(std::get<Written>(this->write()).revision, (Revision{.era = 0, .number = 77}));
 }
 
 TEST_F(StoreClientTest, malformedBodyFailsCall)
@@ -241,7 +243,7 @@
     });
     EXPECT_TRUE(std::holds_alternative<StoreFailure>(this->watch()));
     isCut = false;
-    EXPECT_EQ(std::get<Changes>(this->watch()).revision, 44U);
+    EXPECT_EQ(std::get<Changes>(this->watch()).revision, (Revision{.era = 0, .number = 44}));
 }
 
 TEST_F(StoreClientTest, silentStoreFailsWatchWithinTimeout)
