LibFleet, LibGateway: Log since when an instance has lost all targets

Nothing told requests that were sent before a cut from those after it. Connectivity records responses of targets and targets that could not be reached; the lines targets_lost and targets_regained say when. Nothing decides by it yet.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/Attempt.h>
 
 #include <LibGateway/HealthCheck.h>
+#include <LibGateway/TargetContact.h>
 #include <LibGateway/TargetReports.h>
 #include <LibRelay/HeaderRules.h>
 
@@ -254,6 +255,9 @@
         --targetState->ownInFlight;
     }
     if (!isWhole) {
+        if (this->isConnectionLost && !this->isCancelled) {
+            recordTargetUnreachable(state, this->name);
+        }
         this->result = AttemptResult::Unknown;
         if (!this->isCancelled || this->isOvertaken) {
             this->recordSendOutcome(this->isOvertaken ? Fleet::SendOutcome::Overtaken : Fleet::SendOutcome::Lost);
@@ -297,6 +301,7 @@
             this->isConnectionLost = error != boost::beast::error::timeout && !Relay::isProtocolError(error);
             co_return false;
         }
+        recordTargetHeard(state);
         const auto metadata = state.dialect.readResponseMetadata(parser.get().base());
         const bool isOfOther = this->isForeign(metadata);
         const bool isInterim = parser.get().result_int() / 100 == 1;
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -3,6 +3,7 @@
 #include <LibCore/ByteBudget.h>
 #include <LibCore/Random.h>
 #include <LibFleet/Choice.h>
+#include <LibFleet/Connectivity.h>
 #include <LibGateway/Dialect.h>
 #include <LibGateway/PlatformStore.h>
 #include <LibLog/EventLog.h>
@@ -99,6 +100,8 @@
     /// Null until the first configuration has been received.
     std::shared_ptr<const Fleet::RoutingConfiguration> routingConfiguration;
     Fleet::Directory directory;
+    /// Whether this instance reaches targets at all.
+    Fleet::Connectivity connectivity;
     std::set<Core::DataCentreName> dataCentresOut;
     std::map<Core::ServiceName, std::shared_ptr<Fleet::ServiceState>> services;
     std::map<std::string, RouteState> routes;
--- a/Libraries/LibGateway/HealthCheck.cpp
+++ b/Libraries/LibGateway/HealthCheck.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/HealthCheck.h>
 
+#include <LibGateway/TargetContact.h>
 #include <LibGateway/TargetReports.h>
 
 #include <LibNetwork/Http.h>
@@ -153,6 +154,7 @@
     if (target == nullptr) {
         co_return nullptr;
     }
+    isAnswered ? recordTargetHeard(state) : recordTargetUnreachable(state, targetName);
     if (!isAnswered) {
         Fleet::ejectTarget(*target, Core::Clock::now());
         co_return nullptr;
