LibGateway, LibFleet: Forward requests of instances that reach no target

Cause: an instance without targets had nothing but refusals, although others reach the same targets and it reaches them. The class: a fault of this instance was taken for faults of all targets. It then sends requests to a peer that reaches targets and has the most room, over HTTP at the peer's address for callers; peers are asked only while that is needed. Identifier, body and remaining time are passed on. The peer sends to one target, the first instance decides on further ones, so that budgets and the route's maximum hold over both hops; what may run once goes out on a new connection and never twice. A request is forwarded once. The peer's own refusals keep their promise. Losses of a cut-off instance accuse no target, version or request, to itself or others. It probes two targets every 0.2 s, and begins anew with cold ones on return. Without peers it refuses at once and reports after 1 s that it is not ready.

Ruled out: readiness alone. Where fewer than half of a data centre's instances are ready all are used, and open connections stay.

--- a/Libraries/LibCoordination/Channel.h
+++ b/Libraries/LibCoordination/Channel.h
@@ -19,6 +19,8 @@
     News = 'n',
     /// What one instance learns from targets that concerns all instances.
     Targets = 't',
+    /// Offers to take requests of instances that reach no target.
+    Forwarding = 'f',
 };
 
 } // namespace Briarbend::Coordination
--- a/Libraries/LibCoordination/SentTraffic.cpp
+++ b/Libraries/LibCoordination/SentTraffic.cpp
@@ -50,6 +50,8 @@
         return "news";
     case Channel::Targets:
         return "targets";
+    case Channel::Forwarding:
+        return "forwarding";
     }
     return "unknown";
 }
--- a/Libraries/LibFleet/Connectivity.cpp
+++ b/Libraries/LibFleet/Connectivity.cpp
@@ -1,14 +1,18 @@
 #include <LibFleet/Connectivity.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Briarbend::Fleet
 {
 
 std::optional<Core::Duration> recordHeard(Connectivity &connectivity, Core::TimePoint now)
 {
-    const auto since = connectivity.cutOffSince;
-    connectivity = {};
+    const auto since = std::exchange(connectivity.cutOffSince, std::nullopt);
+    connectivity.unreachable.clear();
+    if (since) {
+        connectivity.regainedAt = now;
+    }
     return since ? std::optional<Core::Duration>(now - *since) : std::nullopt;
 }
 
@@ -32,6 +36,11 @@
     return connectivity.cutOffSince.has_value();
 }
 
+bool explainsLoss(const Connectivity &connectivity, Core::TimePoint sentAt)
+{
+    return isCutOff(connectivity) || (connectivity.regainedAt && sentAt <= *connectivity.regainedAt);
+}
+
 bool mayBeCutOff(const Connectivity &connectivity)
 {
     return connectivity.unreachable.size() > 1;
--- a/Libraries/LibFleet/Connectivity.h
+++ b/Libraries/LibFleet/Connectivity.h
@@ -23,6 +23,8 @@
     Core::TimePoint unreachableSince;
     /// Since when the instance counts as cut off from all targets.
     std::optional<Core::TimePoint> cutOffSince;
+    /// When the instance last heard a target again after it was cut off.
+    std::optional<Core::TimePoint> regainedAt;
 };
 
 /// Records that a target responded, whatever the response was. Returns the time for which the instance was cut off, if it was.
@@ -35,6 +37,9 @@
 
 bool isCutOff(const Connectivity &connectivity);
 
+/// Whether a request that was sent at the given time and lost says nothing of its target, since this instance was cut off meanwhile.
+bool explainsLoss(const Connectivity &connectivity, Core::TimePoint sentAt);
+
 /// Whether the last contacts failed at more than one target, so that the cause may be this instance.
 bool mayBeCutOff(const Connectivity &connectivity);
 
--- a/Libraries/LibFleet/ServiceState.cpp
+++ b/Libraries/LibFleet/ServiceState.cpp
@@ -142,6 +142,16 @@
     ++target.consecutiveEjections;
 }
 
+void forgetUnreachable(TargetState &target, Core::TimePoint now)
+{
+    target.ejectedUntil = {};
+    target.consecutiveEjections = 0;
+    target.unreportedOutcomes = {};
+    // Many instances return at the same moment.
+    target.coldTokens = 0;
+    target.coldTokensAt = now;
+}
+
 void recordHealth(TargetState &target, bool takesWork, Core::TimePoint now)
 {
     if (!takesWork && !target.failsHealthCheck) {
--- a/Libraries/LibFleet/ServiceState.h
+++ b/Libraries/LibFleet/ServiceState.h
@@ -132,6 +132,8 @@
 void recordCold(TargetState &target, std::chrono::milliseconds coldLeft, Core::TimePoint now);
 /// Ejects a target that could not be reached or did not answer a health check. Each consecutive ejection lasts longer.
 void ejectTarget(TargetState &target, Core::TimePoint now);
+/// Drops what this instance concluded of the target while it reached none, after which it begins anew with cold targets.
+void forgetUnreachable(TargetState &target, Core::TimePoint now);
 /// Records the result of a health check.
 void recordHealth(TargetState &target, bool takesWork, Core::TimePoint now);
 /// Records that a request is sent to the target. While health checks fail, this keeps trial requests to one at a time.
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -83,6 +83,10 @@
 
 Asio::awaitable<void> Attempt::searchAndSend()
 {
+    if (Fleet::isCutOff(this->context->state.connectivity) && this->context->state.findPeer) {
+        co_await this->forward();
+        co_return;
+    }
     auto query = this->query();
     const auto split = this->drawVersion(query);
     auto found = co_await findTarget(this->context->state, query);
@@ -97,6 +101,10 @@
             found.searchFailure == SearchFailure::Full ? "all_full" : "no_target",
             {{"service", this->service->name.value}, {"probes", found.probes}, {"expected_us", found.expectedTime.count()}});
         this->retryAfter = found.untilRequestsAccepted;
+        if (found.searchFailure == SearchFailure::NoTarget && this->isForwardingUseful()) {
+            co_await this->forward();
+            co_return;
+        }
         this->result = found.searchFailure == SearchFailure::Full ? AttemptResult::Full : AttemptResult::NoTarget;
     } else if (this->isCancelled || this->context->isCallerGone || this->context->remaining() < MINIMUM_TIME_TO_SEND) {
         this->context->state.pool.returnIdle(std::move(found.connection), Core::Clock::now());
@@ -174,7 +182,9 @@
 Asio::awaitable<void> Attempt::reportToGuard(bool isTrial)
 {
     auto &guard = *this->context->state.guard;
-    if (this->isConnectionLost && !this->isCancelled) {
+    const bool isOwnFault
+        = Fleet::mayBeCutOff(this->context->state.connectivity) || Fleet::explainsLoss(this->context->state.connectivity, this->sentAt);
+    if (this->isConnectionLost && !this->isCancelled && !isOwnFault) {
         // The result is published only after the peers know: the flow would send again at once.
         const auto known = std::exchange(this->result, AttemptResult::Pending);
         co_await guard.recordConnectionLoss(this->context->fingerprint, this->address, isTrial);
@@ -273,7 +283,12 @@
     Http::request<Body> request{Http::request_header<>(this->context->head)};
     const auto left = std::max(std::chrono::milliseconds{1},
                                std::chrono::duration_cast<std::chrono::milliseconds>(this->context->remaining()) - RETURN_TIME_RESERVE);
-    state.dialect.setTargetFields(request, left, this->name);
+    if (this->isForwarded) {
+        state.dialect.setRemaining(request, left);
+        request.set(FORWARDED_BY_FIELD, state.settings.instance.name);
+    } else {
+        state.dialect.setTargetFields(request, left, this->name);
+    }
     request.body() = Body::value_type(this->context->body.data(), this->context->body.size());
     this->connection->stream.expires_after(std::max(Core::Duration{0}, this->context->remaining()));
     boost::system::error_code error;
@@ -301,12 +316,14 @@
             this->isConnectionLost = error != boost::beast::error::timeout && !Relay::isProtocolError(error);
             co_return false;
         }
-        recordTargetHeard(state);
         const auto metadata = state.dialect.readResponseMetadata(parser.get().base());
         const bool isOfOther = this->isForeign(metadata);
         const bool isInterim = parser.get().result_int() / 100 == 1;
         const auto source = isOfOther || isInterim ? ReportSource::OtherResponse : ReportSource::Response;
-        recordTargetReport(state, *this->service, this->name, this->targetStartedAt, source, metadata);
+        if (!this->isForwarded) {
+            recordTargetHeard(state);
+            recordTargetReport(state, *this->service, this->name, this->targetStartedAt, source, metadata);
+        }
         if (!co_await this->receiveBody(parser, !isOfOther && !isInterim)) {
             co_return false;
         }
@@ -316,7 +333,7 @@
         }
         this->service->echoesAttemptIds = this->service->echoesAttemptIds || !metadata.attemptId.empty();
         this->response.head = parser.get().base();
-        this->evaluateResponse(metadata);
+        this->isForwarded ? this->evaluatePeerResponse(metadata) : this->evaluateResponse(metadata);
         if (parser.keep_alive() && this->result != AttemptResult::Unknown && foreign == 0 && !metadata.isLeaving) {
             returnConnection(state, std::move(this->connection), this->response.head);
         }
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -55,6 +55,8 @@
     /// With NotRun: the target shed the request although it had reported free slots.
     bool wasShedWithFreeSlots{false};
     TargetResponse response;
+    /// With NotRun: a peer refused the request that was forwarded to it.
+    bool wasRefusedByPeer{false};
     /// With Quarantined, and with NoTarget if all targets asked for quiet: when the caller may retry.
     std::chrono::milliseconds retryAfter{0};
 
@@ -64,6 +66,13 @@
     boost::asio::awaitable<void> run();
     /// Leaves the result pending if the target that was found was withdrawn before the send.
     boost::asio::awaitable<void> searchAndSend();
+    /// Forwards the request to a peer that reaches targets. The result is NoTarget if there is none.
+    boost::asio::awaitable<void> forward();
+    /// Opens a connection to a peer; null if there is none that accepts it.
+    boost::asio::awaitable<std::unique_ptr<Relay::TargetConnection>> connectToPeer();
+    /// True if the search failed because this instance reaches few targets or none.
+    bool isForwardingUseful() const;
+    void evaluatePeerResponse(const ResponseMetadata &metadata);
     /// Sends the request to the target that was found, unless the guard refuses a request that recently crashed targets, the target was
     /// withdrawn or it was asked too long ago.
     boost::asio::awaitable<void> sendIfPermitted(FoundTarget found);
@@ -97,6 +106,8 @@
     bool isCold{false};
     /// The target is in another data centre.
     bool isFar{false};
+    /// The request was forwarded to a peer and not sent to a target.
+    bool isForwarded{false};
     bool isCancelled{false};
     bool isOvertaken{false};
     /// The connection ended during the request: the target may have crashed.
--- a/Libraries/LibGateway/AttemptOutcome.cpp
+++ b/Libraries/LibGateway/AttemptOutcome.cpp
@@ -52,6 +52,10 @@
     auto &state = this->context->state;
     const auto now = Core::Clock::now();
     const auto elapsed = now - this->sentAt;
+    const bool isLost = outcome == Fleet::SendOutcome::Lost || outcome == Fleet::SendOutcome::Overtaken;
+    if (isLost && Fleet::explainsLoss(state.connectivity, this->sentAt)) {
+        return;
+    }
     if (auto *targetState = this->target()) {
         Fleet::recordOutcome(*targetState, outcome, now);
     }
@@ -62,15 +66,21 @@
     }
     using enum Fleet::SendOutcome;
     const bool isObserved = outcome == Success || outcome == Failure || outcome == Lost;
-    if (state.onObserved && isObserved) {
-        state.onObserved({.service = this->service->name,
-                          .route = this->context->route->name,
-                          .target = this->name,
-                          .version = this->version,
-                          .isFailure = outcome != Fleet::SendOutcome::Success,
-                          .wasCold = this->isCold,
-                          .elapsed = elapsed,
-                          .objective = this->context->route->objective});
+    if (!state.onObserved || !isObserved) {
+        return;
+    }
+    AttemptObservation observation{.service = this->service->name,
+                                   .route = this->context->route->name,
+                                   .target = this->name,
+                                   .version = this->version,
+                                   .isFailure = outcome != Fleet::SendOutcome::Success,
+                                   .wasCold = this->isCold,
+                                   .elapsed = elapsed,
+                                   .objective = this->context->route->objective};
+    if (outcome == Lost && !state.connectivity.unreachable.empty()) {
+        state.unconfirmedLosses.push_back(std::move(observation));
+    } else {
+        state.onObserved(observation);
     }
 }
 
--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -125,6 +125,15 @@
     }
 }
 
+/// Records which instance forwarded the request. Targets do not receive the field.
+void takeForwarder(RequestContext &context)
+{
+    const auto name = context.head[FORWARDED_BY_FIELD];
+    context.forwardedBy.assign(name.data(), name.size());
+    context.head.erase(FORWARDED_BY_FIELD);
+    context.state.counters.takenForPeers += context.forwardedBy.empty() ? 0 : 1;
+}
+
 /// Determines the route, the service and the deadline. Returns the reason for a refusal if the request cannot be served.
 std::optional<Reason> admit(RequestContext &context, const RequestMetadata &metadata)
 {
@@ -168,7 +177,9 @@
                                    {"status", status},
                                    {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(context.elapsed()).count()},
                                    {"allowed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(context.allowed).count()},
-                                   {"caller_gone", isCallerGone}};
+                                   {"caller_gone", isCallerGone},
+                                   {"forwarded_by", context.forwardedBy},
+                                   {"peers", context.triedPeers}};
     for (auto &decision : context.decisions) {
         decision["request"] = context.attemptId;
         state.log.write(importance, "decision", decision);
@@ -254,6 +265,7 @@
         co_return false;
     }
     const bool isWellFormed = !problem && !Relay::findHeadProblem(parser.get().base());
+    const bool isForwarded = parser.get().count(FORWARDED_BY_FIELD) > 0;
     const bool keepsAlive = isWellFormed && parser.keep_alive() && parser.get().version() >= Network::HTTP_1_1;
     stream.expires_never();
     auto result = co_await this->handleRequest(stream.socket(), std::move(request), problem);
@@ -261,6 +273,9 @@
         co_return false;
     }
     const bool staysOpen = keepsAlive && !this->state.isStopping;
+    if (!isForwarded) {
+        result.response.erase(OWN_ANSWER_FIELD);
+    }
     result.response.keep_alive(staysOpen);
     stream.expires_after(WRITE_TIMEOUT);
     boost::system::error_code error;
@@ -282,6 +297,7 @@
     auto refusal = headProblem ? std::optional(Reason::BadRequest) : problem;
     if (!refusal) {
         prepareHead(*context, parser.release());
+        takeForwarder(*context);
         context->bodyHold = std::move(request.hold);
         refusal = this->isRefusingNewRequests ? Reason::Stopping : admit(*context, metadata);
     }
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -52,6 +52,8 @@
     ResponseMetadata (*readResponseMetadata)(const Http::response_header<> &head);
     /// Sets the fields that only a target reads: the remaining time and the name that the target must have.
     void (*setTargetFields)(Http::fields &head, std::chrono::milliseconds remaining, std::string_view targetName);
+    /// Sets the time for which the caller still waits.
+    void (*setRemaining)(Http::fields &head, std::chrono::milliseconds remaining);
     /// Removes the fields that only instances read from a response.
     void (*removeInternalFields)(Http::fields &head);
     /// Sets the attempt that a response of this instance belongs to.
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -40,6 +40,9 @@
     std::uint64_t farResponseBytes{0};
     /// Comparisons of the versions of a rollout over the evidence that this instance has.
     std::uint64_t rolloutEvaluations{0};
+    /// Requests that were sent to a peer because this instance reached no target, and requests that peers sent here.
+    std::uint64_t forwarded{0};
+    std::uint64_t takenForPeers{0};
 };
 
 /// Where a request is sent if no target of the version selected for it is available.
@@ -114,6 +117,11 @@
     /// Called when peers should be told of a rate that a target states, or that it states none any more.
     std::function<void(const std::string &target, std::int64_t startedAtMilliseconds, std::optional<double> requestsPerSecond)>
         onTargetRate;
+    /// Returns the caller address of a peer that takes a request which reaches no target from here, without the addresses given; nothing if
+    /// there is none. Unset if requests are not forwarded.
+    std::function<boost::asio::awaitable<std::optional<Core::TargetId>>(std::vector<std::string> excludedAddresses)> findPeer;
+    /// Losses of requests that count against a target's version only once any target has been heard after them.
+    std::vector<AttemptObservation> unconfirmedLosses;
     /// Additional round-trip time to a target in another data centre, compared with one in the same data centre.
     std::chrono::microseconds distance{2000};
     /// Cost of transferring one kibibyte of response between data centres, expressed as time that a caller waits.
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/Instance.h>
 
 #include <LibGateway/Metrics.h>
+#include <LibGateway/TargetContact.h>
 #include <LibNetwork/WallClock.h>
 
 #include <algorithm>
@@ -20,6 +21,9 @@
 constexpr std::chrono::milliseconds TICK_INTERVAL{100};
 /// A longer gap between two ticks means that the process was frozen; a busy host delays ticks by less.
 constexpr std::chrono::milliseconds FREEZE_THRESHOLD{600};
+constexpr std::chrono::milliseconds CUT_OFF_PROBE_INTERVAL{200};
+/// Time for which an instance looks for targets and peers before it reports that it is not ready.
+constexpr std::chrono::milliseconds ISOLATION_PERIOD{1000};
 constexpr std::chrono::seconds IDLE_SWEEP_INTERVAL{5};
 constexpr std::chrono::seconds TRAFFIC_LOG_INTERVAL{10};
 /// Longer than targets keep idle connections open.
@@ -70,6 +74,10 @@
     this->quarantine = std::make_unique<Coordination::QuarantineLink>(ioContext, this->timers, *this->peers, TOLERATED_BREAKS);
     this->state.guard = this->quarantine.get();
     this->rollouts = std::make_unique<RolloutDriver>(this->state, this->timers, this->store, *this->peers);
+    this->peerFinder = std::make_unique<PeerFinder>(this->state, this->timers, *this->peers);
+    this->state.findPeer = [this](std::vector<std::string> excludedAddresses) {
+        return this->peerFinder->findPeer(std::move(excludedAddresses));
+    };
     this->callers = std::make_unique<CallerFrontend>(ioContext, this->state);
     this->readyServer = std::make_unique<Network::HttpServer>(ioContext, addresses.readyAddress, [this](Network::Request request) {
         return this->handleReadiness(std::move(request));
@@ -91,6 +99,9 @@
         this->expireTargets(now);
         this->applyDueChanges(now);
     }));
+    this->subscriptions.push_back(this->timers.every(CUT_OFF_PROBE_INTERVAL, [this](Core::TimePoint) {
+        probeWhileCutOff(this->state);
+    }));
     this->subscriptions.push_back(this->timers.every(IDLE_SWEEP_INTERVAL, [this](Core::TimePoint now) {
         this->state.pool.closeIdle(now, IDLE_CONNECTION_TIMEOUT);
         Fleet::expireSelfReports(this->state.directory, now);
@@ -316,7 +327,14 @@
 {
     const bool isCurrent = std::ranges::all_of(this->followers, &Reflector::isCurrent, &std::unique_ptr<Reflector>::operator*);
     const bool isFreezeDelayOver = this->timers.now() - this->lastFreezeEnd >= POST_FREEZE_DELAY;
-    return !this->state.isStopping && this->state.routingConfiguration && this->state.directory.isKnown && (isCurrent || isFreezeDelayOver);
+    return !this->state.isStopping && !this->isIsolated() && this->state.routingConfiguration && this->state.directory.isKnown
+        && (isCurrent || isFreezeDelayOver);
+}
+
+bool Instance::isIsolated() const
+{
+    const auto &since = this->state.connectivity.cutOffSince;
+    return since && this->timers.now() - *since >= ISOLATION_PERIOD && !this->peerFinder->hasOffers();
 }
 
 Asio::awaitable<Network::Response> Instance::handleReadiness(Network::Request request)
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -4,6 +4,7 @@
 #include <LibGateway/CallerFrontend.h>
 #include <LibGateway/ChangeDisseminator.h>
 #include <LibGateway/DeferredChanges.h>
+#include <LibGateway/PeerFinder.h>
 #include <LibGateway/Reflector.h>
 #include <LibGateway/RolloutDriver.h>
 #include <LibGateway/TargetDisseminator.h>
@@ -72,6 +73,8 @@
     void updateInstances();
     void finishStopWhenIdle(Core::TimePoint now);
     bool isReady() const;
+    /// Whether callers are better served by any other instance: this one reaches no target and no peer that does.
+    bool isIsolated() const;
     boost::asio::awaitable<Network::Response> handleReadiness(Network::Request request);
     boost::asio::awaitable<Network::Response> handleOperatorRequest(Network::Request request);
 
@@ -88,6 +91,7 @@
     std::unique_ptr<ChangeDisseminator> news;
     std::unique_ptr<TargetDisseminator> targetNews;
     std::unique_ptr<RolloutDriver> rollouts;
+    std::unique_ptr<PeerFinder> peerFinder;
     std::unique_ptr<CallerFrontend> callers;
     std::unique_ptr<Network::HttpServer> readyServer;
     std::unique_ptr<Network::HttpServer> operatorServer;
--- a/Libraries/LibGateway/InstanceDissemination.cpp
+++ b/Libraries/LibGateway/InstanceDissemination.cpp
@@ -15,6 +15,10 @@
 std::vector<Fleet::TargetOutcomes> takeEvidence(GatewayState &state)
 {
     std::vector<Fleet::TargetOutcomes> evidence;
+    if (Fleet::mayBeCutOff(state.connectivity) || Fleet::isCutOff(state.connectivity)) {
+        // Kept until a target is heard, dropped if this instance turns out to be cut off.
+        return evidence;
+    }
     for (const auto &[name, service] : state.services) {
         std::ranges::move(Fleet::takeOutcomes(*service), std::back_inserter(evidence));
     }
--- a/Libraries/LibGateway/Metrics.cpp
+++ b/Libraries/LibGateway/Metrics.cpp
@@ -24,6 +24,8 @@
     Counter{"probes_total", "Health checks sent to targets.", &GatewayCounters::probes},
     Counter{"sends_total", "Requests sent to targets.", &GatewayCounters::sends},
     Counter{"resends_total", "Requests sent again after a failure.", &GatewayCounters::resends},
+    Counter{"forwarded_total", "Requests sent to a peer because this instance reached no target.", &GatewayCounters::forwarded},
+    Counter{"taken_for_peers_total", "Requests that peers sent here because they reached no target.", &GatewayCounters::takenForPeers},
     Counter{"hedges_total", "Requests sent to a second target because the first was late.", &GatewayCounters::hedges},
     Counter{"foreign_answers_total", "Answers of targets that belonged to no waiting request.", &GatewayCounters::unmatchedResponses},
     Counter{"connections_opened_total", "Connections opened to targets.", &GatewayCounters::connectionsOpened},
--- a/Libraries/LibGateway/RequestContext.h
+++ b/Libraries/LibGateway/RequestContext.h
@@ -4,11 +4,17 @@
 #include <LibNetwork/WallClock.h>
 #include <LibRejection/Reason.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace Briarbend::Gateway
 {
 
+/// Header fields between instances: the name of the instance that forwarded a request, and of the one that answered it itself instead of a
+/// target.
+inline constexpr boost::beast::string_view FORWARDED_BY_FIELD{"Briarbend-Forwarded-By"};
+inline constexpr boost::beast::string_view OWN_ANSWER_FIELD{"Briarbend-Answered-By"};
+
 /// A request of a caller in progress, shared by the flow and the attempts at targets, which may outlive the caller.
 struct RequestContext {
     explicit RequestContext(GatewayState &gatewayState)
@@ -40,6 +46,10 @@
     Core::Duration waitedBefore{0};
     /// Names of the targets that the request was sent to.
     std::vector<std::string> triedTargets;
+    /// Caller addresses of the peers that the request was forwarded to.
+    std::vector<std::string> triedPeers;
+    /// Name of the instance that forwarded the request; empty if the caller sent it here.
+    std::string forwardedBy;
     bool isCallerGone{false};
     /// The decisions on this request are logged, whatever its status.
     bool isNotable{false};
@@ -57,6 +67,12 @@
         return this->allowed - this->elapsed();
     }
 
+    /// Targets that the request may be sent to from here. The instance that forwarded it decides on further ones.
+    std::size_t maximumSends() const
+    {
+        return this->forwardedBy.empty() ? std::max(1U, this->route->maximumSends) : 1;
+    }
+
     void recordDecision(std::string_view decision, nlohmann::ordered_json inputs)
     {
         inputs["decision"] = decision;
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -24,6 +24,8 @@
 constexpr Core::Duration SEARCH_POLL_INTERVAL{std::chrono::milliseconds{20}};
 /// Targets that may shed one request before it is refused.
 constexpr std::size_t MAXIMUM_SHED_ATTEMPTS = 3;
+/// Peers that may refuse a forwarded request before it is refused: one that stops may have offered shortly before.
+constexpr std::size_t MAXIMUM_PEERS_TRIED = 2;
 /// Retry delay after a refusal by full targets, before jitter: the usual run time of work, after which some slots are free again.
 constexpr std::chrono::milliseconds FULL_RETRY_AFTER{150};
 /// Retry delay if no target can accept the request: about the time until a new list of targets arrives.
@@ -57,6 +59,7 @@
     if (!attemptId.empty()) {
         state.dialect.setAttemptId(response, attemptId);
     }
+    response.set(OWN_ANSWER_FIELD, state.settings.instance.name);
     response.body() = answer.body;
     response.prepare_payload();
     return response;
@@ -71,7 +74,10 @@
 
 Asio::awaitable<FlowResult> RequestFlow::run()
 {
-    Fleet::countRequest(this->context->service->budget, Core::Clock::now());
+    if (this->context->forwardedBy.empty()) {
+        // The instance that forwarded a request has counted it.
+        Fleet::countRequest(this->context->service->budget, Core::Clock::now());
+    }
     this->startAttempt();
     while (!this->finalResponse && !this->context->isCallerGone) {
         const auto remaining = this->context->remaining();
@@ -179,6 +185,10 @@
         return;
     case AttemptResult::NotRun:
         ++this->shedAttempts;
+        if (attempt.wasRefusedByPeer) {
+            this->handlePeerRefusal(attempt, isLast);
+            return;
+        }
         if (isLast && !(this->shedAttempts < MAXIMUM_SHED_ATTEMPTS && this->maySendAgain())) {
             // A target that sheds with free slots does so for a reason other than its load, so waiting for slots is pointless.
             this->refuse(Reason::RefusedByTarget,
@@ -208,10 +218,20 @@
     }
 }
 
+void RequestFlow::handlePeerRefusal(const Attempt &attempt, bool isLast)
+{
+    if (isLast && this->context->triedPeers.size() < MAXIMUM_PEERS_TRIED) {
+        // No target has received the request, so another peer does not draw on the budget.
+        this->startAttempt();
+    } else if (isLast) {
+        this->refuse(Reason::NoTarget, std::max(attempt.retryAfter, this->retryDelay(IMMEDIATE_RETRY_AFTER)));
+    }
+}
+
 bool RequestFlow::maySendAgain()
 {
     const auto used = this->attempts.size() - this->shedAttempts;
-    const bool isAllowed = used < std::max(1U, this->context->route->maximumSends) && this->context->remaining().count() > 0;
+    const bool isAllowed = used < this->context->maximumSends() && this->context->remaining().count() > 0;
     if (!isAllowed || !Fleet::takeExtraSend(this->context->service->budget, Core::Clock::now())) {
         return false;
     }
@@ -231,7 +251,7 @@
 bool RequestFlow::mayHedge() const
 {
     const bool hasOnePendingAttempt = this->attempts.size() == 1 && this->attempts.front().attempt->result == AttemptResult::Pending;
-    return hasOnePendingAttempt && !this->hasHedged && this->isRepeatable() && this->context->route->maximumSends > 1;
+    return hasOnePendingAttempt && !this->hasHedged && this->isRepeatable() && this->context->maximumSends() > 1;
 }
 
 void RequestFlow::startHedge()
@@ -263,6 +283,7 @@
     Relay::removeHopByHopFields(response);
     response.erase(Http::field::transfer_encoding);
     this->state.dialect.removeInternalFields(response);
+    response.erase(OWN_ANSWER_FIELD);
     response.version(Network::HTTP_1_1);
     const auto status = response.result_int();
     const bool isHead = this->context->head.method() == Http::verb::head;
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -46,6 +46,7 @@
     void startAttempt();
     void handleResults();
     void handleResult(Attempt &attempt);
+    void handlePeerRefusal(const Attempt &attempt, bool isLast);
     bool maySendAgain();
     bool mayHedge() const;
     void startHedge();
