LibCore, platform, LibStore: Read what others write entry by entry, with bounded depth

Operators of other systems saw machines end again and again, or stop following the list of servers, for one odd entry of another writer. Here a page of servers with one entry that holds 1e999 or bytes that are no UTF-8 was rejected whole, so that no instance followed the list any more; a value nested without bound ends the process that copies it, and a CBOR message of a peer the one that decodes it; ports out of range, -1 slots and times beyond any clock were cast to other values and used.

Cause: the bytes of all writers were parsed as one value of any depth. The store's own part of an object and what others wrote there are read apart now, each entry by itself; JSON and CBOR of stores and peers, in both daemons, is read with at most 64 levels; addresses, slots, times and durations of servers are checked. briarbendd leaves out odd entries of the list of instances and logs them.

Left as they were: briarctl's reading of logs and rollouts, and load reports of targets, which are bounded in length.

--- a/Libraries/LibClaims/BucketLayout.cpp
+++ b/Libraries/LibClaims/BucketLayout.cpp
@@ -1,4 +1,5 @@
 #include <LibClaims/BucketLayout.h>
+#include <LibCore/BoundedJson.h>
 
 #include <bit>
 #include <nlohmann/json.hpp>
@@ -19,7 +20,7 @@
 BucketLayout decodeLayout(const std::vector<std::uint8_t> &bytes)
 {
     try {
-        const auto json = nlohmann::json::from_cbor(bytes);
+        const auto json = Core::parseCbor(bytes);
         const BucketLayout layout{.bucketCount = json.at("bucketCount").get<std::uint32_t>(),
                                   .window = std::chrono::milliseconds{json.at("windowMilliseconds").get<std::int64_t>()}};
         if (!std::has_single_bit(layout.bucketCount)) {
--- a/Libraries/LibConfiguration/StoredSection.cpp
+++ b/Libraries/LibConfiguration/StoredSection.cpp
@@ -1,4 +1,5 @@
 #include <LibConfiguration/StoredSection.h>
+#include <LibCore/BoundedJson.h>
 
 #include <LibConfiguration/SectionReader.h>
 
@@ -31,7 +32,7 @@
 StoredSection parseStoredSection(std::string_view value, const std::string &name)
 {
     try {
-        const auto json = nlohmann::json::parse(value);
+        const auto json = Core::parseJson(value);
         return {.edit = json.at("edit").get<std::string>(), .text = json.at("text").get<std::string>()};
     } catch (const nlohmann::json::exception &exception) {
         throw Document::DocumentError({{name, 0, "", exception.what(), "a JSON object with the texts edit and text"}});
--- a/Libraries/LibCoordination/QuarantineMessage.cpp
+++ b/Libraries/LibCoordination/QuarantineMessage.cpp
@@ -1,4 +1,5 @@
 #include <LibCoordination/QuarantineMessage.h>
+#include <LibCore/BoundedJson.h>
 
 #include <nlohmann/json.hpp>
 
@@ -25,7 +26,7 @@
 
 QuarantineMessage decodeQuarantineMessage(std::string_view bytes)
 {
-    const auto row = json::from_cbor(bytes);
+    const auto row = Core::parseCbor(bytes);
     const auto id = row.at(0).get<std::uint64_t>();
     if (row.size() == 1) {
         return QuarantineAcknowledgement{id};
--- a/Libraries/LibCoordination/RolloutMessage.cpp
+++ b/Libraries/LibCoordination/RolloutMessage.cpp
@@ -1,4 +1,5 @@
 #include <LibCoordination/RolloutMessage.h>
+#include <LibCore/BoundedJson.h>
 
 #include <nlohmann/json.hpp>
 
@@ -27,7 +28,7 @@
 
 RolloutMessage decodeRolloutMessage(std::string_view bytes)
 {
-    const auto row = json::from_cbor(bytes);
+    const auto row = Core::parseCbor(bytes);
     if (row.size() == 1) {
         return Rollout::decodeStatus(row.at(0).get<std::string>());
     }
--- a/Libraries/LibGateway/ChangeDisseminationMessage.cpp
+++ b/Libraries/LibGateway/ChangeDisseminationMessage.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BoundedJson.h>
 #include <LibGateway/ChangeDisseminationMessage.h>
 #include <LibGateway/RoutingConfigurationMessage.h>
 
@@ -260,7 +261,7 @@
 
 ChangeDisseminationMessage decodeChangeDissemination(std::string_view bytes)
 {
-    const auto row = Json::from_cbor(bytes);
+    const auto row = Core::parseCbor(bytes);
     switch (row.at(0).get<MessageTag>()) {
     case MessageTag::Changes:
         return decodeChangeNotification(row);
--- a/Libraries/LibGateway/ForwardingMessage.cpp
+++ b/Libraries/LibGateway/ForwardingMessage.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BoundedJson.h>
 #include <LibGateway/ForwardingMessage.h>
 
 #include <nlohmann/json.hpp>
@@ -40,7 +41,7 @@
 
 ForwardingMessage decodeForwarding(std::string_view bytes)
 {
-    const auto row = Json::from_cbor(bytes);
+    const auto row = Core::parseCbor(bytes);
     switch (row.at(0).get<MessageTag>()) {
     case MessageTag::Request:
         return ForwardingRequest{.requester = row.at(1).get<std::string>()};
--- a/Libraries/LibGateway/TargetDisseminationMessage.cpp
+++ b/Libraries/LibGateway/TargetDisseminationMessage.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BoundedJson.h>
 #include <LibGateway/TargetDisseminationMessage.h>
 
 #include <algorithm>
@@ -122,7 +123,7 @@
 
 TargetDisseminationMessage decodeTargetDissemination(std::string_view bytes)
 {
-    const auto row = Json::from_cbor(bytes);
+    const auto row = Core::parseCbor(bytes);
     switch (row.at(0).get<MessageTag>()) {
     case MessageTag::Report:
         return TargetReport{.reporter = row.at(1).get<std::string>(),
--- a/Libraries/LibGossip/Decode.cpp
+++ b/Libraries/LibGossip/Decode.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BoundedJson.h>
 #include <LibGossip/Codec.h>
 
 #include <LibGossip/DecodeRecords.h>
@@ -255,7 +256,7 @@
         throw MalformedMessage("message is not valid CBOR, is nested too deeply or contains a type that the protocol does not use");
     }
     try {
-        return decodeEnvelope(Json::from_cbor(bytes));
+        return decodeEnvelope(Core::parseCbor(bytes));
     } catch (const Json::exception &error) {
         throw MalformedMessage(error.what());
     }
--- a/Libraries/LibOperations/InstanceReport.cpp
+++ b/Libraries/LibOperations/InstanceReport.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BoundedJson.h>
 #include <LibOperations/InstanceReport.h>
 
 #include <LibNetwork/HttpClient.h>
@@ -118,7 +119,7 @@
 InstanceReport parseReport(const Network::Endpoint &operatorAddress, const std::string &body)
 {
     try {
-        auto document = nlohmann::json::parse(body);
+        auto document = Core::parseJson(body);
         InstanceReport report{.operatorAddress = operatorAddress,
                               .failure = {},
                               .instance = document.at("instance").get<std::string>(),
--- a/Libraries/LibQuarantine/Reports.cpp
+++ b/Libraries/LibQuarantine/Reports.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BoundedJson.h>
 #include <LibQuarantine/Reports.h>
 
 #include <nlohmann/json.hpp>
@@ -29,7 +30,7 @@
 Value decode(const std::vector<std::uint8_t> &bytes, Reader read)
 {
     try {
-        return read(Json::from_cbor(bytes));
+        return read(Core::parseCbor(bytes));
     } catch (const Json::exception &error) {
         throw CodecError{error.what()};
     }
--- a/Libraries/LibRollout/Evidence.cpp
+++ b/Libraries/LibRollout/Evidence.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BoundedJson.h>
 #include <LibRollout/CodecError.h>
 #include <LibRollout/Evidence.h>
 
@@ -124,7 +125,7 @@
 MemberEvidence decodeEvidence(const std::vector<std::uint8_t> &bytes)
 {
     try {
-        const auto json = Json::from_cbor(bytes);
+        const auto json = Core::parseCbor(bytes);
         const auto routes = json.at(1).get<std::vector<std::string>>();
         const auto routeAt = [&routes](const Json &index) {
             return routes.at(index.get<std::size_t>());
--- a/Libraries/LibRollout/Status.cpp
+++ b/Libraries/LibRollout/Status.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BoundedJson.h>
 #include <LibRollout/CodecError.h>
 #include <LibRollout/Status.h>
 
@@ -96,7 +97,7 @@
 Status decodeStatus(const std::string &text)
 {
     try {
-        const auto json = Json::parse(text);
+        const auto json = Core::parseJson(text);
         return {.service = {json.at("service").get<std::string>()},
                 .from = {json.at("from").get<std::string>()},
                 .to = {json.at("to").get<std::string>()},
--- a/Libraries/LibStore/HttpMessages.cpp
+++ b/Libraries/LibStore/HttpMessages.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/BoundedJson.h>
 #include <LibStore/HttpMessages.h>
 
 #include <algorithm>
@@ -35,7 +36,7 @@
 std::string prefixTarget(std::string_view prefix)
 {
     requireKeyCharacters(prefix);
-    return std::string(OBJECTS_PATH) + "?prefix=" + std::string(prefix);
+    return std::string(OBJECTS_PATH).append("?prefix=").append(prefix);
 }
 
 std::string entityTag(Version version)
@@ -70,7 +71,7 @@
 
 Listing parseListing(const std::string &body)
 {
-    const auto json = nlohmann::json::parse(body);
+    const auto json = Core::parseJson(body);
     Listing listing{.revision = json.at("revision").get<Version>(), .objects = {}};
     std::ranges::transform(json.at("objects"), std::back_inserter(listing.objects), [](const nlohmann::json &object) {
         return ObjectVersion{object.at("key").get<std::string>(), object.at("version").get<Version>()};
@@ -189,15 +190,26 @@
     }
 }
 
-InstancesResult parseInstancesResponse(const Network::Response &response)
+InstancesResult parseInstancesResponse(const Network::Response &response, const std::function<void(const std::string &problem)> &onSkipped)
 {
     if (response.result() != Http::status::ok) {
         return unavailable(response);
     }
     try {
-        const auto json = nlohmann::json::parse(response.body());
+        const auto list = Core::findMember(response.body(), "instances");
         std::vector<ListedInstance> instances;
-        std::ranges::transform(json.at("instances"), std::back_inserter(instances), parseInstance);
+        std::optional<std::string> problem;
+        for (const auto entry : Core::splitElements(list.value_or(""))) {
+            try {
+                instances.push_back(parseInstance(Core::parseJson(entry)));
+            } catch (const std::exception &exception) {
+                problem = exception.what();
+                onSkipped(*problem);
+            }
+        }
+        if (problem && instances.empty()) {
+            return Unavailable{"no entry can be read: " + *problem};
+        }
         return instances;
     } catch (const std::exception &exception) {
         return malformed(exception);
--- a/Libraries/LibStore/HttpMessages.h
+++ b/Libraries/LibStore/HttpMessages.h
@@ -3,6 +3,8 @@
 #include <LibNetwork/Http.h>
 #include <LibStore/ObjectStore.h>
 
+#include <functional>
+
 #include <string_view>
 
 /// Requests and responses of the store's HTTP binding, without I/O. Hosts are set by the sender.
@@ -23,6 +25,7 @@
 WriteResult parseWriteResponse(const Network::Response &response);
 WatchResult parseWatchResponse(const Network::Response &response);
 ListResult parseListResponse(const Network::Response &response);
-InstancesResult parseInstancesResponse(const Network::Response &response);
+/// Leaves out entries that cannot be read and reports them through the callback. Unavailable if all are.
+InstancesResult parseInstancesResponse(const Network::Response &response, const std::function<void(const std::string &problem)> &onSkipped);
 
 } // namespace Briarbend::Store
--- a/Libraries/LibStore/HttpObjectStore.cpp
+++ b/Libraries/LibStore/HttpObjectStore.cpp
@@ -79,6 +79,11 @@
     co_return parseListResponse(*outcome.response);
 }
 
+void HttpObjectStore::onSkippedEntry(std::function<void(const std::string &problem)> callback)
+{
+    this->skippedEntryCallback = std::move(callback);
+}
+
 Asio::awaitable<InstancesResult> HttpObjectStore::instances()
 {
     auto request = makeInstancesRequest();
@@ -86,7 +91,11 @@
     if (!outcome.response) {
         co_return Unavailable{outcome.reason};
     }
-    co_return parseInstancesResponse(*outcome.response);
+    co_return parseInstancesResponse(*outcome.response, [this](const std::string &problem) {
+        if (this->skippedEntryCallback) {
+            this->skippedEntryCallback(problem);
+        }
+    });
 }
 
 Asio::awaitable<HttpObjectStore::Outcome> HttpObjectStore::exchange(Network::Request request, Core::Duration answerTimeout)
--- a/Libraries/LibStore/HttpObjectStore.h
+++ b/Libraries/LibStore/HttpObjectStore.h
@@ -23,6 +23,9 @@
     /// where there is no endpoint.
     HttpObjectStore(boost::asio::any_io_executor executor, std::vector<Network::Endpoint> endpoints, Core::Duration timeout);
 
+    /// Registers the receiver of what is wrong with entries of the list of instances that were left out.
+    void onSkippedEntry(std::function<void(const std::string &problem)> callback);
+
     boost::asio::awaitable<ReadResult> read(std::string key) override;
     boost::asio::awaitable<WriteResult> write(std::string key, std::string value, Condition condition) override;
     boost::asio::awaitable<WatchResult> watch(std::string prefix, Version afterRevision, Core::Duration wait) override;
@@ -44,6 +47,7 @@
     boost::asio::any_io_executor executor;
     std::vector<Network::Endpoint> endpoints;
     Core::Duration timeout;
+    std::function<void(const std::string &problem)> skippedEntryCallback;
     std::size_t preferredEndpoint{0};
     /// Open connections without an exchange, one list an endpoint.
     std::vector<std::vector<std::unique_ptr<Network::HttpClient>>> idleClients;
--- a/Services/briarbendd/ClaimsMessage.cpp
+++ b/Services/briarbendd/ClaimsMessage.cpp
@@ -1,5 +1,7 @@
 #include "ClaimsMessage.h"
 
+#include <LibCore/BoundedJson.h>
+
 #include <LibClaims/OperationCodec.h>
 
 #include <nlohmann/json.hpp>
@@ -26,7 +28,7 @@
 ClaimsMessage decodeClaimsMessage(std::string_view bytes)
 {
     constexpr std::size_t REPLY_ELEMENTS = 2;
-    const auto row = json::from_cbor(bytes);
+    const auto row = Core::parseCbor(bytes);
     if (row.size() == REPLY_ELEMENTS) {
         return ClaimsReply{row.at(0).get<std::uint64_t>(), Claims::decodeResult(row.at(1).get_binary())};
     }
--- a/Services/briarbendd/Daemon.cpp
+++ b/Services/briarbendd/Daemon.cpp
@@ -80,6 +80,9 @@
     this->relay.isCurrent = [this] {
         return Gossip::isConfirmed(this->peers->state(), Core::Clock::now());
     };
+    this->store.onSkippedEntry([](const std::string &problem) {
+        LOG4CXX_WARN(logger(), "left out an entry of the list of instances: " << problem);
+    });
     this->configuration = std::make_unique<ConfigurationFeed>(ioContext, this->store, *this->peers, [this](const auto &) {
         this->update();
     });
--- a/Services/briarbendd/InstanceListCodec.cpp
+++ b/Services/briarbendd/InstanceListCodec.cpp
@@ -1,5 +1,7 @@
 #include "InstanceListCodec.h"
 
+#include <LibCore/BoundedJson.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -23,7 +25,7 @@
 
 std::vector<Store::ListedInstance> decodeInstanceList(std::string_view bytes)
 {
-    const auto rows = nlohmann::json::from_cbor(bytes);
+    const auto rows = Core::parseCbor(bytes);
     std::vector<Store::ListedInstance> list;
     std::ranges::transform(rows, std::back_inserter(list), [](const nlohmann::json &row) {
         return Store::ListedInstance{
--- a/Services/briarbendd/OperatorEndpoint.cpp
+++ b/Services/briarbendd/OperatorEndpoint.cpp
@@ -1,5 +1,7 @@
 #include "OperatorEndpoint.h"
 
+#include <LibCore/BoundedJson.h>
+
 #include <nlohmann/json.hpp>
 
 namespace Briarbend::Daemon
@@ -31,7 +33,7 @@
 Network::Response OperatorEndpoint::takeSection(const std::string &team, const std::string &body) const
 {
     try {
-        const auto section = nlohmann::json::parse(body);
+        const auto section = Core::parseJson(body);
         this->readings.takeSection(team, section.at("version").get<std::uint64_t>(), section.at("text").get<std::string>());
         return Network::makeResponse(status::ok, "text/plain", "taken\n");
     } catch (const std::exception &exception) {
--- a/Tests/LibStore/TestHttpObjectStore.cpp
+++ b/Tests/LibStore/TestHttpObjectStore.cpp
@@ -162,6 +162,26 @@
     EXPECT_TRUE(std::holds_alternative<Unavailable>(this->run(this->store.instances())));
 }
 
+// LOST: one odd entry of another writer kept the daemon from following the list of instances.
+TEST_F(HttpObjectStoreTest, oddInstanceIsLeftOutAndReported)
+{
+    std::vector<std::string> problems;
+    this->store.onSkippedEntry([&problems](const std::string &problem) {
+        problems.push_back(problem);
+    });
+    const std::string levels = std::string(120'000, '[') + std::string(120'000, ']');
+    for (const std::string &odd : {std::string("{}"), std::string("1e999"), levels, R"({"id":)" + levels + "}"}) {
+        this->first.answerWith(Network::makeResponse(
+            Http::status::ok,
+            "application/json",
+            R"({"instances":[)" + odd
+                + R"(,{"id":"127.0.0.1:9","service":"pattern","data_centre":"sfax-1","version":"v1","state":"live"}]})"));
+        const std::vector<ListedInstance> instances{{"127.0.0.1:9", {"pattern"}, {"sfax-1"}, {"v1"}, InstanceState::Live}};
+        EXPECT_EQ(this->run(this->store.instances()), InstancesResult(instances)) << odd.substr(0, 20);
+    }
+    EXPECT_EQ(problems.size(), 4U);
+}
+
 TEST_F(HttpObjectStoreTest, misuseIsAnExceptionBeforeAnythingIsSent)
 {
     const auto misuse = [&]() -> Asio::awaitable<std::size_t> {
--- a/Tests/platform/TestDecode.cpp
+++ b/Tests/platform/TestDecode.cpp
@@ -83,6 +83,53 @@
     }
 }
 
+// LOST: one odd entry of another writer among those of the servers ended the instances that read the list, or they stopped following it.
+TEST(Decode, oneOddEntryLeavesTheOthers)
+{
+    const std::string levels = std::string(120'000, '[') + std::string(120'000, ']');
+    const auto withSpec = [](const std::string &spec) {
+        return R"({"metadata":{"name":"odd","revision":8},"spec":)" + spec + R"(,"status":null})";
+    };
+    for (const auto &odd : {withSpec(levels),
+                            withSpec(R"({"info":)" + levels + "}"),
+                            withSpec("1e999"),
+                            withSpec(R"({"status":{"coldLeftS":1e999}})"),
+                            withSpec("\"\xff\xfe\""),
+                            withSpec(R"({"a":"\ud800"})"),
+                            withSpec("tru")}) {
+        const auto page = decodeListPage(
+            ObjectKind::Targets, R"({"items":[)" + odd + "," + std::string(SERVER) + R"(],"more":false,"storeRevision":9})", ERA);
+        ASSERT_EQ(page.listing.objects.size(), 2U);
+        EXPECT_EQ(page.listing.objects[0].name, "odd");
+        EXPECT_TRUE(std::holds_alternative<Unreadable>(page.listing.objects[0].content));
+        EXPECT_TRUE(std::holds_alternative<Fleet::TargetRecord>(page.listing.objects[1].content));
+        const auto changes
+            = decodeChanges(ObjectKind::Targets, R"({"events":[{"removed":false,"object":)" + odd + R"(}],"storeRevision":9})", ERA);
+        ASSERT_EQ(changes.changes.size(), 1U);
+        EXPECT_TRUE(std::holds_alternative<Unreadable>(changes.changes[0].object.content));
+    }
+}
+
+// LOST: a port, a number of slots or a time out of range was cast to another one, and the entry was used.
+TEST(Decode, entryWithAValueOutOfRangeNamesNoTarget)
+{
+    const std::vector<std::pair<const char *, nlohmann::json>> values{
+        {"/spec/address", "10.3.64.11:99999"},
+        {"/spec/address", "10.3.64.11:0"},
+        {"/spec/address", "10.3.64.11"},
+        {"/spec/address", "elsewhere:80"},
+        {"/spec/info/slots", -1},
+        {"/spec/info/slots", 1e10},
+        {"/spec/status/coldLeftS", 1e300},
+        {"/spec/status/coldLeftS", -1e300},
+        {"/spec/born", 1e300},
+    };
+    for (const auto &[pointer, value] : values) {
+        const auto content = contentOf(ObjectKind::Targets, changed(SERVER, pointer, value));
+        EXPECT_TRUE(std::holds_alternative<Unreadable>(content)) << pointer << " " << value;
+    }
+}
+
 TEST(Decode, configurationObjectDecodesToRoutingConfiguration)
 {
     const auto configuration = std::get<Fleet::RoutingConfiguration>(contentOf(ObjectKind::RoutingConfiguration, CONFIGURATION));
