LibGateway: Take no refusal without an identifier for that of the request

Operators of other systems saw a faulty server write an earlier refusal once more on a kept connection: callers were told that requests had not run which had, or such a request ran at a second server.

A refusal that names another attempt was skipped here already. One that names none counted until a service had been seen to return identifiers; refused health checks are such, and they use the same connections. The promise that a request has not run is taken only from a response that names it now, where the request has an identifier.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -236,8 +236,10 @@
 bool Attempt::isForeign(const ResponseMetadata &metadata) const
 {
     if (metadata.attemptId.empty()) {
-        // A duplicate response of the health path carries no attempt identifier.
-        return this->service->echoesAttemptIds && !this->context->attemptId.empty();
+        // A duplicate response of the health path carries no attempt identifier. One that refuses promises that its request has not run,
+        // which must not be told of another.
+        const bool isPromise = metadata.isNotRun || metadata.isMisdirected;
+        return (this->service->echoesAttemptIds || isPromise) && !this->context->attemptId.empty();
     }
     return metadata.attemptId != this->context->attemptId;
 }
--- a/Tests/LibGateway/FakeTarget.cpp
+++ b/Tests/LibGateway/FakeTarget.cpp
@@ -119,8 +119,8 @@
             if (!reaction.status) {
                 co_return;
             }
-            text = answerText(request, reaction);
-            if (reaction.isTruncated) {
+            text = reaction.raw ? *reaction.raw : answerText(request, reaction);
+            if (reaction.isTruncated || reaction.raw) {
                 co_await Asio::async_write(*socket, Asio::buffer(text), token);
                 co_return;
             }
--- a/Tests/LibGateway/FakeTarget.h
+++ b/Tests/LibGateway/FakeTarget.h
@@ -35,6 +35,8 @@
     /// Further header lines, each with its line ending.
     std::string fields{};
     bool isEncoded{false};
+    /// Bytes to write instead of a response, after which the connection is closed.
+    std::optional<std::string> raw{};
 };
 
 /// A target on the loopback interface. One function of the test determines the reaction to each request.
