Tests: Cut a target's response short after each byte of its head

Other operators' callers got a 200 with an empty or short body from a server that stopped in the middle of its answer's head. It does not happen in the gateway: a response that ends after any byte of its head, or of a chunked body, ends in 502. Nothing had to be changed.

--- a/Tests/LibGateway/TestFaultyResponses.cpp
+++ b/Tests/LibGateway/TestFaultyResponses.cpp
@@ -48,4 +48,33 @@
     EXPECT_NE(result.response.result_int(), 503U) << "it has run";
 }
 
+// MIXED, ORDER: a target that stops in the middle of its response's head would give the caller a success without a body.
+TEST_F(FaultyResponsesTest, headThatIsCutShortIsNoResponse)
+{
+    const std::string head{"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Stamp: s\r\nContent-Length: 5\r\n\r\n"};
+    std::size_t length = 0;
+    this->addTarget("one", [&head, &length](const auto &) {
+        return Reaction{.raw = head.substr(0, length)};
+    });
+    this->configureRoute(RouteKind::Once, 1);
+    for (; length <= head.size(); ++length) {
+        EXPECT_EQ(this->run("a1").response.result_int(), 502U) << "after " << length << " of " << head.size() << " bytes";
+    }
+}
+
+TEST_F(FaultyResponsesTest, chunkedBodyThatIsCutShortIsNoResponse)
+{
+    const std::string text{
+        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"};
+    std::size_t length = text.find("\r\n\r\n");
+    this->addTarget("one", [&text, &length](const auto &) {
+        return Reaction{.raw = text.substr(0, length)};
+    });
+    this->configureRoute(RouteKind::Once, 1);
+    for (; length < text.size(); ++length) {
+        EXPECT_EQ(this->run("a1").response.result_int(), 502U) << "after " << length << " bytes";
+    }
+    EXPECT_EQ(this->run("a1").response.body(), "body");
+}
+
 } // namespace Briarbend::Gateway
