Tests: Restore the soak's store from older copies

The soak draws up to two restores a run, in a sequence of its own, so that seeds keep the faults that they had. What was lost is written again 0.7 s later.

--- a/Tests/Soak/SoakStore.cpp
+++ b/Tests/Soak/SoakStore.cpp
@@ -42,17 +42,20 @@
 
 void SoakStore::put(const std::string &kind, const std::string &name, json spec)
 {
-    ++this->content.revision;
     auto &object = this->content.objects[kind][name];
+    if (!object.is_null() && object.at("spec") == spec) {
+        return;
+    }
+    ++this->content.revision;
     object = {{"metadata", {{"name", name}, {"revision", this->content.revision}}}, {"spec", std::move(spec)}};
     this->note(kind, object, false);
 }
 
 void SoakStore::remove(const std::string &kind, const std::string &name)
 {
-    ++this->content.revision;
     auto removed = this->content.objects[kind].extract(name);
     if (!removed.empty()) {
+        ++this->content.revision;
         removed.mapped()["metadata"]["revision"] = this->content.revision;
         this->note(kind, removed.mapped(), true);
     }
--- a/Tests/Soak/Timeline.cpp
+++ b/Tests/Soak/Timeline.cpp
@@ -10,11 +10,16 @@
 {
 
 constexpr std::array<std::string_view, FAULT_KINDS> NAMES{
-    "instance frozen", "instance killed", "instance stopped", "instance reloaded",     "store refuses",
-    "store closes",    "store silent",    "store slow",       "link delayed",          "link reset",
-    "link silent",     "link one way",    "target crashed",   "target slow",           "target garbles",
-    "target leaves",   "route added",     "data centre out",  "target says it leaves", "target states a rate",
+    "instance frozen",       "instance killed",      "instance stopped", "instance reloaded", "store refuses", "store closes",
+    "store silent",          "store slow",           "link delayed",     "link reset",        "link silent",   "link one way",
+    "target crashed",        "target slow",          "target garbles",   "target leaves",     "route added",   "data centre out",
+    "target says it leaves", "target states a rate", "store restored",
 };
+/// Kinds that are drawn with equal shares. Later ones come from a sequence of their own, so that seeds keep their faults.
+constexpr std::size_t COMMON_KINDS = static_cast<std::size_t>(FaultKind::TargetStatesRate) + 1;
+constexpr std::uint64_t RESTORE_SEQUENCE = 0x7265'7374;
+/// A run has fewer restores than this.
+constexpr std::size_t MOST_RESTORES = 3;
 /// Faults of a run at the least, and how many more there may be.
 constexpr std::size_t FEWEST_FAULTS = 4;
 constexpr std::size_t MORE_FAULTS = 7;
@@ -40,7 +45,7 @@
     std::vector<Fault> faults;
     const auto count = FEWEST_FAULTS + random.below(MORE_FAULTS);
     for (std::size_t index = 0; index < count; ++index) {
-        Fault fault{.kind = static_cast<FaultKind>(random.below(FAULT_KINDS)),
+        Fault fault{.kind = static_cast<FaultKind>(random.below(COMMON_KINDS)),
                     .at = below(length),
                     .duration = SHORTEST + below(LONGEST - SHORTEST),
                     .subject = random.below(100)};
@@ -51,6 +56,14 @@
             ++fault.subject;
         }
     }
+    Core::Random restores{seed ^ RESTORE_SEQUENCE};
+    for (auto left = restores.below(MOST_RESTORES); left > 0; --left) {
+        faults.push_back(
+            {.kind = FaultKind::StoreRestored,
+             .at = std::chrono::milliseconds(restores.below(static_cast<std::size_t>(length.count()))),
+             .duration = SHORTEST + std::chrono::milliseconds(restores.below(static_cast<std::size_t>((LONGEST - SHORTEST).count()))),
+             .subject = 0});
+    }
     std::ranges::stable_sort(faults, {}, &Fault::at);
     return faults;
 }
--- a/Tests/Soak/Timeline.h
+++ b/Tests/Soak/Timeline.h
@@ -31,9 +31,10 @@
     DataCentreOut,
     TargetSaysItLeaves,
     TargetStatesRate,
+    StoreRestored,
 };
 
-constexpr std::size_t FAULT_KINDS = static_cast<std::size_t>(FaultKind::TargetStatesRate) + 1;
+constexpr std::size_t FAULT_KINDS = static_cast<std::size_t>(FaultKind::StoreRestored) + 1;
 
 struct Fault {
     FaultKind kind{FaultKind::InstanceFrozen};
--- a/Tests/Soak/World.cpp
+++ b/Tests/Soak/World.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds POLL{50};
 /// An instance is started again this long after its end.
 constexpr std::chrono::milliseconds RESTART_DELAY{300};
+/// What a restored store has lost is written again after this time.
+constexpr std::chrono::milliseconds REWRITE_DELAY{700};
 constexpr std::chrono::seconds STOP_GRACE{6};
 constexpr std::chrono::milliseconds LINK_DELAY{150};
 constexpr int SLOW{8};
@@ -134,6 +136,12 @@
 }
 
 void World::publishConfiguration()
+{
+    ++this->version;
+    this->putConfiguration();
+}
+
+void World::putConfiguration()
 {
     const auto route = [](const std::string &prefix, const char *kind) {
         return nlohmann::json{{"host", HOST},
@@ -151,7 +159,7 @@
     }
     this->store.put("config",
                     "main",
-                    {{"version", ++this->version},
+                    {{"version", this->version},
                      {"routes", routes},
                      {"services", {{SERVICE, {{"healthPath", "/healthz"}, {"maxConns", 200}, {"coldPerS", 5}}}}},
                      {"limits", nlohmann::json::object()}});
@@ -212,6 +220,8 @@
     case FaultKind::StoreSilent:
     case FaultKind::StoreSlow:
         co_return co_await this->harmStore(fault);
+    case FaultKind::StoreRestored:
+        co_return co_await this->restoreStore(fault);
     case FaultKind::LinkDelayed:
     case FaultKind::LinkReset:
     case FaultKind::LinkSilent:
@@ -293,6 +303,38 @@
     this->ledger.end(disturbance, Core::Clock::now());
 }
 
+Asio::awaitable<void> World::restoreStore(Fault fault)
+{
+    if (std::exchange(this->isRestoring, true)) {
+        co_return;
+    }
+    this->store.takeCopy();
+    co_await this->pause(2 * fault.duration);
+    const auto disturbance = this->ledger.begin({.instance = {}, .begin = Core::Clock::now(), .end = {}});
+    this->store.mode = StoreMode::Closes;
+    co_await this->pause(fault.duration / 2);
+    this->store.restore();
+    this->store.mode = StoreMode::Serves;
+    co_await this->pause(REWRITE_DELAY);
+    this->putConfiguration();
+    for (const auto &target : this->targets) {
+        if (target.isGone) {
+            this->store.remove("servers", target.target->name());
+        } else {
+            this->publishTarget(target);
+        }
+    }
+    for (const auto *dataCentre : DATA_CENTRES) {
+        if (this->dataCentresOut.contains(dataCentre)) {
+            this->store.put("evacuations", dataCentre, nlohmann::json::object());
+        } else {
+            this->store.remove("evacuations", dataCentre);
+        }
+    }
+    this->ledger.end(disturbance, Core::Clock::now());
+    this->isRestoring = false;
+}
+
 Asio::awaitable<void> World::harmLink(Fault fault)
 {
     auto &link = *pick(this->targets, fault).link;
@@ -344,6 +386,7 @@
     this->ledger.recordLeaving(target.target->name(), Core::Clock::now());
     co_await this->pause(LEAVING_TIME);
     this->store.remove("servers", target.target->name());
+    target.isGone = true;
     target.link->setMode(LinkMode::Closed);
 }
 
@@ -355,6 +398,7 @@
     target.target->saysItLeaves = true;
     co_await this->pause(2 * LEAVING_TIME);
     this->store.remove("servers", target.target->name());
+    target.isGone = true;
     target.link->setMode(LinkMode::Closed);
 }
 
@@ -398,9 +442,11 @@
         }
     }
     this->store.put("evacuations", dataCentre, nlohmann::json::object());
+    this->dataCentresOut.insert(dataCentre);
     this->ledger.recordOut(names, Core::Clock::now());
     co_await this->pause(2 * fault.duration);
     this->ledger.recordBack(names, Core::Clock::now());
+    this->dataCentresOut.erase(dataCentre);
     this->store.remove("evacuations", dataCentre);
 }
 
--- a/Tests/Soak/World.h
+++ b/Tests/Soak/World.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <filesystem>
 #include <memory>
+#include <set>
 
 namespace Briarbend::Soak
 {
@@ -39,6 +40,8 @@
         std::unique_ptr<FaultProxy> link;
         std::string dataCentre;
         bool isLeaving{false};
+        /// It has left, and its entry was removed.
+        bool isGone{false};
     };
 
     struct EntryInstance {
@@ -54,10 +57,15 @@
     void startInstance(EntryInstance &instance);
     boost::asio::awaitable<void> waitUntilReady();
     void publishTarget(const Target &target);
+    /// Publishes a new version of the configuration.
     void publishConfiguration();
+    /// Writes the present version to the store.
+    void putConfiguration();
     boost::asio::awaitable<void> inject(Fault fault);
     boost::asio::awaitable<void> harmInstance(Fault fault);
     boost::asio::awaitable<void> harmStore(Fault fault);
+    /// The store loses what was written for some time, and is gone shortly. What was lost is written again.
+    boost::asio::awaitable<void> restoreStore(Fault fault);
     boost::asio::awaitable<void> harmLink(Fault fault);
     boost::asio::awaitable<void> harmTarget(Fault fault);
     boost::asio::awaitable<void> letLeave(Target &target);
@@ -78,6 +86,8 @@
     std::vector<EntryInstance> instances;
     std::uint64_t version{0};
     std::vector<std::string> addedRoutes;
+    std::set<std::string> dataCentresOut;
+    bool isRestoring{false};
     std::size_t faultsUnderWay{0};
 };
 
