LibGateway: Tell facts in force from what a restored store lists

A second watcher that lists a restored store sends its listing too. An instance that had the era already took it for facts that the store has lost, and would have put a data centre out that an older copy still shows. Found by reading; the message says now which of the two it is. Facts of an earlier revision than the receiver's are not taken, they are asked for three times in an era at most, and no progress is written for an order that the store never showed here.

--- a/Libraries/LibGateway/ChangeDisseminationMessage.cpp
+++ b/Libraries/LibGateway/ChangeDisseminationMessage.cpp
@@ -212,7 +212,8 @@
     {
         auto objects = Json::array();
         std::ranges::transform(snapshot.listing.objects, std::back_inserter(objects), encodeObject);
-        return Json::array({MessageTag::Snapshot, snapshot.kind, encodeRevision(snapshot.listing.revision), std::move(objects)});
+        return Json::array(
+            {MessageTag::Snapshot, snapshot.kind, encodeRevision(snapshot.listing.revision), std::move(objects), snapshot.isAsListed});
     }
 };
 
@@ -245,7 +246,9 @@
 
 Snapshot decodeSnapshot(const Json &row)
 {
-    Snapshot snapshot{.kind = decodeKind(row.at(1)), .listing = {.objects = {}, .revision = decodeRevision(row.at(2))}};
+    Snapshot snapshot{.kind = decodeKind(row.at(1)),
+                      .listing = {.objects = {}, .revision = decodeRevision(row.at(2))},
+                      .isAsListed = row.at(4).get<bool>()};
     std::ranges::transform(row.at(3), std::back_inserter(snapshot.listing.objects), decodeObject);
     return snapshot;
 }
--- a/Libraries/LibGateway/ChangeDisseminationMessage.h
+++ b/Libraries/LibGateway/ChangeDisseminationMessage.h
@@ -45,10 +45,12 @@
     std::vector<ObjectKind> kinds;
 };
 
-/// All objects of one kind as the sender knows them.
+/// All objects of one kind.
 struct Snapshot {
     ObjectKind kind{ObjectKind::RoutingConfiguration};
     Listing listing;
+    /// The objects as the store listed them, and not as they are in force at the sender.
+    bool isAsListed{false};
 };
 
 using ChangeDisseminationMessage = std::variant<ChangeNotification, WatcherHeartbeat, SnapshotRequest, Snapshot>;
--- a/Libraries/LibGateway/ChangeDisseminator.cpp
+++ b/Libraries/LibGateway/ChangeDisseminator.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds MEMBERSHIP_CHECK_INTERVAL{200};
 /// How often a peer is asked for missing objects. Snapshots have some ten kibibytes and arrive within a few round trips.
 constexpr std::chrono::milliseconds SNAPSHOT_REQUEST_INTERVAL{300};
+/// How often in an era an instance asks for the facts of a kind that the store has lost. The first watcher may have started lately itself.
+constexpr std::size_t MAXIMUM_LOST_FACTS_REQUESTS = 3;
 /// Time without a message from any watcher after which an instance watches the store itself: two heartbeats and a late one, well within the
 /// 2 s for changes.
 constexpr std::chrono::milliseconds WATCHER_TIMEOUT{1200};
@@ -113,7 +115,7 @@
 {
     this->recordLatestRevision(kind, listing.revision);
     if (this->isWatching && !this->neighbours.empty()) {
-        this->send(this->neighbours, encodeChangeDissemination(Snapshot{.kind = kind, .listing = listing}));
+        this->send(this->neighbours, encodeChangeDissemination(Snapshot{.kind = kind, .listing = listing, .isAsListed = true}));
     }
 }
 
@@ -181,7 +183,7 @@
     } else {
         const auto &snapshot = std::get<Snapshot>(message);
         this->recordLatestRevision(snapshot.kind, snapshot.listing.revision);
-        this->callbacks.onSnapshot(snapshot.kind, snapshot.listing, peer);
+        this->callbacks.onSnapshot(snapshot, peer);
     }
 }
 
@@ -189,7 +191,9 @@
 {
     for (const auto kind : request.kinds) {
         if (auto listing = this->callbacks.snapshot(kind)) {
-            this->peers.send(Channel::News, request.requester, encodeChangeDissemination(Snapshot{kind, std::move(*listing)}));
+            this->peers.send(Channel::News,
+                             request.requester,
+                             encodeChangeDissemination(Snapshot{.kind = kind, .listing = std::move(*listing), .isAsListed = false}));
         }
     }
 }
@@ -217,8 +221,12 @@
 {
     auto kinds = this->kindsWatchersKnowMoreOf;
     const auto ownKinds = this->callbacks.kindsAheadOfStore();
-    std::erase_if(kinds, [&ownKinds](ObjectKind kind) {
-        return std::ranges::find(ownKinds, kind) != ownKinds.end();
+    std::erase_if(kinds, [this, &ownKinds](ObjectKind kind) {
+        auto &requests = this->lostFactsRequests[indexOf(kind)];
+        const auto era = this->latest[indexOf(kind)].era;
+        requests = requests.era == era ? requests : LostFactsRequests{.era = era, .count = 0};
+        const bool isKnown = std::ranges::find(ownKinds, kind) != ownKinds.end();
+        return isKnown || ++requests.count > MAXIMUM_LOST_FACTS_REQUESTS;
     });
     if (kinds.empty() || this->watcherPeerAddresses.empty()) {
         return;
--- a/Libraries/LibGateway/ChangeDisseminator.h
+++ b/Libraries/LibGateway/ChangeDisseminator.h
@@ -29,7 +29,7 @@
         /// Returns this instance's objects of a kind for a peer that is missing them; nothing if they may be out of date.
         std::function<std::optional<Listing>(ObjectKind kind)> snapshot;
         /// Called with the snapshot that a peer sent.
-        std::function<void(ObjectKind kind, const Listing &listing, const std::string &peer)> onSnapshot;
+        std::function<void(const Snapshot &snapshot, const std::string &peer)> onSnapshot;
         /// Returns the kinds of which this instance knows facts that a restored store does not show any more.
         std::function<std::vector<ObjectKind>()> kindsAheadOfStore;
     };
@@ -99,6 +99,13 @@
     KindRevisions latest{};
     /// Kinds of which the watchers of the data centre last reported to know more than the store shows.
     std::vector<ObjectKind> kindsWatchersKnowMoreOf;
+    /// The era in which this instance last asked for the facts of a kind, and how often.
+    struct LostFactsRequests {
+        std::uint64_t era{0};
+        std::size_t count{0};
+    };
+
+    std::array<LostFactsRequests, OBJECT_KIND_COUNT> lostFactsRequests{};
     /// Since when this instance has known of a change that it does not have.
     std::array<Core::TimePoint, OBJECT_KIND_COUNT> missingSince{};
     Core::TimePoint startedAt;
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -43,7 +43,7 @@
     /// The objects of a kind that this instance holds, for a peer; nothing if they may be out of date.
     std::optional<Listing> snapshotOf(ObjectKind kind) const;
     std::vector<StoredObject> objectsOf(ObjectKind kind) const;
-    void applySnapshot(ObjectKind kind, const Listing &listing, const std::string &peer);
+    void applySnapshot(const Snapshot &snapshot, const std::string &peer);
     void applyChange(ObjectKind kind, const ChangeBatch &batch, const Change &change);
     /// Has the other reflectors list the store that was restored, and keeps targets that it has lost for a while.
     void followRestoredStore(ObjectKind kind, const ChangeBatch &batch);
--- a/Libraries/LibGateway/InstanceDissemination.cpp
+++ b/Libraries/LibGateway/InstanceDissemination.cpp
@@ -65,8 +65,8 @@
                     return this->snapshotOf(kind);
                 },
             .onSnapshot =
-                [this](ObjectKind kind, const Listing &listing, const std::string &peer) {
-                    this->applySnapshot(kind, listing, peer);
+                [this](const Snapshot &snapshot, const std::string &peer) {
+                    this->applySnapshot(snapshot, peer);
                 },
             .kindsAheadOfStore =
                 [this] {
--- a/Libraries/LibGateway/InstanceObjects.cpp
+++ b/Libraries/LibGateway/InstanceObjects.cpp
@@ -290,12 +290,17 @@
                            {"known_revision", this->followerOf(kind).syncedRevision().number}});
 }
 
-void Instance::applySnapshot(ObjectKind kind, const Listing &listing, const std::string &peer)
+void Instance::applySnapshot(const Snapshot &snapshot, const std::string &peer)
 {
+    const auto kind = snapshot.kind;
+    const auto &listing = snapshot.listing;
     const auto position = this->followerOf(kind).syncedRevision();
     const bool isOfLaterEra = position.isKnown() && listing.revision.era > position.era;
     if (!this->needsSnapshot(kind) && !isOfLaterEra) {
-        this->adoptLostFacts(kind, listing);
+        // What a restored store lists may be outdated, and facts of an earlier revision may have been taken back since.
+        if (!snapshot.isAsListed && listing.revision >= position) {
+            this->adoptLostFacts(kind, listing);
+        }
         return;
     }
     this->state.log.write(Importance::Notable,
--- a/Libraries/LibGateway/RolloutPersistence.cpp
+++ b/Libraries/LibGateway/RolloutPersistence.cpp
@@ -67,7 +67,7 @@
 void RolloutDriver::writeWhenDue(const std::string &service, TrackedRollout &rollout, Core::TimePoint now)
 {
     const auto wanted = this->stateToWrite(rollout);
-    if (!wanted || rollout.isWriting) {
+    if (!wanted || rollout.isWriting || !rollout.revision.isKnown()) {
         rollout.writeDueSince = wanted ? rollout.writeDueSince : std::nullopt;
         return;
     }
--- a/Tests/LibGateway/TestChangeDisseminationMessage.cpp
+++ b/Tests/LibGateway/TestChangeDisseminationMessage.cpp
@@ -86,10 +86,12 @@
     plan.services[{"benches"}] = {.healthPath = "/healthz", .connectionsPerTarget = 260, .coldRequestsPerSecond = 2.5};
     plan.limits = {.headerBytes = 1, .bodyBytes = 2, .headerTimeout = 3ms, .idleTimeout = 4ms};
     const Snapshot snapshot{.kind = ObjectKind::RoutingConfiguration,
-                            .listing = {.objects = {{.name = "main", .revision = at(7), .content = plan}}, .revision = at(9)}};
+                            .listing = {.objects = {{.name = "main", .revision = at(7), .content = plan}}, .revision = at(9)},
+                            .isAsListed = true};
     const auto decoded = std::get<Snapshot>(decodeChangeDissemination(encodeChangeDissemination(snapshot)));
     EXPECT_EQ(decoded.kind, ObjectKind::RoutingConfiguration);
     EXPECT_EQ(decoded.listing.revision, at(9));
+    EXPECT_TRUE(decoded.isAsListed);
     ASSERT_EQ(decoded.listing.objects.size(), 1U);
     EXPECT_EQ(decoded.listing.objects[0].name, "main");
     EXPECT_EQ(decoded.listing.objects[0].revision, at(7));
--- a/Tests/LibGateway/TestChangeDisseminator.cpp
+++ b/Tests/LibGateway/TestChangeDisseminator.cpp
@@ -65,9 +65,9 @@
                             return this->lacking.empty() ? std::optional(Listing{.objects = {}, .revision = at(10)}) : std::nullopt;
                         },
                         .onSnapshot =
-                            [this](ObjectKind kind, const Listing &listing, const std::string &) {
-                                this->positions[static_cast<std::size_t>(kind)] = listing.revision;
-                                std::erase(this->lacking, kind);
+                            [this](const Snapshot &snapshot, const std::string &) {
+                                this->positions[static_cast<std::size_t>(snapshot.kind)] = snapshot.listing.revision;
+                                std::erase(this->lacking, snapshot.kind);
                             },
                         .kindsAheadOfStore =
                             [this] {
@@ -412,6 +412,7 @@
         asked += this->instances.at(name)->timesAsked;
     }
     EXPECT_GE(asked, 1U);
+    EXPECT_LE(asked, 9U) << "three times each by the three instances that know no more than the store";
     EXPECT_EQ(this->instances.at("a5")->positions[static_cast<std::size_t>(PLAN)], at(10)) << "the answer reached it";
 }
 
