--- a/Libraries/LibNetwork/SilenceDetection.cpp
+++ b/Libraries/LibNetwork/SilenceDetection.cpp
@@ -11,9 +11,10 @@
 /// Seconds of idleness before the first keep-alive probe, and between two probes. The shortest that the kernel offers: a bound of 2 s on a
 /// configuration change leaves no more.
 constexpr int KEEP_ALIVE_SECONDS = 1;
-/// Unanswered probes after which the connection ends: one may be lost on the way.
+/// Unanswered probes after which the connection ends. Has no effect beside TCP_USER_TIMEOUT, which also decides when probes give up.
 constexpr int KEEP_ALIVE_PROBES = 2;
-/// Milliseconds for which sent bytes may stay unacknowledged: two retransmissions on a link that loses packets.
+/// Milliseconds for which sent bytes may stay unacknowledged, two retransmissions on a link that loses packets, and after which an idle
+/// connection ends whose probes stay unanswered.
 constexpr int UNACKNOWLEDGED_MS = 2000;
 
 using KeepAliveIdle = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
