LibGateway: Let all requests that wait for a peer have the first offer

Each request of an instance that has just been cut off rearmed one timer and so ended the wait of the request before it, which was refused without a peer (no_peer). Found by reading.

--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -62,6 +62,8 @@
     void applyContent(const Fleet::TargetRecord &record, const ChangeBatch &batch, const StoredObject &object);
     void applyContent(const RolloutOrder &order, const ChangeBatch &batch, const StoredObject &object);
     void applyContent(const Core::DataCentreName &dataCentre, const ChangeBatch &batch, const StoredObject &object);
+    /// Brings a configuration into force unless a newer one is.
+    void bringIntoForce(const Fleet::RoutingConfiguration &configuration, const ChangeBatch &batch, const StoredObject &object);
     void recordStoreResponse();
     void recordStoreFailure(const std::string &reason);
     void detectFreeze(Core::TimePoint now);
--- a/Libraries/LibGateway/InstanceObjects.cpp
+++ b/Libraries/LibGateway/InstanceObjects.cpp
@@ -204,6 +204,11 @@
 void Instance::applyContent(const Fleet::RoutingConfiguration &configuration, const ChangeBatch &batch, const StoredObject &object)
 {
     this->storedConfigurationVersion = configuration.version;
+    this->bringIntoForce(configuration, batch, object);
+}
+
+void Instance::bringIntoForce(const Fleet::RoutingConfiguration &configuration, const ChangeBatch &batch, const StoredObject &object)
+{
     if (this->state.routingConfiguration && configuration.version <= this->state.routingConfiguration->version) {
         return;
     }
@@ -327,11 +332,10 @@
 
 void Instance::adoptLostFacts(ObjectKind kind, const Listing &listing)
 {
-    const auto stored = this->storedConfigurationVersion;
     const ChangeBatch batch{.source = ChangeSource::Snapshot, .previous = {}, .all = {}, .newer = {}, .isRestored = false, .peer = {}};
     for (const auto &object : listing.objects) {
         if (const auto *configuration = std::get_if<Fleet::RoutingConfiguration>(&object.content)) {
-            this->applyContent(*configuration, batch, object);
+            this->bringIntoForce(*configuration, batch, object);
         } else if (const auto *order = std::get_if<RolloutOrder>(&object.content)) {
             this->rollouts->adoptProgress(*order);
         } else if (const auto *dataCentre = std::get_if<Core::DataCentreName>(&object.content);
@@ -346,7 +350,6 @@
             }
         }
     }
-    this->storedConfigurationVersion = stored;
     updateServiceStates(this->state, this->timers.now());
 }
 
--- a/Libraries/LibGateway/PeerFinder.cpp
+++ b/Libraries/LibGateway/PeerFinder.cpp
@@ -26,7 +26,6 @@
     : state(gatewayState)
     , timers(timerService)
     , peers(peerLink)
-    , offerArrives(gatewayState.executor, Core::TimePoint::max())
 {
     this->peers.onMessage(Channel::Forwarding, [this](const std::string &, std::string_view bytes) {
         this->receive(bytes);
@@ -43,9 +42,7 @@
     auto *offer = Fleet::findPeerWithRoom(this->offers, excludedAddresses, this->timers.now());
     if (offer == nullptr) {
         this->requestOffers(this->timers.now());
-        this->offerArrives.expires_after(OFFER_TIMEOUT);
-        boost::system::error_code ignored;
-        co_await this->offerArrives.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        co_await this->waitForOffer();
         offer = Fleet::findPeerWithRoom(this->offers, excludedAddresses, this->timers.now());
     }
     if (offer == nullptr) {
@@ -55,6 +52,16 @@
     co_return offer->callerAddress;
 }
 
+boost::asio::awaitable<void> PeerFinder::waitForOffer()
+{
+    boost::asio::steady_timer timer(this->state.executor, OFFER_TIMEOUT);
+    const auto waitingTimers = this->waiting;
+    waitingTimers->insert(&timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    waitingTimers->erase(&timer);
+}
+
 bool PeerFinder::hasOffers() const
 {
     const auto now = this->timers.now();
@@ -115,7 +122,9 @@
                         .requestsInFlight = offer.requestsInFlight,
                         .receivedAt = this->timers.now(),
                         .forwardedSinceOffer = 0});
-    this->offerArrives.cancel();
+    for (auto *timer : *this->waiting) {
+        timer->cancel();
+    }
 }
 
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/PeerFinder.h
+++ b/Libraries/LibGateway/PeerFinder.h
@@ -5,6 +5,8 @@
 #include <LibGateway/GatewayState.h>
 
 #include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <set>
 
 namespace Briarbend::Gateway
 {
@@ -21,6 +23,8 @@
     bool hasOffers() const;
 
 private:
+    /// Waits until an offer arrives, at the longest for OFFER_TIMEOUT.
+    boost::asio::awaitable<void> waitForOffer();
     void receive(std::string_view bytes);
     void requestOffers(Core::TimePoint now);
 
@@ -29,8 +33,8 @@
     Coordination::PeerLink &peers;
     Fleet::PeerOffers offers;
     std::optional<Core::TimePoint> requestedAt;
-    /// Cancelled when an offer arrives.
-    boost::asio::steady_timer offerArrives;
+    /// Timers of the requests that wait for an offer. Shared with them, since they may end after this object.
+    std::shared_ptr<std::set<boost::asio::steady_timer *>> waiting{std::make_shared<std::set<boost::asio::steady_timer *>>()};
     std::unique_ptr<Core::TimerSubscription> subscription;
 };
 
--- a/Tests/LibGateway/TestChangeDisseminator.cpp
+++ b/Tests/LibGateway/TestChangeDisseminator.cpp
@@ -68,6 +68,7 @@
                             [this](const Snapshot &snapshot, const std::string &) {
                                 this->positions[static_cast<std::size_t>(snapshot.kind)] = snapshot.listing.revision;
                                 std::erase(this->lacking, snapshot.kind);
+                                this->wasAsListed = snapshot.isAsListed;
                             },
                         .kindsAheadOfStore =
                             [this] {
@@ -88,6 +89,7 @@
     Core::Random random{9};
     KindRevisions positions{};
     std::vector<ObjectKind> kindsAheadOfStore;
+    std::optional<bool> wasAsListed;
     bool isStoreAvailable{true};
     std::vector<ObjectKind> lacking;
     std::size_t timesAsked{0};
@@ -396,6 +398,7 @@
     this->instances.at(watchers.front())->disseminator.publishListing(TARGETS, {.objects = {}, .revision = restored});
     this->timers.runFor(100ms);
     EXPECT_EQ(this->instances.at(other)->positions[static_cast<std::size_t>(TARGETS)], restored);
+    EXPECT_EQ(this->instances.at(other)->wasAsListed, true) << "not to be taken for facts that the store has lost";
 }
 
 // CONFIG: an instance that started after the restore knew only what the older copy shows, for as long as the operator had not written
@@ -414,6 +417,7 @@
     EXPECT_GE(asked, 1U);
     EXPECT_LE(asked, 9U) << "three times each by the three instances that know no more than the store";
     EXPECT_EQ(this->instances.at("a5")->positions[static_cast<std::size_t>(PLAN)], at(10)) << "the answer reached it";
+    EXPECT_EQ(this->instances.at("a5")->wasAsListed, false);
 }
 
 } // namespace Briarbend::Gateway
--- a/Tests/LibGateway/TestRequestForwarding.cpp
+++ b/Tests/LibGateway/TestRequestForwarding.cpp
@@ -56,8 +56,23 @@
         co_return isExcluded ? std::nullopt : std::optional(Core::TargetId{address});
     }
 
+    /// Sends a request that may run once to a target that loses it. No failure may count before any target is heard.
+    void loseRequest()
+    {
+        this->state.onObserved = [this](const AttemptObservation &observation) {
+            this->accusations += observation.isFailure ? 1 : 0;
+        };
+        this->addTarget("one", [](const auto &) {
+            return Reaction{.status = std::nullopt};
+        });
+        this->configureRoute(RouteKind::Once, 1);
+        this->run("a1");
+        EXPECT_EQ(this->accusations, 0U);
+    }
+
     std::unique_ptr<GatewayState> peer;
     std::unique_ptr<CallerFrontend> frontend;
+    std::size_t accusations{0};
 };
 
 } // namespace
@@ -185,39 +200,22 @@
 // EXPOSURE: an instance that loses its connections to all targets would accuse each of them, and the version that they run.
 TEST_F(RequestForwardingTest, lossesOfACutAccuseNoTarget)
 {
-    std::size_t accusations = 0;
-    this->state.onObserved = [&accusations](const AttemptObservation &observation) {
-        accusations += observation.isFailure ? 1 : 0;
-    };
-    this->addTarget("one", [](const auto &) {
-        return Reaction{.status = std::nullopt};
-    });
-    this->configureRoute(RouteKind::Once, 1);
-    this->run("a1");
-    EXPECT_EQ(accusations, 0U) << "not before any target is heard";
+    this->loseRequest();
     for (const auto *name : {"two", "three", "four", "five"}) {
         recordTargetUnreachable(this->state, name);
     }
     this->state.connectivity.cutOffSince = Core::Clock::now();
     this->state.unconfirmedLosses.clear();
     recordTargetHeard(this->state);
-    EXPECT_EQ(accusations, 0U);
+    EXPECT_EQ(this->accusations, 0U);
     EXPECT_TRUE(Fleet::takeOutcomes(*this->service()).empty());
 }
 
 TEST_F(RequestForwardingTest, lossCountsOnceAnotherTargetIsHeard)
 {
-    std::size_t accusations = 0;
-    this->state.onObserved = [&accusations](const AttemptObservation &observation) {
-        accusations += observation.isFailure ? 1 : 0;
-    };
-    this->addTarget("one", [](const auto &) {
-        return Reaction{.status = std::nullopt};
-    });
-    this->configureRoute(RouteKind::Once, 1);
-    this->run("a1");
+    this->loseRequest();
     recordTargetHeard(this->state);
-    EXPECT_EQ(accusations, 1U);
+    EXPECT_EQ(this->accusations, 1U);
 }
 
 TEST(ForwardingMessage, roundTripsAndRejectsMalformedMessages)
@@ -301,4 +299,33 @@
     EXPECT_EQ(found, (std::vector<std::string>{"a3:80", "b1:80"}));
 }
 
+// RECOVER: of several requests that waited for the first offer all but the last were refused.
+TEST(PeerFinder, allRequestsThatWaitGetTheFirstOffer)
+{
+    ManualTimers timers;
+    FakeNetwork network;
+    std::map<std::string, std::unique_ptr<FindingInstance>> instances;
+    for (const std::string name : {"a1", "a2"}) {
+        instances[name] = std::make_unique<FindingInstance>(timers, network, name, "a");
+    }
+    timers.runFor(8s);
+    auto &finding = *instances.at("a1");
+    instances.at("a2")->state.isStopping = true;
+    std::size_t found = 0;
+    for (int count = 0; count < 5; ++count) {
+        boost::asio::co_spawn(
+            finding.context, finding.finder.findPeer({}), [&found](const std::exception_ptr &, const std::optional<Core::TargetId> &peer) {
+                found += peer ? 1 : 0;
+            });
+    }
+    finding.context.run_for(10ms);
+    EXPECT_EQ(found, 0U);
+    instances.at("a2")->state.isStopping = false;
+    finding.state.connectivity.cutOffSince = timers.now();
+    timers.runFor(400ms);
+    finding.context.restart();
+    finding.context.run_for(100ms);
+    EXPECT_EQ(found, 5U);
+}
+
 } // namespace Briarbend::Gateway
