--- a/Libraries/LibFleet/Connectivity.cpp
+++ b/Libraries/LibFleet/Connectivity.cpp
@@ -43,7 +43,7 @@
 
 bool mayBeCutOff(const Connectivity &connectivity)
 {
-    return connectivity.unreachable.size() > 1;
+    return isCutOff(connectivity) || connectivity.unreachable.size() > 1;
 }
 
 } // namespace Briarbend::Fleet
--- a/Libraries/LibFleet/Connectivity.h
+++ b/Libraries/LibFleet/Connectivity.h
@@ -40,7 +40,7 @@
 /// Whether a request that was sent at the given time and lost says nothing of its target, since this instance was cut off meanwhile.
 bool explainsLoss(const Connectivity &connectivity, Core::TimePoint sentAt);
 
-/// Whether the last contacts failed at more than one target, so that the cause may be this instance.
+/// Whether the instance is cut off, or its last contacts failed at more than one target, so that the cause may be this instance.
 bool mayBeCutOff(const Connectivity &connectivity);
 
 } // namespace Briarbend::Fleet
--- a/Libraries/LibFleet/Forwarding.cpp
+++ b/Libraries/LibFleet/Forwarding.cpp
@@ -24,12 +24,17 @@
     offers.insert_or_assign(peer, std::move(offer));
 }
 
+bool isValid(const PeerOffer &offer, Core::TimePoint now)
+{
+    return now - offer.receivedAt < OFFER_LIFETIME;
+}
+
 PeerOffer *findPeerWithRoom(PeerOffers &offers, const std::vector<std::string> &excludedAddresses, Core::TimePoint now)
 {
     PeerOffer *best = nullptr;
     for (auto &[peer, offer] : offers) {
         const bool isExcluded = std::ranges::find(excludedAddresses, offer.callerAddress.value) != excludedAddresses.end();
-        if (isExcluded || now - offer.receivedAt >= OFFER_LIFETIME) {
+        if (isExcluded || !isValid(offer, now)) {
             continue;
         }
         if (best == nullptr || loadOf(offer) < loadOf(*best)) {
--- a/Libraries/LibFleet/Forwarding.h
+++ b/Libraries/LibFleet/Forwarding.h
@@ -32,6 +32,9 @@
 /// Records an offer, which replaces an earlier one of the same peer.
 void recordOffer(PeerOffers &offers, const std::string &peer, PeerOffer offer);
 
+/// Whether the offer still holds.
+bool isValid(const PeerOffer &offer, Core::TimePoint now);
+
 /// The peer with the most room for another request, without those named; null if there is no valid offer. Peers of the own data centre are
 /// preferred up to twice the load of others.
 PeerOffer *findPeerWithRoom(PeerOffers &offers, const std::vector<std::string> &excludedAddresses, Core::TimePoint now);
--- a/Libraries/LibGateway/AttemptForwarding.cpp
+++ b/Libraries/LibGateway/AttemptForwarding.cpp
@@ -1,5 +1,4 @@
 #include <LibGateway/Attempt.h>
-#include <LibRejection/Reason.h>
 
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
@@ -35,7 +34,7 @@
     if (!state.findPeer || !this->context->forwardedBy.empty()) {
         return false;
     }
-    if (Fleet::isCutOff(state.connectivity) || Fleet::mayBeCutOff(state.connectivity)) {
+    if (Fleet::mayBeCutOff(state.connectivity)) {
         return true;
     }
     const auto now = Core::Clock::now();
--- a/Libraries/LibGateway/HealthCheck.cpp
+++ b/Libraries/LibGateway/HealthCheck.cpp
@@ -78,8 +78,7 @@
         co_return co_await state.pool.connect(address, Core::Clock::now() + HEALTH_CHECK_TIMEOUT);
     } catch (const boost::system::system_error &error) {
         // The calling function records that the target failed.
-        const bool mayBeCutOff = Fleet::mayBeCutOff(state.connectivity) || Fleet::isCutOff(state.connectivity);
-        if (error.code() == Asio::error::connection_refused && state.guard != nullptr && !mayBeCutOff) {
+        if (error.code() == Asio::error::connection_refused && state.guard != nullptr && !Fleet::mayBeCutOff(state.connectivity)) {
             state.guard->recordTargetExit(address);
         }
         co_return nullptr;
--- a/Libraries/LibGateway/InstanceDissemination.cpp
+++ b/Libraries/LibGateway/InstanceDissemination.cpp
@@ -15,7 +15,7 @@
 std::vector<Fleet::TargetOutcomes> takeEvidence(GatewayState &state)
 {
     std::vector<Fleet::TargetOutcomes> evidence;
-    if (Fleet::mayBeCutOff(state.connectivity) || Fleet::isCutOff(state.connectivity)) {
+    if (Fleet::mayBeCutOff(state.connectivity)) {
         // Kept until a target is heard, dropped if this instance turns out to be cut off.
         return evidence;
     }
--- a/Libraries/LibGateway/PeerFinder.cpp
+++ b/Libraries/LibGateway/PeerFinder.cpp
@@ -66,7 +66,7 @@
 {
     const auto now = this->timers.now();
     return std::ranges::any_of(this->offers, [now](const auto &entry) {
-        return now - entry.second.receivedAt < Fleet::OFFER_LIFETIME;
+        return Fleet::isValid(entry.second, now);
     });
 }
 
@@ -101,7 +101,7 @@
     const auto &members = this->peers.state().members;
     const auto &self = members.members.at(members.self).update;
     if (const auto *request = std::get_if<ForwardingRequest>(&message)) {
-        const bool reachesTargets = !Fleet::mayBeCutOff(this->state.connectivity) && !Fleet::isCutOff(this->state.connectivity);
+        const bool reachesTargets = !Fleet::mayBeCutOff(this->state.connectivity);
         if (reachesTargets && this->state.routingConfiguration && !this->state.isStopping) {
             const ForwardingOffer offer{.peer = self.address.value,
                                         .callerAddress = this->state.settings.instance.callerAddress.text(),
--- a/Libraries/LibGateway/PlatformStore.h
+++ b/Libraries/LibGateway/PlatformStore.h
@@ -88,6 +88,12 @@
     bool operator==(const RolloutProgress &) const = default;
 };
 
+/// Whether the progress that the store holds is behind what is known.
+inline bool isBehind(const RolloutProgress &stored, const RolloutProgress &known)
+{
+    return !isFinal(stored.state) && stored.state < known.state;
+}
+
 /// An operator's order to move a service's traffic to a version.
 struct RolloutOrder {
     Core::ServiceName service;
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -50,11 +50,6 @@
     return settings;
 }
 
-bool isBehind(const RolloutProgress &stored, const RolloutProgress &known)
-{
-    return !isFinal(stored.state) && stored.state < known.state;
-}
-
 Rollout::LoadLevel loadLevelOfService(const Fleet::ServiceState &service)
 {
     std::uint32_t slots = 0;
--- a/Libraries/LibGateway/RolloutPersistence.cpp
+++ b/Libraries/LibGateway/RolloutPersistence.cpp
@@ -22,7 +22,7 @@
 
 bool RolloutDriver::isLost(const TrackedRollout &rollout)
 {
-    return rollout.revision.isKnown() && !isFinal(rollout.stored.state) && rollout.stored.state < rollout.order.progress.state;
+    return rollout.revision.isKnown() && isBehind(rollout.stored, rollout.order.progress);
 }
 
 std::optional<RolloutState> RolloutDriver::stateToWrite(const TrackedRollout &rollout) const
