LibGateway: Learn from targets alone whether they return identifiers

A peer names the attempt in its own refusals. An instance that forwarded a request took that for a sign that the service's targets do so too, after which responses without an identifier count as those to other requests. Targets of the platform always return them; those of other platforms need not.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -333,7 +333,8 @@
             state.counters.unmatchedResponses += isOfOther ? 1 : 0;
             continue;
         }
-        this->service->echoesAttemptIds = this->service->echoesAttemptIds || !metadata.attemptId.empty();
+        // A peer names the attempt in its own refusals, whatever targets do.
+        this->service->echoesAttemptIds = this->service->echoesAttemptIds || (!this->isForwarded && !metadata.attemptId.empty());
         this->response.head = parser.get().base();
         this->isForwarded ? this->evaluatePeerResponse(metadata) : this->evaluateResponse(metadata);
         if (parser.keep_alive() && this->result != AttemptResult::Unknown && foreign == 0 && !metadata.isLeaving) {
--- a/Tests/LibGateway/TestRequestForwarding.cpp
+++ b/Tests/LibGateway/TestRequestForwarding.cpp
@@ -182,6 +182,20 @@
     EXPECT_EQ(target.cancelled(), 1U);
 }
 
+// A peer names the attempt in its own refusals, whether or not targets do. All responses of a service whose targets name none would then
+// count as those to other requests.
+TEST_F(RequestForwardingTest, responseOfAPeerDoesNotShowThatTargetsReturnIdentifiers)
+{
+    auto &target = this->addTarget("one", [](const auto &) {
+        return Reaction{.hasNoAttemptId = true};
+    });
+    target.load = "6,9,6,100";
+    this->configureRoute(RouteKind::Once);
+    this->cutOff();
+    EXPECT_EQ(this->run("a1").response.result_int(), 503U);
+    EXPECT_FALSE(this->service()->echoesAttemptIds);
+}
+
 TEST_F(RequestForwardingTest, withoutAPeerTheRequestIsRefusedAtOnce)
 {
     this->addTarget("one", [](const auto &) {
