LibCore: Bound the depth of documents by the library's own builder

The bounded builder passed thirteen events on to the library's by hand and threw its errors as their base type. It derives from that builder now and counts levels in four functions; errors keep their types.

--- a/Libraries/LibCore/BoundedJson.cpp
+++ b/Libraries/LibCore/BoundedJson.cpp
@@ -16,81 +16,39 @@
 constexpr int TOO_DEEP = 408;
 constexpr std::string_view WHITESPACE{" \t\r\n"};
 
-/// Builds a document from the events of a parser and ends the parser at MAXIMUM_DEPTH.
-class BoundedBuilder : public nlohmann::json_sax<Json>
+/// Builds a document from the events of a parser and ends the parser at MAXIMUM_DEPTH. The parser calls the functions of this class, which
+/// hide those of the library's.
+class BoundedBuilder : public nlohmann::detail::json_sax_dom_parser<Json>
 {
-public:
-    bool null() override
-    {
-        return this->builder.null();
-    }
-
-    bool boolean(bool value) override
-    {
-        return this->builder.boolean(value);
-    }
-
-    bool number_integer(number_integer_t value) override
-    {
-        return this->builder.number_integer(value);
-    }
-
-    bool number_unsigned(number_unsigned_t value) override
-    {
-        return this->builder.number_unsigned(value);
-    }
+    using Builder = nlohmann::detail::json_sax_dom_parser<Json>;
 
-    bool number_float(number_float_t value, const string_t &text) override
-    {
-        return this->builder.number_float(value, text);
-    }
-
-    bool string(string_t &value) override
-    {
-        return this->builder.string(value);
-    }
-
-    bool binary(binary_t &value) override
-    {
-        return this->builder.binary(value);
-    }
+public:
+    using Builder::Builder;
 
-    bool start_object(std::size_t elements) override
+    bool start_object(std::size_t elements)
     {
         this->enter();
-        return this->builder.start_object(elements);
-    }
-
-    bool key(string_t &value) override
-    {
-        return this->builder.key(value);
+        return this->Builder::start_object(elements);
     }
 
-    bool end_object() override
+    bool end_object()
     {
         --this->depth;
-        return this->builder.end_object();
+        return this->Builder::end_object();
     }
 
-    bool start_array(std::size_t elements) override
+    bool start_array(std::size_t elements)
     {
         this->enter();
-        return this->builder.start_array(elements);
+        return this->Builder::start_array(elements);
     }
 
-    bool end_array() override
+    bool end_array()
     {
         --this->depth;
-        return this->builder.end_array();
+        return this->Builder::end_array();
     }
 
-    bool parse_error(std::size_t /*position*/, const std::string & /*token*/, const Json::exception &error) override
-    {
-        throw error;
-    }
-
-    Json document;
-
 private:
     void enter()
     {
@@ -101,7 +59,6 @@
     }
 
     std::size_t depth{0};
-    nlohmann::detail::json_sax_dom_parser<Json> builder{this->document};
 };
 
 /// The position after the string that begins at the given one.
@@ -171,9 +128,10 @@
 
 nlohmann::json parseJson(std::string_view text)
 {
-    BoundedBuilder builder;
+    Json document;
+    BoundedBuilder builder(document);
     Json::sax_parse(text, &builder);
-    return std::move(builder.document);
+    return document;
 }
 
 nlohmann::json parseCbor(std::string_view bytes)
@@ -183,9 +141,10 @@
 
 nlohmann::json parseCbor(std::span<const std::uint8_t> bytes)
 {
-    BoundedBuilder builder;
+    Json document;
+    BoundedBuilder builder(document);
     Json::sax_parse(bytes.begin(), bytes.end(), &builder, Json::input_format_t::cbor);
-    return std::move(builder.document);
+    return document;
 }
 
 std::optional<std::string_view> findMember(std::string_view object, std::string_view name)
