LibGateway: Check, ask and read once what forwarding does beside its twins

Forwarding had its own copy of the check that nothing is to be sent any more, with the same bound under another name; the request for facts that the store has lost built the same message as that for missing kinds; and the name of the forwarding instance was read from the head at two places, which differed for a head that is refused. One function each; behaviour is the same but that refused heads name the forwarder in the log too.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -106,7 +106,7 @@
             co_return;
         }
         this->result = found.searchFailure == SearchFailure::Full ? AttemptResult::Full : AttemptResult::NoTarget;
-    } else if (this->isCancelled || this->context->isCallerGone || this->context->remaining() < MINIMUM_TIME_TO_SEND) {
+    } else if (this->isAbandoned()) {
         this->context->state.pool.returnIdle(std::move(found.connection), Core::Clock::now());
         this->result = AttemptResult::NotSent;
     } else {
@@ -114,6 +114,11 @@
     }
 }
 
+bool Attempt::isAbandoned() const
+{
+    return this->isCancelled || this->context->isCallerGone || this->context->remaining() < MINIMUM_TIME_TO_SEND;
+}
+
 TargetQuery Attempt::query() const
 {
     auto &state = this->context->state;
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -82,6 +82,8 @@
     /// Reads the response to this request to its end. Skips late responses to other requests.
     boost::asio::awaitable<bool> receive();
     boost::asio::awaitable<bool> receiveBody(Http::response_parser<Http::buffer_body> &parser, bool isKept);
+    /// True if nothing is to be sent any more: the attempt was cancelled, the caller has gone, or no target can answer in time.
+    bool isAbandoned() const;
     TargetQuery query() const;
     /// Restricts the query to one of two versions while a rollout splits the traffic.
     std::optional<VersionSplit> drawVersion(TargetQuery &query) const;
--- a/Libraries/LibGateway/AttemptForwarding.cpp
+++ b/Libraries/LibGateway/AttemptForwarding.cpp
@@ -16,16 +16,9 @@
 constexpr std::chrono::milliseconds PEER_CONNECT_TIMEOUT{250};
 /// Peers that are tried where connections to the first ones fail. Nothing was sent to those.
 constexpr std::size_t MAXIMUM_PEERS = 3;
-constexpr std::chrono::milliseconds MINIMUM_TIME_TO_FORWARD{20};
 constexpr unsigned SERVICE_UNAVAILABLE = 503;
 constexpr unsigned TOO_MANY_REQUESTS = 429;
 
-/// The delay after which the peer wants the request to be retried.
-std::chrono::milliseconds statedDelay(const ResponseMetadata &metadata)
-{
-    return metadata.quietFor.value_or(std::chrono::milliseconds{0});
-}
-
 } // namespace
 
 bool Attempt::isForwardingUseful() const
@@ -83,7 +76,7 @@
         this->result = AttemptResult::NoTarget;
         co_return;
     }
-    if (this->isCancelled || this->context->isCallerGone || this->context->remaining() < MINIMUM_TIME_TO_FORWARD) {
+    if (this->isAbandoned()) {
         state.pool.returnIdle(std::move(this->connection), Core::Clock::now());
         this->result = AttemptResult::NotSent;
         co_return;
@@ -123,7 +116,7 @@
         this->result = AttemptResult::Unknown;
         return;
     }
-    this->retryAfter = statedDelay(metadata);
+    this->retryAfter = metadata.quietFor.value_or(std::chrono::milliseconds{0});
     this->wasRefusedByPeer = true;
     this->result = AttemptResult::NotRun;
 }
--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -126,11 +126,11 @@
 }
 
 /// Records which instance forwarded the request. Targets do not receive the field.
-void takeForwarder(RequestContext &context)
+void takeForwarder(RequestContext &context, Http::fields &head)
 {
-    const auto name = context.head[FORWARDED_BY_FIELD];
+    const auto name = head[FORWARDED_BY_FIELD];
     context.forwardedBy.assign(name.data(), name.size());
-    context.head.erase(FORWARDED_BY_FIELD);
+    head.erase(FORWARDED_BY_FIELD);
     context.state.counters.takenForPeers += context.forwardedBy.empty() ? 0 : 1;
 }
 
@@ -265,7 +265,6 @@
         co_return false;
     }
     const bool isWellFormed = !problem && !Relay::findHeadProblem(parser.get().base());
-    const bool isForwarded = parser.get().count(FORWARDED_BY_FIELD) > 0;
     const bool keepsAlive = isWellFormed && parser.keep_alive() && parser.get().version() >= Network::HTTP_1_1;
     stream.expires_never();
     auto result = co_await this->handleRequest(stream.socket(), std::move(request), problem);
@@ -273,9 +272,6 @@
         co_return false;
     }
     const bool staysOpen = keepsAlive && !this->state.isStopping;
-    if (!isForwarded) {
-        result.response.erase(OWN_ANSWER_FIELD);
-    }
     result.response.keep_alive(staysOpen);
     stream.expires_after(WRITE_TIMEOUT);
     boost::system::error_code error;
@@ -293,11 +289,11 @@
     auto context = std::make_shared<RequestContext>(this->state);
     const auto metadata = this->state.dialect.readRequestMetadata(parser.get().base());
     context->attemptId = metadata.attemptId;
+    takeForwarder(*context, parser.get().base());
     const auto headProblem = problem ? std::nullopt : Relay::findHeadProblem(parser.get().base());
     auto refusal = headProblem ? std::optional(Reason::BadRequest) : problem;
     if (!refusal) {
         prepareHead(*context, parser.release());
-        takeForwarder(*context);
         context->bodyHold = std::move(request.hold);
         refusal = this->isRefusingNewRequests ? Reason::Stopping : admit(*context, metadata);
     }
@@ -313,6 +309,9 @@
         });
         result = co_await flow.run();
     }
+    if (context->forwardedBy.empty()) {
+        result.response.erase(OWN_ANSWER_FIELD);
+    }
     countResult(this->state, result);
     if (context->route != nullptr && !result.isCallerGone) {
         this->state.routes[context->route->name].latency.add(context->elapsed());
--- a/Libraries/LibGateway/ChangeDisseminator.cpp
+++ b/Libraries/LibGateway/ChangeDisseminator.cpp
@@ -210,11 +210,15 @@
     if (others.empty()) {
         return;
     }
-    const auto &peer = Membership::find(members, others[this->random.below(others.size())])->update;
+    this->requestSnapshots(Membership::find(members, others[this->random.below(others.size())])->update.address.value, std::move(kinds));
+}
+
+void ChangeDisseminator::requestSnapshots(const std::string &peer, std::vector<ObjectKind> kinds)
+{
+    const auto &members = this->peers.state().members;
     const auto &self = members.members.at(members.self).update;
-    this->peers.send(Channel::News,
-                     peer.address.value,
-                     encodeChangeDissemination(SnapshotRequest{.requester = self.address.value, .kinds = std::move(kinds)}));
+    this->peers.send(
+        Channel::News, peer, encodeChangeDissemination(SnapshotRequest{.requester = self.address.value, .kinds = std::move(kinds)}));
 }
 
 void ChangeDisseminator::requestLostFacts()
@@ -232,10 +236,7 @@
         return;
     }
     this->kindsWatchersKnowMoreOf.clear();
-    const auto &members = this->peers.state().members;
-    const auto bytes = encodeChangeDissemination(
-        SnapshotRequest{.requester = members.members.at(members.self).update.address.value, .kinds = std::move(kinds)});
-    this->peers.send(Channel::News, this->watcherPeerAddresses[this->random.below(this->watcherPeerAddresses.size())], bytes);
+    this->requestSnapshots(this->watcherPeerAddresses[this->random.below(this->watcherPeerAddresses.size())], std::move(kinds));
 }
 
 void ChangeDisseminator::handleChanges(const ChangeNotification &news, const std::string &peer)
--- a/Libraries/LibGateway/ChangeDisseminator.h
+++ b/Libraries/LibGateway/ChangeDisseminator.h
@@ -65,6 +65,7 @@
     void handleHeartbeat(const WatcherHeartbeat &heartbeat);
     void respond(const SnapshotRequest &request);
     void requestMissingKinds();
+    void requestSnapshots(const std::string &peer, std::vector<ObjectKind> kinds);
     /// Asks a watcher of the data centre for the facts that the store has lost, where this instance started too late to know them.
     void requestLostFacts();
     void sendHeartbeat(Core::TimePoint now);
