LibFleet, LibGateway: Bound what cold targets receive in each second

Cause: each instance had a token bucket of one request for each target, which filled while the target was warm. The rate was divided among the instances, the burst was not, and all began with the first target by name.

Who starts or follows another waits for one window. Targets are tried from a random one on.

--- a/Libraries/LibFleet/RateLimit.h
+++ b/Libraries/LibFleet/RateLimit.h
@@ -24,6 +24,10 @@
     std::size_t fingerprint{0};
     /// False in a new instance that does not know the others yet. It is no sender: alone it would take the whole rate.
     bool isComplete{true};
+    /// Since when the others are known; the clock's epoch if no instance can have sent before this one.
+    Core::TimePoint completeSince{};
+    /// Members that are known, those included that may be out of reach.
+    std::size_t known{0};
 };
 
 /// Time after which a limit that was not stated again is tried with one request. Instances that may not send to the target do not hear
--- a/Libraries/LibFleet/ServiceState.cpp
+++ b/Libraries/LibFleet/ServiceState.cpp
@@ -31,10 +31,6 @@
 constexpr std::chrono::milliseconds BASE_EJECTION_TIME{250};
 constexpr std::chrono::milliseconds MAXIMUM_EJECTION_TIME{2000};
 constexpr std::uint32_t MAXIMUM_EJECTION_DOUBLINGS = 3;
-constexpr double MAXIMUM_COLD_TOKENS = 1;
-/// Share of a cold target's rate that the instances use. They do not coordinate when they send, so their requests cluster at random. The
-/// unused rest and the platform's margin of half the rate leave room for five standard deviations of a Poisson process.
-constexpr double PLANNED_COLD_RATE_SHARE = 0.6;
 
 const std::string &nameOf(const TargetState &target)
 {
@@ -67,7 +63,7 @@
     return found == service.targets.end() || found->record.name != name ? nullptr : &*found;
 }
 
-void updateTargets(ServiceState &service, const std::vector<TargetRecord> &records, Core::TimePoint now, double initialColdTokens)
+void updateTargets(ServiceState &service, const std::vector<TargetRecord> &records, Core::TimePoint now)
 {
     std::vector<TargetState> updated;
     updated.reserve(records.size());
@@ -77,8 +73,6 @@
         const bool isSame = isKept && known->record == record;
         TargetState belief = isKept ? std::move(*known) : TargetState{};
         if (!isKept) {
-            belief.coldTokens = initialColdTokens;
-            belief.coldTokensAt = now;
             belief.joinedAt = service.targets.empty() ? Core::TimePoint{} : now;
         }
         belief.record = record;
@@ -147,9 +141,10 @@
     target.ejectedUntil = {};
     target.consecutiveEjections = 0;
     target.unreportedOutcomes = {};
-    // Many instances return at the same moment.
-    target.coldTokens = 0;
-    target.coldTokensAt = now;
+    if (target.coldShare) {
+        // Many instances return at the same moment, perhaps after others took their place.
+        target.coldShare->quota.openFrom = now + Limits::SEND_WINDOW;
+    }
 }
 
 void recordHealth(TargetState &target, bool takesWork, Core::TimePoint now)
@@ -165,6 +160,9 @@
 
 void recordSent(TargetState &target, Core::TimePoint now)
 {
+    if (target.coldShare && target.coldUntil > now && !target.coldShare->quota.sends.empty()) {
+        target.coldShare->quota.sends.back() = now;
+    }
     if (target.failsHealthCheck && target.provenHealthyUntil <= now) {
         target.nextTrialAt = now + target.trialPause;
         target.trialPause = std::min(MAXIMUM_TRIAL_PAUSE, target.trialPause * 2);
@@ -246,17 +244,17 @@
     return isTrial;
 }
 
-bool takeColdToken(const ServiceConfiguration &configuration, TargetState &target, std::size_t instances, Core::TimePoint now)
+bool takeColdPermit(const ServiceConfiguration &configuration, TargetState &target, const RateSharers &sharers, Core::TimePoint now)
 {
-    const auto rate
-        = PLANNED_COLD_RATE_SHARE * configuration.coldRequestsPerSecond / static_cast<double>(std::max<std::size_t>(1, instances));
-    const auto earned = rate * Core::milliseconds(now - target.coldTokensAt) / 1000;
-    target.coldTokens = std::min(MAXIMUM_COLD_TOKENS, target.coldTokens + earned);
-    target.coldTokensAt = now;
-    if (target.coldTokens < 1) {
+    if (!target.coldShare) {
+        target.coldShare = std::make_unique<ColdShare>();
+    }
+    auto &share = *target.coldShare;
+    updateColdShare(share, configuration.coldRequestsPerSecond, {target.record.name}, sharers, now);
+    if (!Limits::reservePermit(share.quota, now)) {
         return false;
     }
-    target.coldTokens -= 1;
+    Limits::confirmPermit(share.quota, now);
     return true;
 }
 
--- a/Libraries/LibFleet/ServiceState.h
+++ b/Libraries/LibFleet/ServiceState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibFleet/ColdShare.h>
 #include <LibFleet/Directory.h>
 #include <LibFleet/RoutingConfiguration.h>
 #include <LibFleet/SendBudget.h>
@@ -70,9 +71,8 @@
     /// While health checks fail: when the next trial request may be sent, and the pause after it.
     Core::TimePoint nextTrialAt;
     std::chrono::milliseconds trialPause{0};
-    /// Token bucket of the requests that this instance may send to the target while it is cold. A request takes one token.
-    double coldTokens{0};
-    Core::TimePoint coldTokensAt;
+    /// What this instance may send to the target while it is cold; null until it first wants to.
+    std::unique_ptr<ColdShare> coldShare;
     /// Pooled connections to the target that no request uses, and until when the last of them is usable.
     std::uint32_t idleConnections{0};
     Core::TimePoint connectedUntil;
@@ -120,7 +120,7 @@
 TargetState *findTarget(ServiceState &service, const std::string &name);
 
 /// Replaces the targets of one service. The state of a target is kept as long as its start stays the same.
-void updateTargets(ServiceState &service, const std::vector<TargetRecord> &records, Core::TimePoint now, double initialColdTokens);
+void updateTargets(ServiceState &service, const std::vector<TargetRecord> &records, Core::TimePoint now);
 
 /// Applies a target's self-report. Leaving and quiet are never withdrawn, a stated rate is.
 void applySelfReport(TargetState &target, const SelfReport &report);
@@ -136,7 +136,8 @@
 void forgetUnreachable(TargetState &target, Core::TimePoint now);
 /// Records the result of a health check.
 void recordHealth(TargetState &target, bool takesWork, Core::TimePoint now);
-/// Records that a request is sent to the target. While health checks fail, this keeps trial requests to one at a time.
+/// Records that a request is sent to the target. While health checks fail, this keeps trial requests to one at a time; while the target is
+/// cold, the permit that was taken with the choice counts from now.
 void recordSent(TargetState &target, Core::TimePoint now);
 void recordOutcome(TargetState &target, SendOutcome outcome, Core::TimePoint now);
 void recordAnswer(RouteStatistics &route, const ServiceState &service, Core::Duration elapsed, std::size_t bytes);
@@ -155,7 +156,7 @@
 /// Takes the permit for a request that is about to be sent. Returns false if there is none.
 bool takeSendPermit(TargetState &target, Core::TimePoint now);
 
-/// True if this instance may send one request to the cold target. Takes a token from this instance's share of the target's cold rate.
-bool takeColdToken(const ServiceConfiguration &configuration, TargetState &target, std::size_t instances, Core::TimePoint now);
+/// True if this instance may send one request to the cold target now, which counts from then on.
+bool takeColdPermit(const ServiceConfiguration &configuration, TargetState &target, const RateSharers &sharers, Core::TimePoint now);
 
 } // namespace Briarbend::Fleet
--- a/Libraries/LibGateway/GatewayState.cpp
+++ b/Libraries/LibGateway/GatewayState.cpp
@@ -70,7 +70,7 @@
             = {.window = budgets.extraSendWindow,
                .share = budgets.extraSendShare * PLANNED_BUDGET_FRACTION,
                .allowance = std::min(MAXIMUM_ALLOWANCE, budgets.extraSendAllowance / (instances * ALLOWANCE_DIVISOR_PER_INSTANCE))};
-        Fleet::updateTargets(*service, records[name], now, state.random.unit());
+        Fleet::updateTargets(*service, records[name], now);
         for (auto &target : service->targets) {
             if (const auto *report = Fleet::findSelfReport(state.directory, target.record)) {
                 Fleet::applySelfReport(target, *report);
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -166,9 +166,15 @@
         std::ranges::copy_if(sharers.members, std::back_inserter(sharers.neighbours), [&](const Core::InstanceId &id) {
             return dataCentreOf(id) == dataCentreOf(members.self);
         });
+        sharers.completeSince = this->state.rateSharers.completeSince;
         this->state.rateSharers = std::move(sharers);
     }
-    this->state.rateSharers.isComplete = Membership::hasJoined(members, this->timers.now());
+    auto &sharers = this->state.rateSharers;
+    sharers.known = members.members.size();
+    sharers.isComplete = Membership::hasJoined(members, this->timers.now());
+    if (sharers.isComplete && sharers.completeSince == Core::TimePoint{}) {
+        sharers.completeSince = this->timers.now();
+    }
 }
 
 void Instance::reload(const std::string &file)
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -208,11 +208,22 @@
 std::string takeColdTarget(GatewayState &state, const TargetQuery &query)
 {
     const auto now = Core::Clock::now();
-    const auto found = std::ranges::find_if(query.service->targets, [&](Fleet::TargetState &target) {
+    auto &targets = query.service->targets;
+    const auto isTaken = [&](Fleet::TargetState &target) {
         return Fleet::usability(target, query.input, now) == Fleet::Usability::Cold && target.ejectedUntil <= now
-            && !target.failsHealthCheck && Fleet::takeColdToken(query.service->configuration, target, state.instances, now);
-    });
-    return found == query.service->targets.end() ? std::string{} : found->record.name;
+            && !target.failsHealthCheck && Fleet::takeColdPermit(query.service->configuration, target, state.rateSharers, now);
+    };
+    if (targets.empty()) {
+        return {};
+    }
+    // Each request begins with another target, so that all of them fill alike.
+    const auto first = targets.begin() + static_cast<std::ptrdiff_t>(state.random.below(targets.size()));
+    auto found = std::find_if(first, targets.end(), isTaken);
+    if (found == targets.end()) {
+        found = std::find_if(targets.begin(), first, isTaken);
+        return found == first ? std::string{} : found->record.name;
+    }
+    return found->record.name;
 }
 
 Asio::awaitable<FoundTarget> findColdTarget(GatewayState &state, const TargetQuery &query)
--- a/Tests/LibFleet/TestChangingHostSpeeds.cpp
+++ b/Tests/LibFleet/TestChangingHostSpeeds.cpp
@@ -105,7 +105,7 @@
             hostIndices[index] = random.below(20);
         }
         const Core::TimePoint now{100s};
-        updateTargets(service, records, now, 0);
+        updateTargets(service, records, now);
         const RouteStatistics route{.workMilliseconds = 220, .answerBytes = 0};
         for (std::size_t index = 0; index < records.size(); ++index) {
             recordLoadReport(
--- a/Tests/LibFleet/TestChoice.cpp
+++ b/Tests/LibFleet/TestChoice.cpp
@@ -60,7 +60,7 @@
 TEST(Choice, targetsOfTheOwnDataCentreComeFirst)
 {
     ServiceState service;
-    updateTargets(service, {record("far-1", "there"), record("near-1"), record("far-2", "there"), record("near-2")}, NOW, 0);
+    updateTargets(service, {record("far-1", "there"), record("near-1"), record("far-2", "there"), record("near-2")}, NOW);
     Core::Random random{3};
     const auto names = candidates(service, inputHere(), NOW, random);
     ASSERT_EQ(names.size(), 4U);
@@ -73,7 +73,7 @@
     Core::Random random{3};
     const auto farAmongFirst = [&random](std::uint32_t running) {
         ServiceState service;
-        updateTargets(service, nearAndFar(), NOW, 0);
+        updateTargets(service, nearAndFar(), NOW);
         for (int index = 0; index < 20; ++index) {
             reportLoad(service, "near-" + std::to_string(index), {.running = running, .waiting = 0, .slots = 6, .slowness = 1});
         }
@@ -98,7 +98,7 @@
 {
     ServiceState service;
     const auto records = nearAndFar();
-    updateTargets(service, records, NOW, 0);
+    updateTargets(service, records, NOW);
     Core::Random random{3};
     const auto names = candidates(service, inputHere(), NOW, random);
     ASSERT_EQ(names.size(), records.size());
@@ -119,7 +119,7 @@
     std::ranges::generate(records, [index = 0]() mutable {
         return record(std::to_string(index++));
     });
-    updateTargets(service, records, NOW, 0);
+    updateTargets(service, records, NOW);
     for (int index = 0; index < 10; ++index) {
         findTarget(service, std::to_string(index))->connectedUntil = NOW + 1s;
         findTarget(service, std::to_string(index))->idleConnections = 1;
@@ -141,7 +141,7 @@
     leaving.isLeaving = true;
     auto cold = record("cold");
     cold.coldLeft = 1s;
-    updateTargets(service, {leaving, cold, record("tried"), record("out", "there"), record("good")}, NOW, 0);
+    updateTargets(service, {leaving, cold, record("tried"), record("out", "there"), record("good")}, NOW);
     auto input = inputHere();
     input.excluded = {"tried"};
     input.dataCentresOut = {{"there"}};
@@ -154,7 +154,7 @@
 TEST(Choice, candidatesAreRestrictedToAVersionOrExcludeIt)
 {
     ServiceState service;
-    updateTargets(service, {record("old"), record("new-1", "here", "v2"), record("new-2", "here", "v2")}, NOW, 0);
+    updateTargets(service, {record("old"), record("new-1", "here", "v2"), record("new-2", "here", "v2")}, NOW);
     auto input = inputHere();
     input.version = {"v2"};
     Core::Random random{3};
@@ -169,7 +169,7 @@
 TEST(Choice, sendCostIsHigherForSlowFullFailingAndFarTargets)
 {
     ServiceState service;
-    updateTargets(service, {record("idle"), record("slow"), record("full"), record("failing"), record("far", "there")}, NOW, 0);
+    updateTargets(service, {record("idle"), record("slow"), record("full"), record("failing"), record("far", "there")}, NOW);
     for (const auto &name : {"idle", "failing", "far"}) {
         reportLoad(service, name, {.running = 0, .waiting = 0, .slots = 6, .slowness = 1});
     }
@@ -193,7 +193,7 @@
 TEST(Choice, ownRequestsSentAfterALoadReportOccupySlots)
 {
     ServiceState service;
-    updateTargets(service, {record("one")}, NOW, 0);
+    updateTargets(service, {record("one")}, NOW);
     auto &target = *findTarget(service, "one");
     target.ownInFlight = 1;
     recordLoadReport(service, target, {.running = 5, .waiting = 0, .slots = 6, .slowness = 1}, NOW);
@@ -205,13 +205,13 @@
 TEST(Choice, leavingAndQuietTargetsAreNeverCandidates)
 {
     ServiceState service;
-    updateTargets(service, {record("good"), record("leaving"), record("quiet")}, NOW, 0);
+    updateTargets(service, {record("good"), record("leaving"), record("quiet")}, NOW);
     findTarget(service, "leaving")->isLeaving = true;
     findTarget(service, "quiet")->quietUntil = NOW + 2s;
     Core::Random random{3};
     EXPECT_EQ(candidates(service, inputHere(), NOW, random), (std::vector<std::string>{"good"}));
     EXPECT_EQ(timeUntilFirstAcceptsRequests(service, inputHere(), NOW), std::nullopt);
-    updateTargets(service, {record("leaving"), record("quiet")}, NOW, 0);
+    updateTargets(service, {record("leaving"), record("quiet")}, NOW);
     EXPECT_TRUE(candidates(service, inputHere(), NOW, random).empty());
     EXPECT_EQ(timeUntilFirstAcceptsRequests(service, inputHere(), NOW), 2s);
     EXPECT_EQ(candidates(service, inputHere(), NOW + 2s, random), (std::vector<std::string>{"quiet"}));
--- a/Tests/LibFleet/TestOutcomeTable.cpp
+++ b/Tests/LibFleet/TestOutcomeTable.cpp
@@ -55,7 +55,7 @@
             return record(std::to_string(index++));
         });
         for (auto &service : this->services) {
-            updateTargets(service, records, this->now, 0);
+            updateTargets(service, records, this->now);
         }
     }
 
@@ -155,7 +155,7 @@
 TEST(OutcomeTable, peerFailureShareDecays)
 {
     ServiceState service;
-    updateTargets(service, {record("one")}, NOW, 0);
+    updateTargets(service, {record("one")}, NOW);
     applySuspect(service, {{"one", 1}, 1}, NOW);
     EXPECT_GT(failureShare(service.targets.front(), NOW + 1s), 0.5);
     EXPECT_LT(failureShare(service.targets.front(), NOW + 12s), 0.02);
@@ -214,7 +214,7 @@
 TEST(OutcomeTable, outcomesBelongToOneStartAndAreTakenOnce)
 {
     ServiceState service;
-    updateTargets(service, {record("one"), record("two")}, NOW, 0);
+    updateTargets(service, {record("one"), record("two")}, NOW);
     recordOutcome(*findTarget(service, "one"), SendOutcome::Lost, NOW);
     recordOutcome(*findTarget(service, "two"), SendOutcome::Success, NOW);
     const auto taken = takeOutcomes(service);
@@ -230,7 +230,7 @@
 TEST(OutcomeTable, targetThatFailsHealthChecksIsTriedWithOneRequestAtATime)
 {
     ServiceState service;
-    updateTargets(service, {record("one")}, NOW, 0);
+    updateTargets(service, {record("one")}, NOW);
     auto &target = service.targets.front();
     recordHealth(target, false, NOW);
     EXPECT_EQ(usability(target, inputHere(true), NOW), Usability::LastResort) << "not at once";
@@ -251,7 +251,7 @@
 {
     const auto seconds = *rc::gen::inRange(1, 60);
     ServiceState service;
-    updateTargets(service, {record("one")}, NOW, 0);
+    updateTargets(service, {record("one")}, NOW);
     auto &target = service.targets.front();
     int trials = 0;
     for (auto now = NOW; now < NOW + std::chrono::seconds(seconds); now += 50ms) {
--- a/Tests/LibFleet/TestUnevenLoad.cpp
+++ b/Tests/LibFleet/TestUnevenLoad.cpp
@@ -41,7 +41,7 @@
         records.push_back(record);
     }
     Core::TimePoint now{100s};
-    updateTargets(service, records, now, 0);
+    updateTargets(service, records, now);
     std::map<std::string, std::deque<Core::TimePoint>> ends;
     const RouteStatistics route{.workMilliseconds = static_cast<double>(WORK.count()), .answerBytes = 5000};
     ChoiceInput input;
--- a/Tests/LibGateway/TestRateLimits.cpp
+++ b/Tests/LibGateway/TestRateLimits.cpp
@@ -188,10 +188,8 @@
     this->configureRoute(RouteKind::Once);
     auto &cold = *Fleet::findTarget(*this->service(), "one");
     cold.coldUntil = Core::Clock::now() + 1h;
-    cold.coldTokens = 1;
     EXPECT_EQ(this->run("a1").response.result_int(), 200U);
     cold.coldUntil = Core::Clock::now() + 1h;
-    cold.coldTokens = 1;
     EXPECT_EQ(this->run("a2").response.result_int(), 503U);
     EXPECT_EQ(target.runs().size(), 1U);
 }
