LibGateway: Watch the store linearizably

Cause: whoever watched the store asked with serializable alone unless a call had failed; an answer counted as current since nothing failed. The heartbeats among instances compare what all had read from the same replica.

Now each watch that waits is linearizable. Listings and the first catch-up stay relaxed: the watch or the next heartbeat shows what they lack.

--- a/Libraries/LibGateway/Reflector.cpp
+++ b/Libraries/LibGateway/Reflector.cpp
@@ -267,7 +267,10 @@
 
 Asio::awaitable<bool> Reflector::watch(std::chrono::milliseconds wait)
 {
-    const bool needsLinearizableRead = Core::Clock::now() < this->linearizableReadsUntil || this->consecutiveFailures > 0;
+    // A replica may be seconds behind without any sign of it, and whoever watches learns of changes from nobody else. A catch-up is
+    // different: what it lacks is known.
+    const bool needsLinearizableRead
+        = wait != CATCH_UP_WAIT || Core::Clock::now() < this->linearizableReadsUntil || this->consecutiveFailures > 0;
     const auto after = this->revision;
     auto result = co_await this->store.watch(this->kind, after, wait, needsLinearizableRead ? Freshness::Linearizable : Freshness::Relaxed);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
