LibGateway: Let one watcher read the store linearizably for all data centres

A single one suffices: its announcements and heartbeats name the revisions that the others may lack.

Instances of earlier versions don't say so and are not relied on.

--- a/Libraries/LibGateway/ChangeDisseminationMessage.cpp
+++ b/Libraries/LibGateway/ChangeDisseminationMessage.cpp
@@ -22,6 +22,9 @@
     Snapshot,
 };
 
+/// Position in a heartbeat of what earlier versions of the program leave out.
+constexpr std::size_t LINEARIZABLE_INDEX = 6;
+
 /// Identifies the alternative of Content.
 enum class ContentTag {
     Unreadable,
@@ -200,7 +203,8 @@
                             encodeRevisions(heartbeat.positions),
                             heartbeat.timeSinceStoreResponse.count(),
                             heartbeat.activeForDataCentre.value,
-                            heartbeat.kindsAheadOfStore});
+                            heartbeat.kindsAheadOfStore,
+                            heartbeat.isLinearizable});
     }
 
     Json operator()(const SnapshotRequest &request) const
@@ -232,7 +236,8 @@
                                .positions = decodeRevisions(row.at(2)),
                                .timeSinceStoreResponse = std::chrono::milliseconds(row.at(3).get<std::int64_t>()),
                                .activeForDataCentre = {row.at(4).get<std::string>()},
-                               .kindsAheadOfStore = {}};
+                               .kindsAheadOfStore = {},
+                               .isLinearizable = row.size() > LINEARIZABLE_INDEX && row.at(LINEARIZABLE_INDEX).get<bool>()};
     std::ranges::transform(row.at(5), std::back_inserter(heartbeat.kindsAheadOfStore), decodeKind);
     return heartbeat;
 }
--- a/Libraries/LibGateway/ChangeDisseminationMessage.h
+++ b/Libraries/LibGateway/ChangeDisseminationMessage.h
@@ -36,6 +36,9 @@
     Core::DataCentreName activeForDataCentre;
     /// Kinds of which the sender knows facts that a restored store does not show any more.
     std::vector<ObjectKind> kindsAheadOfStore;
+    /// The sender reads the store linearizably, so that its revisions are no older than its last response. Earlier versions of the program
+    /// do not say so.
+    bool isLinearizable{false};
 };
 
 /// Asks a peer for objects that the sender cannot get from the store.
--- a/Libraries/LibGateway/ChangeDisseminator.cpp
+++ b/Libraries/LibGateway/ChangeDisseminator.cpp
@@ -94,9 +94,20 @@
     if (this->isBehind(kind, revision) && !mayBeInTransit) {
         return ReflectorMode::CatchUp;
     }
+    if (this->isActiveWatcher() && hearsWatchers && !this->readsLinearizably()) {
+        return ReflectorMode::WatchReplica;
+    }
     return this->isActiveWatcher() || (!hearsWatchers && !isJoining) ? ReflectorMode::Watch : ReflectorMode::AwaitPeers;
 }
 
+bool ChangeDisseminator::readsLinearizably() const
+{
+    const auto now = this->timers.now();
+    return std::ranges::none_of(this->farLinearizableWatchersHeardAt, [this, now](const auto &heard) {
+        return heard.first < this->ownDataCentre() && now - heard.second < FAR_WATCHER_TIMEOUT;
+    });
+}
+
 bool ChangeDisseminator::isBehind(ObjectKind kind, Revision revision) const
 {
     return this->latest[indexOf(kind)] > revision;
@@ -260,6 +271,9 @@
         this->kindsWatchersKnowMoreOf = heartbeat.kindsAheadOfStore;
     } else if (!heartbeat.activeForDataCentre.value.empty()) {
         this->farActiveWatchersHeardAt[heartbeat.activeForDataCentre] = now;
+        if (heartbeat.isLinearizable) {
+            this->farLinearizableWatchersHeardAt[heartbeat.activeForDataCentre] = now;
+        }
     }
     for (std::size_t index = 0; index < OBJECT_KIND_COUNT; ++index) {
         const auto kind = static_cast<ObjectKind>(index);
@@ -285,7 +299,8 @@
                                    .timeSinceStoreResponse
                                    = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->storeLastRespondedAt),
                                    .activeForDataCentre = {},
-                                   .kindsAheadOfStore = this->callbacks.kindsAheadOfStore()};
+                                   .kindsAheadOfStore = this->callbacks.kindsAheadOfStore(),
+                                   .isLinearizable = this->readsLinearizably()};
         if (isReading && this->isStoreAvailable) {
             heartbeat.activeForDataCentre = this->ownDataCentre();
         }
--- a/Libraries/LibGateway/ChangeDisseminator.h
+++ b/Libraries/LibGateway/ChangeDisseminator.h
@@ -68,6 +68,9 @@
     void requestSnapshots(const std::string &peer, std::vector<ObjectKind> kinds);
     /// Asks a watcher of the data centre for the facts that the store has lost, where this instance started too late to know them.
     void requestLostFacts();
+    /// Whether this instance, if it watches, has to read linearizably: it hears from no watcher of an earlier data centre, in the order of
+    /// their names, that does. One of them suffices for all.
+    bool readsLinearizably() const;
     void sendHeartbeat(Core::TimePoint now);
     void updateWatchers();
     const Core::DataCentreName &ownDataCentre() const;
@@ -96,6 +99,8 @@
     std::vector<FarWatcher> farWatchers;
     /// When the active watcher of each other data centre last reported that the store responds to it.
     std::map<Core::DataCentreName, Core::TimePoint> farActiveWatchersHeardAt;
+    /// The same for those of them that read the store linearizably.
+    std::map<Core::DataCentreName, Core::TimePoint> farLinearizableWatchersHeardAt;
     std::vector<std::string> watcherPeerAddresses;
     KindRevisions latest{};
     /// Kinds of which the watchers of the data centre last reported to know more than the store shows.
--- a/Libraries/LibGateway/Reflector.cpp
+++ b/Libraries/LibGateway/Reflector.cpp
@@ -100,14 +100,16 @@
         }
         if (this->needsListing) {
             isDone = co_await this->list();
-        } else if (mode == ReflectorMode::Watch) {
+        } else if (mode == ReflectorMode::Watch || mode == ReflectorMode::WatchReplica) {
             this->isWatchPending = true;
+            this->isPendingRelaxed = mode == ReflectorMode::WatchReplica;
             this->watchBegins.cancel();
             // A store that was restored may wait with its answer as long as a watch lasts: the first one after a failure is short.
-            isDone = co_await this->watch(this->consecutiveFailures > 0 ? CATCH_UP_WAIT : this->watchWait);
+            isDone = co_await this->watch(this->consecutiveFailures > 0 ? CATCH_UP_WAIT : this->watchWait,
+                                          this->isPendingRelaxed ? Freshness::Relaxed : Freshness::Linearizable);
             this->isWatchPending = false;
         } else if (mode == ReflectorMode::CatchUp) {
-            isDone = co_await this->watch(CATCH_UP_WAIT);
+            isDone = co_await this->watch(CATCH_UP_WAIT, Freshness::Relaxed);
         } else {
             co_await this->idle();
             continue;
@@ -133,11 +135,15 @@
             continue;
         }
         co_await this->pause(IDLE_POLL_INTERVAL);
-        if (!this->isWatchPending || (!this->needsListing && this->callbacks.mode(this->revision) != ReflectorMode::CatchUp)) {
+        const auto mode = this->callbacks.mode(this->revision);
+        // The watcher whose announcements the pending watch relies on has ended or does not reach the store.
+        const bool isUncovered
+            = this->isPendingRelaxed && mode == ReflectorMode::Watch && Core::Clock::now() >= this->linearizableReadsUntil;
+        if (!this->isWatchPending || (!this->needsListing && mode != ReflectorMode::CatchUp && !isUncovered)) {
             continue;
         }
         this->readLinearizablyFor(STALE_REPLICA_PERIOD);
-        const bool isDone = this->needsListing ? co_await this->list() : co_await this->watch(CATCH_UP_WAIT);
+        const bool isDone = this->needsListing ? co_await this->list() : co_await this->watch(CATCH_UP_WAIT, Freshness::Linearizable);
         if (isDone) {
             this->callbacks.onResponse();
         }
@@ -265,12 +271,11 @@
     }
 }
 
-Asio::awaitable<bool> Reflector::watch(std::chrono::milliseconds wait)
+Asio::awaitable<bool> Reflector::watch(std::chrono::milliseconds wait, Freshness freshness)
 {
-    // A replica may be seconds behind without any sign of it, and whoever watches learns of changes from nobody else. A catch-up is
-    // different: what it lacks is known.
+    // A replica may be seconds behind without any sign of it.
     const bool needsLinearizableRead
-        = wait != CATCH_UP_WAIT || Core::Clock::now() < this->linearizableReadsUntil || this->consecutiveFailures > 0;
+        = freshness == Freshness::Linearizable || Core::Clock::now() < this->linearizableReadsUntil || this->consecutiveFailures > 0;
     const auto after = this->revision;
     auto result = co_await this->store.watch(this->kind, after, wait, needsLinearizableRead ? Freshness::Linearizable : Freshness::Relaxed);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
--- a/Libraries/LibGateway/Reflector.h
+++ b/Libraries/LibGateway/Reflector.h
@@ -14,8 +14,10 @@
 
 /// How a reflector learns of changes.
 enum class ReflectorMode {
-    /// Watches the store itself.
+    /// Watches the store itself, linearizably.
     Watch,
+    /// Watches the store itself, perhaps at a replica that is behind: another watcher reads linearizably and announces what it sees.
+    WatchReplica,
     /// Fetches changes that are known to exist and have not arrived.
     CatchUp,
     /// Receives changes from peers and sends no requests.
@@ -105,7 +107,7 @@
     static Changes changesAfter(Revision previous, const Listing &listing, const Changes &difference);
     /// Records the listing's objects as known, beside later changes that peers reported.
     void adoptListing(const Listing &listing);
-    boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait);
+    boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait, Freshness freshness);
     boost::asio::awaitable<void> idle();
     /// Returns the changes that are newer than the known revisions of their objects, and records them as known.
     Changes applyNewer(const Changes &changes);
@@ -132,6 +134,8 @@
     boost::asio::steady_timer wakeTimer;
     bool needsListing{true};
     bool isWatchPending{false};
+    /// The watch that is pending may be served by a replica that is behind.
+    bool isPendingRelaxed{false};
     /// Cancelled when a watch begins.
     boost::asio::steady_timer watchBegins;
     std::uint32_t consecutiveFailures{0};
