--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -371,7 +371,7 @@
                            {"is_proven", status.isProven},
                            {"answers_judged", rollout.state->verdict.answers},
                            {"significance", rollout.state->verdict.significance},
-                           {"allowed_exposure", rollout.state->rollout.trialShare}});
+                           {"trial_share", rollout.state->rollout.trialShare}});
 }
 
 void RolloutDriver::refreshTargets(TrackedRollout &rollout) const
