LibFleet, LibGateway: Share what cold targets and stated rates divide alike

A cold target's share repeated what RateLimit had: when a part is outdated, and how a new one takes effect. Both are a RateShare now, and setShare serves both. The case for a clock at its epoch was needed by nothing.

--- a/Libraries/LibFleet/ColdShare.cpp
+++ b/Libraries/LibFleet/ColdShare.cpp
@@ -3,7 +3,6 @@
 #include <LibLimits/SenderSelection.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace Briarbend::Fleet
 {
@@ -26,26 +25,22 @@
 }
 
 void updateColdShare(
-    ColdShare &share, double requestsPerSecond, const Core::TargetId &target, const RateSharers &sharers, Core::TimePoint now)
+    RateShare &share, double requestsPerSecond, const Core::TargetId &target, const RateSharers &sharers, Core::TimePoint now)
 {
-    const bool hasSameSharers = sharers.isComplete && share.sharersFingerprint == sharers.fingerprint;
-    if (hasSameSharers && share.sharedRate == requestsPerSecond) {
+    if (!isOutdated(share, requestsPerSecond, sharers)) {
         return;
     }
-    const bool isFirst = !share.sharersFingerprint;
     const auto senders = coldSenderCount(requestsPerSecond);
     const auto known = std::max({std::size_t{1}, sharers.members.size(), sharers.known});
     const auto rank = Limits::senderRank(sharers.self, sharers.members, target);
     const auto permits = sharers.isComplete && rank < senders ? std::max<std::size_t>(1, senders / known) : 0;
-    if (share.quota.permits == 0 && permits > 0) {
-        // Those that this instance follows may just have sent.
-        const auto openFrom = isFirst ? sharers.completeSince : now;
-        share.quota.window = Limits::SEND_WINDOW;
-        share.quota.openFrom = openFrom == Core::TimePoint{} ? openFrom : openFrom + Limits::SEND_WINDOW;
-    }
-    Limits::resizeRateQuota(share.quota, static_cast<std::uint32_t>(permits));
-    share.sharersFingerprint = sharers.isComplete ? std::optional(sharers.fingerprint) : std::nullopt;
-    share.sharedRate = requestsPerSecond;
+    // Those that this instance follows may just have sent.
+    const auto followsSince = share.sharersFingerprint ? now : sharers.completeSince;
+    setShare(share,
+             {.permits = static_cast<std::uint32_t>(permits), .window = Limits::SEND_WINDOW},
+             followsSince + Limits::SEND_WINDOW,
+             requestsPerSecond,
+             sharers);
 }
 
 } // namespace Briarbend::Fleet
--- a/Libraries/LibFleet/ColdShare.h
+++ b/Libraries/LibFleet/ColdShare.h
@@ -7,19 +7,12 @@
 namespace Briarbend::Fleet
 {
 
-struct ColdShare {
-    Limits::RateQuota quota;
-    /// The members of which `quota` was computed, and the target's rate. Not set while they are incomplete.
-    std::optional<std::size_t> sharersFingerprint;
-    double sharedRate{0};
-};
-
 /// Number of instances that may send to a cold target with this rate. Each sends once a second at most, so it is also what all of them send
 /// in one second, and what each side of a partition sends.
 std::size_t coldSenderCount(double requestsPerSecond);
 
 /// Updates the part after a change of the rate or of the members.
 void updateColdShare(
-    ColdShare &share, double requestsPerSecond, const Core::TargetId &target, const RateSharers &sharers, Core::TimePoint now);
+    RateShare &share, double requestsPerSecond, const Core::TargetId &target, const RateSharers &sharers, Core::TimePoint now);
 
 } // namespace Briarbend::Fleet
--- a/Libraries/LibFleet/RateLimit.cpp
+++ b/Libraries/LibFleet/RateLimit.cpp
@@ -41,26 +41,36 @@
     return {.permits = static_cast<std::uint32_t>(permits), .window = std::chrono::duration_cast<Core::Duration>(window)};
 }
 
+bool isOutdated(const RateShare &share, double requestsPerSecond, const RateSharers &sharers)
+{
+    const bool hasSameSharers = sharers.isComplete && share.sharersFingerprint == sharers.fingerprint;
+    return !hasSameSharers || share.sharedRate != requestsPerSecond;
+}
+
+void setShare(RateShare &share, const SenderShare &part, Core::TimePoint openFrom, double requestsPerSecond, const RateSharers &sharers)
+{
+    if (share.quota.permits == 0 && part.permits > 0) {
+        share.quota = Limits::startRateQuota(part.permits, openFrom, part.window);
+        share.quota.openFrom = openFrom;
+    } else {
+        Limits::resizeRateQuota(share.quota, part.permits, part.window);
+    }
+    share.sharersFingerprint = sharers.isComplete ? std::optional(sharers.fingerprint) : std::nullopt;
+    share.sharedRate = requestsPerSecond;
+}
+
 void updateQuota(RateLimit &limit, const Core::TargetId &target, const RateSharers &sharers, Core::TimePoint now)
 {
-    const bool hasSameSharers = sharers.isComplete && limit.sharersFingerprint == sharers.fingerprint;
-    if (hasSameSharers && limit.sharedRate == limit.rate.requestsPerSecond) {
+    const auto rate = limit.rate.requestsPerSecond;
+    if (!isOutdated(limit, rate, sharers)) {
         return;
     }
-    const auto rate = limit.rate.requestsPerSecond;
-    const auto share = senderShare(rate, sharers.members.size());
+    auto part = senderShare(rate, sharers.members.size());
     const auto senders = senderCount(rate, sharers.members.size());
     const auto rank = Limits::senderRank(sharers.self, sharers.members, target);
-    const auto permits = sharers.isComplete && rank < senders ? share.permits : 0;
-    if (limit.quota.permits == 0 && permits > 0) {
-        limit.quota = Limits::startRateQuota(permits, now, share.window);
-        limit.quota.openFrom = now + share.window * (rank + 1) / senders;
-    } else {
-        Limits::resizeRateQuota(limit.quota, permits, share.window);
-    }
+    part.permits = sharers.isComplete && rank < senders ? part.permits : 0;
+    setShare(limit, part, now + part.window * (rank + 1) / senders, rate, sharers);
     limit.trialRank = Limits::senderRank(sharers.self, sharers.neighbours, target);
-    limit.sharersFingerprint = sharers.isComplete ? std::optional(sharers.fingerprint) : std::nullopt;
-    limit.sharedRate = rate;
 }
 
 bool isTrialDue(const RateLimit &limit, Core::TimePoint now)
--- a/Libraries/LibFleet/RateLimit.h
+++ b/Libraries/LibFleet/RateLimit.h
@@ -51,13 +51,17 @@
     bool operator==(const StatedRate &) const = default;
 };
 
-/// A stated rate, and this instance's part of it.
-struct RateLimit {
-    StatedRate rate;
+/// This instance's part of a rate that the members share.
+struct RateShare {
     Limits::RateQuota quota;
     /// The members of which `quota` was computed, and the rate. Not set while they are incomplete.
     std::optional<std::size_t> sharersFingerprint;
     double sharedRate{0};
+};
+
+/// A stated rate, and this instance's part of it.
+struct RateLimit : RateShare {
+    StatedRate rate;
     /// Number of instances of the data centre that try the target before this one once the rate is outdated.
     std::size_t trialRank{0};
     /// When this instance last tried the target with an outdated rate.
@@ -79,6 +83,12 @@
 /// What each of the senders of a target may send; no permits for a rate of zero.
 SenderShare senderShare(double requestsPerSecond, std::size_t members);
 
+/// True if the rate or the members have changed since the part was computed.
+bool isOutdated(const RateShare &share, double requestsPerSecond, const RateSharers &sharers);
+
+/// Sets the part. An instance that becomes a sender begins at the given time.
+void setShare(RateShare &share, const SenderShare &part, Core::TimePoint openFrom, double requestsPerSecond, const RateSharers &sharers);
+
 /// Updates the quota after a change of the rate or of the members. Instances that become senders begin one after the other within one
 /// window, since those that they follow may just have sent.
 void updateQuota(RateLimit &limit, const Core::TargetId &target, const RateSharers &sharers, Core::TimePoint now);
--- a/Libraries/LibFleet/ServiceState.cpp
+++ b/Libraries/LibFleet/ServiceState.cpp
@@ -247,7 +247,7 @@
 bool takeColdPermit(const ServiceConfiguration &configuration, TargetState &target, const RateSharers &sharers, Core::TimePoint now)
 {
     if (!target.coldShare) {
-        target.coldShare = std::make_unique<ColdShare>();
+        target.coldShare = std::make_unique<RateShare>();
     }
     auto &share = *target.coldShare;
     updateColdShare(share, configuration.coldRequestsPerSecond, {target.record.name}, sharers, now);
--- a/Libraries/LibFleet/ServiceState.h
+++ b/Libraries/LibFleet/ServiceState.h
@@ -72,7 +72,7 @@
     Core::TimePoint nextTrialAt;
     std::chrono::milliseconds trialPause{0};
     /// What this instance may send to the target while it is cold; null until it first wants to.
-    std::unique_ptr<ColdShare> coldShare;
+    std::unique_ptr<RateShare> coldShare;
     /// Pooled connections to the target that no request uses, and until when the last of them is usable.
     std::uint32_t idleConnections{0};
     Core::TimePoint connectedUntil;
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -218,12 +218,12 @@
     }
     // Each request begins with another target, so that all of them fill alike.
     const auto first = targets.begin() + static_cast<std::ptrdiff_t>(state.random.below(targets.size()));
-    auto found = std::find_if(first, targets.end(), isTaken);
-    if (found == targets.end()) {
-        found = std::find_if(targets.begin(), first, isTaken);
-        return found == first ? std::string{} : found->record.name;
+    for (const auto part : {std::ranges::subrange(first, targets.end()), std::ranges::subrange(targets.begin(), first)}) {
+        if (const auto found = std::ranges::find_if(part, isTaken); found != part.end()) {
+            return found->record.name;
+        }
     }
-    return found->record.name;
+    return {};
 }
 
 Asio::awaitable<FoundTarget> findColdTarget(GatewayState &state, const TargetQuery &query)
