LibGateway: Keep one record of a pending watch and of each far watcher

Two flags described the pending watch, and two maps the active watchers of other data centres. A heartbeat claimed linearizable reads also for an instance on standby, which reads nothing; receivers passed over it. Whether reads avoid replicas stood in two places. Behaviour stays; TestLibGateway passes unchanged.

--- a/Libraries/LibGateway/ChangeDisseminator.cpp
+++ b/Libraries/LibGateway/ChangeDisseminator.cpp
@@ -103,8 +103,9 @@
 bool ChangeDisseminator::readsLinearizably() const
 {
     const auto now = this->timers.now();
-    return std::ranges::none_of(this->farLinearizableWatchersHeardAt, [this, now](const auto &heard) {
-        return heard.first < this->ownDataCentre() && now - heard.second < FAR_WATCHER_TIMEOUT;
+    return std::ranges::none_of(this->farActiveWatchers, [this, now](const auto &entry) {
+        const auto &[dataCentre, watcher] = entry;
+        return dataCentre < this->ownDataCentre() && watcher.isLinearizable && now - watcher.heardAt < FAR_WATCHER_TIMEOUT;
     });
 }
 
@@ -270,10 +271,7 @@
         this->activeWatcherHeardAt = now;
         this->kindsWatchersKnowMoreOf = heartbeat.kindsAheadOfStore;
     } else if (!heartbeat.activeForDataCentre.value.empty()) {
-        this->farActiveWatchersHeardAt[heartbeat.activeForDataCentre] = now;
-        if (heartbeat.isLinearizable) {
-            this->farLinearizableWatchersHeardAt[heartbeat.activeForDataCentre] = now;
-        }
+        this->farActiveWatchers[heartbeat.activeForDataCentre] = {.heardAt = now, .isLinearizable = heartbeat.isLinearizable};
     }
     for (std::size_t index = 0; index < OBJECT_KIND_COUNT; ++index) {
         const auto kind = static_cast<ObjectKind>(index);
@@ -300,9 +298,10 @@
                                    = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->storeLastRespondedAt),
                                    .activeForDataCentre = {},
                                    .kindsAheadOfStore = this->callbacks.kindsAheadOfStore(),
-                                   .isLinearizable = this->readsLinearizably()};
+                                   .isLinearizable = false};
         if (isReading && this->isStoreAvailable) {
             heartbeat.activeForDataCentre = this->ownDataCentre();
+            heartbeat.isLinearizable = this->readsLinearizably();
         }
         for (std::size_t index = 0; index < OBJECT_KIND_COUNT; ++index) {
             heartbeat.positions[index] = this->callbacks.syncedRevision(static_cast<ObjectKind>(index));
@@ -366,8 +365,8 @@
 
 bool ChangeDisseminator::hasActiveWatcher(const Core::DataCentreName &dataCentre) const
 {
-    const auto heard = this->farActiveWatchersHeardAt.find(dataCentre);
-    return heard != this->farActiveWatchersHeardAt.end() && this->timers.now() - heard->second < FAR_WATCHER_TIMEOUT;
+    const auto heard = this->farActiveWatchers.find(dataCentre);
+    return heard != this->farActiveWatchers.end() && this->timers.now() - heard->second.heardAt < FAR_WATCHER_TIMEOUT;
 }
 
 void ChangeDisseminator::send(const std::vector<std::string> &audience, const std::string &bytes)
--- a/Libraries/LibGateway/ChangeDisseminator.h
+++ b/Libraries/LibGateway/ChangeDisseminator.h
@@ -97,10 +97,14 @@
     /// other data centres.
     std::vector<std::string> neighbours;
     std::vector<FarWatcher> farWatchers;
-    /// When the active watcher of each other data centre last reported that the store responds to it.
-    std::map<Core::DataCentreName, Core::TimePoint> farActiveWatchersHeardAt;
-    /// The same for those of them that read the store linearizably.
-    std::map<Core::DataCentreName, Core::TimePoint> farLinearizableWatchersHeardAt;
+    /// What the active watcher of another data centre last reported.
+    struct FarActiveWatcher {
+        /// When it reported that the store responds to it.
+        Core::TimePoint heardAt;
+        bool isLinearizable{false};
+    };
+
+    std::map<Core::DataCentreName, FarActiveWatcher> farActiveWatchers;
     std::vector<std::string> watcherPeerAddresses;
     KindRevisions latest{};
     /// Kinds of which the watchers of the data centre last reported to know more than the store shows.
--- a/Libraries/LibGateway/Reflector.cpp
+++ b/Libraries/LibGateway/Reflector.cpp
@@ -101,13 +101,12 @@
         if (this->needsListing) {
             isDone = co_await this->list();
         } else if (mode == ReflectorMode::Watch || mode == ReflectorMode::WatchReplica) {
-            this->isWatchPending = true;
-            this->isPendingRelaxed = mode == ReflectorMode::WatchReplica;
+            const auto freshness = mode == ReflectorMode::WatchReplica ? Freshness::Relaxed : Freshness::Linearizable;
+            this->pendingWatch = freshness;
             this->watchBegins.cancel();
             // A store that was restored may wait with its answer as long as a watch lasts: the first one after a failure is short.
-            isDone = co_await this->watch(this->consecutiveFailures > 0 ? CATCH_UP_WAIT : this->watchWait,
-                                          this->isPendingRelaxed ? Freshness::Relaxed : Freshness::Linearizable);
-            this->isWatchPending = false;
+            isDone = co_await this->watch(this->consecutiveFailures > 0 ? CATCH_UP_WAIT : this->watchWait, freshness);
+            this->pendingWatch.reset();
         } else if (mode == ReflectorMode::CatchUp) {
             isDone = co_await this->watch(CATCH_UP_WAIT, Freshness::Relaxed);
         } else {
@@ -129,7 +128,7 @@
 Asio::awaitable<void> Reflector::overtakeWatches()
 {
     while (true) {
-        if (!this->isWatchPending) {
+        if (!this->pendingWatch) {
             boost::system::error_code ignored;
             co_await this->watchBegins.async_wait(Asio::redirect_error(Asio::use_awaitable, ignored));
             continue;
@@ -137,9 +136,9 @@
         co_await this->pause(IDLE_POLL_INTERVAL);
         const auto mode = this->callbacks.mode(this->revision);
         // The watcher whose announcements the pending watch relies on has ended or does not reach the store.
-        const bool isUncovered
-            = this->isPendingRelaxed && mode == ReflectorMode::Watch && Core::Clock::now() >= this->linearizableReadsUntil;
-        if (!this->isWatchPending || (!this->needsListing && mode != ReflectorMode::CatchUp && !isUncovered)) {
+        const bool isUncovered = this->pendingWatch == Freshness::Relaxed && mode == ReflectorMode::Watch
+            && Core::Clock::now() >= this->linearizableReadsUntil;
+        if (!this->pendingWatch || (!this->needsListing && mode != ReflectorMode::CatchUp && !isUncovered)) {
             continue;
         }
         this->readLinearizablyFor(STALE_REPLICA_PERIOD);
@@ -154,7 +153,7 @@
 {
     // Cleared before the call, so that a requestRelist during it is not lost.
     this->needsListing = false;
-    const bool needsLinearizableRead = Core::Clock::now() < this->linearizableReadsUntil || this->consecutiveFailures > 0;
+    const bool needsLinearizableRead = this->needsLinearizableReads();
     const auto result = co_await this->store.list(this->kind, needsLinearizableRead ? Freshness::Linearizable : Freshness::Relaxed);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         this->needsListing = true;
@@ -199,6 +198,11 @@
     this->linearizableReadsUntil = std::max(this->linearizableReadsUntil, Core::Clock::now() + period);
 }
 
+bool Reflector::needsLinearizableReads() const
+{
+    return Core::Clock::now() < this->linearizableReadsUntil || this->consecutiveFailures > 0;
+}
+
 std::optional<Revision> Reflector::lastChangeOf(const std::string &name) const
 {
     std::optional<Revision> last;
@@ -274,8 +278,7 @@
 Asio::awaitable<bool> Reflector::watch(std::chrono::milliseconds wait, Freshness freshness)
 {
     // A replica may be seconds behind without any sign of it.
-    const bool needsLinearizableRead
-        = freshness == Freshness::Linearizable || Core::Clock::now() < this->linearizableReadsUntil || this->consecutiveFailures > 0;
+    const bool needsLinearizableRead = freshness == Freshness::Linearizable || this->needsLinearizableReads();
     const auto after = this->revision;
     auto result = co_await this->store.watch(this->kind, after, wait, needsLinearizableRead ? Freshness::Linearizable : Freshness::Relaxed);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
--- a/Libraries/LibGateway/Reflector.h
+++ b/Libraries/LibGateway/Reflector.h
@@ -103,6 +103,8 @@
     /// Whether the listing is the first of an era after an earlier one was known.
     bool beginsEra(const Listing &listing) const;
     void readLinearizablyFor(Core::Duration period);
+    /// Whether reads avoid replicas, which may be stale.
+    bool needsLinearizableReads() const;
     /// The changes after the revision that the listing shows.
     static Changes changesAfter(Revision previous, const Listing &listing, const Changes &difference);
     /// Records the listing's objects as known, beside later changes that peers reported.
@@ -133,9 +135,8 @@
     Revision listedRevision;
     boost::asio::steady_timer wakeTimer;
     bool needsListing{true};
-    bool isWatchPending{false};
-    /// The watch that is pending may be served by a replica that is behind.
-    bool isPendingRelaxed{false};
+    /// How the watch that is pending reads; empty while none is.
+    std::optional<Freshness> pendingWatch;
     /// Cancelled when a watch begins.
     boost::asio::steady_timer watchBegins;
     std::uint32_t consecutiveFailures{0};
