LibRollout, LibGateway: Simplify the judging of rollouts by a deadline

- The buckets of LatencyBaseline and of the evidence were the same formula twice; both are in LatencyBucket now, with the baseline's 100 buckets (up to 33 s).
- Which answers are judged, and under which key, is decided in one place: trackPending takes the observation that observe takes.
- isInBurst followed from the targets that may be chosen; it is gone.
- A trial's plan is computed once a question, the medians of the old version once a route, occupancy once a tick; answers are no longer copied in each comparison.
- The parts of the allowed exposure and the load of a burst stood in the driver and again in the simulation.
- forcedRampFraction and minimumSuccesses have no effect where a proof is required.

Behaviour stays: the tests of LibRollout and LibGateway pass with the same assertions; two tests of 504 answers share their set-up.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -96,7 +96,7 @@
         query.input.sampled.clear();
         found = co_await findTarget(this->context->state, query);
     }
-    this->isTargetBusy = split && split->isInBurst && !query.input.isVersionExcluded;
+    this->isTargetBusy = !query.input.sampled.empty();
     if (found.searchFailure != SearchFailure::None) {
         this->context->recordDecision(
             found.searchFailure == SearchFailure::Full ? "all_full" : "no_target",
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -60,8 +60,6 @@
     /// Names of the targets of the new version that may be chosen; empty if all of them may.
     std::vector<std::string> newVersionTargets;
     VersionFallback fallback{VersionFallback::OtherVersions};
-    /// All requests for the new version go to one target, which leaves no choice of a faster one.
-    bool isInBurst{false};
 };
 
 /// The outcome of one request at one target, used to evaluate versions.
@@ -116,8 +114,7 @@
     std::map<std::string, RouteState> routes;
     /// Returns nothing while no rollout splits the traffic of the service.
     std::function<std::optional<VersionSplit>(const Core::ServiceName &service, const std::string &route)> versionSplitFor;
-    /// Called for each request that is sent to a target, of which nothing is known but where it goes. The request keeps the result until it
-    /// ends.
+    /// Called for each request that is sent to a target, when only its destination is known. The request keeps the result until it ends.
     std::function<std::shared_ptr<void>(const AttemptObservation &)> onSent;
     /// Called for each request to which a target has responded or which it has lost.
     std::function<void(const AttemptObservation &)> onObserved;
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -23,17 +23,11 @@
 /// Fraction of the time between order and deadline by which a good version is to receive all requests; the rest is for confirmations and
 /// the write.
 constexpr double FINISH_FRACTION = 0.95;
-/// Fractions of the allowed exposure that a trial uses until its regular end and beyond it; the rest is for requests in flight and for
-/// traffic that varies.
-constexpr double TRIAL_EXPOSURE_FRACTION = 0.65;
-constexpr double EXTENSION_EXPOSURE_FRACTION = 0.15;
 constexpr const char *PREVIOUS_VERSION{"previous"};
 /// Bounds the exposure, as a fraction of all requests, if hardly any traffic was observed.
 constexpr double MAXIMUM_EXPOSURE = 0.35;
 /// Shorter observations do not give a reliable request rate.
 constexpr std::chrono::milliseconds MINIMUM_RATE_WINDOW{1000};
-/// Part of one target's slots that a burst of the trial occupies.
-constexpr double BURST_OCCUPANCY = 0.9;
 /// Evidence that did not arrive within this many intervals is missing.
 constexpr int MISSING_EVIDENCE_INTERVALS = 4;
 
@@ -52,12 +46,18 @@
     return occupancy;
 }
 
-/// Share of the service's requests that occupies most slots of one target.
-double loadingShareOf(const Fleet::ServiceState &service)
+Rollout::Observation
+rolloutObservationOf(const AttemptObservation &observation, const Core::VersionName &newVersion, Rollout::LoadLevel level)
 {
-    const auto occupancy = occupancyOf(service);
-    const auto slots = static_cast<double>(occupancy.slots) / static_cast<double>(std::max<std::size_t>(1, service.targets.size()));
-    return BURST_OCCUPANCY * slots / std::max<double>(1, occupancy.running);
+    return {.segment = {observation.route, level},
+            .role = observation.version == newVersion ? Rollout::VersionRole::New : Rollout::VersionRole::Old,
+            .target = {observation.target},
+            .isFailure = observation.isFailure,
+            .latency = std::chrono::duration_cast<std::chrono::microseconds>(observation.elapsed),
+            .isCold = observation.wasCold,
+            .isBusy = observation.wasBusy,
+            .isCutShort = observation.isCutShort,
+            .slowThreshold = observation.objective};
 }
 
 /// Interval at which each instance sends its evidence to the evaluators.
@@ -179,15 +179,15 @@
         return;
     }
     const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(rollout.order.ramp * FINISH_FRACTION);
+    auto settings = Rollout::deadlineSettings();
+    settings.exposure = Rollout::ExposureSettings{.allowed = this->allowedExposure(rollout)};
     const Configuration::Rollout configured{.service = rollout.order.service,
                                             .from = {PREVIOUS_VERSION},
                                             .to = rollout.order.version,
                                             .start = start,
                                             .finishBy = start + duration,
-                                            .trialShare = this->allowedExposure(rollout)};
-    auto settings = Rollout::deadlineSettings();
-    settings.exposure = Rollout::ExposureSettings{.trial = TRIAL_EXPOSURE_FRACTION * configured.trialShare,
-                                                  .extension = EXTENSION_EXPOSURE_FRACTION * configured.trialShare};
+                                            .trialShare
+                                            = settings.exposure->allowed * settings.exposure->trialPart / settings.trialFraction};
     rollout.state = std::make_unique<Rollout::RolloutState>(configured, this->peers.state().members.self, settings);
     this->refreshTargets(rollout);
 }
@@ -245,11 +245,8 @@
         return std::nullopt;
     }
     const auto &rollout = found->second;
-    VersionSplit split{.newVersion = rollout.order.version,
-                       .newShare = 0,
-                       .newVersionTargets = {},
-                       .fallback = VersionFallback::OtherVersions,
-                       .isInBurst = false};
+    VersionSplit split{
+        .newVersion = rollout.order.version, .newShare = 0, .newVersionTargets = {}, .fallback = VersionFallback::OtherVersions};
     if (rollout.order.progress.state == RolloutState::Completed) {
         split.newShare = 1;
         split.fallback = VersionFallback::None;
@@ -260,7 +257,6 @@
     }
     const auto now = this->clock.now();
     split.newShare = Rollout::newVersionShare(*rollout.state, {route, rollout.level}, now);
-    split.isInBurst = Rollout::isInBurst(*rollout.state, now);
     if (rollout.state->status.phase == Rollout::Phase::Done) {
         split.fallback = VersionFallback::None;
     }
@@ -273,16 +269,12 @@
 std::shared_ptr<void> RolloutDriver::trackPending(const AttemptObservation &observation)
 {
     const auto found = this->rollouts.find(observation.service.value);
-    if (found == this->rollouts.end() || !found->second.state || observation.wasCold) {
+    if (found == this->rollouts.end() || !found->second.state) {
         return nullptr;
     }
-    const bool isNew = observation.version == found->second.order.version;
-    return Rollout::trackPending(*found->second.state,
-                                 {.group = {.route = observation.route,
-                                            .role = isNew ? Rollout::VersionRole::New : Rollout::VersionRole::Old,
-                                            .target = {isNew ? observation.target : std::string{}}},
-                                  .sentAt = this->clock.now(),
-                                  .isBusy = observation.wasBusy});
+    const auto &rollout = found->second;
+    return Rollout::trackPending(
+        *rollout.state, rolloutObservationOf(observation, rollout.order.version, rollout.level), this->clock.now());
 }
 
 void RolloutDriver::observe(const AttemptObservation &observation)
@@ -292,17 +284,7 @@
         return;
     }
     auto &rollout = found->second;
-    Rollout::observe(*rollout.state,
-                     {.segment = {observation.route, rollout.level},
-                      .role = observation.version == rollout.order.version ? Rollout::VersionRole::New : Rollout::VersionRole::Old,
-                      .target = {observation.target},
-                      .isFailure = observation.isFailure,
-                      .latency = std::chrono::duration_cast<std::chrono::microseconds>(observation.elapsed),
-                      .isCold = observation.wasCold,
-                      .isBusy = observation.wasBusy,
-                      .isCutShort = observation.isCutShort,
-                      .slowThreshold = observation.objective},
-                     this->clock.now());
+    Rollout::observe(*rollout.state, rolloutObservationOf(observation, rollout.order.version, rollout.level), this->clock.now());
     if (observation.isFailure && observation.version == rollout.order.version) {
         this->advanceWhenDue(rollout);
     }
@@ -393,7 +375,8 @@
     Rollout::setTargets(*rollout.state, oldTargets, newTargets, this->clock.now());
     const auto occupancy = occupancyOf(*service->second);
     rollout.level = Rollout::loadLevelOf(occupancy.running, std::max(1U, occupancy.slots));
-    rollout.state->loadingShare = loadingShareOf(*service->second);
+    const auto targets = static_cast<double>(std::max<std::size_t>(1, service->second->targets.size()));
+    rollout.state->loadingShare = Rollout::loadingShareOf(static_cast<double>(occupancy.slots) / targets, occupancy.running);
 }
 
 } // namespace Briarbend::Gateway
--- a/Libraries/LibRollout/Evidence.cpp
+++ b/Libraries/LibRollout/Evidence.cpp
@@ -3,7 +3,6 @@
 #include <LibRollout/Evidence.h>
 
 #include <algorithm>
-#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace Briarbend::Rollout
@@ -80,14 +79,6 @@
 
 } // namespace
 
-LatencyBucket latencyBucketOf(std::chrono::microseconds latency)
-{
-    constexpr double BUCKETS_PER_OCTAVE = 4;
-    const auto microseconds = std::max<double>(1, static_cast<double>(latency.count()));
-    const auto bucket = static_cast<std::size_t>(std::log2(microseconds) * BUCKETS_PER_OCTAVE);
-    return static_cast<LatencyBucket>(std::min(bucket, LATENCY_BUCKETS - 1));
-}
-
 LoadLevel loadLevelOf(std::uint32_t requestsInFlight, std::uint32_t slots)
 {
     constexpr std::uint32_t LEVELS = 3;
--- a/Libraries/LibRollout/Evidence.h
+++ b/Libraries/LibRollout/Evidence.h
@@ -2,8 +2,8 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibCore/Time.h>
+#include <LibRollout/LatencyBucket.h>
 
-#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -94,12 +94,6 @@
     bool operator==(const ResponseCounts &) const = default;
 };
 
-/// Latencies are counted in buckets of a quarter of an octave, so that the counts of all instances add up.
-using LatencyBucket = std::uint8_t;
-constexpr std::size_t LATENCY_BUCKETS = 110;
-
-LatencyBucket latencyBucketOf(std::chrono::microseconds latency);
-
 /// Key of one version's answers on one route. The targets of the old version are not told apart.
 struct AnswerGroup {
     std::string route;
--- a/Libraries/LibRollout/LatencyBaseline.cpp
+++ b/Libraries/LibRollout/LatencyBaseline.cpp
@@ -1,7 +1,6 @@
 #include <LibRollout/LatencyBaseline.h>
 
 #include <algorithm>
-#include <cmath>
 #include <numeric>
 
 namespace Briarbend::Rollout
@@ -13,24 +12,10 @@
 constexpr std::chrono::milliseconds GENERATION_LENGTH{2000};
 constexpr std::uint32_t MINIMUM_RESPONSES = 20;
 constexpr std::uint32_t RESPONSES_PER_THRESHOLD_UPDATE = 16;
-constexpr double BUCKETS_PER_OCTAVE = 4;
 constexpr double SLOW_MEDIAN_FACTOR = 2.0;
 
 } // namespace
 
-std::size_t LatencyBaseline::bucketOf(std::chrono::microseconds latency)
-{
-    const auto microseconds = std::max<double>(1, static_cast<double>(latency.count()));
-    const auto index = static_cast<std::size_t>(std::log2(microseconds) * BUCKETS_PER_OCTAVE);
-    return std::min(index, BUCKETS - 1);
-}
-
-std::chrono::microseconds LatencyBaseline::upperBound(std::size_t index)
-{
-    const auto microseconds = std::exp2(static_cast<double>(index + 1) / BUCKETS_PER_OCTAVE);
-    return std::chrono::microseconds{static_cast<std::int64_t>(std::ceil(microseconds))};
-}
-
 void LatencyBaseline::add(std::chrono::microseconds latency, Core::WallTime now)
 {
     if (now - this->rotatedAt >= GENERATION_LENGTH) {
@@ -39,7 +24,7 @@
         this->currentTotal = 0;
         this->rotatedAt = now;
     }
-    ++this->current[bucketOf(latency)];
+    ++this->current[latencyBucketOf(latency)];
     if (++this->currentTotal % RESPONSES_PER_THRESHOLD_UPDATE == 0) {
         this->updateThreshold();
     }
@@ -58,7 +43,7 @@
         seen += count;
         return 2 * seen >= total;
     });
-    const auto bound = upperBound(static_cast<std::size_t>(median - counts.begin()));
+    const auto bound = upperBoundOf(static_cast<LatencyBucket>(median - counts.begin()));
     this->threshold = std::chrono::microseconds{static_cast<std::int64_t>(static_cast<double>(bound.count()) * SLOW_MEDIAN_FACTOR)};
 }
 
--- a/Libraries/LibRollout/LatencyBaseline.h
+++ b/Libraries/LibRollout/LatencyBaseline.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibRollout/LatencyBucket.h>
 
 #include <array>
 #include <cstdint>
@@ -9,7 +10,7 @@
 namespace Briarbend::Rollout
 {
 
-/// Recent latencies of the old version on one route at one instance, in logarithmic histogram buckets of a quarter of an octave. Two
+/// Recent latencies of the old version on one route at one instance, in logarithmic histogram buckets. Two
 /// generations age out old latencies without bookkeeping for each request.
 class LatencyBaseline
 {
@@ -21,11 +22,8 @@
     std::optional<std::chrono::microseconds> slowThreshold() const;
 
 private:
-    static constexpr std::size_t BUCKETS = 100;
-    using Counts = std::array<std::uint32_t, BUCKETS>;
+    using Counts = std::array<std::uint32_t, LATENCY_BUCKETS>;
 
-    static std::size_t bucketOf(std::chrono::microseconds latency);
-    static std::chrono::microseconds upperBound(std::size_t index);
     void updateThreshold();
 
     Counts current{};
--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -96,11 +96,21 @@
     return isBusy ? std::chrono::duration_cast<std::chrono::microseconds>(latency / BUSY_SLOWDOWN) : latency;
 }
 
-void countAnswer(RolloutState &state, const Observation &observation, Core::WallTime now)
+AnswerGroup answerGroupOf(const Observation &observation)
 {
     const auto isNew = observation.role == VersionRole::New;
-    const AnswerGroup group{
-        .route = observation.segment.route, .role = observation.role, .target = isNew ? observation.target : Core::TargetId{}};
+    return {.route = observation.segment.route, .role = observation.role, .target = isNew ? observation.target : Core::TargetId{}};
+}
+
+/// Whether answers count for the verdict.
+bool isJudged(const RolloutState &state)
+{
+    return state.settings.requiresProof && state.status.phase == Phase::Trial;
+}
+
+void countAnswer(RolloutState &state, const Observation &observation, Core::WallTime now)
+{
+    const auto group = answerGroupOf(observation);
     if (observation.isFailure) {
         ++state.ownEvidence.answers[group].failures;
     } else if (observation.isCold) {
@@ -145,10 +155,8 @@
     Settings settings;
     settings.retainedIntervals = 40;
     settings.trialFraction = 0.55;
-    settings.forcedRampFraction = 0.65;
     settings.doneFraction = 0.8;
     settings.steps = {0.2, 0.4, 0.7};
-    settings.minimumSuccesses = 15;
     settings.sampledTargets = 6;
     settings.requiresProof = true;
     return settings;
@@ -172,7 +180,7 @@
     if (!isActive(state)) {
         return;
     }
-    if (state.settings.requiresProof && state.status.phase == Phase::Trial) {
+    if (isJudged(state)) {
         countAnswer(state, observation, now);
     }
     if (observation.isCutShort) {
@@ -229,7 +237,8 @@
                    std::chrono::duration_cast<std::chrono::milliseconds>(state.settings.evaluationIntervalPerMember * members));
     const auto oldest = intervalAt(state, now) - state.settings.retainedIntervals;
     pruneBefore(state.ownEvidence, oldest);
-    auto sum = state.ownEvidence;
+    MemberEvidence sum;
+    add(sum, state.ownEvidence);
     for (auto &[member, evidence] : state.peerEvidence) {
         pruneBefore(evidence, oldest);
         add(sum, evidence);
@@ -279,23 +288,22 @@
     return state.status;
 }
 
-/// This instance's answers, with the requests that have waited for long as if they were answered now.
-std::map<AnswerGroup, AnswerCounts> ownAnswers(RolloutState &state, Core::WallTime now)
+/// Adds the requests that have waited for long, as if they were answered now.
+void addPending(std::map<AnswerGroup, AnswerCounts> &answers, const RolloutState &state, Core::WallTime now)
 {
-    countMatureAnswers(state, now);
-    auto answers = state.ownEvidence.answers;
     for (const auto &[number, request] : state.pending->requests) {
         const auto waited = now - request.sentAt;
         if (waited >= state.settings.maturity) {
             ++answers[request.group].successes[latencyBucketOf(comparableLatency(waited, request.isBusy))];
         }
     }
-    return answers;
 }
 
 Verdict verdictOf(RolloutState &state, Core::WallTime now)
 {
-    auto sum = ownAnswers(state, now);
+    countMatureAnswers(state, now);
+    auto sum = state.ownEvidence.answers;
+    addPending(sum, state, now);
     for (const auto &[member, evidence] : state.peerEvidence) {
         add(sum, evidence.answers);
     }
@@ -306,7 +314,7 @@
 
 std::optional<Status> judgeTrial(RolloutState &state, Core::WallTime now, bool hasEvidence)
 {
-    if (!state.settings.requiresProof || state.status.phase != Phase::Trial || state.status.isProven) {
+    if (!isJudged(state) || state.status.isProven) {
         return std::nullopt;
     }
     if (now >= state.rollout.finishBy) {
@@ -361,18 +369,19 @@
     ++state.ownEvidence.revision;
     state.hasUnreportedFailure = false;
     state.hasUnreportedResponse = false;
+    countMatureAnswers(state, now);
     auto evidence = state.ownEvidence;
-    evidence.answers = ownAnswers(state, now);
+    addPending(evidence.answers, state, now);
     return evidence;
 }
 
-std::shared_ptr<void> trackPending(RolloutState &state, PendingRequest request)
+std::shared_ptr<void> trackPending(RolloutState &state, const Observation &request, Core::WallTime now)
 {
-    if (!state.settings.requiresProof || state.status.phase != Phase::Trial) {
+    if (!isJudged(state) || request.isCold) {
         return nullptr;
     }
     const auto number = ++state.pending->lastNumber;
-    state.pending->requests.emplace(number, std::move(request));
+    state.pending->requests.emplace(number, PendingRequest{.group = answerGroupOf(request), .sentAt = now, .isBusy = request.isBusy});
     return {nullptr, [pending = std::weak_ptr(state.pending), number](void *) {
                 if (const auto known = pending.lock()) {
                     known->requests.erase(number);
--- a/Libraries/LibRollout/Rollout.h
+++ b/Libraries/LibRollout/Rollout.h
@@ -17,12 +17,13 @@
 namespace Briarbend::Rollout
 {
 
-/// What a trial may expose requests to, as fractions of the requests between start and finish of the rollout.
+/// How a trial uses what a bad version may receive.
 struct ExposureSettings {
-    /// For the trial until its regular end.
-    double trial{0};
-    /// For the trial beyond its regular end.
-    double extension{0};
+    /// What it may receive, as a fraction of the requests between start and finish of the rollout.
+    double allowed{0};
+    /// Parts of it for the trial until its regular end and beyond; the rest is for requests in flight and for traffic that varies.
+    double trialPart{0.65};
+    double extensionPart{0.15};
     /// Factor on the share while all targets of the new version are cold, when only failures can be told.
     double coldFactor{0.25};
     /// Bounds the share outside of bursts.
@@ -191,8 +192,8 @@
 /// sampled ones may be cold and able to take few requests. Limits for cold targets apply in addition.
 std::optional<std::vector<Core::TargetId>> allowedTargets(const RolloutState &state, Core::WallTime now);
 
-/// Whether one target of the new version gets all of the trial's requests now.
-bool isInBurst(const RolloutState &state, Core::WallTime now);
+/// Share of a service's requests that occupies most slots of one target, if all of them occupy `running` slots.
+double loadingShareOf(double slotsPerTarget, std::uint32_t running);
 
 /// Counts one observation.
 void observe(RolloutState &state, const Observation &observation, Core::WallTime now);
@@ -230,8 +231,8 @@
 /// This instance's evidence for gossip, with an incremented revision. Requests that have waited for long count as answered now.
 MemberEvidence nextEvidence(RolloutState &state, Core::WallTime now);
 
-/// Records a request to a warm target until the result is destroyed. Empty where its answer does not count.
-std::shared_ptr<void> trackPending(RolloutState &state, PendingRequest request);
+/// Records a request, of which only its destination is known, until the result is destroyed. Empty where its answer does not count.
+std::shared_ptr<void> trackPending(RolloutState &state, const Observation &request, Core::WallTime now);
 
 /// Stores a peer's evidence. An older revision than the known one is ignored.
 void mergeEvidence(RolloutState &state, const Core::InstanceId &member, const MemberEvidence &evidence);
--- a/Libraries/LibRollout/Share.cpp
+++ b/Libraries/LibRollout/Share.cpp
@@ -10,11 +10,15 @@
 namespace
 {
 
-/// Shares and bursts of a trial at one moment.
+/// Part of one target's slots that a burst of the trial occupies.
+constexpr double BURST_OCCUPANCY = 0.9;
+
+/// The trial at one moment.
 struct TrialPlan {
-    double burstShare{0};
-    double betweenShare{0};
-    std::chrono::milliseconds burstPeriod{0};
+    /// Share of the new version now.
+    double share{0};
+    /// Index of the sampled target that gets all of it; empty between bursts.
+    std::optional<std::size_t> burstTarget;
 };
 
 double fractionAt(const RolloutState &state, Core::WallTime now)
@@ -36,9 +40,10 @@
 {
     const auto end = exposureEnd(state);
     if (fractionAt(state, now) >= end) {
-        return exposure.extension / (1 - state.settings.trialFraction);
+        return exposure.allowed * exposure.extensionPart / (1 - state.settings.trialFraction);
     }
-    const auto mean = exposure.trial / state.settings.trialFraction;
+    const auto trial = exposure.allowed * exposure.trialPart;
+    const auto mean = trial / state.settings.trialFraction;
     const auto coldShare = mean * exposure.coldFactor;
     if (!state.warmSince) {
         return coldShare;
@@ -47,43 +52,32 @@
     const auto tracked = state.trackedSince ? fractionAt(state, *state.trackedSince) : 0;
     const auto warm = std::min(fractionAt(state, *state.warmSince), end);
     const auto spent = mean * tracked + coldShare * std::max(0.0, warm - tracked);
-    return warm < end ? std::clamp((exposure.trial - spent) / (end - warm), 0.0, exposure.largestShare) : coldShare;
+    return warm < end ? std::clamp((trial - spent) / (end - warm), 0.0, exposure.largestShare) : coldShare;
 }
 
 /// Bursts load one target at a time; the rest of the exposure is spread over all.
 TrialPlan planOf(const RolloutState &state, const ExposureSettings &exposure, Core::WallTime now)
 {
-    const auto share = std::min(exposure.largestShare, exposedShare(state, exposure, now));
+    const auto mean = std::min(exposure.largestShare, exposedShare(state, exposure, now));
     const auto burst = std::min(state.loadingShare, exposure.largestBurstShare);
-    const auto burstFraction = burst > 0 ? std::min(exposure.largestBurstFraction, exposure.burstPart * share / burst) : 0;
+    const auto burstFraction = burst > 0 ? std::min(exposure.largestBurstFraction, exposure.burstPart * mean / burst) : 0;
     if (burstFraction <= 0) {
-        return {.burstShare = share, .betweenShare = share};
-    }
-    const auto period = std::chrono::duration<double, std::milli>{state.settings.burstLength} / burstFraction;
-    return {.burstShare = burst,
-            .betweenShare = std::max(0.0, (share - burst * burstFraction) / (1 - burstFraction)),
-            .burstPeriod = std::chrono::duration_cast<std::chrono::milliseconds>(period)};
-}
-
-std::optional<std::size_t> plannedBurstTarget(const RolloutState &state, const ExposureSettings &exposure, Core::WallTime now)
-{
-    if (now < state.rollout.start || state.sampledNew.empty()) {
-        return std::nullopt;
-    }
-    const auto period = planOf(state, exposure, now).burstPeriod;
-    if (period.count() == 0) {
-        return std::nullopt;
+        return {.share = mean, .burstTarget = {}};
     }
+    const std::chrono::duration<double, std::milli> length = state.settings.burstLength;
+    const auto period = std::chrono::duration_cast<std::chrono::milliseconds>(length / burstFraction);
     const auto passed = now - state.rollout.start;
-    const auto turn = static_cast<std::size_t>(passed / period) % state.sampledNew.size();
-    return passed % period < state.settings.burstLength ? std::optional{turn} : std::nullopt;
+    if (passed.count() < 0 || state.sampledNew.empty() || passed % period >= state.settings.burstLength) {
+        return {.share = std::max(0.0, (mean - burst * burstFraction) / (1 - burstFraction)), .burstTarget = {}};
+    }
+    return {.share = burst, .burstTarget = static_cast<std::size_t>(passed / period) % state.sampledNew.size()};
 }
 
 /// Index of the sampled target that is in its burst now. Empty between bursts.
 std::optional<std::size_t> burstTargetIndex(const RolloutState &state, Core::WallTime now)
 {
     if (state.settings.exposure) {
-        return plannedBurstTarget(state, *state.settings.exposure, now);
+        return planOf(state, *state.settings.exposure, now).burstTarget;
     }
     if (now < state.rollout.start || state.sampledNew.empty()) {
         return std::nullopt;
@@ -103,8 +97,7 @@
 double trialShare(const RolloutState &state, const std::string &route, Core::WallTime now)
 {
     if (state.settings.exposure) {
-        const auto plan = planOf(state, *state.settings.exposure, now);
-        return plannedBurstTarget(state, *state.settings.exposure, now) ? plan.burstShare : plan.betweenShare;
+        return planOf(state, *state.settings.exposure, now).share;
     }
     if (isSuspect(state, route, now)) {
         const auto most = std::max(state.settings.largestSuspectShare, state.rollout.trialShare);
@@ -146,9 +139,9 @@
     return whole.count() <= 0 ? 1.0 : passed / whole;
 }
 
-bool isInBurst(const RolloutState &state, Core::WallTime now)
+double loadingShareOf(double slotsPerTarget, std::uint32_t running)
 {
-    return state.status.phase == Phase::Trial && burstTargetIndex(state, now).has_value();
+    return BURST_OCCUPANCY * slotsPerTarget / std::max<double>(1, running);
 }
 
 bool isProven(const RolloutState &state, const TrafficSegment &segment)
@@ -200,10 +193,7 @@
         return std::nullopt;
     }
     const auto burstTarget = burstTargetIndex(state, now);
-    if (!burstTarget && state.settings.exposure) {
-        return std::nullopt;
-    }
-    if (!burstTarget && now < state.failuresSuspectUntil) {
+    if (!burstTarget && (state.settings.exposure || now < state.failuresSuspectUntil)) {
         return std::nullopt;
     }
     return burstTarget ? std::vector{state.sampledNew.at(*burstTarget)} : state.sampledNew;
--- a/Libraries/LibRollout/Verdict.cpp
+++ b/Libraries/LibRollout/Verdict.cpp
@@ -5,7 +5,6 @@
 #include <cmath>
 #include <functional>
 #include <numeric>
-#include <set>
 #include <vector>
 
 namespace Briarbend::Rollout
@@ -76,9 +75,8 @@
 }
 
 /// The sum over the new version's targets without the few that are faulty by themselves.
-Sample sumWithoutFaultyTargets(const Series &series,
-                               const VerdictSettings &settings,
-                               const std::function<Sample(const RelativeCounts &)> &sampleOf)
+template<typename SampleOf>
+Sample sumWithoutFaultyTargets(const Series &series, const VerdictSettings &settings, SampleOf sampleOf)
 {
     std::vector<Sample> samples;
     std::ranges::transform(series.newVersion, std::back_inserter(samples), [&sampleOf](const auto &entry) {
@@ -176,16 +174,16 @@
 
 Verdict judge(const std::map<AnswerGroup, AnswerCounts> &answers, const VerdictSettings &settings)
 {
-    std::map<std::string, AnswerCounts> oldByRoute;
+    std::map<std::string, LatencyBucket> oldMedians;
     for (const auto &[group, counts] : answers) {
         if (group.role == VersionRole::Old) {
-            add(oldByRoute[group.route], counts);
+            oldMedians[group.route] = medianOf(counts);
         }
     }
     Series all;
     std::map<std::string, Series> routes;
     for (const auto &[group, counts] : answers) {
-        const auto median = medianOf(oldByRoute[group.route]);
+        const auto median = oldMedians[group.route];
         for (auto *series : {&all, &routes[group.route]}) {
             add(group.role == VersionRole::Old ? series->oldVersion : series->newVersion[group.target], counts, median);
         }
--- a/Tests/LibGateway/TestVersionObservation.cpp
+++ b/Tests/LibGateway/TestVersionObservation.cpp
@@ -14,31 +14,32 @@
         };
     }
 
+    /// What a target shows that answers 504 after 120 ms.
+    AttemptObservation observeTimeout(std::chrono::milliseconds allowed)
+    {
+        this->addTarget("one", [](const auto &) {
+            return Reaction{.status = 504, .delay = 120ms};
+        });
+        this->configureRoute(RouteKind::Once);
+        this->run("a1", allowed);
+        EXPECT_EQ(this->observed.size(), 1U);
+        return this->observed.empty() ? AttemptObservation{} : this->observed.front();
+    }
+
     std::vector<AttemptObservation> observed;
 };
 
 // Guards against rolling back a good version for callers that allow less time than it takes.
 TEST_F(VersionObservationTest, callersShortTimeIsNoFailureOfTheVersion)
 {
-    this->addTarget("one", [](const auto &) {
-        return Reaction{.status = 504, .delay = 120ms};
-    });
-    this->configureRoute(RouteKind::Once);
-    this->run("a1", 150ms);
-    ASSERT_EQ(this->observed.size(), 1U);
-    EXPECT_FALSE(this->observed.front().isFailure);
-    EXPECT_TRUE(this->observed.front().isCutShort);
+    const auto observation = this->observeTimeout(150ms);
+    EXPECT_FALSE(observation.isFailure);
+    EXPECT_TRUE(observation.isCutShort);
 }
 
 TEST_F(VersionObservationTest, timeoutWithTimeLeftIsAFailureOfTheVersion)
 {
-    this->addTarget("one", [](const auto &) {
-        return Reaction{.status = 504, .delay = 120ms};
-    });
-    this->configureRoute(RouteKind::Once);
-    this->run("a1", 1s);
-    ASSERT_EQ(this->observed.size(), 1U);
-    EXPECT_TRUE(this->observed.front().isFailure);
+    EXPECT_TRUE(this->observeTimeout(1s).isFailure);
 }
 
 // Guards against a slow version of which nothing is seen since another target answers in its place.
--- a/Tests/LibRollout/DeadlineSimulation.cpp
+++ b/Tests/LibRollout/DeadlineSimulation.cpp
@@ -79,7 +79,7 @@
     const auto allowed = ALLOWED_SHARE + ALLOWED_REQUESTS / (this->scenario.requestsPerSecond * seconds);
     const auto finish = std::chrono::duration_cast<std::chrono::milliseconds>(this->scenario.length * 0.95);
     auto settings = deadlineSettings();
-    settings.exposure = ExposureSettings{.trial = 0.65 * allowed, .extension = 0.15 * allowed};
+    settings.exposure = ExposureSettings{.allowed = allowed};
     ++this->generation;
     this->states.clear();
     for (std::size_t index = 0; index < INSTANCES; ++index) {
@@ -165,7 +165,7 @@
                             .isFailure = this->random.unit() < ERROR_SHARE,
                             .isCold = role == VersionRole::New && this->now < COLD_MILLISECONDS,
                             .isBusy = 3 * (SLOTS - std::min(SLOTS, target.inFlight - 1)) < SLOTS
-                                || (role == VersionRole::New && isInBurst(state, this->wallNow()))};
+                                || (role == VersionRole::New && allowedTargets(state, this->wallNow()))};
     const bool isBad = this->isAffected(observation, target);
     observation.isFailure = observation.isFailure || (isBad && this->scenario.kind != BadKind::Slow);
     auto latency
@@ -182,21 +182,13 @@
             = this->badAnswers.size() >= COUNTED_FROM && this->now > this->badAnswers[COUNTED_FROM - 1] + ROLLBACK_BOUND_MILLISECONDS;
         this->outcome.requestsAfterRollbackBound += isTooLate ? 1 : 0;
     }
-    std::shared_ptr<void> pending;
-    if (!observation.isCold) {
-        pending = trackPending(
-            state,
-            {.group = {.route = segment.route, .role = role, .target = role == VersionRole::New ? observation.target : Core::TargetId{}},
-             .sentAt = this->wallNow(),
-             .isBusy = observation.isBusy});
-    }
     this->inFlight.push({.endsAt = this->now + static_cast<std::int64_t>(latency),
                          .instance = instance,
                          .generation = this->generation,
                          .target = index,
                          .isBad = isBad,
                          .observation = observation,
-                         .pending = pending});
+                         .pending = trackPending(state, observation, this->wallNow())});
 }
 
 void DeadlineSimulation::completeRequests()
@@ -232,7 +224,7 @@
     std::vector<Status> decisions;
     for (std::size_t index = 0; index < INSTANCES; ++index) {
         auto &state = this->states[index];
-        state.loadingShare = 0.9 * SLOTS / std::max(1U, running);
+        state.loadingShare = loadingShareOf(SLOTS, running);
         setTargets(state, oldNames, newNames, this->wallNow());
         if (isEvidenceDue) {
             const auto evidence = nextEvidence(state, this->wallNow());
--- a/Tests/LibRollout/Table/Main.cpp
+++ b/Tests/LibRollout/Table/Main.cpp
@@ -7,8 +7,8 @@
 #include <functional>
 #include <string>
 
-/// Prints what share of versions with one kind of fault is completed, rolled back and found too late, over the portion of bad answers, the
-/// length of the rollout and the traffic: rollout_table [ROLLOUTS_EACH]
+/// Prints what share of good versions is completed and of bad ones is found in time, over the portion of bad answers, the length of the
+/// rollout and the traffic: rollout_table [ROLLOUTS_EACH]
 namespace
 {
 
