deploy, LibSettings, platform: Start where a deployment states no exposure bound or fractions

New tables, all off by default: [callers] read_ahead, [admission] by_value (by the platform's terms, translated in platform/Contracts) and [usage].

--- a/Libraries/LibDocument/ValueType.cpp
+++ b/Libraries/LibDocument/ValueType.cpp
@@ -139,6 +139,19 @@
             .print = formatNumber};
 }
 
+ValueType<bool> booleanType()
+{
+    return {.allowed = "true or false",
+            .read =
+                [](const toml::node &node) {
+                    return node.value_exact<bool>();
+                },
+            .print =
+                [](bool value) {
+                    return std::string(value ? "true" : "false");
+                }};
+}
+
 ValueType<std::chrono::milliseconds> secondsType(std::chrono::milliseconds minimum, std::chrono::milliseconds maximum)
 {
     using Seconds = std::chrono::duration<double>;
--- a/Libraries/LibDocument/ValueType.h
+++ b/Libraries/LibDocument/ValueType.h
@@ -47,6 +47,8 @@
 ValueType<std::chrono::milliseconds> secondsType(std::chrono::milliseconds minimum, std::chrono::milliseconds maximum);
 /// A number from the minimum to the maximum, both allowed.
 ValueType<double> numberType(double minimum, double maximum);
+/// True or false.
+ValueType<bool> booleanType();
 
 /// A name of [a-z0-9-], as one kind of identifier.
 template<typename Identifier>
--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -144,6 +144,7 @@
     if (context.route == nullptr || context.route->services.empty()) {
         return Reason::NoRoute;
     }
+    context.priority = context.route->priority;
     auto &state = context.state;
     const auto service = state.services.find(Fleet::drawService(*context.route, state.random));
     if (service == state.services.end()) {
--- a/Libraries/LibGateway/RequestContext.h
+++ b/Libraries/LibGateway/RequestContext.h
@@ -31,6 +31,10 @@
     std::shared_ptr<const Fleet::RoutingConfiguration> configuration;
     const Fleet::RouteConfiguration *route{nullptr};
     std::shared_ptr<Fleet::ServiceState> service;
+    /// Zero is the most urgent: that of the tenant if it has one, otherwise that of the route.
+    std::uint32_t priority{0};
+    /// Name of the tenant that sent the request; empty if the configuration has no tenants or the route needs none.
+    std::string tenant;
     std::string attemptId;
     Http::request_header<> head;
     std::string body;
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -42,6 +42,21 @@
                 }};
 }
 
+/// An endpoint that may be left out.
+Document::ValueType<std::optional<Network::Endpoint>> optionalRemoteType()
+{
+    const auto remote = remoteType();
+    return {.allowed = remote.allowed,
+            .read = [remote](const toml::node &node) -> std::optional<std::optional<Network::Endpoint>> {
+                const auto endpoint = remote.read(node);
+                return endpoint ? std::optional(endpoint) : std::nullopt;
+            },
+            .print =
+                [remote](const std::optional<Network::Endpoint> &endpoint) {
+                    return endpoint ? remote.print(*endpoint) : std::string{"none"};
+                }};
+}
+
 Document::KeyTable<GatewayInstanceSettings> instanceKeys()
 {
     using I = GatewayInstanceSettings;
@@ -60,6 +75,37 @@
             &I::linkMegabits,
             numberType(0, 1'000'000),
             "Bandwidth of the instance's link in Mbit/s; 0 where it is not known. Those with the widest links pass configurations on."),
+        key("contracts",
+            &I::contracts,
+            Document::listType(Document::textType(), 0),
+            "Parts of the platform's terms that are in force; names that are not known have no effect."),
+    };
+}
+
+Document::KeyTable<GatewayCallerSettings> callerKeys()
+{
+    return {key("read_ahead",
+                &GatewayCallerSettings::readAhead,
+                integerType<std::uint32_t>(1, 1000, "requests"),
+                "Requests of one connection that are read before the first of them is answered; 1 reads none ahead.")};
+}
+
+Document::KeyTable<GatewayAdmissionSettings> admissionKeys()
+{
+    return {key("by_value",
+                &GatewayAdmissionSettings::byValue,
+                Document::booleanType(),
+                "Whether a service without enough room is shared by priority, deadline and expected work.")};
+}
+
+Document::KeyTable<GatewayUsageSettings> usageKeys()
+{
+    using U = GatewayUsageSettings;
+    return {
+        key("endpoint", &U::endpoint, optionalRemoteType(), "Where usage is reported; without it there are no reports."),
+        key("window", &U::window, secondsType(100ms, 1h), "Length of a reported window."),
+        key("due", &U::due, secondsType(100ms, 1h), "Time after the end of a window within which its report is due."),
+        key("lease", &U::lease, secondsType(100ms, 1h), "Time for which the instance that reports may rely on being the only one."),
     };
 }
 
@@ -98,7 +144,7 @@
             "Sends beyond the first of each request that all instances together may make, for each request in the window."),
         key("extra_send_allowance",
             &B::extraSendAllowance,
-            integerType<std::uint32_t>(0, 1'000'000, "sends"),
+            numberType(0, 1'000'000),
             "Sends beyond that share which all instances together may make in the window."),
         key("extra_send_window", &B::extraSendWindow, secondsType(100ms, 1h), "Length of that window."),
     };
@@ -125,7 +171,7 @@
         key("exposed_share", &R::exposedShare, numberType(0, 1), "Share of a service's requests that an unproven version may get."),
         key("exposed_requests",
             &R::exposedRequests,
-            integerType<std::uint32_t>(0, 1'000'000, "requests"),
+            numberType(0, 1'000'000),
             "Requests that an unproven version may get beyond that share."),
     };
 }
@@ -163,7 +209,10 @@
     readGroup(root, "memory", memoryKeys(), settings.memory);
     readGroup(root, "rollouts", rolloutKeys(), settings.rollouts);
     readGroup(root, "log", logKeys(), settings.log);
-    root.reportUnknownKeys({"instance", "store", "peers", "stop", "budgets", "memory", "rollouts", "log"});
+    readGroup(root, "callers", callerKeys(), settings.callers);
+    readGroup(root, "admission", admissionKeys(), settings.admission);
+    readGroup(root, "usage", usageKeys(), settings.usage);
+    root.reportUnknownKeys({"instance", "store", "peers", "stop", "budgets", "memory", "rollouts", "log", "callers", "admission", "usage"});
     problems.throwIfAny();
     return settings;
 }
@@ -180,6 +229,10 @@
             Document::describeTable("[memory]", "What bodies may take. The whole table may be absent.", memoryKeys()),
             Document::describeTable("[rollouts]", "Moves between versions. The whole table may be absent.", rolloutKeys()),
             Document::describeTable("[log]", "Log lines. The whole table may be absent.", logKeys()),
+            Document::describeTable("[callers]", "Connections of callers. The whole table may be absent.", callerKeys()),
+            Document::describeTable(
+                "[admission]", "Who is served where there is too little room. The whole table may be absent.", admissionKeys()),
+            Document::describeTable("[usage]", "Usage reports of tenants. The whole table may be absent.", usageKeys()),
         });
 }
 
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,29 @@
     std::uint32_t maximumDescriptors{1024};
     /// Bandwidth of the instance's own link in Mbit/s; zero where it is not known.
     double linkMegabits{0};
+    /// Parts of the platform's terms that are in force; names that this program does not know have no effect.
+    std::vector<std::string> contracts;
+};
+
+struct GatewayCallerSettings {
+    /// Requests of one connection that are read before the first of them is answered.
+    std::uint32_t readAhead{1};
+};
+
+struct GatewayAdmissionSettings {
+    /// Whether a service without enough room is shared by priority, deadline and expected work.
+    bool byValue{false};
+};
+
+/// Reports of the requests that ran for each tenant. Off without an endpoint.
+struct GatewayUsageSettings {
+    std::optional<Network::Endpoint> endpoint;
+    /// Length of a reported window.
+    std::chrono::milliseconds window{5000};
+    /// Time after the end of a window within which its report is due.
+    std::chrono::milliseconds due{10'000};
+    /// Time for which an instance that reports may rely on being the only one.
+    std::chrono::milliseconds lease{3000};
 };
 
 struct GatewayStoreSettings {
@@ -49,7 +73,7 @@
     /// Sends beyond the first of each request that all instances together may make, for each request in the window.
     double extraSendShare{0.2};
     /// Sends beyond that share which all instances together may make in the window.
-    std::uint32_t extraSendAllowance{64};
+    double extraSendAllowance{64};
     std::chrono::milliseconds extraSendWindow{10'000};
 };
 
@@ -64,7 +88,7 @@
     /// Share of a service's requests that a version may get before it is proven.
     double exposedShare{0.1};
     /// Requests that it may get beyond that share.
-    std::uint32_t exposedRequests{50};
+    double exposedRequests{50};
 };
 
 struct GatewayLogSettings {
@@ -82,6 +106,9 @@
     GatewayMemorySettings memory;
     GatewayRolloutSettings rollouts;
     GatewayLogSettings log;
+    GatewayCallerSettings callers;
+    GatewayAdmissionSettings admission;
+    GatewayUsageSettings usage;
 };
 
 /// Reads and checks a settings file. Throws Document::DocumentError with every problem of the file.
