--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -45,12 +45,6 @@
     return target.loadReport->running + target.loadReport->waiting + since;
 }
 
-std::uint32_t slotsOf(const TargetState &target)
-{
-    const auto reported = target.loadReport ? target.loadReport->slots : 0;
-    return std::max(1U, reported > 0 ? reported : target.record.slots);
-}
-
 /// Run time of the work on a host that has one slowness now and the average slowness of hosts later.
 double workTime(double work, double slownessNow, double slownessLater)
 {
@@ -94,6 +88,12 @@
 
 } // namespace
 
+std::uint32_t slotsOf(const TargetState &target)
+{
+    const auto reported = target.loadReport ? target.loadReport->slots : 0;
+    return std::max(1U, reported > 0 ? reported : target.record.slots);
+}
+
 Usability usability(const TargetState &target, const ChoiceInput &input, Core::TimePoint now)
 {
     if (!isAllowed(target, input) || target.quietUntil > now || !hasSendPermit(target, now)) {
--- a/Libraries/LibFleet/Choice.h
+++ b/Libraries/LibFleet/Choice.h
@@ -59,6 +59,9 @@
 std::chrono::microseconds sendCost(
     const ServiceState &service, const TargetState &target, const RouteStatistics &route, const ChoiceInput &input, Core::TimePoint now);
 
+/// Slots of the target in all, at least one.
+std::uint32_t slotsOf(const TargetState &target);
+
 /// Slots of the target that no request occupies.
 std::uint32_t freeSlots(const TargetState &target);
 
