--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/Attempt.h>
 
+#include <LibGateway/AdmissionControl.h>
 #include <LibGateway/HealthCheck.h>
 #include <LibGateway/TargetContact.h>
 #include <LibGateway/TargetReports.h>
@@ -135,14 +136,15 @@
                                 .isTrialAllowed = route.kind != Configuration::RouteKind::Once,
                                 .distance = state.distance,
                                 .transferCostPerKibibyte = state.crossDataCentreCostPerKibibyte},
-                      .remaining = this->context->remaining(),
-                      .objectiveLeft = route.objective - this->context->waitedBefore - this->context->elapsed()};
+                      .slot = {.remaining = this->context->remaining(), .objectiveLeft = this->context->objectiveLeft()}};
+    planSearch(*this->context, query);
     return query;
 }
 
 Asio::awaitable<void> Attempt::sendIfPermitted(FoundTarget found)
 {
     auto &state = this->context->state;
+    leaveQueue(*this->context);
     this->name = found.name;
     this->version = found.version;
     this->isCold = found.isCold;
@@ -261,6 +263,9 @@
         ++targetState->ownInFlight;
         Fleet::recordSent(*targetState, this->sentAt);
     }
+    if (!this->isForwarded && this->context->triedTargets.size() == 1) {
+        recordSlotTaken(*this->context);
+    }
     if (state.onSent && !this->isForwarded) {
         this->pending = state.onSent(this->observation());
     }
@@ -276,6 +281,7 @@
     if (auto *targetState = this->target(); targetState != nullptr && targetState->ownInFlight > 0) {
         --targetState->ownInFlight;
     }
+    recordSlotFreed(state, *this->service);
     if (!isWhole) {
         if (this->isConnectionLost && !this->isCancelled) {
             recordTargetUnreachable(state, this->name);
--- a/Libraries/LibGateway/AttemptForwarding.cpp
+++ b/Libraries/LibGateway/AttemptForwarding.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/Attempt.h>
 
+#include <LibGateway/AdmissionControl.h>
+
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -65,6 +67,7 @@
 Asio::awaitable<void> Attempt::forward()
 {
     auto &state = this->context->state;
+    leaveQueue(*this->context);
     if (!this->context->forwardedBy.empty()) {
         // Requests are forwarded once, so that they do not circulate among instances that are cut off.
         this->result = AttemptResult::NoTarget;
--- a/Libraries/LibGateway/GatewayState.cpp
+++ b/Libraries/LibGateway/GatewayState.cpp
@@ -1,4 +1,4 @@
-#include <LibGateway/GatewayState.h>
+#include <LibGateway/AdmissionControl.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <nlohmann/json.hpp>
@@ -80,6 +80,9 @@
     std::erase_if(state.services, [&state](const auto &entry) {
         return !state.routingConfiguration->services.contains(entry.first);
     });
+    std::erase_if(state.waiters, [&state](const auto &entry) {
+        return !state.services.contains(entry.first) && entry.second->timers.empty();
+    });
 }
 
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmission/ServiceAdmission.h>
 #include <LibCore/ByteBudget.h>
 #include <LibCore/Random.h>
 #include <LibFleet/Choice.h>
@@ -13,6 +14,7 @@
 #include <LibRouting/LoadEstimate.h>
 #include <LibSettings/GatewaySettings.h>
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,6 +22,13 @@
 namespace Briarbend::Gateway
 {
 
+/// Requests of one priority where the slots of services are shared by value.
+struct AdmissionCounters {
+    std::uint64_t arrived{0};
+    std::uint64_t queued{0};
+    std::uint64_t refused{0};
+};
+
 /// Counters of one instance since it started.
 struct GatewayCounters {
     std::uint64_t requests{0};
@@ -43,6 +52,7 @@
     /// Requests that were sent to a peer because this instance reached no target, and requests that peers sent here.
     std::uint64_t forwarded{0};
     std::uint64_t takenForPeers{0};
+    std::array<AdmissionCounters, Admission::PRIORITY_CLASSES> admission{};
 };
 
 /// Where a request is sent if no target of the version selected for it is available.
@@ -89,6 +99,8 @@
     Metrics::LatencySummary latency;
 };
 
+struct ServiceWaiters;
+
 /// The shared state of one instance. Only one thread accesses it.
 struct GatewayState {
     GatewayState(boost::asio::any_io_executor executor,
@@ -111,6 +123,8 @@
     Fleet::Connectivity connectivity;
     std::set<Core::DataCentreName> dataCentresOut;
     std::map<Core::ServiceName, std::shared_ptr<Fleet::ServiceState>> services;
+    /// Empty where the slots of services are not shared by value.
+    std::map<Core::ServiceName, std::shared_ptr<ServiceWaiters>> waiters;
     std::map<std::string, RouteState> routes;
     /// Returns nothing while no rollout splits the traffic of the service.
     std::function<std::optional<VersionSplit>(const Core::ServiceName &service, const std::string &route)> versionSplitFor;
--- a/Libraries/LibGateway/Metrics.cpp
+++ b/Libraries/LibGateway/Metrics.cpp
@@ -63,6 +63,23 @@
     }
 }
 
+void formatAdmission(std::ostringstream &text, const GatewayCounters &counters)
+{
+    text << "# HELP briarbend_admission_total Requests by priority where slots are shared by value.\n"
+            "# TYPE briarbend_admission_total counter\n";
+    for (std::size_t priority = 0; priority < counters.admission.size(); ++priority) {
+        const auto &entry = counters.admission.at(priority);
+        const auto format = [&text, priority](std::string_view decision, std::uint64_t value) {
+            text << "briarbend_admission_total{priority=\"" << priority << "\",decision=\"" << decision << "\"} " << value << '\n';
+        };
+        if (entry.arrived > 0) {
+            format("arrived", entry.arrived);
+            format("queued", entry.queued);
+            format("refused", entry.refused);
+        }
+    }
+}
+
 } // namespace
 
 std::string formatMetrics(const GatewayState &state, const Coordination::SentTraffic &sent)
@@ -77,6 +94,9 @@
         formatLatency(text, name, route.latency);
     }
     formatPeerTraffic(text, sent);
+    if (state.settings.admission.byValue) {
+        formatAdmission(text, state.counters);
+    }
     text << "# TYPE briarbend_requests_in_flight gauge\nbriarbend_requests_in_flight " << state.requestsInFlight
          << "\n# TYPE briarbend_caller_connections gauge\nbriarbend_caller_connections " << state.callerConnections
          << "\n# TYPE briarbend_instances_known gauge\nbriarbend_instances_known " << state.instances
--- a/Libraries/LibGateway/RequestContext.h
+++ b/Libraries/LibGateway/RequestContext.h
@@ -54,6 +54,11 @@
     std::vector<std::string> triedPeers;
     /// Name of the instance that forwarded the request; empty if the caller sent it here.
     std::string forwardedBy;
+    /// The request's place in the queue of its service; zero while it does not wait for a slot.
+    std::uint64_t waitingId{0};
+    Core::TimePoint queuedAt;
+    /// Time that the request has waited for a slot in that queue.
+    Core::Duration waitedForSlot{0};
     bool isCallerGone{false};
     /// The decisions on this request are logged, whatever its status.
     bool isNotable{false};
@@ -71,6 +76,12 @@
         return this->allowed - this->elapsed();
     }
 
+    /// Time until the route's objective; negative once it has passed.
+    Core::Duration objectiveLeft() const
+    {
+        return this->route->objective - this->waitedBefore - this->elapsed();
+    }
+
     /// Targets that the request may be sent to from here. The instance that forwarded it decides on further ones.
     std::size_t maximumSends() const
     {
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/RequestFlow.h>
 
+#include <LibGateway/AdmissionControl.h>
 #include <LibRelay/HeaderRules.h>
 
 #include <algorithm>
@@ -78,23 +79,35 @@
         // The instance that forwarded a request has counted it.
         Fleet::countRequest(this->context->service->budget, Core::Clock::now());
     }
-    this->startAttempt();
+    recordArrival(*this->context);
+    if (mustWaitFirst(*this->context)) {
+        enterQueue(*this->context, this->changed);
+    } else {
+        this->startAttempt();
+    }
     while (!this->finalResponse && !this->context->isCallerGone) {
         const auto remaining = this->context->remaining();
         if (remaining.count() <= 0) {
             this->finishAtDeadline();
             break;
         }
+        const bool isWaitingForSlot = this->context->waitingId != 0 && this->pendingAttempts() == 0;
+        const auto longest = isWaitingForSlot ? std::min(remaining, this->advanceWaiting()) : remaining;
+        if (this->finalResponse) {
+            break;
+        }
         const bool isHedgePossible = this->mayHedge();
-        const auto untilHedge = std::max(this->hedgeDelay() - this->context->elapsed(),
-                                         this->attempts.front().attempt->isSent ? Core::Duration{0} : SEARCH_POLL_INTERVAL);
+        const bool isSent = isHedgePossible && this->attempts.front().attempt->isSent;
+        const auto untilHedge = std::max(this->hedgeDelay() + this->context->waitedForSlot - this->context->elapsed(),
+                                         isSent ? Core::Duration{0} : SEARCH_POLL_INTERVAL);
         if (isHedgePossible && untilHedge.count() <= 0) {
             this->startHedge();
             continue;
         }
-        co_await this->waitForChange(isHedgePossible ? std::min(remaining, untilHedge) : remaining);
+        co_await this->waitForChange(isHedgePossible ? std::min(longest, untilHedge) : longest);
         this->handleResults();
     }
+    leaveQueue(*this->context);
     // If the caller disconnects, work that may run only once is allowed to finish: the caller cannot request it again.
     if (this->isRepeatable() || !this->context->isCallerGone) {
         const bool isHedgeAnswered = this->hasHedged && this->finalResponse && !this->context->isCallerGone
@@ -196,7 +209,7 @@
         }
         return;
     case AttemptResult::Full:
-        if (isLast) {
+        if (isLast && !this->queueForSlot()) {
             this->refuse(Reason::Overloaded, this->retryDelay(FULL_RETRY_AFTER));
         }
         return;
@@ -251,7 +264,8 @@
 bool RequestFlow::mayHedge() const
 {
     const bool hasOnePendingAttempt = this->attempts.size() == 1 && this->attempts.front().attempt->result == AttemptResult::Pending;
-    return hasOnePendingAttempt && !this->hasHedged && this->isRepeatable() && this->context->maximumSends() > 1;
+    return hasOnePendingAttempt && !this->hasHedged && this->isRepeatable() && this->context->maximumSends() > 1
+        && mayHedgeByValue(*this->context);
 }
 
 void RequestFlow::startHedge()
@@ -277,6 +291,39 @@
     this->refuse(this->mayHaveRun ? Reason::DeadlinePassedAfterSending : Reason::DeadlinePassedBeforeSending, IMMEDIATE_RETRY_AFTER);
 }
 
+bool RequestFlow::queueForSlot()
+{
+    if (!this->state.settings.admission.byValue || this->mayHaveRun) {
+        return false;
+    }
+    if (this->context->waitingId == 0) {
+        enterQueue(*this->context, this->changed);
+    } else {
+        endQueuedSearch(*this->context);
+    }
+    return true;
+}
+
+Core::Duration RequestFlow::advanceWaiting()
+{
+    const auto decision = decideWaiting(*this->context);
+    switch (decision.step) {
+    case Admission::WaitingStep::Refuse:
+        this->refuse(Reason::Overloaded, refuseWaiting(*this->context, decision));
+        return Core::Duration{0};
+    case Admission::WaitingStep::Search:
+        std::erase_if(this->attempts, [](const TrackedAttempt &tracked) {
+            return tracked.isHandled && tracked.attempt->result == AttemptResult::Full;
+        });
+        beginQueuedSearch(*this->context);
+        this->startAttempt();
+        return this->context->remaining();
+    case Admission::WaitingStep::Wait:
+        return decision.decideAgainAt - Core::Clock::now();
+    }
+    return this->context->remaining();
+}
+
 void RequestFlow::finishWith(TargetResponse targetResponse)
 {
     Network::Response response{std::move(targetResponse.head)};
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -59,6 +59,10 @@
     std::chrono::milliseconds retryDelay(std::chrono::milliseconds minimumDelay) const;
     void refuse(Rejection::Reason reason, std::chrono::milliseconds retryAfter);
     void finishAtDeadline();
+    /// Puts a request that found no slot into the queue of its service, or back there. False if it is not to wait.
+    bool queueForSlot();
+    /// Lets a request that waits for a slot search or be refused. Returns the time until it decides again.
+    Core::Duration advanceWaiting();
     bool isRepeatable() const;
 
     std::shared_ptr<RequestContext> context;
--- a/Libraries/LibGateway/TargetFinder.cpp
+++ b/Libraries/LibGateway/TargetFinder.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/TargetFinder.h>
 
 #include <LibCore/Presence.h>
+#include <LibGateway/AdmissionControl.h>
 #include <LibGateway/HealthCheck.h>
 #include <LibNetwork/WallClock.h>
 
@@ -17,16 +18,10 @@
 
 namespace Asio = boost::asio;
 
-/// Further targets are probed if none of the first meets the objective.
-constexpr std::size_t MAXIMUM_PROBES_PER_SEARCH = 9;
 /// Time after the first answer to wait for the others: about a round trip between data centres.
 constexpr std::chrono::milliseconds FURTHER_ANSWERS_TIMEOUT{6};
 /// Time after which further targets are probed if none has answered: well above a round trip to a busy host.
 constexpr std::chrono::milliseconds FIRST_ANSWER_TIMEOUT{40};
-/// Free slots that a target must have to receive a request that is past its objective.
-constexpr std::uint32_t MINIMUM_FREE_SLOTS_FOR_LATE_REQUESTS = 2;
-/// A request is sent while the expected time is below this multiple of the remaining time: the run time of work varies by half.
-constexpr int MAXIMUM_EXPECTED_TIME_FACTOR = 2;
 
 /// A target that answered its probe.
 struct Answer {
@@ -76,68 +71,17 @@
     }
 }
 
-struct RankedTarget {
-    const std::string *name{nullptr};
-    std::chrono::microseconds cost{0};
-    std::chrono::microseconds expectedTime{0};
-    bool isFull{false};
-    std::uint32_t freeSlots{0};
-    /// The target reports that it accepts no work.
-    bool isLastResort{false};
-    /// The request would take a slot that is reserved for requests within their objective.
-    bool takesReservedSlot{false};
-};
-
-bool isLate(const TargetQuery &query)
-{
-    return query.objectiveLeft.count() <= 0;
-}
-
 /// The target with the lowest cost among those that answered and are still permitted.
-std::optional<RankedTarget> rank(const GatewayState &state, const TargetQuery &query, const Search &search)
+std::optional<Fleet::RankedTarget> rank(const GatewayState &state, const TargetQuery &query, const Search &search)
 {
-    const auto now = Core::Clock::now();
-    const auto &statistics = state.routes.at(query.route->name).statistics;
-    std::optional<RankedTarget> best;
+    std::vector<const Fleet::TargetState *> answered;
     for (const auto &[name, answer] : search.answered) {
-        const auto *target = Fleet::findTarget(*query.service, name);
-        const auto use = target == nullptr ? Fleet::Usability::Unusable : Fleet::usability(*target, query.input, now);
-        if (use != Fleet::Usability::Usable && use != Fleet::Usability::LastResort) {
-            continue;
+        if (const auto *target = Fleet::findTarget(*query.service, name)) {
+            answered.push_back(target);
         }
-        const RankedTarget ranked{&name,
-                                  Fleet::sendCost(*query.service, *target, statistics, query.input, now),
-                                  Fleet::expectedAnswerTime(*query.service, *target, statistics, query.input, now),
-                                  Fleet::isFull(*target),
-                                  Fleet::freeSlots(*target),
-                                  use == Fleet::Usability::LastResort,
-                                  isLate(query) && Fleet::freeSlots(*target) < MINIMUM_FREE_SLOTS_FOR_LATE_REQUESTS};
-        const bool isBetter = !best
-            || std::tie(ranked.isLastResort, ranked.isFull, ranked.takesReservedSlot, ranked.cost)
-                < std::tie(best->isLastResort, best->isFull, best->takesReservedSlot, best->cost);
-        best = isBetter ? ranked : *best;
     }
-    return best;
-}
-
-bool meetsObjective(const TargetQuery &query, const RankedTarget &ranked)
-{
-    return !ranked.isLastResort && !ranked.isFull
-        && (isLate(query) ? !ranked.takesReservedSlot : ranked.expectedTime <= query.objectiveLeft);
-}
-
-/// The last free slot of a target is reserved for requests that can still be answered within their objective. Under overload each slot then
-/// serves a caller in time instead of one that is already late.
-bool mayTakeSlot(const RankedTarget &ranked)
-{
-    return ranked.freeSlots > 0 && !ranked.takesReservedSlot;
-}
-
-/// A request joins a target's queue only if it can still be answered within its objective. Longer queues do not raise the throughput and
-/// make every request late; a caller that is refused finds a shorter queue when it retries.
-bool servesInTime(const TargetQuery &query, const RankedTarget &ranked)
-{
-    return !ranked.isFull && ranked.expectedTime <= query.objectiveLeft;
+    const auto &statistics = state.routes.at(query.route->name).statistics;
+    return Fleet::rank(*query.service, answered, statistics, query.input, query.slot, Core::Clock::now());
 }
 
 /// Probes targets in batches until one meets the objective or the maximum is reached. If none has answered by then, waits for the slow
@@ -145,10 +89,10 @@
 Asio::awaitable<std::size_t>
 probeInBatches(GatewayState &state, const TargetQuery &query, std::shared_ptr<Search> search, const std::vector<std::string> &names)
 {
-    const auto most = std::min(names.size(), MAXIMUM_PROBES_PER_SEARCH);
+    const auto most = std::min(names.size(), query.maximumProbes);
     std::size_t asked = 0;
-    std::optional<RankedTarget> best;
-    while (asked < most && !(best && meetsObjective(query, *best))) {
+    std::optional<Fleet::RankedTarget> best;
+    while (asked < most && !(best && Fleet::meetsObjective(query.slot, *best))) {
         const auto answersBefore = search->answered.size();
         const auto until = std::min(most, asked + Fleet::PARALLEL_PROBES);
         for (; asked < until; ++asked) {
@@ -166,17 +110,34 @@
     co_return asked;
 }
 
+/// Records the load of the targets that answered, from which the contention of the service is judged.
+void recordLoad(GatewayState &state, const TargetQuery &query, const Search &search)
+{
+    auto *waiters = findServiceWaiters(state, *query.service);
+    if (waiters == nullptr) {
+        return;
+    }
+    const auto now = Core::Clock::now();
+    for (const auto &[name, answer] : search.answered) {
+        const auto *target = Fleet::findTarget(*query.service, name);
+        if (target != nullptr && target->loadReport) {
+            const auto slots = Fleet::slotsOf(*target);
+            Admission::recordLoad(waiters->admission.contention, slots - Fleet::freeSlots(*target), slots, now);
+        }
+    }
+}
+
 /// Ends the search: takes the best target with its connection if it can serve the request, and returns the other connections to the pool.
 FoundTarget selectBest(GatewayState &state, const TargetQuery &query, Search &search)
 {
     search.isOver = true;
+    recordLoad(state, query, search);
     FoundTarget found{.searchFailure = SearchFailure::NoTarget, .name = {}, .version = {}, .connection = nullptr};
     if (const auto best = rank(state, query, search)) {
-        const bool isServable
-            = mayTakeSlot(*best) ? best->expectedTime < MAXIMUM_EXPECTED_TIME_FACTOR * query.remaining : servesInTime(query, *best);
+        const bool isServable = Fleet::isServable(query.slot, *best);
         found.searchFailure = isServable ? SearchFailure::None : SearchFailure::Full;
         found.expectedTime = best->expectedTime;
-        found.name = isServable ? *best->name : std::string{};
+        found.name = isServable ? best->target->record.name : std::string{};
     }
     if (found.searchFailure == SearchFailure::None) {
         found.version = Fleet::findTarget(*query.service, found.name)->record.version;
@@ -276,6 +237,7 @@
     const auto asked = co_await probeInBatches(state, query, probes, names);
     auto found = selectBest(state, query, *probes);
     found.probes = static_cast<std::uint32_t>(asked);
+    recordProbes(state, *service, asked);
     if (found.searchFailure == SearchFailure::NoTarget) {
         co_return co_await findColdTarget(state, query);
     }
--- a/Libraries/LibGateway/TargetFinder.h
+++ b/Libraries/LibGateway/TargetFinder.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <LibFleet/Ranking.h>
 #include <LibGateway/GatewayState.h>
 
 namespace Briarbend::Gateway
 {
 
+constexpr std::size_t MAXIMUM_PROBES_PER_SEARCH = 9;
+
 enum class SearchFailure {
     None,
     /// No target of the service may receive the request.
@@ -34,10 +37,9 @@
     std::shared_ptr<Fleet::ServiceState> service;
     const Fleet::RouteConfiguration *route{nullptr};
     Fleet::ChoiceInput input;
-    /// Time until the request's deadline.
-    Core::Duration remaining{0};
-    /// Time until the route's objective; negative once it has passed.
-    Core::Duration objectiveLeft{0};
+    Fleet::SlotRequest slot;
+    /// Further targets are probed up to this number if none of the first meets the objective.
+    std::size_t maximumProbes{MAXIMUM_PROBES_PER_SEARCH};
 };
 
 /// Probes a few targets for their load and picks the one with the lowest cost. The probe also verifies that the target is alive, its
