LibNetwork, LibRelay, LibGateway: Reject status codes outside 100 to 599

Cause: the HTTP parser takes any three digits for a status code. A target's response with 000 or 099 reached the caller as it was, from 600 on it counted as a 5xx answer of the target, and with a field that says "not run" it became a 503, which promises that the request never runs. HttpClient and health checks took such responses too, and interim ones (1xx) for final ones; the final one was then read as the response to the next request.

Network::checkResponseHead decides for all readers as soon as the head is there. A status line with letters, or with two or four digits, was rejected by the parser already; tests cover it.

Ruled out: treating such codes as 500, since the fields of the response would still count, and a check after the body, when they are in effect.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -3,6 +3,7 @@
 #include <LibGateway/HealthCheck.h>
 #include <LibGateway/TargetContact.h>
 #include <LibGateway/TargetReports.h>
+#include <LibNetwork/StatusCode.h>
 #include <LibRelay/HeaderRules.h>
 
 #include <algorithm>
@@ -324,6 +325,10 @@
         boost::system::error_code error;
         co_await Http::async_read_header(
             this->connection->stream, this->connection->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        if (!error && !this->isForwarded) {
+            recordTargetHeard(state);
+        }
+        error = Network::checkResponseHead(error, parser.get().base());
         if (error) {
             this->failure = "read: " + error.message();
             this->isConnectionLost = error != boost::beast::error::timeout && !Relay::isProtocolError(error);
@@ -331,10 +336,9 @@
         }
         const auto metadata = state.dialect.readResponseMetadata(parser.get().base());
         const bool isOfOther = this->isForeign(metadata);
-        const bool isInterim = parser.get().result_int() / 100 == 1;
+        const bool isInterim = Network::isInterimStatusCode(parser.get().result_int());
         const auto source = isOfOther || isInterim ? ReportSource::OtherResponse : ReportSource::Response;
         if (!this->isForwarded) {
-            recordTargetHeard(state);
             recordTargetReport(state, *this->service, this->name, this->targetStartedAt, source, metadata);
         }
         if (!co_await this->receiveBody(parser, !isOfOther && !isInterim)) {
--- a/Libraries/LibGateway/HealthCheck.cpp
+++ b/Libraries/LibGateway/HealthCheck.cpp
@@ -4,6 +4,7 @@
 #include <LibGateway/TargetReports.h>
 
 #include <LibNetwork/Http.h>
+#include <LibNetwork/StatusCode.h>
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -61,7 +62,17 @@
     for (std::size_t foreign = 0; !error && foreign <= MAXIMUM_FOREIGN_RESPONSES; ++foreign) {
         parser.emplace();
         parser->body_limit(MAXIMUM_HEALTH_RESPONSE_BYTES);
-        co_await Http::async_read(connection.stream, connection.buffer, *parser, Asio::redirect_error(Asio::use_awaitable, error));
+        co_await Http::async_read_header(connection.stream, connection.buffer, *parser, Asio::redirect_error(Asio::use_awaitable, error));
+        // Nothing after an invalid status code counts, not even whose response it is. The calling function rejects it.
+        if (!error && !Network::isValidStatusCode(parser->get().result_int())) {
+            co_return true;
+        }
+        if (!error && Network::isInterimStatusCode(parser->get().result_int())) {
+            continue;
+        }
+        if (!error) {
+            co_await Http::async_read(connection.stream, connection.buffer, *parser, Asio::redirect_error(Asio::use_awaitable, error));
+        }
         // Responses to requests carry the identifier of an attempt. One that arrives here is a late duplicate for an earlier request.
         if (!error && state.dialect.readResponseMetadata(parser->get().base()).attemptId.empty()) {
             co_return true;
@@ -85,13 +96,17 @@
     }
 }
 
-/// Records the response of the health path. False if another target answered.
+/// Records the response of the health path. False if another target answered or the response is invalid.
 bool recordHealthResponse(GatewayState &state,
                           Fleet::ServiceState &service,
                           Fleet::TargetState &target,
                           const Http::response_header<> &head)
 {
     const auto now = Core::Clock::now();
+    if (!Network::isValidStatusCode(head.result_int())) {
+        Fleet::ejectTarget(target, now);
+        return false;
+    }
     const auto metadata = state.dialect.readResponseMetadata(head);
     if (!metadata.targetName.empty() && metadata.targetName != target.record.name) {
         Fleet::ejectTarget(target, now);
@@ -159,9 +174,9 @@
         Fleet::ejectTarget(*target, Core::Clock::now());
         co_return nullptr;
     }
-    const bool isExpectedTarget = recordHealthResponse(state, *service, *target, parser->get().base());
+    const bool isUsable = recordHealthResponse(state, *service, *target, parser->get().base());
     const bool isReusable = parser->keep_alive() && connection->buffer.size() == 0;
-    if (!isExpectedTarget) {
+    if (!isUsable) {
         co_return nullptr;
     }
     if (!isReusable) {
--- a/Libraries/LibNetwork/HttpClient.cpp
+++ b/Libraries/LibNetwork/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <LibNetwork/HttpClient.h>
 
 #include <LibNetwork/SilenceDetection.h>
+#include <LibNetwork/StatusCode.h>
 
 #include <array>
 #include <boost/beast/http/read.hpp>
@@ -73,10 +74,20 @@
 boost::asio::awaitable<Response> HttpClient::exchangeOnce(Request &request)
 {
     co_await Http::async_write(*this->stream, request, boost::asio::use_awaitable);
-    Http::response_parser<Http::string_body> parser;
-    parser.body_limit(MAXIMUM_RESPONSE_BYTES);
-    co_await Http::async_read(*this->stream, this->buffer, parser, boost::asio::use_awaitable);
-    co_return parser.release();
+    for (std::size_t responses = 0; responses <= MAXIMUM_INTERIM_RESPONSES; ++responses) {
+        Http::response_parser<Http::string_body> parser;
+        parser.body_limit(MAXIMUM_RESPONSE_BYTES);
+        co_await Http::async_read_header(*this->stream, this->buffer, parser, boost::asio::use_awaitable);
+        if (const auto error = checkResponseHead({}, parser.get().base())) {
+            throw boost::system::system_error(error);
+        }
+        if (isInterimStatusCode(parser.get().result_int())) {
+            continue;
+        }
+        co_await Http::async_read(*this->stream, this->buffer, parser, boost::asio::use_awaitable);
+        co_return parser.release();
+    }
+    throw boost::system::system_error(Http::error::header_limit);
 }
 
 void HttpClient::close()
--- a/Libraries/LibRelay/Exchange.cpp
+++ b/Libraries/LibRelay/Exchange.cpp
@@ -1,3 +1,4 @@
+#include <LibNetwork/StatusCode.h>
 #include <LibRejection/Refusal.h>
 #include <LibRelay/Exchange.h>
 #include <LibRelay/HeaderRules.h>
@@ -26,8 +27,6 @@
 constexpr std::chrono::seconds BODY_IDLE_TIMEOUT{30};
 constexpr std::size_t CHUNK_BYTES = 64UL * 1024;
 constexpr std::uint32_t MAXIMUM_RESPONSE_HEAD_BYTES = 64U * 1024;
-/// Interim responses (RFC 9110, section 15.2) to one request. More than these count as a protocol error of the target.
-constexpr std::size_t MAXIMUM_INTERIM_RESPONSES = 16;
 
 bool isNotRunRefusal(const Http::response_header<> &head)
 {
@@ -196,7 +195,7 @@
     boost::system::error_code error;
     std::size_t answers = 0;
     do {
-        if (answers++ > MAXIMUM_INTERIM_RESPONSES) {
+        if (answers++ > Network::MAXIMUM_INTERIM_RESPONSES) {
             error = Http::error::header_limit;
             break;
         }
@@ -206,7 +205,8 @@
         this->parser->skip(this->head.method() == Http::verb::head);
         co_await Http::async_read_header(
             this->connection->stream, this->connection->buffer, *this->parser, Asio::redirect_error(Asio::use_awaitable, error));
-    } while (!error && this->parser->get().result_int() / 100 == 1);
+        error = Network::checkResponseHead(error, this->parser->get().base());
+    } while (!error && Network::isInterimStatusCode(this->parser->get().result_int()));
     if (error) {
         this->fail(error);
         co_return false;
--- a/Tests/LibGateway/FakeTarget.cpp
+++ b/Tests/LibGateway/FakeTarget.cpp
@@ -77,8 +77,8 @@
 
 std::string FakeTarget::healthAnswer() const
 {
-    return "HTTP/1.1 " + std::to_string(this->healthStatus) + " X\r\nInstance-Id: " + this->name + "\r\nServer-Load: " + this->load + "\r\n"
-        + this->healthFields + "Content-Length: 0\r\n\r\n";
+    return this->beforeHealth + "HTTP/1.1 " + std::to_string(this->healthStatus) + " X\r\nInstance-Id: " + this->name
+        + "\r\nServer-Load: " + this->load + "\r\n" + this->healthFields + "Content-Length: 0\r\n\r\n";
 }
 
 Asio::awaitable<void> FakeTarget::serve(std::shared_ptr<Asio::ip::tcp::socket> socket)
--- a/Tests/LibGateway/FakeTarget.h
+++ b/Tests/LibGateway/FakeTarget.h
@@ -60,6 +60,8 @@
     unsigned healthStatus{200};
     /// Further header lines of responses on the health path, each with its line ending.
     std::string healthFields;
+    /// Bytes written before each response on the health path.
+    std::string beforeHealth;
     /// Reads requests but answers none.
     bool isSilent{false};
     /// The name that the health path reports.
--- a/Tests/LibNetwork/TestHttp.cpp
+++ b/Tests/LibNetwork/TestHttp.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
 #include <gtest/gtest.h>
 
 namespace Briarbend::Network
@@ -69,6 +71,42 @@
     context.run();
 }
 
+// A server whose response has a code outside 100 to 599 passed for one that had answered, and an interim response for the final one.
+TEST(HttpClient, refusesInvalidStatusCodesAndSkipsInterimResponses)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    HttpClient client(context.get_executor(), {"127.0.0.1", acceptor.local_endpoint().port()});
+    const std::string final{"HTTP/1.1 204 X\r\n\r\n"};
+    const auto exchange = [&](std::string bytes) -> boost::asio::awaitable<unsigned> {
+        co_await client.connect(std::chrono::seconds(5));
+        auto peer = co_await acceptor.async_accept(boost::asio::use_awaitable);
+        co_await boost::asio::async_write(peer, boost::asio::buffer(bytes), boost::asio::use_awaitable);
+        unsigned status = 0;
+        try {
+            status = (co_await client.exchange(makeRequest(Http::verb::get, "/", "test"), std::chrono::seconds(5))).result_int();
+        } catch (const boost::system::system_error &error) {
+            EXPECT_EQ(error.code(), Http::error::bad_status) << bytes;
+            EXPECT_FALSE(client.isConnected());
+        }
+        client.close();
+        co_return status;
+    };
+    bool isDone = false;
+    const auto run = [&]() -> boost::asio::awaitable<void> {
+        for (const std::string code : {"000", "001", "099", "600", "999", "2000", "20", "2x0"}) {
+            EXPECT_EQ(co_await exchange("HTTP/1.1 " + code + " X\r\nContent-Length: 0\r\n\r\n"), 0U) << code;
+        }
+        EXPECT_EQ(co_await exchange("HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n" + final), 0U);
+        EXPECT_EQ(co_await exchange("HTTP/1.1 100 X\r\n\r\nHTTP/1.1 199 X\r\n\r\n" + final), 204U);
+        EXPECT_EQ(co_await exchange("HTTP/1.1 599 X\r\nContent-Length: 0\r\n\r\n"), 599U);
+        isDone = true;
+    };
+    boost::asio::co_spawn(context, run(), boost::asio::detached);
+    context.run();
+    EXPECT_TRUE(isDone);
+}
+
 TEST(QueryParameter, findsAParameterByItsWholeName)
 {
     EXPECT_EQ(queryParameter("/objects?prefix=a&wait=20", "wait"), "20");
--- a/Tests/LibStore/TestHttpObjectStore.cpp
+++ b/Tests/LibStore/TestHttpObjectStore.cpp
@@ -142,6 +142,20 @@
     EXPECT_EQ(this->run(half.write("a", "b", IfVersion{3})), WriteResult(Written{3}));
 }
 
+// An endpoint that answers with a code outside 100 to 599 kept reads from the other one.
+TEST_F(HttpObjectStoreTest, invalidStatusCodeIsNoAnswerOfTheStore)
+{
+    auto invalid = tagged(Http::status::ok, "\"3\"", "body");
+    this->second.answerWith(tagged(Http::status::ok, "\"3\"", "kept"));
+    for (const unsigned code : {0U, 99U, 600U, 999U}) {
+        invalid.result(code);
+        this->first.answerWith(invalid);
+        HttpObjectStore fresh{this->context.get_executor(), {this->first.server.endpoint(), this->second.server.endpoint()}, LONG_TIMEOUT};
+        EXPECT_TRUE(std::holds_alternative<Unknown>(this->run(fresh.write("a", "b", IfAbsent{})))) << code;
+        EXPECT_EQ(this->run(fresh.read("a")), ReadResult(Object{"kept", 3})) << code;
+    }
+}
+
 TEST_F(HttpObjectStoreTest, readsListingsWatchesAndInstances)
 {
     this->first.answerWith(
