LibGateway: Read ahead on callers' connections, bound what slow callers hold

Cause: a connection was read only after the response before was written. A short urgent request waited at the instance for a long one, a caller that left with unread bytes behind was noticed by no one, and the write time-out of 10 s cut callers that were merely slow, while callers that took nothing held the memory for bodies.

CallerConnection reads up to [callers] read_ahead requests and 256 KiB ahead, serves idempotent ones side by side and writes the responses in order of arrival (LibCallers decides). A caller that leaves is noticed while it is paused, at the latest by a check every 200 ms. Headers of requests, read-ahead and responses count against [memory] bodies until they are written; reading ahead stops at 0.7 of it, requests are refused from 0.85, then the connection without progress for longest is closed. The write time-out is 15 s without an acknowledged byte. After the last response a connection is read for up to 1 s, so that unread requests do not reset it.

With read_ahead = 1 requests are served one by one as before. What differs there: a caller that leaves, or stops sending, is noticed although its next request is unread.

CallerFrontend may be destroyed while it accepts: the loop used the acceptor of a destroyed frontend, which TestRequestForwarding, with two frontends in turn, met by luck only.

Ruled out: beast's stream time-outs for both directions at once, because a time-out of the reader closes the connection under the writer.

No measurement of a whole process yet.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -163,7 +163,7 @@
         }
     }
     const auto choiceAge = std::chrono::duration_cast<std::chrono::milliseconds>(Network::bootNow() - found.askedAtBoot);
-    if (choiceAge > MAXIMUM_CHOICE_AGE || !this->isStillAvailable() || !this->takeSendPermit()) {
+    if (this->context->isCallerGone || choiceAge > MAXIMUM_CHOICE_AGE || !this->isStillAvailable() || !this->takeSendPermit()) {
         this->context->recordDecision("target_withdrawn", {{"target", this->name}, {"choice_age_ms", choiceAge.count()}});
         if (isTrial) {
             state.guard->endTrial(this->context->fingerprint);
@@ -375,7 +375,7 @@
             co_return false;
         }
         this->context->state.counters.farResponseBytes += this->isFar ? chunk.size() - body.size : 0;
-        if (isKept && !this->response.hold.growTo(this->response.body.size() + chunk.size() - body.size)) {
+        if (isKept && !takeMemory(this->context->state, this->response.hold, this->response.body.size() + chunk.size() - body.size)) {
             this->failure = "body: memory limit for bodies reached";
             co_return false;
         }
--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -1,19 +1,9 @@
 #include <LibGateway/CallerFrontend.h>
 
-#include <LibCore/Presence.h>
-#include <LibGateway/RequestFlow.h>
 #include <LibNetwork/HttpServer.h>
-#include <LibNetwork/SilenceDetection.h>
-#include <LibRelay/CallerDisconnectWatch.h>
 #include <LibRelay/HeaderRules.h>
-#include <LibRelay/RequestBody.h>
 
 #include <algorithm>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 namespace Briarbend::Gateway
 {
@@ -24,84 +14,13 @@
 namespace Asio = boost::asio;
 using Rejection::Reason;
 
-/// Time that a caller may take to receive a response.
-constexpr std::chrono::seconds WRITE_TIMEOUT{10};
-/// Initial buffer size for the header of a request, which usually has a few hundred bytes.
-constexpr std::size_t FIRST_READ_BYTES = 1024;
 /// Deadline if neither the caller nor the route states one.
 constexpr std::chrono::seconds DEFAULT_DEADLINE{30};
 constexpr unsigned FIRST_CLIENT_ERROR = 400;
 /// Share of the descriptors for connections of callers; the rest is for targets, the store and peers.
 constexpr double CALLER_DESCRIPTOR_SHARE = 0.6;
-
-/// Why a request that could not be read is refused; nothing if the connection merely ended.
-std::optional<Reason> refusalReasonFor(const boost::system::error_code &error)
-{
-    if (!error) {
-        return std::nullopt;
-    }
-    if (error == Http::error::header_limit) {
-        return Reason::HeaderTooLarge;
-    }
-    if (error == Http::error::body_limit) {
-        return Reason::BodyTooLarge;
-    }
-    return Relay::isProtocolError(error) ? std::optional(Reason::BadRequest) : std::nullopt;
-}
-
-Fleet::CallerLimits callerLimits(const GatewayState &state)
-{
-    return state.routingConfiguration ? state.routingConfiguration->limits : Fleet::CallerLimits{};
-}
-
-/// How reading a request ended.
-struct ReadResult {
-    boost::system::error_code error;
-    /// Why the request is refused; nothing if it is complete or its connection merely ended.
-    std::optional<Reason> problem;
-};
-
-/// Reads one request. The memory of its body is reserved through the hold.
-Asio::awaitable<ReadResult> readRequest(const Fleet::CallerLimits &limits,
-                                        boost::beast::tcp_stream &stream,
-                                        boost::beast::flat_buffer &buffer,
-                                        RequestParser &parser,
-                                        Core::ByteHold &hold)
-{
-    boost::system::error_code error;
-    parser.header_limit(limits.headerBytes);
-    parser.body_limit(limits.bodyBytes);
-    stream.expires_after(limits.headerTimeout);
-    co_await Http::async_read_header(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
-    if (error || parser.is_done()) {
-        co_return ReadResult{error, refusalReasonFor(error)};
-    }
-    if (Relay::expectsContinue(parser.get().base())) {
-        co_await Relay::sendContinue(stream);
-    }
-    while (!error && !parser.is_done()) {
-        stream.expires_after(limits.idleTimeout);
-        co_await Http::async_read_some(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
-        if (!hold.growTo(parser.get().body().size())) {
-            co_return ReadResult{Asio::error::no_memory, Reason::Overloaded};
-        }
-    }
-    co_return ReadResult{error, refusalReasonFor(error)};
-}
-
-/// Waits for the first byte of a request. False if the connection ended or stayed idle for too long.
-Asio::awaitable<bool> waitForRequest(const Fleet::CallerLimits &limits, boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer)
-{
-    if (buffer.size() > 0) {
-        co_return true;
-    }
-    boost::system::error_code error;
-    stream.expires_after(limits.idleTimeout);
-    buffer.shrink_to_fit();
-    const auto length = co_await stream.async_read_some(buffer.prepare(FIRST_READ_BYTES), Asio::redirect_error(Asio::use_awaitable, error));
-    buffer.commit(length);
-    co_return !error;
-}
+/// A connection that has moved within this time is not closed to gain memory: a live caller's window opens more often.
+constexpr std::chrono::seconds MINIMUM_STALL{1};
 
 std::string_view viewOf(boost::beast::string_view text)
 {
@@ -203,21 +122,41 @@
 
 } // namespace
 
+Fleet::CallerLimits callerLimits(const GatewayState &state)
+{
+    return state.routingConfiguration ? state.routingConfiguration->limits : Fleet::CallerLimits{};
+}
+
 CallerFrontend::CallerFrontend(Asio::io_context &context, GatewayState &gatewayState)
     : state(gatewayState)
-    , acceptor(Network::openAcceptor(context, gatewayState.settings.instance.callerAddress))
+    , listener(std::make_shared<Listener>(Network::openAcceptor(context, gatewayState.settings.instance.callerAddress), this))
 {
-    spawn(this->state, "accept", this->acceptLoop());
+    this->state.relieveMemory = [shared = this->listener] {
+        return shared->frontend != nullptr && shared->frontend->cutStalest(Core::Clock::now());
+    };
+    spawn(this->state, "accept", acceptLoop(this->listener));
+}
+
+CallerFrontend::~CallerFrontend()
+{
+    this->listener->frontend = nullptr;
+    boost::system::error_code ignored;
+    this->listener->acceptor.close(ignored);
+    std::ranges::for_each(this->connections, [](const auto &weak) {
+        if (const auto connection = weak.lock()) {
+            connection->close();
+        }
+    });
 }
 
 Asio::ip::tcp::endpoint CallerFrontend::localEndpoint() const
 {
-    return this->acceptor.local_endpoint();
+    return this->listener->acceptor.local_endpoint();
 }
 
 void CallerFrontend::stopListening()
 {
-    Network::closeAcceptor(this->acceptor, [this](Asio::ip::tcp::socket socket) {
+    Network::closeAcceptor(this->listener->acceptor, [this](Asio::ip::tcp::socket socket) {
         this->take(std::move(socket));
     });
 }
@@ -227,88 +166,104 @@
     this->isRefusingNewRequests = true;
 }
 
-Asio::awaitable<void> CallerFrontend::acceptLoop()
+Asio::awaitable<void> CallerFrontend::acceptLoop(std::shared_ptr<Listener> listener)
 {
-    co_await Network::acceptConnections(this->acceptor, [this](Asio::ip::tcp::socket socket) {
-        this->take(std::move(socket));
-    });
+    // g++ 12 destroys a temporary closure in the operand of co_await twice, and with it the state that it holds.
+    std::function<void(Asio::ip::tcp::socket)> take = [listener](Asio::ip::tcp::socket socket) {
+        if (listener->frontend != nullptr) {
+            listener->frontend->take(std::move(socket));
+        }
+    };
+    co_await Network::acceptConnections(listener->acceptor, std::move(take));
 }
 
 void CallerFrontend::take(Asio::ip::tcp::socket socket)
 {
     const auto most = static_cast<std::uint32_t>(this->state.settings.instance.maximumDescriptors * CALLER_DESCRIPTOR_SHARE);
     if (this->state.callerConnections < most) {
-        spawn(this->state, "caller", this->serve(std::move(socket)));
+        auto connection = std::make_shared<CallerConnection>(std::move(socket), *this, this->state);
+        this->connections.push_back(connection);
+        spawn(this->state, "caller", CallerConnection::serveKeepingAlive(std::move(connection)));
     }
 }
 
-Asio::awaitable<void> CallerFrontend::serve(Asio::ip::tcp::socket socket)
+void CallerFrontend::checkConnections(Core::TimePoint now)
 {
-    const Core::Presence connection(this->state.callerConnections);
-    boost::beast::tcp_stream stream(std::move(socket));
-    boost::beast::flat_buffer buffer(Network::unreadLimit(callerLimits(this->state).headerBytes));
-    boost::system::error_code error;
-    stream.socket().set_option(Asio::ip::tcp::no_delay(true), error);
-    bool isUsable = true;
-    while (isUsable && co_await waitForRequest(callerLimits(this->state), stream, buffer)) {
-        isUsable = co_await this->serveRequest(stream, buffer);
+    std::erase_if(this->connections, [](const auto &connection) {
+        return connection.expired();
+    });
+    // A check may add or end connections.
+    for (std::size_t index = 0; index < this->connections.size(); ++index) {
+        if (const auto connection = this->connections[index].lock()) {
+            connection->check(now);
+        }
+    }
+    const auto &budget = this->state.bodyBudget;
+    if (Callers::pressureOf(budget.held, budget.limit) == Callers::Pressure::RefuseRequests) {
+        this->cutStalest(now);
     }
 }
 
-Asio::awaitable<bool> CallerFrontend::serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer)
+bool CallerFrontend::cutStalest(Core::TimePoint now)
 {
-    const Core::Presence inFlight(this->state.requestsInFlight);
-    RequestParser parser;
-    ReadRequest request{parser, Core::ByteHold(this->state.bodyBudget)};
-    const auto read = co_await readRequest(callerLimits(this->state), stream, buffer, parser, request.hold);
-    const auto problem = read.problem;
-    if (read.error && !problem) {
-        co_return false;
-    }
-    const bool isWellFormed = !problem && !Relay::findHeadProblem(parser.get().base());
-    const bool keepsAlive = isWellFormed && parser.keep_alive() && parser.get().version() >= Network::HTTP_1_1;
-    stream.expires_never();
-    auto result = co_await this->handleRequest(stream.socket(), std::move(request), problem);
-    if (result.isCallerGone) {
-        co_return false;
-    }
-    const bool staysOpen = keepsAlive && !this->state.isStopping;
-    result.response.keep_alive(staysOpen);
-    stream.expires_after(WRITE_TIMEOUT);
-    boost::system::error_code error;
-    co_await Http::async_write(stream, result.response, Asio::redirect_error(Asio::use_awaitable, error));
-    if (!staysOpen && !error) {
-        stream.socket().shutdown(Asio::ip::tcp::socket::shutdown_send, error);
+    std::vector<std::shared_ptr<CallerConnection>> alive;
+    std::ranges::transform(this->connections, std::back_inserter(alive), &std::weak_ptr<CallerConnection>::lock);
+    std::erase(alive, nullptr);
+    std::vector<Callers::ConnectionProgress> progress;
+    std::ranges::transform(alive, std::back_inserter(progress), [](const auto &connection) {
+        return connection->progress();
+    });
+    const auto stalest = Callers::chooseDisconnect(progress, now, MINIMUM_STALL);
+    if (stalest) {
+        alive[*stalest]->cut("memory", now);
     }
-    co_return staysOpen && !error;
+    return stalest.has_value();
 }
 
-Asio::awaitable<FlowResult> CallerFrontend::handleRequest(Asio::ip::tcp::socket &socket, ReadRequest request, std::optional<Reason> problem)
+CallerRequest CallerFrontend::receive(ReadRequest read, std::optional<Reason> problem)
 {
-    auto &parser = request.parser;
-    ++this->state.counters.requests;
-    auto context = std::make_shared<RequestContext>(this->state);
+    auto &parser = read.parser;
+    CallerRequest request{
+        .context = std::make_shared<RequestContext>(this->state), .refusal = problem, .refusalDetail = {}, .flow = nullptr};
+    auto &context = *request.context;
     const auto metadata = this->state.dialect.readRequestMetadata(parser.get().base());
-    context->attemptId = metadata.attemptId;
-    takeForwarder(*context, parser.get().base());
+    context.attemptId = metadata.attemptId;
+    takeForwarder(context, parser.get().base());
     const auto headProblem = problem ? std::nullopt : Relay::findHeadProblem(parser.get().base());
-    auto refusal = headProblem ? std::optional(Reason::BadRequest) : problem;
-    if (!refusal) {
-        prepareHead(*context, parser.release());
-        context->bodyHold = std::move(request.hold);
-        refusal = this->isRefusingNewRequests ? Reason::Stopping : admit(*context, metadata);
+    if (headProblem) {
+        request.refusal = Reason::BadRequest;
+        request.refusalDetail = *headProblem;
+    }
+    if (!request.refusal) {
+        const auto &budget = this->state.bodyBudget;
+        const bool isShort = Callers::pressureOf(budget.held, budget.limit) == Callers::Pressure::RefuseRequests;
+        prepareHead(context, parser.release());
+        context.bodyHold = std::move(read.hold);
+        request.refusal = this->isRefusingNewRequests ? Reason::Stopping : admit(context, metadata);
+        if (!request.refusal && isShort) {
+            request.refusal = Reason::Overloaded;
+        }
     }
+    return request;
+}
+
+Asio::awaitable<FlowResult> CallerFrontend::answer(CallerRequest &request)
+{
+    const auto context = request.context;
     FlowResult result;
-    if (refusal) {
-        context->recordDecision("refused", {{"reason", Rejection::reasonTraits(*refusal).name}});
-        result.response = makeRefusal(
-            this->state, context->attemptId, {.reason = *refusal, .retryAfter = IMMEDIATE_RETRY_AFTER, .detail = headProblem.value_or("")});
+    if (context->isCallerGone) {
+        result.isCallerGone = true;
+        co_return result;
+    }
+    ++this->state.counters.requests;
+    if (request.refusal) {
+        context->recordDecision("refused", {{"reason", Rejection::reasonTraits(*request.refusal).name}});
+        result.response = makeRefusal(this->state,
+                                      context->attemptId,
+                                      {.reason = *request.refusal, .retryAfter = IMMEDIATE_RETRY_AFTER, .detail = request.refusalDetail});
     } else {
-        RequestFlow flow(context);
-        const Relay::CallerDisconnectWatch watch(socket, [&flow] {
-            flow.callerGone();
-        });
-        result = co_await flow.run();
+        request.flow = std::make_shared<RequestFlow>(context);
+        result = co_await request.flow->run();
     }
     if (context->forwardedBy.empty()) {
         result.response.erase(OWN_ANSWER_FIELD);
--- a/Libraries/LibGateway/CallerFrontend.h
+++ b/Libraries/LibGateway/CallerFrontend.h
@@ -1,29 +1,24 @@
 #pragma once
 
-#include <LibGateway/RequestFlow.h>
+#include <LibGateway/CallerConnection.h>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 namespace Briarbend::Gateway
 {
 
-using RequestParser = Http::request_parser<Http::string_body>;
+/// Limits of the configuration in force; the defaults until one has arrived.
+Fleet::CallerLimits callerLimits(const GatewayState &state);
 
-/// A request that was read from its connection.
-struct ReadRequest {
-    RequestParser &parser;
-    /// Memory of the body.
-    Core::ByteHold hold;
-};
-
-/// Accepts connections of callers, reads their requests and writes the responses.
+/// Accepts connections of callers and serves their requests.
 class CallerFrontend
 {
 public:
     /// Starts to listen. Throws boost::system::system_error if the address is in use.
     CallerFrontend(boost::asio::io_context &context, GatewayState &state);
+    CallerFrontend(const CallerFrontend &) = delete;
+    CallerFrontend &operator=(const CallerFrontend &) = delete;
+    ~CallerFrontend();
 
     /// The address on which callers are accepted.
     boost::asio::ip::tcp::endpoint localEndpoint() const;
@@ -31,19 +26,34 @@
     void stopListening();
     /// Refuses all further requests because there is no time left to serve them.
     void refuseNewRequests();
+    /// Detects callers that have gone, applies time-outs, and closes a stalled connection while memory is short. To be called every
+    /// CHECK_INTERVAL.
+    void checkConnections(Core::TimePoint now);
+
+    /// Decides on a request that was read whole, or that is refused because of the given problem.
+    CallerRequest receive(ReadRequest request, std::optional<Rejection::Reason> problem);
+    /// Serves a request to its response.
+    boost::asio::awaitable<FlowResult> answer(CallerRequest &request);
+
+    /// Bounds the time until a caller is noticed that has gone while unread bytes of it arrive.
+    static constexpr std::chrono::milliseconds CHECK_INTERVAL{200};
 
 private:
-    boost::asio::awaitable<void> acceptLoop();
+    /// Outlives the frontend in the coroutine that accepts.
+    struct Listener {
+        boost::asio::ip::tcp::acceptor acceptor;
+        /// Null once the frontend has been destroyed.
+        CallerFrontend *frontend{nullptr};
+    };
+
+    static boost::asio::awaitable<void> acceptLoop(std::shared_ptr<Listener> listener);
     void take(boost::asio::ip::tcp::socket socket);
-    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
-    /// Reads and answers one request whose first byte has arrived. Returns whether the connection may carry another request.
-    boost::asio::awaitable<bool> serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer);
-    /// Answers one request that was read, or refuses it because of the given problem.
-    boost::asio::awaitable<FlowResult>
-    handleRequest(boost::asio::ip::tcp::socket &socket, ReadRequest request, std::optional<Rejection::Reason> problem);
+    /// Closes the connection that has stalled for longest and holds memory. False if there is none.
+    bool cutStalest(Core::TimePoint now);
 
     GatewayState &state;
-    boost::asio::ip::tcp::acceptor acceptor;
+    std::shared_ptr<Listener> listener;
+    std::vector<std::weak_ptr<CallerConnection>> connections;
     bool isRefusingNewRequests{false};
 };
 
--- a/Libraries/LibGateway/GatewayState.cpp
+++ b/Libraries/LibGateway/GatewayState.cpp
@@ -48,6 +48,16 @@
     });
 }
 
+bool takeMemory(GatewayState &state, Core::ByteHold &hold, std::uint64_t total)
+{
+    while (!hold.growTo(total)) {
+        if (!state.relieveMemory || !state.relieveMemory()) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void updateServiceStates(GatewayState &state, Core::TimePoint now)
 {
     if (!state.routingConfiguration) {
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -27,6 +27,8 @@
     std::uint64_t refused{0};
     std::uint64_t failed{0};
     std::uint64_t callersGone{0};
+    /// Connections closed because their callers took or sent no bytes.
+    std::uint64_t callersCut{0};
     std::uint64_t probes{0};
     std::uint64_t sends{0};
     std::uint64_t resends{0};
@@ -101,8 +103,10 @@
     Dialect dialect;
     Log::EventLog log;
     Core::Random random;
-    /// Memory held by bodies of requests and responses.
+    /// Memory held by requests and by bodies of responses.
     Core::ByteBudget bodyBudget;
+    /// Closes a stalled connection of a caller to gain memory. False if there is none. Unset if no callers are served.
+    std::function<bool()> relieveMemory;
     Relay::TargetConnectionPool pool;
     /// Null until the first configuration has been received.
     std::shared_ptr<const Fleet::RoutingConfiguration> routingConfiguration;
@@ -146,6 +150,10 @@
 /// Runs a detached coroutine. An exception that leaves it is logged under the name, since no caller can receive it.
 void spawn(GatewayState &state, std::string_view name, boost::asio::awaitable<void> coroutine);
 
+/// Lets a part of the budget for bodies grow to the total. Closes stalled connections of callers if there is not enough left. False if that
+/// does not suffice.
+bool takeMemory(GatewayState &state, Core::ByteHold &hold, std::uint64_t total);
+
 /// Updates the state of all services to match the routing configuration and the directory.
 void updateServiceStates(GatewayState &state, Core::TimePoint now);
 
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -102,6 +102,9 @@
     this->subscriptions.push_back(this->timers.every(CUT_OFF_PROBE_INTERVAL, [this](Core::TimePoint) {
         probeWhileCutOff(this->state);
     }));
+    this->subscriptions.push_back(this->timers.every(CallerFrontend::CHECK_INTERVAL, [this](Core::TimePoint now) {
+        this->callers->checkConnections(now);
+    }));
     this->subscriptions.push_back(this->timers.every(IDLE_SWEEP_INTERVAL, [this](Core::TimePoint now) {
         this->state.pool.closeIdle(now, IDLE_CONNECTION_TIMEOUT);
         Fleet::expireSelfReports(this->state.directory, now);
--- a/Libraries/LibGateway/Metrics.cpp
+++ b/Libraries/LibGateway/Metrics.cpp
@@ -21,6 +21,7 @@
     Counter{"refused_total", "Requests refused as not run.", &GatewayCounters::refused},
     Counter{"failed_total", "Requests answered with a server error.", &GatewayCounters::failed},
     Counter{"callers_gone_total", "Requests whose caller went away.", &GatewayCounters::callersGone},
+    Counter{"callers_cut_total", "Connections closed because their callers took or sent no bytes.", &GatewayCounters::callersCut},
     Counter{"probes_total", "Health checks sent to targets.", &GatewayCounters::probes},
     Counter{"sends_total", "Requests sent to targets.", &GatewayCounters::sends},
     Counter{"resends_total", "Requests sent again after a failure.", &GatewayCounters::resends},
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -159,8 +159,8 @@
         key("bodies",
             &M::bodies,
             bytes,
-            "Bodies of requests and answers held at once. Beyond, requests are refused and answers cut off. The default leaves 96 MB of an "
-            "instance with 160 MB to everything else."),
+            "Requests and bodies of answers held at once. Short of it, reading ahead stops, then requests are refused and stalled callers "
+            "disconnected; beyond, answers are cut off. The default leaves 96 MB of an instance with 160 MB to everything else."),
     };
 }
 
--- a/Tests/LibGateway/FakeTarget.cpp
+++ b/Tests/LibGateway/FakeTarget.cpp
@@ -19,7 +19,7 @@
 
 std::string answerText(const Network::Request &request, const Reaction &reaction)
 {
-    const std::string body = "body of " + std::string(request.target());
+    const std::string body = "body of " + std::string(request.target()) + std::string(reaction.paddingBytes, '.');
     std::string text = reaction.before + "HTTP/1.1 " + std::to_string(*reaction.status) + " X\r\n";
     if (!reaction.hasNoAttemptId) {
         text += "Attempt-Id: " + (reaction.otherAttemptId.empty() ? std::string(request["Attempt-Id"]) : reaction.otherAttemptId) + "\r\n";
--- a/Tests/LibGateway/FakeTarget.h
+++ b/Tests/LibGateway/FakeTarget.h
@@ -35,6 +35,8 @@
     /// Further header lines, each with its line ending.
     std::string fields{};
     bool isEncoded{false};
+    /// Bytes of the body beyond the path.
+    std::size_t paddingBytes{0};
     /// Bytes to write instead of a response, after which the connection is closed.
     std::optional<std::string> raw{};
 };
--- /dev/null
+++ b/Tests/LibGateway/TestSlowCallers.cpp
@@ -0,0 +1,113 @@
+#include <Tests/LibGateway/CallerFrontendTest.h>
+
+/// Callers that take their responses slowly or not at all.
+namespace Briarbend::Gateway
+{
+
+namespace
+{
+
+/// More than the kernel buffers for one connection.
+constexpr std::size_t LONG_BODY_BYTES = 12UL * 1024 * 1024;
+/// Less than any time-out, and more than the kernel takes to show progress.
+constexpr std::chrono::seconds STEP{8};
+
+} // namespace
+
+// A caller that took its response slowly was disconnected after a fixed time.
+TEST_F(CallerFrontendTest, callerThatTakesBytesIsKeptAndOneThatTakesNoneIsCut)
+{
+    this->isVirtual = true;
+    this->react = [](const auto &) {
+        return Reaction{.paddingBytes = LONG_BODY_BYTES};
+    };
+    auto &slow = this->connect();
+    slow.send(request("/slow"));
+    EXPECT_TRUE(this->runUntil([&] {
+        return this->state.counters.answered == 1;
+    }));
+    auto now = Core::Clock::now();
+    for (int step = 0; step < 10; ++step) {
+        EXPECT_TRUE(this->letRead(slow, 512UL * 1024));
+        this->frontend->checkConnections(now += STEP);
+    }
+    EXPECT_EQ(this->state.counters.callersCut, 0U);
+    EXPECT_EQ(this->service()->targets.front().ownInFlight, 0U) << "the response was read whole";
+    for (int step = 0; step < 3; ++step) {
+        this->frontend->checkConnections(now += STEP);
+    }
+    EXPECT_EQ(this->state.counters.callersCut, 1U);
+    EXPECT_TRUE(this->runUntil([&] {
+        return this->state.bodyBudget.held == 0 && this->state.callerConnections == 0;
+    }));
+}
+
+// Memory held for stalled callers ended in refusals for all, or connections were closed before that.
+TEST_F(CallerFrontendTest, backPressureComesInOrder)
+{
+    this->isVirtual = true;
+    this->react = [](const auto &request) {
+        return Reaction{.delay = 10ms, .paddingBytes = request.target() == "/stalled" ? LONG_BODY_BYTES : 0};
+    };
+    this->state.bodyBudget.limit = LONG_BODY_BYTES * 4 / 3;
+    auto &stalled = this->connect();
+    stalled.send(request("/stalled"));
+    EXPECT_TRUE(this->runUntil([&] {
+        return this->state.counters.answered == 1;
+    }));
+    auto &normal = this->connect();
+    normal.startReading();
+    normal.send(requests({"/a", "/b"}));
+    std::uint32_t mostInFlight = 0;
+    EXPECT_TRUE(this->runUntil([&] {
+        mostInFlight = std::max(mostInFlight, this->state.requestsInFlight);
+        return normal.hasInOrder({"body of /a", "body of /b"});
+    })) << normal.text();
+    EXPECT_EQ(mostInFlight, 2U) << "one request beside the stalled one";
+
+    Core::ByteHold others(this->state.bodyBudget);
+    EXPECT_TRUE(others.growTo(LONG_BODY_BYTES / 6));
+    normal.send(request("/c"));
+    EXPECT_TRUE(this->runUntil([&] {
+        return normal.hasInOrder({"HTTP/1.1 503"});
+    })) << normal.text();
+    EXPECT_EQ(this->state.counters.callersCut, 0U);
+
+    this->frontend->checkConnections(Core::Clock::now() + 500ms);
+    this->frontend->checkConnections(Core::Clock::now() + STEP);
+    EXPECT_EQ(this->state.counters.callersCut, 1U);
+    normal.send(request("/d"));
+    EXPECT_TRUE(this->runUntil([&] {
+        return normal.hasInOrder({"503", "body of /d"});
+    })) << normal.text();
+}
+
+// Callers that read a few bytes at a time delayed others, or were disconnected.
+TEST_F(CallerFrontendTest, thousandSlowCallersDoNotDelayOthers)
+{
+    constexpr std::size_t SLOW_CALLERS = 1000;
+    constexpr std::size_t FIRST_BYTES = 16;
+    const std::string longPath = "/" + std::string(8000, 'x');
+    for (std::size_t index = 0; index < SLOW_CALLERS; ++index) {
+        this->connect().send(requests({longPath, longPath}));
+        this->context.restart();
+        this->context.poll();
+    }
+    EXPECT_TRUE(this->runUntil([&] {
+        const auto &counters = this->state.counters;
+        return counters.answered + counters.refused + counters.failed == 2 * SLOW_CALLERS;
+    }));
+    std::ranges::for_each(this->callers, [this](const auto &caller) {
+        EXPECT_TRUE(this->letRead(*caller, FIRST_BYTES));
+    });
+    auto &normal = this->connect();
+    normal.startReading();
+    normal.send(requests({"/a", "/b", "/c"}));
+    EXPECT_TRUE(this->runUntil([&] {
+        return normal.hasInOrder({"body of /a", "body of /b", "body of /c"});
+    })) << normal.text();
+    EXPECT_EQ(this->state.counters.callersCut, 0U);
+    EXPECT_EQ(this->state.callerConnections, SLOW_CALLERS + 1);
+}
+
+} // namespace Briarbend::Gateway
