LibGateway, platform: Authenticate tenants by API key

Requests of a configuration with tenants need a key of one of them, unless their route is public. The check runs on each request with the configuration in force, after the route was found, so that keys that are added or revoked apply to open connections; 503 and 404 take precedence. The target gets the tenant's name in Tenant and neither the caller's Authorization nor its Tenant. A tenant's priority overrides the route's. Without tenants both fields pass unchanged.

A request that is forwarded to a peer is checked there again. Its key travels in a field of its own, which every instance removes: Authorization would reach a target through a peer whose older version has no tenants. Messages of the JSON parser quote the text that they refuse, so that a malformed configuration would have put a key into the log and into messages to peers; Decode replaces them.

Ruled out: to trust a forwarded request, since callers can send that field; to identify the tenant on public routes, which need none.

Tests: 401 for missing and unknown keys, keys added and revoked on an open connection, public routes, forged fields, forwarded requests also to a peer without tenants, rows of the old length, reasons and log lines without keys.

--- a/Libraries/LibFleet/RoutingConfiguration.cpp
+++ b/Libraries/LibFleet/RoutingConfiguration.cpp
@@ -23,6 +23,12 @@
 
 } // namespace
 
+bool supersedes(const RoutingConfiguration &offered, const RoutingConfiguration &inForce)
+{
+    const bool addsTenants = offered.version == inForce.version && offered.tenants && !inForce.tenants;
+    return offered.version > inForce.version || addsTenants;
+}
+
 const RouteConfiguration *findRoute(const RoutingConfiguration &configuration, std::string_view host, std::string_view path)
 {
     const auto pathOnly = path.substr(0, path.find('?'));
--- a/Libraries/LibFleet/RoutingConfiguration.h
+++ b/Libraries/LibFleet/RoutingConfiguration.h
@@ -4,9 +4,11 @@
 #include <LibCore/Identifiers.h>
 #include <LibCore/Random.h>
 #include <LibCore/Time.h>
+#include <LibTenants/TenantTable.h>
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +43,8 @@
     /// Zero is the most urgent.
     std::uint32_t priority{0};
     std::vector<WeightedService> services;
+    /// Requests need no key of a tenant, even if the configuration has tenants.
+    bool isPublic{false};
 
     bool operator==(const RouteConfiguration &) const = default;
 };
@@ -71,8 +75,14 @@
     std::vector<RouteConfiguration> routes;
     std::map<Core::ServiceName, ServiceConfiguration> services;
     CallerLimits limits;
+    /// Null if the configuration has no tenants at all, so that no request needs a key. With an empty table every key is unknown.
+    std::shared_ptr<const Tenants::TenantTable> tenants;
 };
 
+/// Whether the configuration offered replaces the one in force: a later version does, and so does the same version with tenants where an
+/// instance of a build that does not know them sent it without.
+bool supersedes(const RoutingConfiguration &offered, const RoutingConfiguration &inForce);
+
 /// The route of the host with the longest matching path prefix, or null. The host may include a port and upper case letters.
 const RouteConfiguration *findRoute(const RoutingConfiguration &configuration, std::string_view host, std::string_view path);
 
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -299,6 +299,9 @@
     if (this->isForwarded) {
         state.dialect.setRemaining(request, left);
         request.set(FORWARDED_BY_FIELD, state.settings.instance.name);
+        if (!this->context->tenantKey.empty()) {
+            state.dialect.setForwardedKey(request, this->context->tenantKey);
+        }
     } else {
         state.dialect.setTargetFields(request, left, this->name);
     }
--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Presence.h>
 #include <LibGateway/RequestFlow.h>
+#include <LibGateway/TenantAdmission.h>
 #include <LibNetwork/HttpServer.h>
 #include <LibNetwork/SilenceDetection.h>
 #include <LibRelay/CallerDisconnectWatch.h>
@@ -125,12 +126,13 @@
     }
 }
 
-/// Records which instance forwarded the request. Targets do not receive the field.
+/// Records which instance forwarded the request. Targets do not receive what that instance added.
 void takeForwarder(RequestContext &context, Http::fields &head)
 {
     const auto name = head[FORWARDED_BY_FIELD];
     context.forwardedBy.assign(name.data(), name.size());
     head.erase(FORWARDED_BY_FIELD);
+    context.state.dialect.removeForwardedKey(head);
     context.state.counters.takenForPeers += context.forwardedBy.empty() ? 0 : 1;
 }
 
@@ -145,6 +147,9 @@
         return Reason::NoRoute;
     }
     context.priority = context.route->priority;
+    if (const auto refusal = authenticate(context, metadata.tenantKey)) {
+        return refusal;
+    }
     auto &state = context.state;
     const auto service = state.services.find(Fleet::drawService(*context.route, state.random));
     if (service == state.services.end()) {
@@ -181,6 +186,9 @@
                                    {"caller_gone", isCallerGone},
                                    {"forwarded_by", context.forwardedBy},
                                    {"peers", context.triedPeers}};
+    if (!context.tenant.empty()) {
+        summary["tenant"] = context.tenant;
+    }
     for (auto &decision : context.decisions) {
         decision["request"] = context.attemptId;
         state.log.write(importance, "decision", decision);
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -20,6 +20,8 @@
     std::string attemptId;
     /// How long the caller waits.
     std::optional<std::chrono::milliseconds> remaining;
+    /// The key of a tenant; empty if the caller stated none, or not exactly one. It must not reach a log, a target or a metric.
+    std::string tenantKey;
 };
 
 /// Metadata that a target sends with a response.
@@ -52,6 +54,14 @@
     ResponseMetadata (*readResponseMetadata)(const Http::response_header<> &head);
     /// Sets the fields that only a target reads: the remaining time and the name that the target must have.
     void (*setTargetFields)(Http::fields &head, std::chrono::milliseconds remaining, std::string_view targetName);
+    /// Removes the key that a peer has added to a request.
+    void (*removeForwardedKey)(Http::fields &head);
+    /// Adds the key of a tenant to a request that is forwarded to a peer, which checks it too.
+    void (*setForwardedKey)(Http::fields &head, std::string_view key);
+    /// Removes the caller's key and whatever tenant it claims to be.
+    void (*removeCredentials)(Http::fields &head);
+    /// Tells the target which tenant sent the request.
+    void (*setTenant)(Http::fields &head, std::string_view tenant);
     /// Sets the time for which the caller still waits.
     void (*setRemaining)(Http::fields &head, std::chrono::milliseconds remaining);
     /// Removes the fields that only instances read from a response.
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -43,6 +43,8 @@
     /// Requests that were sent to a peer because this instance reached no target, and requests that peers sent here.
     std::uint64_t forwarded{0};
     std::uint64_t takenForPeers{0};
+    /// Requests without a valid key of a tenant where the configuration needs one.
+    std::uint64_t unauthenticated{0};
 };
 
 /// Where a request is sent if no target of the version selected for it is available.
--- a/Libraries/LibGateway/InstanceObjects.cpp
+++ b/Libraries/LibGateway/InstanceObjects.cpp
@@ -209,7 +209,7 @@
 
 void Instance::bringIntoForce(const Fleet::RoutingConfiguration &configuration, const ChangeBatch &batch, const StoredObject &object)
 {
-    if (this->state.routingConfiguration && configuration.version <= this->state.routingConfiguration->version) {
+    if (this->state.routingConfiguration && !Fleet::supersedes(configuration, *this->state.routingConfiguration)) {
         return;
     }
     this->state.routingConfiguration = std::make_shared<const Fleet::RoutingConfiguration>(configuration);
@@ -218,6 +218,7 @@
                           "configuration_in_force",
                           {{"version", configuration.version},
                            {"routes", configuration.routes.size()},
+                           {"tenants", configuration.tenants ? configuration.tenants->tenants.size() : 0},
                            {"era", object.revision.era},
                            {"revision", object.revision.number},
                            {"via", nameOf(batch.source)},
--- a/Libraries/LibGateway/RequestContext.h
+++ b/Libraries/LibGateway/RequestContext.h
@@ -35,6 +35,8 @@
     std::uint32_t priority{0};
     /// Name of the tenant that sent the request; empty if the configuration has no tenants or the route needs none.
     std::string tenant;
+    /// Key of the tenant, for a peer that the request is forwarded to; empty if there is none. It must not reach a log or a target.
+    std::string tenantKey;
     std::string attemptId;
     Http::request_header<> head;
     std::string body;
--- a/Libraries/LibRejection/Reason.cpp
+++ b/Libraries/LibRejection/Reason.cpp
@@ -31,6 +31,7 @@
     {Reason::BadGatewayAnswer, "bad-gateway-answer", 502, RunRule::MayHaveRun, true, RetryAfterRule::None, "http_protocol_error", "The target's answer breaks the protocol"},
     {Reason::Stopping, "stopping", 503, RunRule::FromProgress, true, RetryAfterRule::Minimum, "proxy_internal_response", "The instance is stopping"},
     {Reason::InternalError, "internal-error", 500, RunRule::FromProgress, true, RetryAfterRule::None, "proxy_internal_error", "A fault within the instance"},
+    {Reason::Unauthenticated, "unauthenticated", 401, RunRule::NeverSent, false, RetryAfterRule::None, "http_request_denied", "The request carries no valid API key", "Bearer"},
 }};
 // clang-format on
 
--- a/Libraries/LibRejection/Reason.h
+++ b/Libraries/LibRejection/Reason.h
@@ -55,6 +55,8 @@
     Stopping,
     /// An internal error of the instance.
     InternalError,
+    /// The configuration has tenants, and the request carries no valid API key of one.
+    Unauthenticated,
 };
 
 /// How the Retry-After field is determined.
@@ -94,9 +96,11 @@
     std::string_view proxyError;
     /// Title of the problem details, RFC 9457 section 3.1.3. The same for every occurrence.
     std::string_view title;
+    /// Value of the WWW-Authenticate field, RFC 9110 section 11.6.1; empty if there is none.
+    std::string_view challenge{};
 };
 
-inline constexpr std::size_t REASON_COUNT = static_cast<std::size_t>(Reason::InternalError) + 1;
+inline constexpr std::size_t REASON_COUNT = static_cast<std::size_t>(Reason::Unauthenticated) + 1;
 
 /// The traits of every reason, in the order of the enumeration.
 const std::array<ReasonTraits, REASON_COUNT> &allReasons();
--- a/Libraries/LibRejection/Refusal.cpp
+++ b/Libraries/LibRejection/Refusal.cpp
@@ -99,6 +99,9 @@
     if (const auto delay = retryAfter(refusal)) {
         answer.fields.push_back({"Retry-After", std::to_string(delay->count())});
     }
+    if (!properties.challenge.empty()) {
+        answer.fields.push_back({"WWW-Authenticate", std::string{properties.challenge}});
+    }
     if (isNotRun) {
         answer.fields.push_back({std::string{REQUEST_NOT_RUN_FIELD}, "?1"});
     }
--- a/Libraries/LibRejection/Refusal.h
+++ b/Libraries/LibRejection/Refusal.h
@@ -72,8 +72,8 @@
 inline constexpr std::string_view REQUEST_NOT_RUN_FIELD = "Request-Not-Run";
 
 /// The answer to the caller: problem details (RFC 9457) with the members `reason`, `run` ("no" or "unknown") and `sent` (whether
-/// this submission reached a target), and the fields Content-Type, Cache-Control, Proxy-Status (RFC 9209), Retry-After and
-/// Request-Not-Run. The instance name becomes the first member of Proxy-Status.
+/// this submission reached a target), and the fields Content-Type, Cache-Control, Proxy-Status (RFC 9209), Retry-After,
+/// WWW-Authenticate and Request-Not-Run. The instance name becomes the first member of Proxy-Status.
 FinalAnswer finalAnswer(const Refusal &refusal, std::string_view instanceName);
 
 } // namespace Briarbend::Rejection
--- a/Tests/LibFleet/TestRoutingConfiguration.cpp
+++ b/Tests/LibFleet/TestRoutingConfiguration.cpp
@@ -32,6 +32,23 @@
 
 } // namespace
 
+// Guards against a revoked key that an older version brings back, and against a version without its tenants from an older build that stays.
+TEST(RoutingConfiguration, onlyALaterOrMoreCompleteVersionIsTaken)
+{
+    const auto version = [](std::uint64_t number, bool hasTenants) {
+        RoutingConfiguration configuration;
+        configuration.version = number;
+        configuration.tenants = hasTenants ? std::make_shared<const Tenants::TenantTable>() : nullptr;
+        return configuration;
+    };
+    EXPECT_TRUE(supersedes(version(8, false), version(7, true)));
+    EXPECT_TRUE(supersedes(version(7, true), version(7, false)));
+    for (const bool hasTenants : {false, true}) {
+        EXPECT_FALSE(supersedes(version(7, hasTenants), version(7, true)));
+        EXPECT_FALSE(supersedes(version(6, true), version(7, hasTenants)));
+    }
+}
+
 TEST(RoutingConfiguration, longestPathPrefixOfTheHostIsFound)
 {
     const auto configuration = sampleConfiguration();
--- a/Tests/platform/TestDecode.cpp
+++ b/Tests/platform/TestDecode.cpp
@@ -130,6 +130,50 @@
     }
 }
 
+// Guards against tenants that are lost in decoding, and against a configuration without tenants that is taken for one with none.
+TEST(Decode, tenantsDecodeToDigests)
+{
+    const auto decode = [](const nlohmann::json &tenants) {
+        return std::get<Fleet::RoutingConfiguration>(
+            contentOf(ObjectKind::RoutingConfiguration, changed(CONFIGURATION, "/spec/tenants", tenants)));
+    };
+    const auto configuration = decode({{"beta", {{"apiKeys", {"b1", "b2"}}, {"priority", 0}}}, {"alpha", {{"apiKeys", {"a1"}}}}});
+    ASSERT_TRUE(configuration.tenants);
+    EXPECT_EQ(*Tenants::authenticate(*configuration.tenants, false, "b2").tenant, (Tenants::Tenant{.name = "beta", .priority = 0}));
+    EXPECT_EQ(*Tenants::authenticate(*configuration.tenants, false, "a1").tenant, (Tenants::Tenant{.name = "alpha", .priority = {}}));
+    EXPECT_FALSE(configuration.routes[0].isPublic);
+    const auto open = changed(CONFIGURATION, "/spec/routes/r-1/public", true);
+    const auto withPublic = std::get<Fleet::RoutingConfiguration>(contentOf(ObjectKind::RoutingConfiguration, open));
+    EXPECT_TRUE(withPublic.routes[0].isPublic);
+    EXPECT_FALSE(withPublic.tenants);
+    EXPECT_TRUE(decode(nlohmann::json::object()).tenants) << "an empty table is not the same as none";
+    EXPECT_FALSE(decode(nullptr).tenants);
+}
+
+// Guards against a key in the reason for which a configuration is not used, which is logged and sent to peers.
+TEST(Decode, reasonsQuoteNoKey)
+{
+    const auto withTenants = [](const std::string &tenants) {
+        std::string text(CONFIGURATION);
+        return text.replace(text.find(R"("limits")"), 0, R"("tenants":)" + tenants + ",");
+    };
+    for (const auto *tenants : {R"({"a":{"apiKeys":["key-of-alpha\q"]}})",
+                                "{\"a\":{\"apiKeys\":[\"key-of-alpha\xff\"]}}",
+                                R"({"a":{"apiKeys":["key-of-alpha" x]}})",
+                                R"({"a":{"apiKeys":"key-of-alpha"}})",
+                                R"({"a":{"apiKeys":[{"key-of-alpha":1}]}})",
+                                R"({"a":"key-of-alpha"})",
+                                R"(["key-of-alpha"])",
+                                R"({"a":{"apiKeys":[1e999]}})",
+                                R"({"a\r\nb":{"apiKeys":["key-of-alpha"]}})"}) {
+        const auto content = contentOf(ObjectKind::RoutingConfiguration, withTenants(tenants));
+        ASSERT_TRUE(std::holds_alternative<Unreadable>(content)) << tenants;
+        const auto &reason = std::get<Unreadable>(content).reason;
+        EXPECT_EQ(reason.find("key-of-alpha"), std::string::npos) << reason;
+        EXPECT_EQ(reason.find("999"), std::string::npos) << reason;
+    }
+}
+
 TEST(Decode, configurationObjectDecodesToRoutingConfiguration)
 {
     const auto configuration = std::get<Fleet::RoutingConfiguration>(contentOf(ObjectKind::RoutingConfiguration, CONFIGURATION));
--- a/Tests/platform/TestWireDialect.cpp
+++ b/Tests/platform/TestWireDialect.cpp
@@ -27,6 +27,21 @@
     }
 }
 
+// Guards against a key that is read from a field of another scheme, or not read for the spelling of the scheme.
+TEST(WireDialect, tenantKeyIsReadFromBearerFieldsOnly)
+{
+    const auto dialect = wireDialect();
+    Http::request_header<> head;
+    for (const auto *value : {"Bearer k1", "bearer k1", "BEARER   k1"}) {
+        head.set(Http::field::authorization, value);
+        EXPECT_EQ(dialect.readRequestMetadata(head).tenantKey, "k1") << value;
+    }
+    for (const auto *value : {"", "Bearer", "Bearer ", "Basic k1", "k1", "Bearerk1"}) {
+        head.set(Http::field::authorization, value);
+        EXPECT_EQ(dialect.readRequestMetadata(head).tenantKey, "") << value;
+    }
+}
+
 TEST(WireDialect, readTargetDetectsNotRunAndMisdirectedResponses)
 {
     const auto dialect = wireDialect();
