LibGateway, LibCoordination: Share full services fairly among tenants

A request beyond its tenant's fraction is refused with 429 tenant-over-share and Retry-After before it enters the service. Nothing is sent, counted or limited while the configuration has no tenants, and nothing is sent while no service is short.

--- a/Libraries/LibCoordination/Channel.h
+++ b/Libraries/LibCoordination/Channel.h
@@ -21,6 +21,8 @@
     Targets = 't',
     /// Offers to take requests of instances that reach no target.
     Forwarding = 'f',
+    /// Demand of tenants and their fractions of services that are short of capacity.
+    TenantShares = 's',
 };
 
 } // namespace Briarbend::Coordination
--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -156,6 +156,9 @@
         return Reason::NoTarget;
     }
     context.service = service->second;
+    if (!isWithinShare(context)) {
+        return Reason::TenantOverShare;
+    }
     auto &route = state.routes[context.route->name];
     if (metadata.remaining) {
         route.longestCallerTimeout = std::max(route.longestCallerTimeout, *metadata.remaining);
@@ -168,6 +171,12 @@
     return std::nullopt;
 }
 
+std::chrono::milliseconds retryDelayOf(RequestContext &context, Reason reason)
+{
+    // A collector divides anew within this time. Without jitter the requests beyond a share would come back together.
+    return reason == Reason::TenantOverShare ? Rejection::withJitter(Tenants::SHARE_INTERVAL, context.state.random) : IMMEDIATE_RETRY_AFTER;
+}
+
 void logRequest(RequestContext &context, unsigned status, bool isCallerGone)
 {
     auto &state = context.state;
@@ -203,7 +212,8 @@
         return;
     }
     const auto status = result.response.result();
-    auto &counter = status == Http::status::service_unavailable             ? state.counters.refused
+    const bool isRefused = status == Http::status::service_unavailable || result.refusal == Reason::TenantOverShare;
+    auto &counter = isRefused                                               ? state.counters.refused
         : Http::to_status_class(status) == Http::status_class::server_error ? state.counters.failed
                                                                             : state.counters.answered;
     ++counter;
@@ -309,14 +319,18 @@
     FlowResult result;
     if (refusal) {
         context->recordDecision("refused", {{"reason", Rejection::reasonTraits(*refusal).name}});
-        result.response = makeRefusal(
-            this->state, context->attemptId, {.reason = *refusal, .retryAfter = IMMEDIATE_RETRY_AFTER, .detail = headProblem.value_or("")});
+        result.refusal = refusal;
+        result.response
+            = makeRefusal(this->state,
+                          context->attemptId,
+                          {.reason = *refusal, .retryAfter = retryDelayOf(*context, *refusal), .detail = headProblem.value_or("")});
     } else {
         RequestFlow flow(context);
         const Relay::CallerDisconnectWatch watch(socket, [&flow] {
             flow.callerGone();
         });
         result = co_await flow.run();
+        recordTenantResult(*context, result);
     }
     if (context->forwardedBy.empty()) {
         result.response.erase(OWN_ANSWER_FIELD);
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -12,6 +12,7 @@
 #include <LibRelay/TargetConnection.h>
 #include <LibRouting/LoadEstimate.h>
 #include <LibSettings/GatewaySettings.h>
+#include <LibTenants/FairShare.h>
 
 #include <functional>
 #include <map>
@@ -45,6 +46,8 @@
     std::uint64_t takenForPeers{0};
     /// Requests without a valid key of a tenant where the configuration needs one.
     std::uint64_t unauthenticated{0};
+    /// Requests beyond the share of their tenant.
+    std::uint64_t overShare{0};
 };
 
 /// Where a request is sent if no target of the version selected for it is available.
@@ -139,6 +142,7 @@
     /// Number of running instances, including this one.
     std::size_t instances{1};
     Fleet::RateSharers rateSharers;
+    Tenants::InstanceShares tenantShares;
     GatewayCounters counters;
     std::uint32_t callerConnections{0};
     std::uint32_t requestsInFlight{0};
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -71,6 +71,9 @@
     this->startPeers(seed);
     this->makeStoreDissemination();
     this->makeTargetDissemination();
+    this->tenantShares = std::make_unique<TenantShareDisseminator>(this->timers, *this->peers, this->state.tenantShares, [this] {
+        return this->state.routingConfiguration && this->state.routingConfiguration->tenants;
+    });
     this->quarantine = std::make_unique<Coordination::QuarantineLink>(ioContext, this->timers, *this->peers, TOLERATED_BREAKS);
     this->state.guard = this->quarantine.get();
     this->rollouts = std::make_unique<RolloutDriver>(this->state, this->timers, this->store, *this->peers);
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -8,6 +8,7 @@
 #include <LibGateway/Reflector.h>
 #include <LibGateway/RolloutDriver.h>
 #include <LibGateway/TargetDisseminator.h>
+#include <LibGateway/TenantShareDisseminator.h>
 #include <LibNetwork/AsioTimerService.h>
 #include <LibNetwork/HttpServer.h>
 
@@ -92,6 +93,7 @@
     std::unique_ptr<Coordination::QuarantineLink> quarantine;
     std::unique_ptr<ChangeDisseminator> news;
     std::unique_ptr<TargetDisseminator> targetNews;
+    std::unique_ptr<TenantShareDisseminator> tenantShares;
     std::unique_ptr<RolloutDriver> rollouts;
     std::unique_ptr<PeerFinder> peerFinder;
     std::unique_ptr<CallerFrontend> callers;
--- a/Libraries/LibGateway/Metrics.cpp
+++ b/Libraries/LibGateway/Metrics.cpp
@@ -34,6 +34,7 @@
     Counter{"far_answer_bytes_total", "Bytes of bodies that came from other data centres.", &GatewayCounters::farResponseBytes},
     Counter{"rollout_evaluations_total", "Comparisons of the versions of a rollout.", &GatewayCounters::rolloutEvaluations},
     Counter{"unauthenticated_total", "Requests refused for want of a valid API key.", &GatewayCounters::unauthenticated},
+    Counter{"tenant_over_share_total", "Requests refused beyond the fair share of their tenant.", &GatewayCounters::overShare},
     Counter{"store_failures_total", "Calls to the store without a usable answer.", &GatewayCounters::storeFailures},
 };
 
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -103,7 +103,8 @@
             tracked.attempt->cancel(isHedgeAnswered && &tracked == &this->attempts.front());
         });
     }
-    FlowResult result{.response = {}, .hold = std::move(this->finalHold), .isCallerGone = this->context->isCallerGone};
+    FlowResult result{
+        .response = {}, .hold = std::move(this->finalHold), .isCallerGone = this->context->isCallerGone, .refusal = this->refusalReason};
     if (this->finalResponse) {
         result.response = std::move(*this->finalResponse);
     }
@@ -323,6 +324,7 @@
                                .retryAfter = Rejection::withJitter(retryAfter, this->state.random)};
     this->context->recordDecision(
         "final_answer", {{"reason", Rejection::reasonTraits(truthfulReason).name}, {"retry_after_ms", refusal.retryAfter->count()}});
+    this->refusalReason = truthfulReason;
     this->finalResponse = makeRefusal(this->state, this->context->attemptId, refusal);
 }
 
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -19,6 +19,8 @@
     std::optional<Core::ByteHold> hold;
     /// The caller closed its connection; nobody reads the response.
     bool isCallerGone{false};
+    /// Why this instance refused the request; nothing if a target answered.
+    std::optional<Rejection::Reason> refusal;
 };
 
 /// Takes one complete request to its final response: sends it to a target, and retries or hedges it where that is allowed and useful.
@@ -74,6 +76,8 @@
     std::optional<TargetResponse> failureResponse;
     std::optional<Network::Response> finalResponse;
     std::optional<Core::ByteHold> finalHold;
+    /// Why finalResponse is a refusal; nothing if a target answered.
+    std::optional<Rejection::Reason> refusalReason;
 };
 
 /// A response that this instance itself generates, with the metadata fields of the platform.
--- a/Libraries/LibGateway/TenantAdmission.cpp
+++ b/Libraries/LibGateway/TenantAdmission.cpp
@@ -39,4 +39,35 @@
     return std::nullopt;
 }
 
+bool isWithinShare(RequestContext &context)
+{
+    if (context.tenant.empty()) {
+        return true;
+    }
+    auto &state = context.state;
+    const auto &service = context.service->name;
+    Tenants::countDemand(state.tenantShares, service, context.tenant);
+    const auto fraction = Tenants::admittedFraction(state.tenantShares, service, context.tenant, Core::Clock::now());
+    if (fraction >= 1 || state.random.unit() < fraction) {
+        return true;
+    }
+    ++state.counters.overShare;
+    context.recordDecision("over_share", {{"service", service.value}, {"fraction", fraction}});
+    return false;
+}
+
+void recordTenantResult(RequestContext &context, const FlowResult &result)
+{
+    if (context.tenant.empty() || result.isCallerGone) {
+        return;
+    }
+    auto &shares = context.state.tenantShares;
+    const auto &service = context.service->name;
+    if (!result.refusal) {
+        Tenants::countServed(shares, service);
+    } else if (*result.refusal == Reason::Overloaded || *result.refusal == Reason::RefusedByTarget) {
+        Tenants::countRefused(shares, service, Core::Clock::now());
+    }
+}
+
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/TenantAdmission.h
+++ b/Libraries/LibGateway/TenantAdmission.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibGateway/RequestContext.h>
+#include <LibGateway/RequestFlow.h>
 
 #include <optional>
 #include <string>
@@ -13,4 +13,10 @@
 /// forwarded is checked like any other, since callers can send that field too.
 std::optional<Rejection::Reason> authenticate(RequestContext &context, const std::string &key);
 
+/// Whether the tenant's fraction of the service lets the request in. Requests without a tenant are always let in.
+bool isWithinShare(RequestContext &context);
+
+/// Counts for the tenants' shares whether the service had room for the request.
+void recordTenantResult(RequestContext &context, const FlowResult &result);
+
 } // namespace Briarbend::Gateway
--- a/Libraries/LibRejection/Reason.cpp
+++ b/Libraries/LibRejection/Reason.cpp
@@ -32,6 +32,7 @@
     {Reason::Stopping, "stopping", 503, RunRule::FromProgress, true, RetryAfterRule::Minimum, "proxy_internal_response", "The instance is stopping"},
     {Reason::InternalError, "internal-error", 500, RunRule::FromProgress, true, RetryAfterRule::None, "proxy_internal_error", "A fault within the instance"},
     {Reason::Unauthenticated, "unauthenticated", 401, RunRule::NeverSent, false, RetryAfterRule::None, "http_request_denied", "The request carries no valid API key", "Bearer"},
+    {Reason::TenantOverShare, "tenant-over-share", 429, RunRule::NeverSent, true, RetryAfterRule::FromRefusal, "http_request_denied", "The tenant has more requests than its share of a service that is short of capacity"},
 }};
 // clang-format on
 
--- a/Libraries/LibRejection/Reason.h
+++ b/Libraries/LibRejection/Reason.h
@@ -57,6 +57,8 @@
     InternalError,
     /// The configuration has tenants, and the request carries no valid API key of one.
     Unauthenticated,
+    /// The service is short of capacity, and the tenant has more requests than its fair share of it.
+    TenantOverShare,
 };
 
 /// How the Retry-After field is determined.
@@ -100,7 +102,7 @@
     std::string_view challenge{};
 };
 
-inline constexpr std::size_t REASON_COUNT = static_cast<std::size_t>(Reason::Unauthenticated) + 1;
+inline constexpr std::size_t REASON_COUNT = static_cast<std::size_t>(Reason::TenantOverShare) + 1;
 
 /// The traits of every reason, in the order of the enumeration.
 const std::array<ReasonTraits, REASON_COUNT> &allReasons();
--- a/Tests/LibGateway/TestTenants.cpp
+++ b/Tests/LibGateway/TestTenants.cpp
@@ -206,6 +206,35 @@
     }
 }
 
+// Guards against a limited tenant that still reaches the service, and against other tenants that are refused with it.
+TEST_F(TenantsTest, requestsBeyondTheShareAreRefused)
+{
+    this->configure(tableOf({{"alpha", "key-of-alpha"}, {"beta", "key-of-beta"}}));
+    Tenants::applyFractions(
+        this->state.tenantShares, {{.service = SERVICE, .limited = {{.tenant = "alpha", .fraction = 0}}}}, Core::Clock::now());
+    const auto response = this->ask(ALPHA);
+    EXPECT_EQ(response.result_int(), 429U);
+    EXPECT_EQ(response.count("Retry-After"), 1U);
+    EXPECT_EQ(response["Request-Not-Run"], "?1");
+    EXPECT_TRUE(this->received.empty());
+    EXPECT_EQ(this->ask(BETA).result_int(), 200U);
+    const auto &counts = this->state.tenantShares.counts.at(SERVICE);
+    EXPECT_EQ(counts.byTenant.at("alpha"), 1);
+    EXPECT_EQ(counts.byTenant.at("beta"), 1);
+    EXPECT_EQ(counts.served, 1);
+    EXPECT_EQ(counts.refused, 0) << "a refusal by share is no shortage";
+}
+
+// Guards against a shortage that is not noticed, so that nothing is shared.
+TEST_F(TenantsTest, refusalForWantOfRoomCountsAsShortage)
+{
+    this->configure(tableOf({{"alpha", "key-of-alpha"}}));
+    this->targets.front()->load = "6,9,6,100";
+    EXPECT_EQ(this->ask(ALPHA).result_int(), 503U);
+    EXPECT_EQ(this->state.tenantShares.counts.at(SERVICE).refused, 1);
+    EXPECT_EQ(Tenants::takeDemand(this->state.tenantShares, Core::Clock::now()).size(), 1U);
+}
+
 // Guards against a key in a log line, on which the tenant's name must stand.
 TEST_F(TenantsTest, logNamesTheTenantAndNotTheKey)
 {
