--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/CallerFrontend.h>
 
+#include <LibGateway/TenantAdmission.h>
 #include <LibNetwork/HttpServer.h>
 #include <LibRelay/HeaderRules.h>
 
@@ -44,12 +45,13 @@
     }
 }
 
-/// Records which instance forwarded the request. Targets do not receive the field.
+/// Records which instance forwarded the request. Targets do not receive what that instance added.
 void takeForwarder(RequestContext &context, Http::fields &head)
 {
     const auto name = head[FORWARDED_BY_FIELD];
     context.forwardedBy.assign(name.data(), name.size());
     head.erase(FORWARDED_BY_FIELD);
+    context.state.dialect.removeForwardedKey(head);
     context.state.counters.takenForPeers += context.forwardedBy.empty() ? 0 : 1;
 }
 
@@ -64,12 +66,18 @@
         return Reason::NoRoute;
     }
     context.priority = context.route->priority;
+    if (const auto refusal = authenticate(context, metadata.tenantKey)) {
+        return refusal;
+    }
     auto &state = context.state;
     const auto service = state.services.find(Fleet::drawService(*context.route, state.random));
     if (service == state.services.end()) {
         return Reason::NoTarget;
     }
     context.service = service->second;
+    if (!isWithinShare(context)) {
+        return Reason::TenantOverShare;
+    }
     auto &route = state.routes[context.route->name];
     if (metadata.remaining) {
         route.longestCallerTimeout = std::max(route.longestCallerTimeout, *metadata.remaining);
@@ -82,6 +90,12 @@
     return std::nullopt;
 }
 
+std::chrono::milliseconds retryDelayOf(RequestContext &context, Reason reason)
+{
+    // A collector divides anew within this time. Without jitter the requests beyond a share would come back together.
+    return reason == Reason::TenantOverShare ? Rejection::withJitter(Tenants::SHARE_INTERVAL, context.state.random) : IMMEDIATE_RETRY_AFTER;
+}
+
 void logRequest(RequestContext &context, unsigned status, bool isCallerGone)
 {
     auto &state = context.state;
@@ -100,6 +114,9 @@
                                    {"caller_gone", isCallerGone},
                                    {"forwarded_by", context.forwardedBy},
                                    {"peers", context.triedPeers}};
+    if (!context.tenant.empty()) {
+        summary["tenant"] = context.tenant;
+    }
     for (auto &decision : context.decisions) {
         decision["request"] = context.attemptId;
         state.log.write(importance, "decision", decision);
@@ -114,7 +131,8 @@
         return;
     }
     const auto status = result.response.result();
-    auto &counter = status == Http::status::service_unavailable             ? state.counters.refused
+    const bool isRefused = status == Http::status::service_unavailable || result.refusal == Reason::TenantOverShare;
+    auto &counter = isRefused                                               ? state.counters.refused
         : Http::to_status_class(status) == Http::status_class::server_error ? state.counters.failed
                                                                             : state.counters.answered;
     ++counter;
@@ -258,12 +276,15 @@
     ++this->state.counters.requests;
     if (request.refusal) {
         context->recordDecision("refused", {{"reason", Rejection::reasonTraits(*request.refusal).name}});
-        result.response = makeRefusal(this->state,
-                                      context->attemptId,
-                                      {.reason = *request.refusal, .retryAfter = IMMEDIATE_RETRY_AFTER, .detail = request.refusalDetail});
+        result.response = makeRefusal(
+            this->state,
+            context->attemptId,
+            {.reason = *request.refusal, .retryAfter = retryDelayOf(*context, *request.refusal), .detail = request.refusalDetail});
+        result.refusal = request.refusal;
     } else {
         request.flow = std::make_shared<RequestFlow>(context);
         result = co_await request.flow->run();
+        recordTenantResult(*context, result);
     }
     if (context->forwardedBy.empty()) {
         result.response.erase(OWN_ANSWER_FIELD);
