LibGateway, LibCoordination: Count requests of tenants and report them from one instance

Cause: the platform asks for one report of all tenants' requests for each window, and each instance sees a hundredth of them.

A request counts in Attempt::sendAndReceive when it is sent, and is taken back if the target did not run it or no byte was written. UsageReporter sends cumulative counts to the two collectors on the new channel u, four times a window and when the instance stops; one of the collectors holds the duty (LibDuties) and reports.

Ruled out: counting at the end of a request (one that was sent and lost would not count), and counts as differences (a lost message would lose requests; cumulative counts repair themselves with the next message).

--- a/Libraries/LibCoordination/Channel.h
+++ b/Libraries/LibCoordination/Channel.h
@@ -21,6 +21,8 @@
     Targets = 't',
     /// Offers to take requests of instances that reach no target.
     Forwarding = 'f',
+    /// Counts of the requests of tenants, and who reports them.
+    Usage = 'u',
 };
 
 } // namespace Briarbend::Coordination
--- a/Libraries/LibCoordination/SentTraffic.cpp
+++ b/Libraries/LibCoordination/SentTraffic.cpp
@@ -52,6 +52,8 @@
         return "targets";
     case Channel::Forwarding:
         return "forwarding";
+    case Channel::Usage:
+        return "usage";
     }
     return "unknown";
 }
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -120,6 +120,8 @@
     bool isOvertaken{false};
     /// The connection ended during the request: the target may have crashed.
     bool isConnectionLost{false};
+    /// At least one byte of the request was handed to the connection.
+    bool hasWritten{false};
     Core::TargetId address;
     std::unique_ptr<Relay::TargetConnection> connection;
     std::string failure;
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -43,6 +43,10 @@
     /// Requests that were sent to a peer because this instance reached no target, and requests that peers sent here.
     std::uint64_t forwarded{0};
     std::uint64_t takenForPeers{0};
+    /// Reports of usage that the platform accepted, calls that it did not accept, and reports that were accepted late or given up.
+    std::uint64_t usageReports{0};
+    std::uint64_t usageReportsRefused{0};
+    std::uint64_t usageReportsLate{0};
 };
 
 /// Where a request is sent if no target of the version selected for it is available.
@@ -126,6 +130,9 @@
     /// Returns the caller address of a peer that takes a request which reaches no target from here, without the addresses given; nothing if
     /// there is none. Unset if requests are not forwarded.
     std::function<boost::asio::awaitable<std::optional<Core::TargetId>>(std::vector<std::string> excludedAddresses)> findPeer;
+    /// Called for each request of a tenant that is sent to a target. The result takes the request back if it turns out not to have run.
+    /// Unset if usage is not reported.
+    std::function<std::function<void()>(const std::string &tenant)> countRequest;
     /// Losses of requests that count against a target's version only once any target has been heard after them.
     std::vector<AttemptObservation> unconfirmedLosses;
     /// Additional round-trip time to a target in another data centre, compared with one in the same data centre.
@@ -141,6 +148,8 @@
     std::uint32_t callerConnections{0};
     std::uint32_t requestsInFlight{0};
     bool isStopping{false};
+    /// This instance reports usage for all instances.
+    bool holdsUsageDuty{false};
 };
 
 /// Runs a detached coroutine. An exception that leaves it is logged under the name, since no caller can receive it.
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -118,6 +118,11 @@
                            {"data_centre", addresses.dataCentre.value}});
 }
 
+void Instance::startUsageReports(DutyStore &dutyStore, UsageEndpoint &endpoint)
+{
+    this->usage = std::make_unique<UsageReporter>(this->state, this->timers, *this->peers, dutyStore, endpoint);
+}
+
 void Instance::startPeers(std::uint64_t seed)
 {
     const auto &settings = this->state.settings;
@@ -319,9 +324,11 @@
     if (this->state.requestsInFlight == 0 && !std::exchange(this->hasStoppedListening, true)) {
         // Callers that waited to be accepted still get their response. The next check sees their requests.
         this->callers->stopListening();
+        this->finishUsageReports();
         return;
     }
     if ((this->state.requestsInFlight == 0 || isOverdue) && this->onStopped) {
+        this->finishUsageReports();
         this->peers->leave();
         this->state.log.write(Importance::Notable, "stopped", {{"in_flight", this->state.requestsInFlight}});
         this->state.log.flush();
@@ -329,6 +336,13 @@
     }
 }
 
+void Instance::finishUsageReports()
+{
+    if (this->usage) {
+        this->usage->finish();
+    }
+}
+
 bool Instance::isReady() const
 {
     const bool isCurrent = std::ranges::all_of(this->followers, &Reflector::isCurrent, &std::unique_ptr<Reflector>::operator*);
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -8,6 +8,7 @@
 #include <LibGateway/Reflector.h>
 #include <LibGateway/RolloutDriver.h>
 #include <LibGateway/TargetDisseminator.h>
+#include <LibGateway/UsageReporter.h>
 #include <LibNetwork/AsioTimerService.h>
 #include <LibNetwork/HttpServer.h>
 
@@ -31,6 +32,8 @@
     /// Begins a graceful shutdown: reports not ready immediately, then keeps serving until the load balancer in front has stopped sending
     /// requests and the last request has its response.
     void beginStop(std::function<void()> onStopped);
+    /// Begins to count and report the usage of tenants. Both interfaces must outlive the instance.
+    void startUsageReports(DutyStore &dutyStore, UsageEndpoint &endpoint);
 
 private:
     std::unique_ptr<Reflector> makeFollower(ObjectKind kind);
@@ -74,6 +77,8 @@
     void startPeers(std::uint64_t seed);
     void updateInstances();
     void finishStopWhenIdle(Core::TimePoint now);
+    /// Sends the last counts of usage, while there is time for the messages to leave before the process ends.
+    void finishUsageReports();
     bool isReady() const;
     /// Whether callers are better served by any other instance: this one reaches no target and no peer that does.
     bool isIsolated() const;
@@ -94,6 +99,8 @@
     std::unique_ptr<TargetDisseminator> targetNews;
     std::unique_ptr<RolloutDriver> rollouts;
     std::unique_ptr<PeerFinder> peerFinder;
+    /// Null if usage is not reported.
+    std::unique_ptr<UsageReporter> usage;
     std::unique_ptr<CallerFrontend> callers;
     std::unique_ptr<Network::HttpServer> readyServer;
     std::unique_ptr<Network::HttpServer> operatorServer;
--- a/Libraries/LibGateway/Metrics.cpp
+++ b/Libraries/LibGateway/Metrics.cpp
@@ -34,6 +34,9 @@
     Counter{"far_answer_bytes_total", "Bytes of bodies that came from other data centres.", &GatewayCounters::farResponseBytes},
     Counter{"rollout_evaluations_total", "Comparisons of the versions of a rollout.", &GatewayCounters::rolloutEvaluations},
     Counter{"store_failures_total", "Calls to the store without a usable answer.", &GatewayCounters::storeFailures},
+    Counter{"usage_reports_total", "Usage reports that the platform accepted.", &GatewayCounters::usageReports},
+    Counter{"usage_reports_refused_total", "Calls with a usage report that were not accepted.", &GatewayCounters::usageReportsRefused},
+    Counter{"usage_reports_late_total", "Usage reports that were accepted late or given up.", &GatewayCounters::usageReportsLate},
 };
 
 double inSeconds(std::chrono::microseconds duration)
@@ -80,6 +83,7 @@
     text << "# TYPE briarbend_requests_in_flight gauge\nbriarbend_requests_in_flight " << state.requestsInFlight
          << "\n# TYPE briarbend_caller_connections gauge\nbriarbend_caller_connections " << state.callerConnections
          << "\n# TYPE briarbend_instances_known gauge\nbriarbend_instances_known " << state.instances
+         << "\n# TYPE briarbend_usage_duty_held gauge\nbriarbend_usage_duty_held " << (state.holdsUsageDuty ? 1 : 0)
          << "\n# TYPE briarbend_configuration_version gauge\nbriarbend_configuration_version "
          << (state.routingConfiguration ? state.routingConfiguration->version : 0)
          << "\n# TYPE briarbend_log_lines_dropped_total counter\nbriarbend_log_lines_dropped_total " << state.log.droppedLines() << '\n';
