--- a/Libraries/LibCoordination/Channel.h
+++ b/Libraries/LibCoordination/Channel.h
@@ -23,6 +23,8 @@
     Forwarding = 'f',
     /// Demand of tenants and their fractions of services that are short of capacity.
     TenantShares = 's',
+    /// Counts of the requests of tenants, and who reports them.
+    Usage = 'u',
 };
 
 } // namespace Briarbend::Coordination
--- a/Libraries/LibCoordination/SentTraffic.cpp
+++ b/Libraries/LibCoordination/SentTraffic.cpp
@@ -54,6 +54,8 @@
         return "forwarding";
     case Channel::TenantShares:
         return "tenant_shares";
+    case Channel::Usage:
+        return "usage";
     }
     return "unknown";
 }
--- a/Libraries/LibGateway/Metrics.cpp
+++ b/Libraries/LibGateway/Metrics.cpp
@@ -37,6 +37,9 @@
     Counter{"unauthenticated_total", "Requests refused for want of a valid API key.", &GatewayCounters::unauthenticated},
     Counter{"tenant_over_share_total", "Requests refused beyond the fair share of their tenant.", &GatewayCounters::overShare},
     Counter{"store_failures_total", "Calls to the store without a usable answer.", &GatewayCounters::storeFailures},
+    Counter{"usage_reports_total", "Usage reports that the platform accepted.", &GatewayCounters::usageReports},
+    Counter{"usage_reports_refused_total", "Calls with a usage report that were not accepted.", &GatewayCounters::usageReportsRefused},
+    Counter{"usage_reports_late_total", "Usage reports that were accepted late or given up.", &GatewayCounters::usageReportsLate},
 };
 
 double inSeconds(std::chrono::microseconds duration)
@@ -103,6 +106,7 @@
     text << "# TYPE briarbend_requests_in_flight gauge\nbriarbend_requests_in_flight " << state.requestsInFlight
          << "\n# TYPE briarbend_caller_connections gauge\nbriarbend_caller_connections " << state.callerConnections
          << "\n# TYPE briarbend_instances_known gauge\nbriarbend_instances_known " << state.instances
+         << "\n# TYPE briarbend_usage_duty_held gauge\nbriarbend_usage_duty_held " << (state.holdsUsageDuty ? 1 : 0)
          << "\n# TYPE briarbend_configuration_version gauge\nbriarbend_configuration_version "
          << (state.routingConfiguration ? state.routingConfiguration->version : 0)
          << "\n# TYPE briarbend_log_lines_dropped_total counter\nbriarbend_log_lines_dropped_total " << state.log.droppedLines() << '\n';
