Tests/LibGateway: Cover unfinished requests and idle connections

Cause: the time-outs of a connection moved from the stream's timers to a periodic check, which only tests of whole processes reached.

Guards against a time-out of the reader that cuts earlier responses, and against one that begins while a request is answered.

--- a/Tests/LibGateway/TestCallerPipelining.cpp
+++ b/Tests/LibGateway/TestCallerPipelining.cpp
@@ -143,6 +143,53 @@
     EXPECT_EQ(mostInFlight, 2U);
 }
 
+// A request that never came whole ended the responses before it, or kept its connection open for good.
+TEST_F(CallerFrontendTest, unfinishedRequestEndsTheConnectionBehindEarlierResponses)
+{
+    this->isVirtual = true;
+    this->react = [](const auto &) {
+        return Reaction{.delay = 100ms};
+    };
+    const auto limits = callerLimits(this->state);
+    auto &caller = this->connect();
+    caller.startReading();
+    caller.send(request("/a") + "GET /unfinished HTTP/1.1\r\n");
+    EXPECT_TRUE(this->runUntil([&] {
+        return this->hasArrived("/a");
+    }));
+    this->frontend->checkConnections(Core::Clock::now() + limits.headerTimeout + 1s);
+    EXPECT_TRUE(this->runUntil([&] {
+        return caller.isEnded();
+    }));
+    EXPECT_TRUE(caller.hasInOrder({"Connection: close", "body of /a"})) << caller.text();
+}
+
+// An idle connection was closed early, while its request was answered, or never.
+TEST_F(CallerFrontendTest, idleConnectionIsClosedAfterTheIdleTimeout)
+{
+    this->isVirtual = true;
+    this->react = [](const auto &) {
+        return Reaction{.delay = 100ms};
+    };
+    const auto idleTimeout = callerLimits(this->state).idleTimeout;
+    auto &caller = this->connect();
+    caller.startReading();
+    caller.send(request("/a"));
+    EXPECT_TRUE(this->runUntil([&] {
+        return this->hasArrived("/a");
+    }));
+    this->frontend->checkConnections(Core::Clock::now() + idleTimeout + 1s);
+    EXPECT_TRUE(this->runUntil([&] {
+        return caller.hasInOrder({"body of /a"}) && this->state.requestsInFlight == 0;
+    })) << caller.text();
+    this->frontend->checkConnections(Core::Clock::now() + idleTimeout - 1s);
+    EXPECT_EQ(this->state.callerConnections, 1U);
+    this->frontend->checkConnections(Core::Clock::now() + idleTimeout + 1s);
+    EXPECT_TRUE(this->runUntil([&] {
+        return caller.isEnded() && this->state.callerConnections == 0;
+    }));
+}
+
 // The interim response of a later request came before the final response of an earlier one.
 TEST_F(CallerFrontendTest, continueComesBehindEarlierResponses)
 {
