briarctl: Check documents of the platform, and what they change

Cause: briarctl check knew the sections of briarbendd only. A file that begins with a brace, as no TOML document does, is now checked as a configuration that briarbend-gateway serves, by its decoder and Fleet::checkConfiguration. --in-force=FILE compares it with the version in force, entry by entry. The exit code is 2 with warnings only and 65 with errors; sections and settings are checked, printed and judged as before.

--- a/Tests/briarctl/TestBriarctl.cpp
+++ b/Tests/briarctl/TestBriarctl.cpp
@@ -235,6 +235,28 @@
     expectGolden("Tests/Golden/briarctl/explain.txt", this->transcript);
 }
 
+// A document of the platform with a fault was first seen by instances, which leave it out of force without telling its writer.
+TEST_F(BriarctlTest, documentsOfThePlatformAreCheckedAndCompared)
+{
+    std::filesystem::copy_file(sourcePath("docs/examples/main.json"), this->folder + "/next.json");
+    this->run("check docs/examples/main.json docs/examples/sfax.toml");
+    this->run("check --in-force docs/examples/main.json $FOLDER/next.json");
+    this->edit("next.json", "\"timeoutS\": 1.5", "\"timeoutS\": 0.5");
+    this->edit("next.json", "example-key-1", "example-key-2");
+    this->run("check --in-force docs/examples/main.json $FOLDER/next.json");
+    this->edit("next.json", "\"version\": 7", "\"version\": 8");
+    this->run("check --in-force docs/examples/main.json $FOLDER/next.json");
+    this->run("check --json --in-force docs/examples/main.json $FOLDER/next.json");
+    this->edit("next.json", "\"weight\": 90", "\"weight\": 0");
+    this->edit("next.json", "\"service\": \"desk\", \"weight\": 10", "\"service\": \"absent\", \"weight\": 10");
+    this->run("check --json $FOLDER/next.json docs/examples/sfax.toml");
+    this->edit("next.json", "\"kind\": \"idempotent\"", "\"kind\": 7");
+    this->run("check $FOLDER/next.json");
+    this->run("check --in-force docs/examples/main.json docs/examples/sfax.toml");
+    this->run("check --in-force docs/examples/main.json");
+    expectGolden("Tests/Golden/briarctl/platform-documents.txt", this->transcript);
+}
+
 TEST_F(BriarctlTest, completionAndManualNameEveryCommandAndOption)
 {
     std::string help = readSource("Tests/Golden/briarctl/help.txt");
--- a/Utilities/briarctl/Arguments.cpp
+++ b/Utilities/briarctl/Arguments.cpp
@@ -97,6 +97,9 @@
     case Option::Help:
         arguments.wantsHelp = true;
         break;
+    case Option::InForce:
+        arguments.inForce = value;
+        break;
     case Option::Instances:
         arguments.instances = parseEndpoints(value, "--instances");
         break;
@@ -161,6 +164,9 @@
     if (command.command == Command::Explain && arguments.wantsWorst == arguments.request.has_value()) {
         throw UsageError(name + " needs either --request ID or --worst");
     }
+    if (arguments.inForce && (arguments.positional.size() != 1 || arguments.isForSettings)) {
+        throw UsageError("--in-force compares with one document of the platform, and no settings");
+    }
     if (arguments.isReplacing && arguments.basedOn) {
         throw UsageError("--replace and --based-on exclude each other");
     }
--- a/Utilities/briarctl/Arguments.h
+++ b/Utilities/briarctl/Arguments.h
@@ -35,6 +35,8 @@
     bool isWatching{false};
     bool wantsWorst{false};
     std::optional<std::string> request;
+    /// File with the version in force.
+    std::optional<std::string> inForce;
     std::optional<Store::Version> basedOn;
     std::vector<Network::Endpoint> store;
     std::vector<Network::Endpoint> instances;
--- a/Utilities/briarctl/CommandTable.cpp
+++ b/Utilities/briarctl/CommandTable.cpp
@@ -20,6 +20,7 @@
     OptionDescription{
         Option::BasedOn, "based-on", "VERSION", "The version that the file was edited from; read from its marker line if absent."},
     OptionDescription{Option::Help, "help", "", "Show this help."},
+    OptionDescription{Option::InForce, "in-force", "FILE", "The version in force, to be compared with a document of the platform."},
     OptionDescription{Option::Instances, "instances", "ADDRESS,...", "Operator addresses of the instances; else BRIARBEND_INSTANCES."},
     OptionDescription{Option::Json, "json", "", "Print one JSON object instead of text."},
     OptionDescription{Option::Replace, "replace", "", "Replace whatever version the store holds when the command begins."},
@@ -37,6 +38,7 @@
 Exit codes:
    0  done
    1  shown or accepted, but an instance did not answer or is out of step
+   2  the check has warnings, but no errors
   64  the command line can not be understood
   65  the configuration document has problems; nothing was changed
   66  the section, data centre or request does not exist; nothing was changed
@@ -76,9 +78,12 @@
          .arguments = "FILE...",
          .minimumArguments = 1,
          .maximumArguments = ANY_NUMBER,
-         .meaning = "Check configuration documents, or settings files, and report every problem.",
-         .options = {Option::Settings, Option::Json, Option::Help},
-         .examples = {"briarctl check docs/examples/sfax.toml", "briarctl check --settings docs/examples/briarbendd.toml"}},
+         .meaning = "Check configuration documents, those of the platform (JSON) among them, or settings files, and report every problem.",
+         .options = {Option::Settings, Option::InForce, Option::Json, Option::Help},
+         .examples = {"briarctl check docs/examples/sfax.toml",
+                      "briarctl check --settings docs/examples/briarbendd.toml",
+                      "briarctl check docs/examples/main.json",
+                      "briarctl check --in-force main.json next.json"}},
         {.command = Command::Apply,
          .name = "apply",
          .arguments = "FILE",
--- a/Utilities/briarctl/CommandTable.h
+++ b/Utilities/briarctl/CommandTable.h
@@ -25,6 +25,7 @@
 enum class Option {
     BasedOn,
     Help,
+    InForce,
     Instances,
     Json,
     Replace,
--- a/Utilities/briarctl/ExitCode.h
+++ b/Utilities/briarctl/ExitCode.h
@@ -8,6 +8,8 @@
     Done = 0,
     /// Shown or accepted, but an instance did not answer or has an older version than the store.
     OutOfStep = 1,
+    /// The document can be put into force, but the check has warnings.
+    DoubtfulDocument = 2,
     /// The command line can not be understood.
     Usage = 64,
     /// The configuration document has problems; nothing was changed.
--- a/Utilities/briarctl/briarctl.bash
+++ b/Utilities/briarctl/briarctl.bash
@@ -4,7 +4,7 @@
 {
     local current=${COMP_WORDS[COMP_CWORD]} previous=${COMP_WORDS[COMP_CWORD - 1]} command=${COMP_WORDS[1]}
     local -A options=(
-        [check]='--settings --json --help'
+        [check]='--settings --in-force --json --help'
         [apply]='--team --based-on --replace --wait --instances --store --timeout --json --help'
         [show]='--team --store --json --help'
         [status]='--instances --watch --store --timeout --json --help'
@@ -21,6 +21,10 @@
         return
     fi
     case $previous in
+    --in-force)
+        mapfile -t COMPREPLY < <(compgen -f -- "$current")
+        return
+        ;;
     --team | --based-on | --instances | --request | --store | --timeout)
         return
         ;;
