Tests: Cover invalid status codes of peers

A response of a peer with an invalid code and the field that marks a peer's own answers could count as a promise. TestExchange includes what it uses.

--- a/Tests/LibGateway/TestFaultyResponses.cpp
+++ b/Tests/LibGateway/TestFaultyResponses.cpp
@@ -152,6 +152,27 @@
     }
 }
 
+// MIXED, REFUSED: the same for a peer that the request was forwarded to. The peer may name the response its own, which would be a promise.
+TEST_F(FaultyResponsesTest, invalidStatusCodeOfAPeerIsAFailureWithoutAPromise)
+{
+    std::string answer;
+    auto &peer = this->addTarget("one", [&answer](const auto &) {
+        return Reaction{.raw = answer};
+    });
+    this->configureRoute(RouteKind::Once, 1);
+    this->state.connectivity.cutOffSince = Core::Clock::now();
+    this->state.findPeer = [&peer](const auto &) -> boost::asio::awaitable<std::optional<Core::TargetId>> {
+        co_return Core::TargetId{peer.address()};
+    };
+    for (const std::string code : INVALID_CODES) {
+        for (const std::string fields : {"", "Briarbend-Answered-By: front-2\r\n"}) {
+            answer = answerWith(code, fields);
+            EXPECT_EQ(this->run("a1").response.result_int(), 502U) << code << " " << fields;
+        }
+    }
+    EXPECT_EQ(peer.runs().size(), 2 * INVALID_CODES.size());
+}
+
 // MIXED: a status line that is no status line at all.
 TEST_F(FaultyResponsesTest, statusLineWithoutThreeDigitsIsNoResponse)
 {
--- a/Tests/LibRelay/TestExchange.cpp
+++ b/Tests/LibRelay/TestExchange.cpp
@@ -1,6 +1,7 @@
 #include <LibRelay/Exchange.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
