briarctl: Say that a file to compare can't be read

Cause: check --in-force with a file that can't be read said that the file is no document of the platform, with the exit code of a wrong command line. It now reports the file as check does without the option.

--- a/Tests/briarctl/TestBriarctl.cpp
+++ b/Tests/briarctl/TestBriarctl.cpp
@@ -253,6 +253,8 @@
     this->edit("next.json", "\"kind\": \"idempotent\"", "\"kind\": 7");
     this->run("check $FOLDER/next.json");
     this->run("check --in-force docs/examples/main.json docs/examples/sfax.toml");
+    this->run("check --in-force docs/examples/main.json $FOLDER/absent.json");
+    this->run("check --in-force $FOLDER/absent.json docs/examples/main.json");
     this->run("check --in-force docs/examples/main.json");
     expectGolden("Tests/Golden/briarctl/platform-documents.txt", this->transcript);
 }
--- a/Utilities/briarctl/CheckCommand.cpp
+++ b/Utilities/briarctl/CheckCommand.cpp
@@ -61,7 +61,8 @@
 void checkFile(const Arguments &arguments, const std::string &file, CheckResult &result)
 {
     bool isFine = false;
-    if (!arguments.isForSettings && isPlatformFile(file)) {
+    const bool isPlatform = arguments.inForce ? isPlatformDocument(Document::readFile(file)) : isPlatformFile(file);
+    if (!arguments.isForSettings && isPlatform) {
         auto report = checkPlatformDocument(file, arguments.inForce);
         isFine = report.findings.empty();
         result.hasPlatformDocument = true;
