--- a/Libraries/LibFleet/ConfigurationCheck.cpp
+++ b/Libraries/LibFleet/ConfigurationCheck.cpp
@@ -163,10 +163,10 @@
     std::map<std::string, std::string> ownerByKey;
     for (const auto &tenant : tenants) {
         EntryFindings findings(all, EntryKind::Tenant, tenant.name);
-        findings.warnIf(tenant.apiKeys.empty(), ApiKeys, "there is no key, so that no request is this tenant's");
+        findings.warnIf(tenant.keys.empty(), ApiKeys, "there is no key, so that no request is this tenant's");
         findings.checkNumber(tenant.priority.value_or(0), Priority, 0);
         std::set<std::string> owners;
-        for (const auto &key : tenant.apiKeys) {
+        for (const auto &key : tenant.keys) {
             findings.errorIf(key.empty(), ApiKeys, "a key is empty");
             const auto [owner, isNew] = ownerByKey.try_emplace(key, tenant.name);
             if (!isNew && !key.empty() && owners.insert(owner->second).second) {
--- a/Libraries/LibFleet/ConfigurationDifference.cpp
+++ b/Libraries/LibFleet/ConfigurationDifference.cpp
@@ -78,7 +78,7 @@
 
 FieldValues fieldsOf(const ConfiguredTenant &tenant)
 {
-    auto keys = tenant.apiKeys;
+    auto keys = tenant.keys;
     std::ranges::sort(keys);
     // The length in front tells lists of keys apart that are the same text when they are put together.
     const auto identity = std::accumulate(keys.begin(), keys.end(), std::string{}, [](const std::string &before, const std::string &key) {
--- a/Libraries/LibFleet/ConfigurationDocument.h
+++ b/Libraries/LibFleet/ConfigurationDocument.h
@@ -14,7 +14,7 @@
 struct ConfiguredTenant {
     std::string name;
     /// Secret: findings and differences never show them.
-    std::vector<std::string> apiKeys;
+    std::vector<std::string> keys;
     /// Replaces the priority of the route.
     std::optional<std::uint32_t> priority;
 };
--- a/Tests/LibFleet/TestConfigurationCheck.cpp
+++ b/Tests/LibFleet/TestConfigurationCheck.cpp
@@ -33,7 +33,7 @@
                              .priority = 1,
                              .services = {{{"desk"}, 1}}}};
     result.tenants.emplace();
-    result.tenants->push_back({.name = "harbour", .apiKeys = {"k1"}, .priority = {}});
+    result.tenants->push_back({.name = "harbour", .keys = {"k1"}, .priority = {}});
     return result;
 }
 
@@ -79,7 +79,7 @@
 Edit withTenant(const std::string &name, const std::vector<std::string> &apiKeys)
 {
     return [name, apiKeys](ConfigurationDocument &edited) {
-        edited.tenants->push_back({.name = name, .apiKeys = apiKeys, .priority = {}});
+        edited.tenants->push_back({.name = name, .keys = keys, .priority = {}});
     };
 }
 
@@ -190,7 +190,7 @@
     route(next).timeout = 250ms;
     next.configuration.services = {{{"other"}, {}}};
     next.configuration.limits.bodyBytes = 1;
-    next.tenants->front().apiKeys = {"k2"};
+    next.tenants->front().keys = {"k2"};
     const auto change = [](EntryKind kind, const std::string &name, ConfigurationField field, const auto *before, const auto *after) {
         return ConfigurationDifference{ChangeKind::Changed, {kind, name}, field, before, after};
     };
--- a/Tests/platform/TestConfigurationDocument.cpp
+++ b/Tests/platform/TestConfigurationDocument.cpp
@@ -30,7 +30,7 @@
         EXPECT_EQ(decoded.document.configuration.version, 7U);
         EXPECT_EQ(decoded.document.configuration.routes.at(0).host, "a.example");
         ASSERT_TRUE(decoded.document.tenants);
-        EXPECT_EQ(decoded.document.tenants->at(0).apiKeys, std::vector<std::string>{"secret"});
+        EXPECT_EQ(decoded.document.tenants->at(0).keys, std::vector<std::string>{"secret"});
         EXPECT_EQ(decoded.document.tenants->at(0).priority, 2U);
     }
 }
