--- a/Tests/LibGateway/TestTenants.cpp
+++ b/Tests/LibGateway/TestTenants.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace Briarbend::Gateway
 {
@@ -18,9 +20,9 @@
 std::shared_ptr<const Tenants::TenantTable> tableOf(const std::vector<std::pair<std::string, std::string>> &tenants)
 {
     std::vector<Tenants::TenantKeys> definitions;
-    for (const auto &[name, key] : tenants) {
-        definitions.push_back({.tenant = {.name = name, .priority = {}}, .digests = {Tenants::digestOf(key)}});
-    }
+    std::ranges::transform(tenants, std::back_inserter(definitions), [](const auto &entry) {
+        return Tenants::TenantKeys{.tenant = {.name = entry.first, .priority = {}}, .digests = {Tenants::digestOf(entry.second)}};
+    });
     return std::make_shared<const Tenants::TenantTable>(Tenants::makeTable(std::move(definitions)));
 }
 
--- a/Tests/LibTenants/TestFairShare.cpp
+++ b/Tests/LibTenants/TestFairShare.cpp
@@ -217,6 +217,32 @@
     EXPECT_EQ(fleet.reportsSent, sentBefore);
 }
 
+// Guards against limits that come and go with every refusal.
+TEST(FairShare, moreRefusalsBeginAShortageThanKeepIt)
+{
+    ShareCollector collector;
+    Core::TimePoint now{100s};
+    const auto answerTo = [&](double refused) {
+        now += SHARE_INTERVAL;
+        addReport(collector,
+                  {.reporter = "one",
+                   .services = {{.service = SERVICE,
+                                 .span = SHARE_INTERVAL,
+                                 .counts = {.byTenant = {{"alpha", 1000}}, .served = 1000 - refused, .refused = refused}}}},
+                  now);
+        return computeFractions(collector, 1, now).size();
+    };
+    EXPECT_EQ(answerTo(10), 0U);
+    EXPECT_EQ(answerTo(30), 1U);
+    for (int second = 0; second < 5; ++second) {
+        EXPECT_EQ(answerTo(1), 1U) << second;
+    }
+    EXPECT_EQ(answerTo(0), 1U);
+    EXPECT_EQ(answerTo(0), 1U);
+    EXPECT_EQ(answerTo(0), 0U);
+    EXPECT_EQ(answerTo(10), 0U);
+}
+
 // Guards against an estimate that falls with the admitted requests and never recovers.
 TEST(FairShare, limitsFollowTheCapacity)
 {
