--- a/Tests/LibFleet/TestConfigurationCheck.cpp
+++ b/Tests/LibFleet/TestConfigurationCheck.cpp
@@ -76,9 +76,9 @@
     };
 }
 
-Edit withTenant(const std::string &name, const std::vector<std::string> &apiKeys)
+Edit withTenant(const std::string &name, const std::vector<std::string> &keys)
 {
-    return [name, apiKeys](ConfigurationDocument &edited) {
+    return [name, keys](ConfigurationDocument &edited) {
         edited.tenants->push_back({.name = name, .keys = keys, .priority = {}});
     };
 }
