LibGateway: Keep the count of a tenant's request with its attempt; skip windows after a long freeze

And a collector that was frozen for a window may have lost messages when its connections were closed; it no longer reports windows from before it woke, rather than too low sums. Ruled out: the same after any freeze, which would leave out windows whose messages had only waited.

Not tested on its own: the freeze of a whole window.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -266,14 +266,11 @@
     }
     ++state.counters.sends;
     state.counters.farSends += this->isFar ? 1 : 0;
-    const auto takeBack = state.countRequest && !this->context->tenant.empty() ? state.countRequest(this->context->tenant) : nullptr;
+    this->countForTenant();
     // Once the first byte is sent, it is unknown whether the target received enough to run the request.
     this->isSent = true;
     this->result = AttemptResult::Pending;
-    bool isWhole = co_await this->send();
-    if (isWhole) {
-        isWhole = co_await this->receive();
-    }
+    const bool isWhole = co_await this->send() && co_await this->receive();
     if (auto *targetState = this->target(); targetState != nullptr && targetState->ownInFlight > 0) {
         --targetState->ownInFlight;
     }
@@ -286,9 +283,6 @@
             this->recordSendOutcome(this->isOvertaken ? Fleet::SendOutcome::Overtaken : Fleet::SendOutcome::Lost);
         }
     }
-    if (takeBack && (this->result == AttemptResult::NotRun || !this->hasWritten)) {
-        takeBack();
-    }
     this->pending.reset();
     this->recordResult();
 }
@@ -309,8 +303,8 @@
     request.body() = Body::value_type(this->context->body.data(), this->context->body.size());
     this->connection->stream.expires_after(std::max(Core::Duration{0}, this->context->remaining()));
     boost::system::error_code error;
-    const auto written = co_await Http::async_write(this->connection->stream, request, Asio::redirect_error(Asio::use_awaitable, error));
-    this->hasWritten = written > 0;
+    const auto bytes = co_await Http::async_write(this->connection->stream, request, Asio::redirect_error(Asio::use_awaitable, error));
+    this->hasWritten = bytes > 0;
     if (error) {
         this->failure = "write: " + error.message();
         this->isConnectionLost = error != boost::beast::error::timeout;
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -92,6 +92,8 @@
     AttemptObservation observation() const;
     void recordSendOutcome(Fleet::SendOutcome outcome);
     void recordResult();
+    /// Counts the request as run for its tenant, until it turns out that it was not.
+    void countForTenant();
     Fleet::TargetState *target();
     /// False if the target has asked for quiet, is leaving or was removed since it was chosen.
     bool isStillAvailable() const;
@@ -125,6 +127,8 @@
     Core::TargetId address;
     std::unique_ptr<Relay::TargetConnection> connection;
     std::string failure;
+    /// Takes back what countForTenant has counted; unset if it has counted nothing.
+    std::function<void()> takeBackCount;
 };
 
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/AttemptOutcome.cpp
+++ b/Libraries/LibGateway/AttemptOutcome.cpp
@@ -97,8 +97,19 @@
             .objective = this->context->route->objective};
 }
 
+void Attempt::countForTenant()
+{
+    const auto &countRequest = this->context->state.countRequest;
+    if (countRequest && !this->context->tenant.empty()) {
+        this->takeBackCount = countRequest(this->context->tenant);
+    }
+}
+
 void Attempt::recordResult()
 {
+    if (this->takeBackCount && (this->result == AttemptResult::NotRun || !this->hasWritten)) {
+        this->takeBackCount();
+    }
     const auto elapsed = Core::Clock::now() - this->sentAt;
     nlohmann::ordered_json inputs{{"target", this->name},
                                   {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()}};
--- a/Libraries/LibGateway/UsageReporter.cpp
+++ b/Libraries/LibGateway/UsageReporter.cpp
@@ -72,6 +72,7 @@
     , sendDelay(randomDelay(gatewayState.random, this->windows.length / SPREAD_DIVISOR))
 {
     Duties::observeClock(this->clock, this->clocks.wall(), this->clocks.boot());
+    this->lastTick = this->dutyTime();
     this->lastPart = Duties::partAt(this->wallTime() - this->sendDelay, this->windows);
     this->peers.onMessage(Channel::Usage, [this](const std::string &, std::string_view bytes) {
         this->receive(bytes);
@@ -95,6 +96,10 @@
         return;
     }
     const auto now = this->dutyTime();
+    if (now - std::exchange(this->lastTick, now) >= this->windows.length) {
+        // Connections may have been closed meanwhile, and messages with counts lost.
+        this->completeFrom = std::max(this->completeFrom, Duties::windowAt(this->wallTime(), this->windows));
+    }
     this->updateCollectors(now);
     this->resignIfReplaced(now);
     this->sendCountsWhenDue();
--- a/Libraries/LibGateway/UsageReporter.h
+++ b/Libraries/LibGateway/UsageReporter.h
@@ -87,6 +87,7 @@
     bool mustSendAll{false};
     std::uint64_t sequence{0};
     Core::TimePoint announcedAt;
+    Core::TimePoint lastTick;
     bool isWorking{false};
     bool isFinished{false};
     bool wasHolding{false};
