--- a/Tests/platform/TestUsageClient.cpp
+++ b/Tests/platform/TestUsageClient.cpp
@@ -1,5 +1,5 @@
 #include <LibNetwork/HttpServer.h>
-#include <platform/Decode.h>
+#include <platform/DutyCodec.h>
 #include <platform/StoreClient.h>
 #include <platform/UsageClient.h>
 
