Tests/Soak: Read ahead as the deployment does

Cause: the instances of the soak kept the default of one request, which no deployment uses.

Callers of the soak do not pipeline; that is left to Tests/LibGateway.

--- a/Tests/Soak/World.cpp
+++ b/Tests/Soak/World.cpp
@@ -102,7 +102,7 @@
          << "\"\ncaller_address = \"" << callers.text() << "\"\nready_address = \"" << instance.readyEndpoint.text()
          << "\"\npeer_address = \"" << seeds.back().text() << "\"\nmetrics_address = \"" << Processes::unusedEndpoint().text()
          << "\"\n[store]\nendpoint = \"" << this->storeLink.endpoint().text() << "\"\n[peers]\nseeds = [\"" << seeds.front().text()
-         << "\"]\n[stop]\ngrace = " << STOP_GRACE.count() << "\n";
+         << "\"]\n[callers]\nread_ahead = 8\n[stop]\ngrace = " << STOP_GRACE.count() << "\n";
 }
 
 void World::startInstance(EntryInstance &instance)
