LibGateway: Watch the configuration 1.2 s after a start without watchers

The configuration alone no longer waits longer than for a silent watcher. The test fails before (AwaitPeers).

--- a/Libraries/LibGateway/ChangeDisseminator.cpp
+++ b/Libraries/LibGateway/ChangeDisseminator.cpp
@@ -27,6 +27,9 @@
 constexpr std::chrono::milliseconds FAR_WATCHER_TIMEOUT{750};
 /// Time that an instance which has just started allows for hearing from the others.
 constexpr std::chrono::milliseconds JOIN_PERIOD{3000};
+/// The same for the configuration. Where the watchers were killed at the same time, none of them sends to the instance for some seconds, and
+/// changes must be in force within 2 s.
+constexpr std::chrono::milliseconds CONFIGURATION_JOIN_PERIOD{1200};
 /// Time allowed for a known change to arrive from a peer before it is requested from the store.
 constexpr std::chrono::milliseconds DELIVERY_TIMEOUT{250};
 /// The same for a configuration, which may be large and take a busy instance some hundred milliseconds. Together with a late heartbeat and
@@ -85,7 +88,8 @@
 {
     const auto now = this->timers.now();
     const bool hearsWatchers = this->heardAt && now - *this->heardAt < WATCHER_TIMEOUT;
-    const bool isJoining = now - this->startedAt < JOIN_PERIOD;
+    const auto joinPeriod = kind == ObjectKind::RoutingConfiguration ? CONFIGURATION_JOIN_PERIOD : JOIN_PERIOD;
+    const bool isJoining = now - this->startedAt < joinPeriod;
     if (!hearsWatchers && isJoining && Membership::countAlive(this->peers.state().members) <= 1) {
         return ReflectorMode::AwaitPeers;
     }
--- a/Tests/LibGateway/TestChangeDisseminator.cpp
+++ b/Tests/LibGateway/TestChangeDisseminator.cpp
@@ -340,6 +340,18 @@
 
 // Found by randomised simulation (benammar-gw, scale-1 --seed 374803475000): all watchers were killed right after a change and restarted,
 // and listed the store. Their heartbeats then advanced the surviving instance past the change that it had missed.
+// Guards against a configuration that comes late because an instance waits for watchers that were killed together with it.
+TEST_F(ChangeDisseminatorTest, startedInstanceThatHearsNoWatcherWatchesTheConfiguration)
+{
+    this->instances.clear();
+    this->start("a9", "a", at(10));
+    this->timers.runFor(1000ms);
+    EXPECT_EQ(this->instances.at("a9")->mode(PLAN), ReflectorMode::AwaitPeers);
+    this->timers.runFor(300ms);
+    EXPECT_EQ(this->instances.at("a9")->mode(PLAN), ReflectorMode::Watch);
+    EXPECT_EQ(this->instances.at("a9")->mode(TARGETS), ReflectorMode::AwaitPeers);
+}
+
 TEST_F(ChangeDisseminatorTest, restartedWatchersDoNotHideMissedChange)
 {
     const auto other = this->otherThan(this->watchersOf("a"), "a");
