LibFleet, LibGateway: Probe the own data centre first where slots are shared by value

With by_value the first batch of probes stays in the own data centre unless the request is the most urgent of a contended service; the second still reaches the others.

--- a/Libraries/LibFleet/Choice.cpp
+++ b/Libraries/LibFleet/Choice.cpp
@@ -144,7 +144,7 @@
     };
     const auto ownOccupancy = occupancy(service, input.ownDataCentre, now);
     const auto saturation = std::clamp((ownOccupancy - LOW_OCCUPANCY) / (HIGH_OCCUPANCY - LOW_OCCUPANCY), 0.0, 1.0);
-    const auto farShare = saturation * MAXIMUM_FAR_SHARE;
+    const auto farShare = input.isOwnDataCentreFirst ? 0 : saturation * MAXIMUM_FAR_SHARE;
     const auto exploredShare = std::lerp(EXPLORED_SHARE_WHILE_FREE, EXPLORED_SHARE_WHILE_BUSY, saturation);
     std::vector<RankedTarget> ranked;
     for (const auto &target : service.targets) {
--- a/Libraries/LibGateway/AdmissionControl.cpp
+++ b/Libraries/LibGateway/AdmissionControl.cpp
@@ -157,6 +157,9 @@
     query.slot.looksFurther = plan.looksFurther;
     query.slot.needsFreeSlot = plan.needsFreeSlot;
     query.slot.needsShortTail = context.route->kind == Configuration::RouteKind::Once;
+    // A second batch of probes costs some milliseconds, while half of the bytes between data centres were probes and their answers. Only
+    // the most urgent requests of a contended service have no time for it.
+    query.input.isOwnDataCentreFirst = !plan.looksFurther;
     const bool isQueued = context.waitingId != 0;
     const bool mayProbeFurther = !isQueued && Admission::mayProbeFurther(waiters->admission, probeSharers(context), now);
     query.maximumProbes = mayProbeFurther ? MAXIMUM_PROBES_PER_SEARCH : Fleet::PARALLEL_PROBES;
--- a/Tests/LibFleet/TestChoice.cpp
+++ b/Tests/LibFleet/TestChoice.cpp
@@ -94,6 +94,26 @@
     EXPECT_LT(full, 3 * DRAWS) << "the own data centre is still asked";
 }
 
+// Guards against probes and answers that cross data centres although the own one, equally busy as the others, has room.
+TEST(Choice, busyOwnDataCentreIsProbedFirstWhereARequestCanWaitForASecondBatch)
+{
+    ServiceState service;
+    updateTargets(service, nearAndFar(), NOW);
+    for (auto &target : service.targets) {
+        recordLoadReport(service, target, {.running = 6, .waiting = 0, .slots = 6, .slowness = 1}, NOW);
+    }
+    auto input = inputHere();
+    input.isOwnDataCentreFirst = true;
+    Core::Random random{3};
+    const auto names = candidates(service, input, NOW, random);
+    const auto isFar = [](const std::string &name) {
+        return name.starts_with("far");
+    };
+    EXPECT_EQ(std::count_if(names.begin(), names.begin() + PARALLEL_PROBES, isFar), 0);
+    EXPECT_GE(std::count_if(names.begin() + PARALLEL_PROBES, names.begin() + 3 * PARALLEL_PROBES, isFar), 2)
+        << "the overflow still reaches other data centres";
+}
+
 TEST(Choice, targetsOfOtherDataCentresFollowTheFirstCandidates)
 {
     ServiceState service;
