LibAdmission, LibGateway: Estimate the wait from the searches that succeed

The expected wait came from the sends of this instance alone. One that sees a request of a priority per second sends one per second, however many slots are free, and so refused a request with seconds of slack after an eighth of its objective. The rate of slots is now at least the share of searches that succeeded, once every interval.

A request now waits beyond an eighth of its objective only while its slack is 6 times the estimate, instead of 2.5. The socket test of the queue therefore states a higher rate of slots.

Removed: the slot that urgent requests left free while another priority is below its floor.

TestLibAdmission: 12 tests pass. TestLibFleet: 165 pass.

--- a/Libraries/LibAdmission/Demand.cpp
+++ b/Libraries/LibAdmission/Demand.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <numeric>
-#include <ranges>
 #include <span>
 
 namespace Briarbend::Admission
@@ -57,6 +56,11 @@
     Limits::addEvents(demand.byPriority.at(priorityClass(priority)).sent, 1, now);
 }
 
+void recordFailedSearch(Demand &demand, std::uint32_t priority, Core::TimePoint now)
+{
+    Limits::addEvents(demand.byPriority.at(priorityClass(priority)).failedSearches, 1, now);
+}
+
 bool hasMoreUrgent(const Demand &demand, std::uint32_t priority, Core::TimePoint now)
 {
     return std::ranges::any_of(moreUrgent(demand, priority), [now](const PriorityDemand &entry) {
@@ -80,19 +84,15 @@
     return Limits::recentEvents(entry.sent, now) + MINIMUM_LACKING_SENDS < PROTECTED_SHARE * owed;
 }
 
-bool isAnyLessUrgentBelowFloor(const Demand &demand, std::uint32_t priority, Core::TimePoint now)
-{
-    const auto lessUrgent = std::views::iota(priorityClass(priority) + 1, std::max(PRIORITY_CLASSES, priorityClass(priority) + 1));
-    return std::ranges::any_of(lessUrgent, [&demand, now](std::size_t other) {
-        return hasDemand(demand.byPriority.at(other), now) && isBelowFloor(demand, static_cast<std::uint32_t>(other), now);
-    });
-}
-
-std::optional<double> slotsPerSecond(const Demand &demand, std::uint32_t priority, Core::TimePoint now)
+double slotsPerSecond(const Demand &demand, std::uint32_t priority, std::chrono::milliseconds searchInterval, Core::TimePoint now)
 {
+    using Seconds = std::chrono::duration<double>;
     const auto classes = Classes(demand.byPriority).subspan(priorityClass(priority));
     const auto sent = sum(classes, &PriorityDemand::sent, now);
-    return sent >= 1 ? std::optional(sent / std::chrono::duration<double>(DEMAND_TIME_CONSTANT).count()) : std::nullopt;
+    const auto searches = sent + sum(classes, &PriorityDemand::failedSearches, now);
+    // Without recent searches, every other one is expected to succeed.
+    const auto successShare = (sent + 1) / (searches + 2);
+    return std::max(sent / Seconds(DEMAND_TIME_CONSTANT).count(), successShare / Seconds(searchInterval).count());
 }
 
 } // namespace Briarbend::Admission
--- a/Libraries/LibAdmission/Demand.h
+++ b/Libraries/LibAdmission/Demand.h
@@ -3,7 +3,6 @@
 #include <LibLimits/DecayingRate.h>
 
 #include <array>
-#include <optional>
 
 namespace Briarbend::Admission
 {
@@ -26,6 +25,8 @@
     Limits::DecayingRate work{.timeConstant = DEMAND_TIME_CONSTANT, .weight = 0, .updatedAt = {}};
     Limits::DecayingRate usual{.timeConstant = USUAL_TIME_CONSTANT, .weight = 0, .updatedAt = {}};
     Limits::DecayingRate sent{.timeConstant = DEMAND_TIME_CONSTANT, .weight = 0, .updatedAt = {}};
+    /// Searches that found no slot.
+    Limits::DecayingRate failedSearches{.timeConstant = DEMAND_TIME_CONSTANT, .weight = 0, .updatedAt = {}};
 };
 
 /// The demand on one service by priority. Each instance receives a random sample of the requests.
@@ -39,6 +40,8 @@
 /// Records that a request received a slot.
 void recordSent(Demand &demand, std::uint32_t priority, Core::TimePoint now);
 
+void recordFailedSearch(Demand &demand, std::uint32_t priority, Core::TimePoint now);
+
 /// True if requests of a more urgent priority arrived recently.
 bool hasMoreUrgent(const Demand &demand, std::uint32_t priority, Core::TimePoint now);
 
@@ -48,10 +51,8 @@
 /// True if the priority must take slots before others to keep SEND_FLOOR of its usual part of the sends.
 bool isBelowFloor(const Demand &demand, std::uint32_t priority, Core::TimePoint now);
 
-/// True if a less urgent priority with recent requests is below its floor.
-bool isAnyLessUrgentBelowFloor(const Demand &demand, std::uint32_t priority, Core::TimePoint now);
-
-/// Slots per second that requests of this and less urgent priorities received; nothing while too few are known.
-std::optional<double> slotsPerSecond(const Demand &demand, std::uint32_t priority, Core::TimePoint now);
+/// Slots per second that a queue of requests of this and less urgent priorities can expect: at least as many as they received, and the
+/// part of their searches that found one, where the head of the queue searches once every interval.
+double slotsPerSecond(const Demand &demand, std::uint32_t priority, std::chrono::milliseconds searchInterval, Core::TimePoint now);
 
 } // namespace Briarbend::Admission
--- a/Libraries/LibAdmission/ServiceAdmission.cpp
+++ b/Libraries/LibAdmission/ServiceAdmission.cpp
@@ -36,13 +36,11 @@
     if (!isContended(service.contention, now)) {
         return {};
     }
-    // A share of zero means that nothing is reserved, so that rare requests need a positive one.
-    constexpr double SMALLEST_SHARE = 0.001;
     if (!hasMoreUrgent(service.demand, priority, now)) {
-        // While the urgent requests would leave the others less than their floor, they in turn leave them a slot.
-        const bool leavesSlot = isAnyLessUrgentBelowFloor(service.demand, priority, now);
-        return {.needsFreeSlot = true, .reservedShare = leavesSlot ? SMALLEST_SHARE : 0, .looksFurther = true};
+        return {.needsFreeSlot = true, .reservedShare = 0, .looksFurther = true};
     }
+    // A share of zero means that nothing is reserved, so that rare urgent requests need a positive one.
+    constexpr double SMALLEST_SHARE = 0.001;
     const bool ignoresReserve = isBelowFloor(service.demand, priority, now);
     return {.needsFreeSlot = true,
             .reservedShare = ignoresReserve ? 0 : std::max(SMALLEST_SHARE, moreUrgentShare(service.demand, priority, now)),
--- a/Libraries/LibAdmission/ServiceAdmission.h
+++ b/Libraries/LibAdmission/ServiceAdmission.h
@@ -19,7 +19,7 @@
 struct SearchPlan {
     /// The service is contended: the request waits here, not in the queue of a target.
     bool needsFreeSlot{false};
-    /// Share of each target's slots that stays free for the more urgent or for those below their floor; zero if none is reserved.
+    /// Share of each target's slots that stays free for the more urgent; zero if none is reserved.
     double reservedShare{0};
     /// The request is the most urgent on a contended service: it searches on until it finds a target that is neither full nor slow.
     bool looksFurther{false};
--- a/Libraries/LibAdmission/WaitingQueue.cpp
+++ b/Libraries/LibAdmission/WaitingQueue.cpp
@@ -11,8 +11,9 @@
 {
 
 /// Multiple of the expected wait that must be left for a request to wait beyond an eighth of its objective: the times at which slots become
-/// free vary. It falls to one towards the latest start, so that a request that has waited for long is rarely refused after all.
-constexpr double PROSPECT_MARGIN = 2.5;
+/// free vary. It falls to one towards the latest start, so that a request that has waited for long is rarely refused after all. With 2.5 as
+/// many requests were served, and several times as many refused late.
+constexpr double PROSPECT_MARGIN = 6;
 /// Interval at which a request that waits decides again, since the queue ahead and the rate of slots change.
 constexpr std::chrono::milliseconds DECISION_INTERVAL{100};
 
@@ -83,13 +84,10 @@
     return countAhead(queue, request, demand, now) > 0;
 }
 
-std::optional<Core::Duration> expectedWait(const Demand &demand, std::uint32_t priority, std::size_t ahead, Core::TimePoint now)
+Core::Duration expectedWait(const Demand &demand, std::uint32_t priority, std::size_t ahead, Core::TimePoint now)
 {
-    const auto rate = slotsPerSecond(demand, priority, now);
-    if (!rate) {
-        return std::nullopt;
-    }
-    return std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(static_cast<double>(ahead + 1) / *rate));
+    const auto rate = slotsPerSecond(demand, priority, SEARCH_INTERVAL + SEARCH_INTERVAL_JITTER, now);
+    return std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(static_cast<double>(ahead + 1) / rate));
 }
 
 WaitingDecision decide(const WaitingQueue &queue, std::uint64_t id, const Demand &demand, Core::TimePoint now)
@@ -111,8 +109,8 @@
     const bool isMostUrgent = !hasMoreUrgent(demand, request.priority, now);
     const auto refusedAt = request.arrivedAt + request.objective / REFUSAL_OBJECTIVE_DIVISOR;
     const auto left = request.latestStart - now;
-    const bool hasProspect = !isMostUrgent && wait && prospectMargin(request, refusedAt, now) * *wait <= left;
-    const bool isHopeless = !isMostUrgent && wait && *wait > left;
+    const bool hasProspect = !isMostUrgent && prospectMargin(request, refusedAt, now) * wait <= left;
+    const bool isHopeless = !isMostUrgent && wait > left;
     if (isHopeless || (!hasProspect && now >= refusedAt)) {
         return refusal(RefusalCause::NoProspect, wait);
     }
--- a/Libraries/LibAdmission/WaitingQueue.h
+++ b/Libraries/LibAdmission/WaitingQueue.h
@@ -58,7 +58,7 @@
     WaitingStep step{WaitingStep::Wait};
     Core::TimePoint decideAgainAt;
     RefusalCause cause{RefusalCause::None};
-    /// Time until a slot is expected; nothing if the rate of slots is not known.
+    /// Time until a slot is expected; nothing if the request left a full queue.
     std::optional<Core::Duration> expectedWait;
 };
 
@@ -70,8 +70,8 @@
 /// True if a request with this priority and latest start would not be the first of the queue.
 bool isAnyAhead(const WaitingQueue &queue, const WaitingRequest &request, const Demand &demand, Core::TimePoint now);
 
-/// Time until a slot for a request that has so many others ahead of it; nothing if the rate of slots is not known.
-std::optional<Core::Duration> expectedWait(const Demand &demand, std::uint32_t priority, std::size_t ahead, Core::TimePoint now);
+/// Time until a slot for a request that has so many others ahead of it.
+Core::Duration expectedWait(const Demand &demand, std::uint32_t priority, std::size_t ahead, Core::TimePoint now);
 
 WaitingDecision decide(const WaitingQueue &queue, std::uint64_t id, const Demand &demand, Core::TimePoint now);
 
--- a/Libraries/LibGateway/AdmissionControl.cpp
+++ b/Libraries/LibGateway/AdmissionControl.cpp
@@ -136,6 +136,13 @@
     }
 }
 
+void recordFailedSearch(RequestContext &context)
+{
+    if (auto *waiters = waitersOf(context)) {
+        Admission::recordFailedSearch(waiters->admission.demand, context.priority, Core::Clock::now());
+    }
+}
+
 void recordSlotFreed(GatewayState &state, const Fleet::ServiceState &service)
 {
     auto *waiters = findServiceWaiters(state, service);
@@ -178,8 +185,7 @@
     const auto request = describe(context);
     const auto &admission = waiters->admission;
     // The most urgent search at once: they may take slots that the queue may not.
-    const auto plan = Admission::planSearch(admission, context.priority, now);
-    return request.latestStart > now && plan.reservedShare > 0 && !plan.looksFurther
+    return request.latestStart > now && Admission::planSearch(admission, context.priority, now).reservedShare > 0
         && Admission::isAnyAhead(admission.queue, request, admission.demand, now);
 }
 
--- a/Libraries/LibGateway/AdmissionControl.h
+++ b/Libraries/LibGateway/AdmissionControl.h
@@ -23,6 +23,8 @@
 void recordProbes(GatewayState &state, const Fleet::ServiceState &service, std::size_t probes);
 /// Records that the request is sent to a target.
 void recordSlotTaken(RequestContext &context);
+/// Records that a search found no target with a slot for the request.
+void recordFailedSearch(RequestContext &context);
 /// Records that a request of this instance has ended at a target.
 void recordSlotFreed(GatewayState &state, const Fleet::ServiceState &service);
 
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -296,6 +296,7 @@
     if (!this->state.settings.admission.byValue || this->mayHaveRun) {
         return false;
     }
+    recordFailedSearch(*this->context);
     if (this->context->waitingId == 0) {
         enterQueue(*this->context, this->changed);
     } else {
--- a/Tests/LibAdmission/SimulatedService.cpp
+++ b/Tests/LibAdmission/SimulatedService.cpp
@@ -74,8 +74,7 @@
     auto &admission = instance.admission;
     ++this->outcomes[load.priority].arrived;
     recordArrival(admission.demand, load.priority, Core::milliseconds(load.work), this->now);
-    const auto plan = planSearch(admission, load.priority, this->now);
-    const bool waitsFirst = this->isByValue && plan.reservedShare > 0 && !plan.looksFurther
+    const bool waitsFirst = this->isByValue && planSearch(admission, load.priority, this->now).reservedShare > 0
         && isAnyAhead(admission.queue, this->describe(request), admission.demand, this->now);
     if (!waitsFirst && this->search(instance, request, false)) {
         return;
@@ -162,6 +161,7 @@
     this->probes += static_cast<double>(answered.size());
     Limits::addEvents(instance.admission.probes, static_cast<double>(answered.size()), this->now);
     if (!best || !Fleet::isServable(slot, *best)) {
+        recordFailedSearch(instance.admission.demand, request.load.priority, this->now);
         return false;
     }
     this->send(instance, request, best->target->record.name);
--- a/Tests/LibGateway/TestAdmission.cpp
+++ b/Tests/LibGateway/TestAdmission.cpp
@@ -63,7 +63,7 @@
 {
     auto &target = *this->targets.front();
     target.load = "6,6,6,100";
-    this->contend(60);
+    this->contend(200);
     boost::asio::steady_timer timer(this->context, 80ms);
     timer.async_wait([&](const boost::system::error_code &) {
         target.load = "1,0,6,100";
