LibGateway: Let a refusal from the queue cause no early search

Each request that left the queue let the next one search after 20 ms, also one that was refused. Where many are refused that spends health checks on a service that has just been found full. Only a request that found a slot does so now. The simulated service loses two functions that no test uses.

--- a/Libraries/LibGateway/AdmissionControl.cpp
+++ b/Libraries/LibGateway/AdmissionControl.cpp
@@ -213,13 +213,10 @@
     if (waiters == nullptr) {
         return;
     }
-    const auto now = Core::Clock::now();
     Admission::leave(waiters->admission.queue, context.waitingId);
     waiters->timers.erase(context.waitingId);
     context.waitingId = 0;
-    context.waitedForSlot += now - context.queuedAt;
-    // The next request of the queue searches soon.
-    Admission::recordFreedSlot(waiters->admission.queue, now);
+    context.waitedForSlot += Core::Clock::now() - context.queuedAt;
     wakeAll(*waiters);
 }
 
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -144,7 +144,11 @@
 Asio::awaitable<void> Attempt::sendIfPermitted(FoundTarget found)
 {
     auto &state = this->context->state;
-    leaveQueue(*this->context);
+    if (this->context->waitingId != 0) {
+        leaveQueue(*this->context);
+        // Where one request found a slot, the next of the queue may find another.
+        recordSlotFreed(state, *this->service);
+    }
     this->name = found.name;
     this->version = found.version;
     this->isCold = found.isCold;
--- a/Tests/LibAdmission/SimulatedService.cpp
+++ b/Tests/LibAdmission/SimulatedService.cpp
@@ -158,7 +158,6 @@
         }
         best = Fleet::rank(instance.service, answered, route, {}, slot, this->now);
     }
-    this->probes += static_cast<double>(answered.size());
     Limits::addEvents(instance.admission.probes, static_cast<double>(answered.size()), this->now);
     if (!best || !Fleet::isServable(slot, *best)) {
         recordFailedSearch(instance.admission.demand, request.load.priority, this->now);
@@ -209,18 +208,4 @@
     return planSearch(this->instances.front().admission, priority, this->now).reservedShare;
 }
 
-double SimulatedService::occupancyNow() const
-{
-    double used = 0;
-    for (const auto &[name, target] : this->targets) {
-        used += std::min(this->inFlight(name), SLOTS);
-    }
-    return used / static_cast<double>(this->targets.size() * SLOTS);
-}
-
-double SimulatedService::probesPerTargetAndSecond() const
-{
-    return this->probes / static_cast<double>(this->targets.size()) / std::chrono::duration<double>(this->now - this->startedAt).count();
-}
-
 } // namespace Briarbend::Admission
--- a/Tests/LibAdmission/SimulatedService.h
+++ b/Tests/LibAdmission/SimulatedService.h
@@ -46,9 +46,6 @@
     double shedShare{0};
     int queued{0};
     double reservedShare(std::uint32_t priority) const;
-    /// Slots in use at the moment.
-    double occupancyNow() const;
-    double probesPerTargetAndSecond() const;
 
 private:
     struct Request {
@@ -80,10 +77,8 @@
     bool isByValue;
     Core::Random random;
     Core::TimePoint now{100s};
-    Core::TimePoint startedAt{100s};
     std::map<std::string, Target> targets;
     std::vector<Instance> instances;
-    double probes{0};
 };
 
 } // namespace Briarbend::Admission
--- a/Tests/LibAdmission/TestServiceAdmission.cpp
+++ b/Tests/LibAdmission/TestServiceAdmission.cpp
@@ -107,6 +107,7 @@
     EXPECT_EQ(decide(queue, id, fast, START + 2400ms).cause, RefusalCause::ObjectiveMissed);
 }
 
+// A queue filled with slack work would refuse the urgent requests that arrive after it.
 TEST(WaitingQueue, fullQueueShedsTheLeastUrgent)
 {
     WaitingQueue queue;
