--- a/Tests/LibAdmission/SimulatedService.cpp
+++ b/Tests/LibAdmission/SimulatedService.cpp
@@ -74,8 +74,7 @@
     auto &admission = instance.admission;
     ++this->outcomes[load.priority].arrived;
     recordArrival(admission.demand, load.priority, Core::milliseconds(load.work), this->now);
-    const auto plan = planSearch(admission, load.priority, this->now);
-    const bool waitsFirst = this->isByValue && plan.reservedShare > 0 && !plan.looksFurther
+    const bool waitsFirst = this->isByValue && planSearch(admission, load.priority, this->now).reservedShare > 0
         && isAnyAhead(admission.queue, this->describe(request), admission.demand, this->now);
     if (!waitsFirst && this->search(instance, request, false)) {
         return;
@@ -159,9 +158,9 @@
         }
         best = Fleet::rank(instance.service, answered, route, {}, slot, this->now);
     }
-    this->probes += static_cast<double>(answered.size());
     Limits::addEvents(instance.admission.probes, static_cast<double>(answered.size()), this->now);
     if (!best || !Fleet::isServable(slot, *best)) {
+        recordFailedSearch(instance.admission.demand, request.load.priority, this->now);
         return false;
     }
     this->send(instance, request, best->target->record.name);
@@ -209,18 +208,4 @@
     return planSearch(this->instances.front().admission, priority, this->now).reservedShare;
 }
 
-double SimulatedService::occupancyNow() const
-{
-    double used = 0;
-    for (const auto &[name, target] : this->targets) {
-        used += std::min(this->inFlight(name), SLOTS);
-    }
-    return used / static_cast<double>(this->targets.size() * SLOTS);
-}
-
-double SimulatedService::probesPerTargetAndSecond() const
-{
-    return this->probes / static_cast<double>(this->targets.size()) / std::chrono::duration<double>(this->now - this->startedAt).count();
-}
-
 } // namespace Briarbend::Admission
