--- a/Tests/LibGateway/TestUsageReporter.cpp
+++ b/Tests/LibGateway/TestUsageReporter.cpp
@@ -97,11 +97,6 @@
         }
     }
 
-    Duties::WindowIndex running() const
-    {
-        return this->timers.now().time_since_epoch() / 5s;
-    }
-
     boost::asio::io_context context;
     ManualTimers timers;
     FakeNetwork network;
@@ -116,7 +111,7 @@
     EXPECT_EQ(this->platform.fake.reads + this->platform.fake.writes, 0U) << "without requests of tenants there is nothing to report";
     this->instances[0]->state.countRequest("t0");
     this->runFor(15s);
-    const auto window = this->running();
+    const Duties::WindowIndex window = this->timers.now().time_since_epoch() / 5s;
     for (auto &instance : this->instances) {
         instance->state.countRequest("t1");
         instance->state.countRequest("t2")();
@@ -136,7 +131,7 @@
     this->instances[0]->state.countRequest("t0");
     this->runFor(20s);
     ASSERT_TRUE(this->instances[1]->state.holdsUsageDuty);
-    const auto window = this->running();
+    const Duties::WindowIndex window = this->timers.now().time_since_epoch() / 5s;
     this->instances[1]->state.countRequest("t1");
     this->instances[0]->state.countRequest("t1");
     this->instances[0]->reporter.finish();
--- a/Tests/platform/TestUsageClient.cpp
+++ b/Tests/platform/TestUsageClient.cpp
@@ -4,6 +4,7 @@
 #include <platform/UsageClient.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
 #include <gtest/gtest.h>
 
 namespace Briarbend::Platform
@@ -25,13 +26,10 @@
     template<typename Result>
     Result wait(Asio::awaitable<Result> call)
     {
-        std::optional<Result> result;
-        Asio::co_spawn(this->context, std::move(call), [&result](const std::exception_ptr &, Result value) {
-            result = std::move(value);
-        });
+        auto result = Asio::co_spawn(this->context, std::move(call), Asio::use_future);
         this->context.restart();
-        while (!result && this->context.run_one_for(3s) > 0) { }
-        return result.value_or(Result{});
+        while (result.wait_for(0s) != std::future_status::ready && this->context.run_one_for(3s) > 0) { }
+        return result.get();
     }
 
     Asio::awaitable<Network::Response> handle(Network::Request received)
