Tests/platform: Store the results of duty calls without a future

g++ 12 with optimisation takes a variant that passes through a coroutine's future for uninitialised (-Wmaybe-uninitialized), so the release build failed. The test reads the result from a variable instead; its checks are as before.

--- a/Libraries/LibGateway/ChangeDisseminator.cpp
+++ b/Libraries/LibGateway/ChangeDisseminator.cpp
@@ -27,8 +27,8 @@
 constexpr std::chrono::milliseconds FAR_WATCHER_TIMEOUT{750};
 /// Time that an instance which has just started allows for hearing from the others.
 constexpr std::chrono::milliseconds JOIN_PERIOD{3000};
-/// The same for the configuration. Where the watchers were killed at the same time, none of them sends to the instance for some seconds, and
-/// changes must be in force within 2 s.
+/// The same for the configuration. Where the watchers were killed at the same time, none of them sends to the instance for some seconds,
+/// and changes must be in force within 2 s.
 constexpr std::chrono::milliseconds CONFIGURATION_JOIN_PERIOD{1200};
 /// Time allowed for a known change to arrive from a peer before it is requested from the store.
 constexpr std::chrono::milliseconds DELIVERY_TIMEOUT{250};
--- a/Tests/platform/TestUsageClient.cpp
+++ b/Tests/platform/TestUsageClient.cpp
@@ -26,10 +26,19 @@
     template<typename Result>
     Result wait(Asio::awaitable<Result> call)
     {
-        auto result = Asio::co_spawn(this->context, std::move(call), Asio::use_future);
+        // g++ 12 takes the result of a coroutine that passes through a future for uninitialised.
+        auto result = std::make_unique<Result>();
+        auto isDone = Asio::co_spawn(this->context, storeResult(std::move(call), *result), Asio::use_future);
         this->context.restart();
-        while (result.wait_for(0s) != std::future_status::ready && this->context.run_one_for(3s) > 0) { }
-        return result.get();
+        while (isDone.wait_for(0s) != std::future_status::ready && this->context.run_one_for(3s) > 0) { }
+        isDone.get();
+        return std::move(*result);
+    }
+
+    template<typename Result>
+    static Asio::awaitable<void> storeResult(Asio::awaitable<Result> call, Result &result)
+    {
+        result = co_await std::move(call);
     }
 
     Asio::awaitable<Network::Response> handle(Network::Request received)
