--- a/Libraries/LibAdmission/ServiceAdmission.cpp
+++ b/Libraries/LibAdmission/ServiceAdmission.cpp
@@ -8,9 +8,8 @@
 namespace
 {
 
-/// Health checks per second that a target answers to all instances together, in the deployments with the lower limit.
-constexpr double PROBES_PER_TARGET_AND_SECOND = 42;
-/// Parts of this limit that searches may use before they stay with their first batch, and that the heads of queues use at most.
+/// Parts of the targets' limit on health checks that searches may use before they stay with their first batch, and that the heads of queues
+/// use at most.
 constexpr double SEARCH_PROBE_SHARE = 0.8;
 constexpr double QUEUE_PROBE_SHARE = 0.5;
 constexpr std::chrono::milliseconds MAXIMUM_SEARCH_INTERVAL{400};
@@ -25,7 +24,7 @@
 
 double probesPerSecond(const ProbeSharers &sharers)
 {
-    return PROBES_PER_TARGET_AND_SECOND * static_cast<double>(sharers.targets)
+    return sharers.checksPerTarget * static_cast<double>(sharers.targets)
         / static_cast<double>(std::max<std::size_t>(1, sharers.instances));
 }
 
--- a/Libraries/LibAdmission/ServiceAdmission.h
+++ b/Libraries/LibAdmission/ServiceAdmission.h
@@ -31,6 +31,8 @@
 struct ProbeSharers {
     std::size_t instances{1};
     std::size_t targets{0};
+    /// Health checks per second that one target answers to all instances together.
+    double checksPerTarget{42};
 };
 
 /// True if further batches of a search stay within this instance's part of the health checks that targets answer.
--- a/Libraries/LibGateway/AdmissionControl.cpp
+++ b/Libraries/LibGateway/AdmissionControl.cpp
@@ -41,7 +41,9 @@
 
 Admission::ProbeSharers probeSharers(const RequestContext &context)
 {
-    return {.instances = context.state.instances, .targets = context.service->targets.size()};
+    return {.instances = context.state.instances,
+            .targets = context.service->targets.size(),
+            .checksPerTarget = context.state.settings.admission.healthChecksPerTarget};
 }
 
 AdmissionCounters &countersOf(RequestContext &context)
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -92,10 +92,17 @@
 
 Document::KeyTable<GatewayAdmissionSettings> admissionKeys()
 {
-    return {key("by_value",
-                &GatewayAdmissionSettings::byValue,
-                Document::booleanType(),
-                "Whether a service without enough room is shared by priority, deadline and expected work.")};
+    using A = GatewayAdmissionSettings;
+    return {
+        key("by_value",
+            &A::byValue,
+            Document::booleanType(),
+            "Whether a service without enough room is shared by priority, deadline and expected work."),
+        key("health_checks_per_target",
+            &A::healthChecksPerTarget,
+            numberType(0.1, 1'000'000),
+            "Health checks per second that one target answers to all instances together. Searches for a slot stay below it."),
+    };
 }
 
 Document::KeyTable<GatewayUsageSettings> usageKeys()
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -40,6 +40,8 @@
 struct GatewayAdmissionSettings {
     /// Whether a service without enough room is shared by priority, deadline and expected work.
     bool byValue{false};
+    /// Health checks per second that one target answers to all instances together.
+    double healthChecksPerTarget{42};
 };
 
 /// Reports of the requests that ran for each tenant. Off without an endpoint.
--- a/Tests/platform/TestSettingsTemplate.cpp
+++ b/Tests/platform/TestSettingsTemplate.cpp
@@ -41,7 +41,8 @@
               {"leaseS", 3},
               {"thawS", 0.3},
               {"reportWindowS", 5},
-              {"usageLateS", 10}}}};
+              {"usageLateS", 10},
+              {"probesPerS", 42}}}};
 }
 
 Settings::GatewaySettings settingsFrom(const json &fields)
