--- a/Libraries/LibAdmission/ServiceAdmission.cpp
+++ b/Libraries/LibAdmission/ServiceAdmission.cpp
@@ -16,7 +16,7 @@
 /// The usual run time of short work, after which some slots are free again, and the longest useful delay.
 constexpr std::chrono::milliseconds MINIMUM_RETRY_AFTER{100};
 constexpr std::chrono::milliseconds MAXIMUM_RETRY_AFTER{1000};
-/// Added for each priority that is more urgent, as a share of the delay of the most urgent.
+/// Added for each step that the priority is less urgent, as a share of the delay of the most urgent.
 constexpr double RETRY_DELAY_PER_PRIORITY = 0.5;
 constexpr std::uint32_t MAXIMUM_DELAYED_PRIORITY = 2;
 /// Share of the time for which a caller still waits. Callers retry after a third of that time at the latest; jitter adds up to half.
--- a/Libraries/LibAdmission/WaitingQueue.cpp
+++ b/Libraries/LibAdmission/WaitingQueue.cpp
@@ -11,8 +11,8 @@
 {
 
 /// Multiple of the expected wait that must be left for a request to wait beyond an eighth of its objective: the times at which slots become
-/// free vary. It falls to one towards the latest start, so that a request that has waited for long is rarely refused after all. With 2.5 as
-/// many requests were served, and several times as many refused late.
+/// free vary. It falls to one towards the latest start, so that a request that has waited for long is rarely refused after all. A margin of
+/// 2.5 served as many requests and refused several times as many late.
 constexpr double PROSPECT_MARGIN = 6;
 /// Interval at which a request that waits decides again, since the queue ahead and the rate of slots change.
 constexpr std::chrono::milliseconds DECISION_INTERVAL{100};
@@ -48,7 +48,7 @@
     return std::lerp(1.0, PROSPECT_MARGIN, leftShare);
 }
 
-/// Interval of the searches of one request: the most urgent ones are refused after a short time, in which they search once more.
+/// Time of the next search of one request: the most urgent ones are refused after a short time, in which they search once more.
 Core::TimePoint searchDue(const WaitingQueue &queue, const WaitingRequest &request, bool isMostUrgent)
 {
     const auto refusedAt = request.arrivedAt + request.objective / REFUSAL_OBJECTIVE_DIVISOR;
--- a/Libraries/LibFleet/Choice.h
+++ b/Libraries/LibFleet/Choice.h
@@ -26,7 +26,7 @@
     std::chrono::microseconds distance{0};
     /// Cost of transferring one kibibyte of answer between data centres, expressed as time.
     std::chrono::microseconds transferCostPerKibibyte{0};
-    /// Targets of other data centres are probed only where the first ones of the own data centre have no room, however busy it is.
+    /// The first batch of probes stays in the own data centre, however busy it is. For searches that may send a second batch.
     bool isOwnDataCentreFirst{false};
 };
 
--- a/Libraries/LibGateway/AdmissionControl.cpp
+++ b/Libraries/LibGateway/AdmissionControl.cpp
@@ -166,12 +166,12 @@
     query.slot.looksFurther = plan.looksFurther;
     query.slot.needsFreeSlot = plan.needsFreeSlot;
     query.slot.needsShortTail = context.route->kind == Configuration::RouteKind::Once;
-    // A second batch of probes costs some milliseconds, while half of the bytes between data centres were probes and their answers. Only
-    // the most urgent requests of a contended service have no time for it.
-    query.input.isOwnDataCentreFirst = !plan.looksFurther;
     const bool isQueued = context.waitingId != 0;
     const bool mayProbeFurther = !isQueued && Admission::mayProbeFurther(waiters->admission, probeSharers(context), now);
     query.maximumProbes = mayProbeFurther ? MAXIMUM_PROBES_PER_SEARCH : Fleet::PARALLEL_PROBES;
+    // A second batch of probes costs some milliseconds, while half of the bytes between data centres were probes and their answers. The
+    // most urgent requests of a contended service have no time for it, and a search with one batch must see all data centres.
+    query.input.isOwnDataCentreFirst = mayProbeFurther && !plan.looksFurther;
 }
 
 bool mayHedgeByValue(const RequestContext &context)
@@ -256,13 +256,18 @@
 std::chrono::milliseconds refuseWaiting(RequestContext &context, const Admission::WaitingDecision &decision)
 {
     ++countersOf(context).refused;
-    logDecision(context, "refuse", decision.cause, decision.expectedWait);
+    auto wait = decision.expectedWait;
+    if (const auto *waiters = waitersOf(context); waiters != nullptr && !wait) {
+        const auto &admission = waiters->admission;
+        wait = Admission::expectedWait(admission.demand, context.priority, admission.queue.waiting.size(), Core::Clock::now());
+    }
+    logDecision(context, "refuse", decision.cause, wait);
     const bool isCallerTimeKnown = context.callerTimeout.count() > 0;
     return Admission::retryAfter({.priority = context.priority,
                                   .expectedWork = expectedWork(context),
                                   .objectiveLeft = context.objectiveLeft(),
                                   .callerLeft = isCallerTimeKnown ? context.callerTimeout - context.elapsed() : Core::Duration{0}},
-                                 decision.expectedWait);
+                                 wait);
 }
 
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/RequestContext.h
+++ b/Libraries/LibGateway/RequestContext.h
@@ -59,7 +59,7 @@
     /// The request's place in the queue of its service; zero while it does not wait for a slot.
     std::uint64_t waitingId{0};
     Core::TimePoint queuedAt;
-    /// Time that the request has waited for a slot in that queue.
+    /// Time that the request has waited before it could search: behind earlier requests of its connection, and in that queue.
     Core::Duration waitedForSlot{0};
     bool isCallerGone{false};
     /// The decisions on this request are logged, whatever its status.
--- a/Libraries/LibGateway/RequestFlow.cpp
+++ b/Libraries/LibGateway/RequestFlow.cpp
@@ -73,8 +73,15 @@
 {
 }
 
+RequestFlow::~RequestFlow()
+{
+    leaveQueue(*this->context);
+}
+
 Asio::awaitable<FlowResult> RequestFlow::run()
 {
+    // A request that was read ahead may have waited behind others of its connection, which does not make its target late.
+    this->context->waitedForSlot = this->context->elapsed();
     if (this->context->forwardedBy.empty()) {
         // The instance that forwarded a request has counted it.
         Fleet::countRequest(this->context->service->budget, Core::Clock::now());
--- a/Libraries/LibGateway/RequestFlow.h
+++ b/Libraries/LibGateway/RequestFlow.h
@@ -28,6 +28,10 @@
 {
 public:
     explicit RequestFlow(std::shared_ptr<RequestContext> context);
+    RequestFlow(const RequestFlow &) = delete;
+    RequestFlow &operator=(const RequestFlow &) = delete;
+    /// Leaves the queue of the service, also if an exception ended the flow: a place that stays would block those behind it.
+    ~RequestFlow();
 
     boost::asio::awaitable<FlowResult> run();
     /// The caller has closed its connection.
--- a/Libraries/LibGateway/RoutingConfigurationMessage.cpp
+++ b/Libraries/LibGateway/RoutingConfigurationMessage.cpp
@@ -122,6 +122,9 @@
     std::vector<Tenants::TenantKeys> definitions;
     std::ranges::transform(rows, std::back_inserter(definitions), [](const Json &row) {
         Tenants::TenantKeys definition{.tenant = {.name = row.at(0).get<std::string>(), .priority = {}}, .digests = {}};
+        if (!Tenants::isValidName(definition.tenant.name)) {
+            throw std::invalid_argument("not a tenant's name");
+        }
         if (!row.at(1).is_null()) {
             definition.tenant.priority = row.at(1).get<std::uint32_t>();
         }
--- a/Libraries/LibGateway/TenantAdmission.cpp
+++ b/Libraries/LibGateway/TenantAdmission.cpp
@@ -45,6 +45,10 @@
         return true;
     }
     auto &state = context.state;
+    if (Fleet::isCutOff(state.connectivity) && state.findPeer) {
+        // The peer that takes the request counts it and applies the share.
+        return true;
+    }
     const auto &service = context.service->name;
     Tenants::countDemand(state.tenantShares, service, context.tenant);
     const auto fraction = Tenants::admittedFraction(state.tenantShares, service, context.tenant, Core::Clock::now());
@@ -58,7 +62,7 @@
 
 void recordTenantResult(RequestContext &context, const FlowResult &result)
 {
-    if (context.tenant.empty() || result.isCallerGone) {
+    if (context.tenant.empty() || result.isCallerGone || !context.triedPeers.empty()) {
         return;
     }
     auto &shares = context.state.tenantShares;
