LibGateway, platform: Refuse usage messages with values out of range

Cause: a name of a tenant that is not UTF-8, taken from the message of a peer, made the JSON serializer throw when the holder wrote the record, so that no tenant was reported any more. Counts and tokens near 2^64 overflowed the sums and the next token.

Ruled out: dropping only the bad row.

--- a/Libraries/LibGateway/UsageMessage.cpp
+++ b/Libraries/LibGateway/UsageMessage.cpp
@@ -19,6 +19,12 @@
     Holder,
 };
 
+constexpr std::size_t MAXIMUM_TENANT_LENGTH = 128;
+/// Far above what an instance can count in a window. Keeps the sum over all instances from overflowing.
+constexpr std::uint64_t MAXIMUM_COUNT = 1'000'000'000;
+/// Leaves room for the steps to greater tokens.
+constexpr std::uint64_t MAXIMUM_TOKEN = std::uint64_t{1} << 62U;
+
 Json encodeWindow(const Duties::WindowCounts &window)
 {
     auto rows = Json::array();
@@ -28,11 +34,31 @@
     return Json::array({window.window, std::move(rows)});
 }
 
+std::uint64_t decodeNumber(const Json &value, std::uint64_t maximum)
+{
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > maximum) {
+        throw std::invalid_argument("number out of range");
+    }
+    return value.get<std::uint64_t>();
+}
+
+std::string decodeTenant(const Json &value)
+{
+    auto name = value.get<std::string>();
+    const bool isPrintable = std::ranges::all_of(name, [](char character) {
+        return character >= ' ' && character <= '~';
+    });
+    if (name.empty() || name.size() > MAXIMUM_TENANT_LENGTH || !isPrintable) {
+        throw std::invalid_argument("invalid name of a tenant");
+    }
+    return name;
+}
+
 Duties::WindowCounts decodeWindow(const Json &row)
 {
     Duties::WindowCounts window{.window = row.at(0).get<Duties::WindowIndex>(), .counts = {}};
     for (const auto &entry : row.at(1)) {
-        window.counts.insert_or_assign(entry.at(0).get<std::string>(), entry.at(1).get<std::uint64_t>());
+        window.counts.insert_or_assign(decodeTenant(entry.at(0)), decodeNumber(entry.at(1), MAXIMUM_COUNT));
     }
     return window;
 }
@@ -70,7 +96,7 @@
         return counts;
     }
     case MessageTag::Holder:
-        return UsageHolder{.token = row.at(1).get<std::uint64_t>(), .isActing = row.at(2).get<bool>()};
+        return UsageHolder{.token = decodeNumber(row.at(1), MAXIMUM_TOKEN), .isActing = row.at(2).get<bool>()};
     }
     throw std::invalid_argument("unknown message");
 }
--- a/Tests/LibGateway/TestUsageReporter.cpp
+++ b/Tests/LibGateway/TestUsageReporter.cpp
@@ -166,6 +166,25 @@
     EXPECT_ANY_THROW(decodeUsage(""));
 }
 
+/// Guards against one message that stops the reports of all instances: names that are not text, sums and tokens that overflow.
+TEST(UsageMessageTest, ValuesOutOfRangeThrow)
+{
+    const auto decodeCount = [](const std::string &tenant, std::uint64_t count) {
+        return decodeUsage(
+            encodeUsage(UsageCounts{.reporter = {"a-1"}, .sequence = 7, .windows = {{.window = 3, .counts = {{tenant, count}}}}}));
+    };
+    const auto decodeToken = [](std::uint64_t token) {
+        return decodeUsage(encodeUsage(UsageHolder{.token = token, .isActing = true}));
+    };
+    EXPECT_NO_THROW(decodeCount(std::string(128, '~'), 1'000'000'000));
+    for (const auto &tenant : {std::string(), std::string(129, 'a'), std::string("\xff"), std::string("a\n")}) {
+        EXPECT_THROW(decodeCount(tenant, 1), std::invalid_argument);
+    }
+    EXPECT_THROW(decodeCount("a", 1'000'000'001), std::invalid_argument);
+    EXPECT_NO_THROW(decodeToken(std::uint64_t{1} << 62U));
+    EXPECT_THROW(decodeToken((std::uint64_t{1} << 62U) + 1), std::invalid_argument);
+}
+
 class UsageCountingTest : public RequestFlowTest
 {
 protected:
--- a/Tests/platform/TestUsageClient.cpp
+++ b/Tests/platform/TestUsageClient.cpp
@@ -100,6 +100,15 @@
     EXPECT_EQ(std::get<Duties::CallDeferred>(this->wait(this->usage.sendReport("a", report))).retryAfter, 250ms);
 }
 
+/// Guards against a name that is not UTF-8 and keeps the record and the reports of all tenants from being written.
+TEST(DutyCodecTest, BytesThatAreNotUtf8AreReplaced)
+{
+    const Duties::Counts counts{{"t\xff", 1}};
+    EXPECT_NO_THROW(encodeDuty(
+        "usage", {.expected = std::nullopt, .record = {.token = 1, .holder = "a", .process = "a-1", .window = 7, .counts = counts}}));
+    EXPECT_EQ(encodeUsageReport({.token = 1, .window = 7, .counts = counts}), "{\"counts\":{\"t\xEF\xBF\xBD\":1},\"window\":7}");
+}
+
 } // namespace
 
 } // namespace Briarbend::Platform
