LibGateway: Let a cut-off part of the fleet wait for writes of the holder

Cause: a part of the fleet that is separated from the holder by a network partition, but reaches the store, took the duty over after one lease and reported only the requests that its own instances had counted.

An instance that sees no majority of the known members now counts the holder as alive, so that it waits a window and a lease; a live holder writes the record once a window and thereby makes the take-over fail.

isAmongMajority of the rollouts moves to LibMembership/Majority.h and serves both. Ruled out: no take-over at all without a majority, which would end the reports where more than half of the instances fail at once.

--- a/Libraries/LibDuties/Holder.h
+++ b/Libraries/LibDuties/Holder.h
@@ -71,7 +71,7 @@
     std::optional<std::size_t> rank;
     /// There is anything to report.
     bool isWanted{false};
-    /// The process that the observed record names is a live member.
+    /// The process that the observed record names is a live member, or may be one that this instance cannot reach.
     bool isHolderAlive{false};
     WindowIndex latestClosed{NO_WINDOW};
     WindowIndex oldestReportable{NO_WINDOW};
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/RolloutDriver.h>
 
+#include <LibMembership/Majority.h>
 #include <LibNetwork/WallClock.h>
 
 #include <algorithm>
@@ -224,7 +225,8 @@
 bool RolloutDriver::hasEvidence(const TrackedRollout &rollout, Core::TimePoint now) const
 {
     const auto evidenceDelay = evidenceInterval(this->state.instances) * MISSING_EVIDENCE_INTERVALS;
-    return rollout.evaluatorSince && now - *rollout.evaluatorSince >= evidenceDelay && this->isAmongMajority();
+    return rollout.evaluatorSince && now - *rollout.evaluatorSince >= evidenceDelay
+        && Membership::isAmongMajority(this->peers.state().members);
 }
 
 void RolloutDriver::judgeTrial(TrackedRollout &rollout, Core::TimePoint now)
--- a/Libraries/LibGateway/RolloutDriver.h
+++ b/Libraries/LibGateway/RolloutDriver.h
@@ -61,8 +61,6 @@
     void updateEvaluatorSince(TrackedRollout &rollout, Core::TimePoint now) const;
     /// Whether this instance has the evidence of the others.
     bool hasEvidence(const TrackedRollout &rollout, Core::TimePoint now) const;
-    /// False at an instance that is partitioned from most others, which must not decide for them.
-    bool isAmongMajority() const;
     void judgeTrial(TrackedRollout &rollout, Core::TimePoint now);
     void logStatus(const TrackedRollout &rollout, const Rollout::Status &status) const;
     void broadcastStatus(const Rollout::Status &status);
--- a/Libraries/LibGateway/RolloutPersistence.cpp
+++ b/Libraries/LibGateway/RolloutPersistence.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/RolloutDriver.h>
 
+#include <LibMembership/Majority.h>
 #include <LibNetwork/WallClock.h>
 
 #include <algorithm>
@@ -48,20 +49,11 @@
 {
     const auto &members = this->peers.state().members;
     const auto alive = Membership::aliveMembers(members);
-    return this->isAmongMajority() && std::ranges::all_of(alive, [&rollout](const Core::InstanceId &member) {
+    return Membership::isAmongMajority(members) && std::ranges::all_of(alive, [&rollout](const Core::InstanceId &member) {
                return rollout.confirmed.contains(member);
            });
 }
 
-bool RolloutDriver::isAmongMajority() const
-{
-    const auto &members = this->peers.state().members;
-    const auto known = std::ranges::count_if(members.members, [](const auto &entry) {
-        return entry.second.update.state != Membership::MemberState::Leaving && !entry.second.isReplaced;
-    });
-    return 2 * Membership::countAlive(members) > static_cast<std::size_t>(known);
-}
-
 std::size_t RolloutDriver::writeRank(const TrackedRollout &rollout) const
 {
     const auto &writers = rollout.roles.writers;
--- a/Libraries/LibGateway/UsageReporter.cpp
+++ b/Libraries/LibGateway/UsageReporter.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/UsageReporter.h>
 
+#include <LibMembership/Majority.h>
 #include <LibNetwork/WallClock.h>
 
 #include <algorithm>
@@ -347,7 +348,12 @@
 bool UsageReporter::isHolderAlive() const
 {
     const auto *stored = Duties::observedRecord(this->holder);
-    const auto *member = stored == nullptr ? nullptr : Membership::find(this->peers.state().members, {stored->record.process});
+    const auto &members = this->peers.state().members;
+    if (!Membership::isAmongMajority(members)) {
+        // The holder may be on the other side of a network partition, where the counts of most instances arrive.
+        return true;
+    }
+    const auto *member = stored == nullptr ? nullptr : Membership::find(members, {stored->record.process});
     return member != nullptr && member->update.state == Membership::MemberState::Alive;
 }
 
--- a/Tests/LibGateway/FakePeers.cpp
+++ b/Tests/LibGateway/FakePeers.cpp
@@ -86,7 +86,8 @@
     void send(const std::string &peer, std::string_view bytes) override
     {
         const auto found = this->network.receivers.find(peer);
-        if (found != this->network.receivers.end()) {
+        const auto &separated = this->network.separated;
+        if (found != this->network.receivers.end() && separated.contains(peer) == separated.contains(this->address)) {
             const auto receiver = found->second;
             receiver(this->address, bytes);
         }
--- a/Tests/LibGateway/FakePeers.h
+++ b/Tests/LibGateway/FakePeers.h
@@ -4,6 +4,7 @@
 #include <LibPeers/Transport.h>
 
 #include <map>
+#include <set>
 
 namespace Briarbend::Gateway
 {
@@ -39,6 +40,9 @@
 public:
     std::unique_ptr<Peers::Transport> makeTransport(const std::string &address);
 
+    /// Addresses that exchange messages only among each other.
+    std::set<std::string> separated;
+
 private:
     friend class FakeTransport;
 
--- a/Tests/LibGateway/TestUsageReporter.cpp
+++ b/Tests/LibGateway/TestUsageReporter.cpp
@@ -155,6 +155,20 @@
     EXPECT_EQ(this->platform.fake.record->record.token, 1U);
 }
 
+/// Guards against a smaller part of the fleet that takes the duty from a live holder and reports only its own counts.
+TEST_F(UsageReporterTest, SeparatedMinorityLeavesDutyToLiveHolder)
+{
+    this->instances.push_back(std::make_unique<ReportingInstance>(this->context, this->timers, this->network, this->platform, "a5", 10));
+    this->runFor(5s);
+    this->instances[0]->state.countRequest("t0");
+    this->runFor(20s);
+    ASSERT_TRUE(this->instances[1]->state.holdsUsageDuty);
+    this->network.separated = {"a3", "a4"};
+    this->runFor(60s);
+    EXPECT_TRUE(this->instances[1]->state.holdsUsageDuty);
+    EXPECT_EQ(this->platform.fake.record->record.token, 1U);
+}
+
 /// Guards against messages that another build cannot read, and against bytes that end the process.
 TEST(UsageMessageTest, MessagesSurviveEncodingAndMalformedBytesThrow)
 {
