LibDuties: Let a first holder that cannot write yield the duty

Cause: isBehind was never true before a holder had recorded its first window. A first holder that lost the store right after the write by which it acquired the duty went on announcing progress, and the other collector never tried.

A holder without a window now counts as behind after three failed calls in a row. One or two failures are ruled out as a reason: they pass within half a second and a take-over costs a lease.

With the store unreachable for the first holder only, the new test saw no take-over in 30 s before; now the other collector reports.

--- a/Libraries/LibDuties/Holder.cpp
+++ b/Libraries/LibDuties/Holder.cpp
@@ -21,6 +21,8 @@
 /// Fraction of the lease by which each further candidate waits longer, so that usually one of them writes.
 constexpr int STAGGER_DIVISOR = 4;
 constexpr std::uint64_t MAXIMUM_TOKEN_STEP = 1U << 20U;
+/// Failed calls in a row after which a holder that has not recorded any window counts as behind.
+constexpr std::uint32_t MAXIMUM_FAILURES_BEFORE_FIRST_WINDOW = 2;
 
 void recordFailure(HolderState &state, Core::TimePoint now)
 {
@@ -310,9 +312,13 @@
 bool isBehind(const HolderState &state, WindowIndex latestClosed)
 {
     const auto *stored = observedRecord(state);
-    if (!isHolding(state) || stored == nullptr || stored->record.window == NO_WINDOW) {
+    if (!isHolding(state) || stored == nullptr) {
         return false;
     }
+    if (stored->record.window == NO_WINDOW) {
+        // No window shows progress yet. Single failures are no reason to give up the duty.
+        return state.failuresInRow > MAXIMUM_FAILURES_BEFORE_FIRST_WINDOW;
+    }
     const auto delivered = state.isDelivered ? stored->record.window : stored->record.window - 1;
     return delivered < latestClosed - 1;
 }
--- a/Libraries/LibDuties/Holder.h
+++ b/Libraries/LibDuties/Holder.h
@@ -117,7 +117,8 @@
 
 bool isHolding(const HolderState &state);
 
-/// Whether this instance holds the duty and has not reported a window although the next one is closed as well.
+/// Whether this instance holds the duty and has not reported a window although the next one is closed as well, or its calls keep failing
+/// before its first window.
 bool isBehind(const HolderState &state, WindowIndex latestClosed);
 
 /// The fencing token while holding; zero otherwise.
--- a/Tests/LibDuties/FakePlatform.h
+++ b/Tests/LibDuties/FakePlatform.h
@@ -100,9 +100,10 @@
         return CallAccepted{};
     }
 
-    Response carryOut(const std::string &holder, const Action &action, bool isResponseLost = false)
+    Response carryOut(const std::string &holder, const Action &action, bool isLost = false)
     {
         const NoResponse lost{"lost"};
+        const bool isResponseLost = isLost || (holder == this->separatedFromStore && !std::holds_alternative<SendReport>(action));
         if (const auto *report = std::get_if<SendReport>(&action)) {
             return isResponseLost ? CallResult{lost} : this->call(holder, *report);
         }
@@ -116,6 +117,8 @@
     std::optional<StoredRecord> record;
     std::uint64_t revision{10};
     bool isStoreDown{false};
+    /// The holder from which the store cannot be reached.
+    std::string separatedFromStore;
     bool isEndpointDown{false};
     std::size_t reads{0};
     std::size_t writes{0};
--- a/Tests/LibDuties/TestHolder.cpp
+++ b/Tests/LibDuties/TestHolder.cpp
@@ -227,6 +227,19 @@
     EXPECT_TRUE(this->platform.reports.contains(this->running() - 2));
 }
 
+/// Guards against a first holder that keeps the duty for ever although it cannot write: only it loses the store after it has acquired.
+TEST_F(HolderTest, FirstHolderThatLosesStoreAfterAcquiringYields)
+{
+    while (!isHolding(this->first.state)) {
+        this->platform.events.runFor(1ms);
+    }
+    ASSERT_EQ(this->platform.record->record.window, NO_WINDOW);
+    this->platform.separatedFromStore = "a";
+    this->platform.events.runFor(30s);
+    EXPECT_TRUE(isHolding(this->second.state));
+    EXPECT_TRUE(this->platform.reports.contains(this->running() - 2));
+}
+
 /// Guards against broken rules under combined faults: lost responses, calls that are carried out late, freezes, crashes, lost messages.
 TEST(HolderFaults, RandomFaultsBreakNoRule)
 {
