LibDuties: Forget that a holder yielded when the next one is seen

Cause: hasHolderYielded was only cleared by an announcement. A collector that heard a holder yield, and nothing from its successor, treated the successor as yielding and waited a lease instead of a window and a lease.

observe() clears it where the record has a greater token than any known before. Clearing it at each read was ruled out: the record of the holder that yielded is read after its announcement.

--- a/Libraries/LibDuties/Holder.cpp
+++ b/Libraries/LibDuties/Holder.cpp
@@ -36,6 +36,10 @@
     state.observed = shown;
     state.observedSince = now;
     if (const auto *stored = std::get_if<StoredRecord>(&shown)) {
+        if (stored->record.token > state.greatestToken) {
+            // Another holder has followed the one that yielded.
+            state.hasHolderYielded = false;
+        }
         state.greatestToken = std::max(state.greatestToken, stored->record.token);
     }
 }
--- a/Tests/LibDuties/TestHolder.cpp
+++ b/Tests/LibDuties/TestHolder.cpp
@@ -240,6 +240,23 @@
     EXPECT_TRUE(this->platform.reports.contains(this->running() - 2));
 }
 
+/// Guards against a short wait for a holder that is alive because an earlier one, with a lower token, had yielded.
+TEST(HolderYields, YieldingEndsWithNextHolder)
+{
+    const Core::TimePoint start{1h};
+    const Situation situation{.now = start + 1s, .rank = 0, .isWanted = true, .isHolderAlive = true};
+    auto state = makeHolder({.name = "a", .process = "a-1", .lease = LEASE, .window = WINDOWS.length}, start);
+    applyHeardHolder(state, 2, false, start);
+    ASSERT_TRUE(std::holds_alternative<ReadRecord>(nextAction(state, situation, {})));
+    const DutyRecord record{.token = 3, .holder = "c", .process = "c-1", .window = 700, .counts = {}};
+    applyRead(state, StoredRecord{.record = record, .version = {.era = 0, .number = 8}}, situation.now, situation.now);
+    auto later = situation;
+    later.now += WINDOWS.length + LEASE - 1ms;
+    EXPECT_TRUE(std::holds_alternative<Wait>(nextAction(state, later, {})));
+    later.now += 1ms;
+    EXPECT_TRUE(std::holds_alternative<WriteRecord>(nextAction(state, later, {})));
+}
+
 /// Guards against broken rules under combined faults: lost responses, calls that are carried out late, freezes, crashes, lost messages.
 TEST(HolderFaults, RandomFaultsBreakNoRule)
 {
