LibDuties: Wait two leases after a loss also where the holder seems alive

Cause: the wait for a holder that is a live member, a window and a lease, replaced the two leases of a process that lost the duty. With windows shorter than a lease it was the shorter of the two, so that A, B, A within a lease was possible.

The wait is now the longer of the two.

--- a/Libraries/LibDuties/Holder.cpp
+++ b/Libraries/LibDuties/Holder.cpp
@@ -97,12 +97,13 @@
     const auto &parameters = state.parameters;
     const auto stagger = parameters.lease / STAGGER_DIVISOR * situation.rank.value_or(0);
     const bool isOther = stored != nullptr && stored->record.process != parameters.process;
+    // The other holder may have acted up to half a lease after it wrote the record.
+    const auto quiet = (state.lostAt ? 2 : 1) * parameters.lease;
     if (isOther && situation.isHolderAlive && !state.hasHolderYielded) {
         // Only its messages to this instance are lost. It writes the record once in each window.
-        return parameters.window + parameters.lease + stagger;
+        return std::max(parameters.window + parameters.lease, quiet) + stagger;
     }
-    // The other holder may have acted up to half a lease after it wrote the record.
-    return (state.lostAt ? 2 : 1) * parameters.lease + stagger;
+    return quiet + stagger;
 }
 
 bool mayTakeOver(const HolderState &state, const Situation &situation, const StoredRecord *stored)
--- a/Tests/LibDuties/FakePlatform.h
+++ b/Tests/LibDuties/FakePlatform.h
@@ -173,6 +173,8 @@
     CountTable table;
     bool isRunning{false};
     Core::TimePoint frozenUntil;
+    /// The membership shows the holder as alive.
+    bool seesHolderAlive{false};
     /// Share of calls whose response is lost; half of these are carried out up to three seconds later.
     double lossRate{0};
     bool loseNextWriteResponse{false};
@@ -214,7 +216,7 @@
                                  {.now = events.now,
                                   .rank = this->rank,
                                   .isWanted = true,
-                                  .isHolderAlive = false,
+                                  .isHolderAlive = this->seesHolderAlive,
                                   .latestClosed = latestClosed,
                                   .oldestReportable = oldestReportableWindow(events.wall(), WINDOWS),
                                   .completeFrom = NO_WINDOW},
--- a/Tests/LibDuties/TestHolder.cpp
+++ b/Tests/LibDuties/TestHolder.cpp
@@ -240,6 +240,33 @@
     EXPECT_TRUE(this->platform.reports.contains(this->running() - 2));
 }
 
+/// Guards against a take-over from a holder that is alive and acts, of which only the announcements are lost.
+TEST_F(HolderTest, HolderThatIsSeenAliveKeepsDutyUnheard)
+{
+    this->runUntilHeld();
+    this->second.heard.clear();
+    this->second.seesHolderAlive = true;
+    this->platform.events.runFor(60s);
+    EXPECT_TRUE(isHolding(this->first.state));
+    EXPECT_EQ(this->platform.record->record.token, 1U);
+}
+
+/// Guards against A, B, A within a lease where windows are short: a process that lost the duty waits two leases, also for a live holder.
+TEST(HolderWaits, FormerHolderWaitsTwoLeasesForLiveHolder)
+{
+    const Core::TimePoint start{1h};
+    Situation situation{.now = start, .rank = 0, .isWanted = true, .isHolderAlive = true};
+    auto state = makeHolder({.name = "a", .process = "a-1", .lease = LEASE, .window = 1s}, start);
+    state.phase = Phase::Lost;
+    state.lostAt = start;
+    const DutyRecord record{.token = 3, .holder = "c", .process = "c-1", .window = 700, .counts = {}};
+    applyRead(state, StoredRecord{.record = record, .version = {.era = 0, .number = 8}}, start, start);
+    situation.now = start + 2 * LEASE - 1ms;
+    EXPECT_TRUE(std::holds_alternative<Wait>(nextAction(state, situation, {})));
+    situation.now += 1ms;
+    EXPECT_TRUE(std::holds_alternative<WriteRecord>(nextAction(state, situation, {})));
+}
+
 /// Guards against a short wait for a holder that is alive because an earlier one, with a lower token, had yielded.
 TEST(HolderYields, YieldingEndsWithNextHolder)
 {
@@ -272,6 +299,7 @@
         for (std::size_t round = 0; round < 60; ++round) {
             auto &player = *players[random.below(3)];
             player.lossRate = random.unit() < 0.5 ? 0.3 : 0;
+            player.seesHolderAlive = random.unit() < 0.5;
             player.heard.clear();
             std::ranges::for_each(players, [&](const auto &other) {
                 if (random.unit() < 0.7 && other.get() != &player) {
