LibDuties: Close a window half a window after its end

Cause: windows were closed 1.5 s after their end, while the repetition of the last counts, which makes up for a lost message, is sent up to 1.475 s after it: a quarter of a window, 125 ms of spread and a tick of 100 ms. With clocks that differ by tens of milliseconds, and the time on the way, the repetition came too late and requests were missing from the report.

The closing is now at 2.5 s. A shorter spread was ruled out: it would take the margin from the collectors, which receive all messages in it.

A report is due 10 s after the end. A take-over, which takes some 4 s, still fits in between.

--- a/Libraries/LibDuties/Window.cpp
+++ b/Libraries/LibDuties/Window.cpp
@@ -8,9 +8,9 @@
 
 using namespace std::chrono_literals;
 
-/// The time between the end of a window and its closing, as a fraction of the window: 1.5 s of 5 s. The last message with the counts of
-/// a window is sent a quarter of a window after its end, and clocks differ by tens of milliseconds.
-constexpr int CLOSING_NUMERATOR = 3;
+/// The time between the end of a window and its closing, as a fraction of the window: 2.5 s of 5 s. The last message with the counts of
+/// a window is sent up to 1.475 s after its end (a quarter of a window, the spread and a tick), and clocks differ by tens of milliseconds.
+constexpr int CLOSING_NUMERATOR = 5;
 constexpr int CLOSING_DENOMINATOR = 10;
 /// Corrections of the host's clock up to this size are followed at once; they move few requests to another window.
 constexpr std::chrono::nanoseconds SMALL_DEVIATION = 50ms;
