Tests: Check each refusal of a token and the wait that follows it

Cause: RefusedTokenIsNeverUsedAgain guards against a further call with a refused token and against a return within a lease, but expected only one refusal or more and a greater token in the end.

The fake platform now notes each refusal with holder, token and time. The test expects one for each token, and no call of the same holder, accepted or refused, within a lease after it. The checks for no refusal at all stay as strict.

The test fails with a holder that does not give the duty up when it is refused, and with one that takes it back without a wait.

--- a/Tests/LibDuties/FakePlatform.h
+++ b/Tests/LibDuties/FakePlatform.h
@@ -80,7 +80,7 @@
             return CallDeferred{.reason = "status 429", .retryAfter = std::nullopt};
         }
         if (report.token < this->greatestToken) {
-            ++this->refusedCalls;
+            this->refusals.push_back({.holder = holder, .token = report.token, .at = this->events.now});
             return TokenRefused{};
         }
         this->greatestToken = report.token;
@@ -122,8 +122,8 @@
     bool isEndpointDown{false};
     std::size_t reads{0};
     std::size_t writes{0};
-    std::size_t refusedCalls{0};
     std::vector<Act> acts;
+    std::vector<Act> refusals;
     std::map<WindowIndex, Counts> reports;
     std::map<std::uint64_t, std::string> holderOfToken;
     std::uint64_t greatestToken{0};
--- a/Tests/LibDuties/TestHolder.cpp
+++ b/Tests/LibDuties/TestHolder.cpp
@@ -99,7 +99,7 @@
     this->platform.events.runFor(1s);
     this->platform.isEndpointDown = false;
     this->platform.events.runFor(30s);
-    EXPECT_EQ(this->platform.refusedCalls, 0U);
+    EXPECT_TRUE(this->platform.refusals.empty());
     EXPECT_EQ(this->first.state.phase, Phase::Lost);
     EXPECT_TRUE(isHolding(this->second.state));
 }
@@ -156,8 +156,17 @@
     const auto refused = ownToken(this->first.state);
     this->platform.greatestToken = refused + 3;
     this->platform.events.runFor(7s);
-    EXPECT_GE(this->platform.refusedCalls, 1U);
+    EXPECT_FALSE(this->platform.refusals.empty());
     this->platform.events.runFor(120s);
+    std::map<std::uint64_t, std::size_t> refusalsOfToken;
+    for (const auto &refusal : this->platform.refusals) {
+        EXPECT_EQ(++refusalsOfToken[refusal.token], 1U) << "token " << refusal.token;
+        const auto isTooSoon = [&refusal](const FakePlatform::Act &call) {
+            return call.holder == refusal.holder && call.at > refusal.at && call.at - refusal.at < LEASE;
+        };
+        EXPECT_TRUE(std::ranges::none_of(this->platform.acts, isTooSoon)) << "act after refusal of token " << refusal.token;
+        EXPECT_TRUE(std::ranges::none_of(this->platform.refusals, isTooSoon)) << "call after refusal of token " << refusal.token;
+    }
     EXPECT_GT(this->platform.acts.back().token, refused + 2);
     EXPECT_TRUE(this->platform.reports.contains(this->running() - 2));
 }
@@ -208,7 +217,7 @@
     this->second.heard.clear();
     this->platform.events.runFor(60s);
     EXPECT_TRUE(isHolding(this->second.state));
-    EXPECT_EQ(this->platform.refusedCalls, 0U);
+    EXPECT_TRUE(this->platform.refusals.empty());
     const auto token = ownToken(this->second.state);
     this->platform.events.runFor(60s);
     EXPECT_EQ(ownToken(this->second.state), token);
