--- a/Libraries/LibDuties/Holder.cpp
+++ b/Libraries/LibDuties/Holder.cpp
@@ -21,6 +21,8 @@
 /// Fraction of the lease by which each further candidate waits longer, so that usually one of them writes.
 constexpr int STAGGER_DIVISOR = 4;
 constexpr std::uint64_t MAXIMUM_TOKEN_STEP = 1U << 20U;
+/// Failed calls in a row after which a holder that has not recorded any window counts as behind.
+constexpr std::uint32_t MAXIMUM_FAILURES_BEFORE_FIRST_WINDOW = 2;
 
 void recordFailure(HolderState &state, Core::TimePoint now)
 {
@@ -34,6 +36,10 @@
     state.observed = shown;
     state.observedSince = now;
     if (const auto *stored = std::get_if<StoredRecord>(&shown)) {
+        if (stored->record.token > state.greatestToken) {
+            // Another holder has followed the one that yielded.
+            state.hasHolderYielded = false;
+        }
         state.greatestToken = std::max(state.greatestToken, stored->record.token);
     }
 }
@@ -91,12 +97,13 @@
     const auto &parameters = state.parameters;
     const auto stagger = parameters.lease / STAGGER_DIVISOR * situation.rank.value_or(0);
     const bool isOther = stored != nullptr && stored->record.process != parameters.process;
+    // The other holder may have acted up to half a lease after it wrote the record.
+    const auto quiet = (state.lostAt ? 2 : 1) * parameters.lease;
     if (isOther && situation.isHolderAlive && !state.hasHolderYielded) {
         // Only its messages to this instance are lost. It writes the record once in each window.
-        return parameters.window + parameters.lease + stagger;
+        return std::max(parameters.window + parameters.lease, quiet) + stagger;
     }
-    // The other holder may have acted up to half a lease after it wrote the record.
-    return (state.lostAt ? 2 : 1) * parameters.lease + stagger;
+    return quiet + stagger;
 }
 
 bool mayTakeOver(const HolderState &state, const Situation &situation, const StoredRecord *stored)
@@ -310,9 +317,13 @@
 bool isBehind(const HolderState &state, WindowIndex latestClosed)
 {
     const auto *stored = observedRecord(state);
-    if (!isHolding(state) || stored == nullptr || stored->record.window == NO_WINDOW) {
+    if (!isHolding(state) || stored == nullptr) {
         return false;
     }
+    if (stored->record.window == NO_WINDOW) {
+        // No window shows progress yet. Single failures are no reason to give up the duty.
+        return state.failuresInRow > MAXIMUM_FAILURES_BEFORE_FIRST_WINDOW;
+    }
     const auto delivered = state.isDelivered ? stored->record.window : stored->record.window - 1;
     return delivered < latestClosed - 1;
 }
--- a/Libraries/LibDuties/Holder.h
+++ b/Libraries/LibDuties/Holder.h
@@ -71,7 +71,7 @@
     std::optional<std::size_t> rank;
     /// There is anything to report.
     bool isWanted{false};
-    /// The process that the observed record names is a live member.
+    /// The process that the observed record names is a live member, or may be one that this instance cannot reach.
     bool isHolderAlive{false};
     WindowIndex latestClosed{NO_WINDOW};
     WindowIndex oldestReportable{NO_WINDOW};
@@ -117,7 +117,8 @@
 
 bool isHolding(const HolderState &state);
 
-/// Whether this instance holds the duty and has not reported a window although the next one is closed as well.
+/// Whether this instance holds the duty and has not reported a window although the next one is closed as well, or its calls keep failing
+/// before its first window.
 bool isBehind(const HolderState &state, WindowIndex latestClosed);
 
 /// The fencing token while holding; zero otherwise.
--- a/Tests/LibDuties/FakePlatform.h
+++ b/Tests/LibDuties/FakePlatform.h
@@ -80,7 +80,7 @@
             return CallDeferred{.reason = "status 429", .retryAfter = std::nullopt};
         }
         if (report.token < this->greatestToken) {
-            ++this->refusedCalls;
+            this->refusals.push_back({.holder = holder, .token = report.token, .at = this->events.now});
             return TokenRefused{};
         }
         this->greatestToken = report.token;
@@ -100,9 +100,10 @@
         return CallAccepted{};
     }
 
-    Response carryOut(const std::string &holder, const Action &action, bool isResponseLost = false)
+    Response carryOut(const std::string &holder, const Action &action, bool isLost = false)
     {
         const NoResponse lost{"lost"};
+        const bool isResponseLost = isLost || (holder == this->separatedFromStore && !std::holds_alternative<SendReport>(action));
         if (const auto *report = std::get_if<SendReport>(&action)) {
             return isResponseLost ? CallResult{lost} : this->call(holder, *report);
         }
@@ -116,11 +117,13 @@
     std::optional<StoredRecord> record;
     std::uint64_t revision{10};
     bool isStoreDown{false};
+    /// The holder from which the store cannot be reached.
+    std::string separatedFromStore;
     bool isEndpointDown{false};
     std::size_t reads{0};
     std::size_t writes{0};
-    std::size_t refusedCalls{0};
     std::vector<Act> acts;
+    std::vector<Act> refusals;
     std::map<WindowIndex, Counts> reports;
     std::map<std::uint64_t, std::string> holderOfToken;
     std::uint64_t greatestToken{0};
@@ -170,6 +173,8 @@
     CountTable table;
     bool isRunning{false};
     Core::TimePoint frozenUntil;
+    /// The membership shows the holder as alive.
+    bool seesHolderAlive{false};
     /// Share of calls whose response is lost; half of these are carried out up to three seconds later.
     double lossRate{0};
     bool loseNextWriteResponse{false};
@@ -211,7 +216,7 @@
                                  {.now = events.now,
                                   .rank = this->rank,
                                   .isWanted = true,
-                                  .isHolderAlive = false,
+                                  .isHolderAlive = this->seesHolderAlive,
                                   .latestClosed = latestClosed,
                                   .oldestReportable = oldestReportableWindow(events.wall(), WINDOWS),
                                   .completeFrom = NO_WINDOW},
--- a/Tests/LibDuties/TestHolder.cpp
+++ b/Tests/LibDuties/TestHolder.cpp
@@ -99,7 +99,7 @@
     this->platform.events.runFor(1s);
     this->platform.isEndpointDown = false;
     this->platform.events.runFor(30s);
-    EXPECT_EQ(this->platform.refusedCalls, 0U);
+    EXPECT_TRUE(this->platform.refusals.empty());
     EXPECT_EQ(this->first.state.phase, Phase::Lost);
     EXPECT_TRUE(isHolding(this->second.state));
 }
@@ -156,8 +156,17 @@
     const auto refused = ownToken(this->first.state);
     this->platform.greatestToken = refused + 3;
     this->platform.events.runFor(7s);
-    EXPECT_GE(this->platform.refusedCalls, 1U);
+    EXPECT_FALSE(this->platform.refusals.empty());
     this->platform.events.runFor(120s);
+    std::map<std::uint64_t, std::size_t> refusalsOfToken;
+    for (const auto &refusal : this->platform.refusals) {
+        EXPECT_EQ(++refusalsOfToken[refusal.token], 1U) << "token " << refusal.token;
+        const auto isTooSoon = [&refusal](const FakePlatform::Act &call) {
+            return call.holder == refusal.holder && call.at > refusal.at && call.at - refusal.at < LEASE;
+        };
+        EXPECT_TRUE(std::ranges::none_of(this->platform.acts, isTooSoon)) << "act after refusal of token " << refusal.token;
+        EXPECT_TRUE(std::ranges::none_of(this->platform.refusals, isTooSoon)) << "call after refusal of token " << refusal.token;
+    }
     EXPECT_GT(this->platform.acts.back().token, refused + 2);
     EXPECT_TRUE(this->platform.reports.contains(this->running() - 2));
 }
@@ -208,7 +217,7 @@
     this->second.heard.clear();
     this->platform.events.runFor(60s);
     EXPECT_TRUE(isHolding(this->second.state));
-    EXPECT_EQ(this->platform.refusedCalls, 0U);
+    EXPECT_TRUE(this->platform.refusals.empty());
     const auto token = ownToken(this->second.state);
     this->platform.events.runFor(60s);
     EXPECT_EQ(ownToken(this->second.state), token);
@@ -227,6 +236,63 @@
     EXPECT_TRUE(this->platform.reports.contains(this->running() - 2));
 }
 
+/// Guards against a first holder that keeps the duty for ever although it cannot write: only it loses the store after it has acquired.
+TEST_F(HolderTest, FirstHolderThatLosesStoreAfterAcquiringYields)
+{
+    while (!isHolding(this->first.state)) {
+        this->platform.events.runFor(1ms);
+    }
+    ASSERT_EQ(this->platform.record->record.window, NO_WINDOW);
+    this->platform.separatedFromStore = "a";
+    this->platform.events.runFor(30s);
+    EXPECT_TRUE(isHolding(this->second.state));
+    EXPECT_TRUE(this->platform.reports.contains(this->running() - 2));
+}
+
+/// Guards against a take-over from a holder that is alive and acts, of which only the announcements are lost.
+TEST_F(HolderTest, HolderThatIsSeenAliveKeepsDutyUnheard)
+{
+    this->runUntilHeld();
+    this->second.heard.clear();
+    this->second.seesHolderAlive = true;
+    this->platform.events.runFor(60s);
+    EXPECT_TRUE(isHolding(this->first.state));
+    EXPECT_EQ(this->platform.record->record.token, 1U);
+}
+
+/// Guards against A, B, A within a lease where windows are short: a process that lost the duty waits two leases, also for a live holder.
+TEST(HolderWaits, FormerHolderWaitsTwoLeasesForLiveHolder)
+{
+    const Core::TimePoint start{1h};
+    Situation situation{.now = start, .rank = 0, .isWanted = true, .isHolderAlive = true};
+    auto state = makeHolder({.name = "a", .process = "a-1", .lease = LEASE, .window = 1s}, start);
+    state.phase = Phase::Lost;
+    state.lostAt = start;
+    const DutyRecord record{.token = 3, .holder = "c", .process = "c-1", .window = 700, .counts = {}};
+    applyRead(state, StoredRecord{.record = record, .version = {.era = 0, .number = 8}}, start, start);
+    situation.now = start + 2 * LEASE - 1ms;
+    EXPECT_TRUE(std::holds_alternative<Wait>(nextAction(state, situation, {})));
+    situation.now += 1ms;
+    EXPECT_TRUE(std::holds_alternative<WriteRecord>(nextAction(state, situation, {})));
+}
+
+/// Guards against a short wait for a holder that is alive because an earlier one, with a lower token, had yielded.
+TEST(HolderYields, YieldingEndsWithNextHolder)
+{
+    const Core::TimePoint start{1h};
+    const Situation situation{.now = start + 1s, .rank = 0, .isWanted = true, .isHolderAlive = true};
+    auto state = makeHolder({.name = "a", .process = "a-1", .lease = LEASE, .window = WINDOWS.length}, start);
+    applyHeardHolder(state, 2, false, start);
+    ASSERT_TRUE(std::holds_alternative<ReadRecord>(nextAction(state, situation, {})));
+    const DutyRecord record{.token = 3, .holder = "c", .process = "c-1", .window = 700, .counts = {}};
+    applyRead(state, StoredRecord{.record = record, .version = {.era = 0, .number = 8}}, situation.now, situation.now);
+    auto later = situation;
+    later.now += WINDOWS.length + LEASE - 1ms;
+    EXPECT_TRUE(std::holds_alternative<Wait>(nextAction(state, later, {})));
+    later.now += 1ms;
+    EXPECT_TRUE(std::holds_alternative<WriteRecord>(nextAction(state, later, {})));
+}
+
 /// Guards against broken rules under combined faults: lost responses, calls that are carried out late, freezes, crashes, lost messages.
 TEST(HolderFaults, RandomFaultsBreakNoRule)
 {
@@ -242,6 +308,7 @@
         for (std::size_t round = 0; round < 60; ++round) {
             auto &player = *players[random.below(3)];
             player.lossRate = random.unit() < 0.5 ? 0.3 : 0;
+            player.seesHolderAlive = random.unit() < 0.5;
             player.heard.clear();
             std::ranges::for_each(players, [&](const auto &other) {
                 if (random.unit() < 0.7 && other.get() != &player) {
--- a/Tests/LibGateway/TestUsageReporter.cpp
+++ b/Tests/LibGateway/TestUsageReporter.cpp
@@ -155,6 +155,20 @@
     EXPECT_EQ(this->platform.fake.record->record.token, 1U);
 }
 
+/// Guards against a smaller part of the fleet that takes the duty from a live holder and reports only its own counts.
+TEST_F(UsageReporterTest, SeparatedMinorityLeavesDutyToLiveHolder)
+{
+    this->instances.push_back(std::make_unique<ReportingInstance>(this->context, this->timers, this->network, this->platform, "a5", 10));
+    this->runFor(5s);
+    this->instances[0]->state.countRequest("t0");
+    this->runFor(20s);
+    ASSERT_TRUE(this->instances[1]->state.holdsUsageDuty);
+    this->network.separated = {"a3", "a4"};
+    this->runFor(60s);
+    EXPECT_TRUE(this->instances[1]->state.holdsUsageDuty);
+    EXPECT_EQ(this->platform.fake.record->record.token, 1U);
+}
+
 /// Guards against messages that another build cannot read, and against bytes that end the process.
 TEST(UsageMessageTest, MessagesSurviveEncodingAndMalformedBytesThrow)
 {
@@ -166,6 +180,25 @@
     EXPECT_ANY_THROW(decodeUsage(""));
 }
 
+/// Guards against one message that stops the reports of all instances: names that are not text, sums and tokens that overflow.
+TEST(UsageMessageTest, ValuesOutOfRangeThrow)
+{
+    const auto decodeCount = [](const std::string &tenant, std::uint64_t count) {
+        return decodeUsage(
+            encodeUsage(UsageCounts{.reporter = {"a-1"}, .sequence = 7, .windows = {{.window = 3, .counts = {{tenant, count}}}}}));
+    };
+    const auto decodeToken = [](std::uint64_t token) {
+        return decodeUsage(encodeUsage(UsageHolder{.token = token, .isActing = true}));
+    };
+    EXPECT_NO_THROW(decodeCount(std::string(128, '~'), 1'000'000'000));
+    for (const auto &tenant : {std::string(), std::string(129, 'a'), std::string("\xff"), std::string("a\n")}) {
+        EXPECT_THROW(decodeCount(tenant, 1), std::invalid_argument);
+    }
+    EXPECT_THROW(decodeCount("a", 1'000'000'001), std::invalid_argument);
+    EXPECT_NO_THROW(decodeToken(std::uint64_t{1} << 62U));
+    EXPECT_THROW(decodeToken((std::uint64_t{1} << 62U) + 1), std::invalid_argument);
+}
+
 class UsageCountingTest : public RequestFlowTest
 {
 protected:
