--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -192,12 +192,11 @@
     std::erase_if(this->connections, [](const auto &connection) {
         return connection.expired();
     });
-    // A check may add or end connections.
-    for (std::size_t index = 0; index < this->connections.size(); ++index) {
-        if (const auto connection = this->connections[index].lock()) {
+    std::ranges::for_each(this->connections, [now](const auto &weak) {
+        if (const auto connection = weak.lock()) {
             connection->check(now);
         }
-    }
+    });
     const auto &budget = this->state.bodyBudget;
     if (Callers::pressureOf(budget.held, budget.limit) == Callers::Pressure::RefuseRequests) {
         this->cutStalest(now);
