LibGateway: Free the memory of an upload with its connection

Closing a connection for memory freed only responses that were ready. The memory of a body that was being read belonged to a local variable of the reading coroutine, so that it was free only after that coroutine ran on. The loop that makes room saw no effect and closed one stalled upload after another. The connection now owns this memory and gives it back when it closes. A connection is rated by what closing it frees at once, which excludes running requests.

Four stalled uploads of 60,000 bytes, 60,000 bytes needed: 4 connections were closed before, 1 after (shortageClosesNoMoreStalledUploadsThanNeeded).

--- a/Libraries/LibCallers/BackPressure.h
+++ b/Libraries/LibCallers/BackPressure.h
@@ -23,6 +23,7 @@
 
 /// How a connection moves on with what it holds.
 struct ConnectionProgress {
+    /// Memory that closing the connection frees at once.
     std::uint64_t heldBytes{0};
     /// Last time that its caller took bytes of a response or sent bytes of a request.
     Core::TimePoint lastProgress;
--- a/Libraries/LibCallers/Pipeline.cpp
+++ b/Libraries/LibCallers/Pipeline.cpp
@@ -41,6 +41,14 @@
         });
 }
 
+std::uint64_t bytesFreedByClosing(const Pipeline &pipeline)
+{
+    return std::accumulate(
+        pipeline.requests.begin(), pipeline.requests.end(), std::uint64_t{0}, [](std::uint64_t sum, const PipelinedRequest &request) {
+            return sum + (request.stage == RequestStage::Running ? 0 : request.bytes);
+        });
+}
+
 bool mayRead(const Pipeline &pipeline, const PipelineBounds &bounds)
 {
     const auto &requests = pipeline.requests;
--- a/Libraries/LibCallers/Pipeline.h
+++ b/Libraries/LibCallers/Pipeline.h
@@ -52,6 +52,9 @@
 
 std::uint64_t heldBytes(const Pipeline &pipeline);
 
+/// Memory that is free as soon as the connection is closed. A running request keeps its memory until its work has ended.
+std::uint64_t bytesFreedByClosing(const Pipeline &pipeline);
+
 /// Whether another request may be read. One may always be read if none is unanswered.
 bool mayRead(const Pipeline &pipeline, const PipelineBounds &bounds);
 
--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -43,6 +43,7 @@
     , changed(this->socket.get_executor())
     , phaseSince(Core::Clock::now())
     , lastProgress(this->phaseSince)
+    , readingHold(gatewayState.bodyBudget)
 {
 }
 
@@ -356,12 +357,14 @@
     std::ranges::for_each(this->exchanges, [](const auto &entry) {
         entry.second->result.hold.reset();
     });
+    this->readingHold = Core::ByteHold(this->state.bodyBudget);
+    this->readingBytes = 0;
     this->abandonAll();
 }
 
 Callers::ConnectionProgress CallerConnection::progress() const
 {
-    return {.heldBytes = Callers::heldBytes(this->pipeline) + this->readingBytes,
+    return {.heldBytes = Callers::bytesFreedByClosing(this->pipeline) + this->readingBytes,
             .lastProgress = this->lastProgress,
             .isWaitingForCaller = !this->isCut && (this->isWriting || this->phase == ReadPhase::Body)};
 }
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -81,7 +81,7 @@
     boost::asio::awaitable<bool> waitForRequest();
     /// Reads one request whose first byte has arrived. Returns whether another may follow.
     boost::asio::awaitable<bool> readRequest();
-    boost::asio::awaitable<boost::system::error_code> readMessage(RequestParser &parser, Core::ByteHold &hold);
+    boost::asio::awaitable<boost::system::error_code> readMessage(RequestParser &parser);
     /// Sends 100 (Continue) once all earlier requests are answered, unless the request is no longer wanted.
     boost::asio::awaitable<void> sendContinue();
     boost::asio::awaitable<void> waitUntilAnswered();
@@ -121,6 +121,7 @@
     Core::TimePoint phaseSince;
     Core::TimePoint lastProgress;
     /// Memory of the request that is being read.
+    Core::ByteHold readingHold;
     std::uint64_t readingBytes{0};
     std::uint64_t writtenBytes{0};
     std::uint64_t acknowledgedBytes{0};
--- a/Libraries/LibGateway/CallerConnectionReading.cpp
+++ b/Libraries/LibGateway/CallerConnectionReading.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
+#include <utility>
 
 namespace Briarbend::Gateway
 {
@@ -87,7 +88,7 @@
     co_await Asio::async_write(this->socket, Asio::buffer(CONTINUE_RESPONSE), Asio::redirect_error(Asio::use_awaitable, ignored));
 }
 
-Asio::awaitable<boost::system::error_code> CallerConnection::readMessage(RequestParser &parser, Core::ByteHold &hold)
+Asio::awaitable<boost::system::error_code> CallerConnection::readMessage(RequestParser &parser)
 {
     const auto limits = callerLimits(this->state);
     boost::system::error_code error;
@@ -102,12 +103,15 @@
         this->enter(ReadPhase::Body);
         this->lastProgress = this->phaseSince;
         co_await Http::async_read_some(this->socket, this->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
-        this->readingBytes = bytesOf(parser);
-        if (!takeMemory(this->state, hold, this->readingBytes)) {
+        if (this->isReadingOver) {
+            co_return error;
+        }
+        if (!takeMemory(this->state, this->readingHold, bytesOf(parser))) {
             co_return Asio::error::no_memory;
         }
+        this->readingBytes = bytesOf(parser);
     }
-    if (!error && !takeMemory(this->state, hold, bytesOf(parser))) {
+    if (!error && !this->isReadingOver && !takeMemory(this->state, this->readingHold, bytesOf(parser))) {
         co_return Asio::error::no_memory;
     }
     co_return error;
@@ -117,8 +121,8 @@
 {
     auto exchange = std::make_shared<Exchange>(this->state.requestsInFlight);
     RequestParser parser;
-    ReadRequest request{parser, Core::ByteHold(this->state.bodyBudget)};
-    const auto error = co_await this->readMessage(parser, request.hold);
+    const auto error = co_await this->readMessage(parser);
+    ReadRequest request{parser, std::exchange(this->readingHold, Core::ByteHold(this->state.bodyBudget))};
     this->readingBytes = 0;
     this->enter(ReadPhase::Paused);
     // What was read while an earlier request closes the connection counts as not read, and so does what is not sent before a planned stop.
--- a/Tests/LibCallers/TestPipeline.cpp
+++ b/Tests/LibCallers/TestPipeline.cpp
@@ -30,6 +30,18 @@
 }
 
 } // namespace
+TEST(Pipeline, closingFreesNothingOfRunningRequests)
+{
+    Pipeline pipeline;
+    for (const auto stage : {RequestStage::Ready, RequestStage::Running, RequestStage::Waiting}) {
+        const auto id = append(pipeline, {.bytes = 10});
+        find(pipeline, id)->stage = stage;
+    }
+    EXPECT_EQ(heldBytes(pipeline), 30U);
+    EXPECT_EQ(bytesFreedByClosing(pipeline), 20U);
+}
+
+// namespace
 
 // A request that runs at most once ran beside an earlier one, whose failure the caller could not have seen.
 TEST(Pipeline, atMostOnceRequestRunsAlone)
--- a/Tests/LibGateway/CallerFrontendTest.h
+++ b/Tests/LibGateway/CallerFrontendTest.h
@@ -162,6 +162,13 @@
         return text;
     }
 
+    /// A request whose body ends early.
+    static std::string unfinishedUpload(const std::string &path, std::size_t sentBytes)
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + path
+            + "\r\nContent-Length: " + std::to_string(2 * sentBytes) + "\r\n\r\n" + std::string(sentBytes, 'x');
+    }
+
     bool hasArrived(const std::string &path) const
     {
         return std::ranges::find(this->arrivals, path) != this->arrivals.end();
--- a/Tests/LibGateway/TestSlowCallers.cpp
+++ b/Tests/LibGateway/TestSlowCallers.cpp
@@ -82,6 +82,30 @@
     })) << normal.text();
 }
 
+// Memory for one request closed all stalled uploads, since none gave back its memory before its coroutine went on.
+TEST_F(CallerFrontendTest, shortageClosesNoMoreStalledUploadsThanNeeded)
+{
+    constexpr std::size_t UPLOADS = 4;
+    constexpr std::size_t SENT_BYTES = 60'000;
+    this->isVirtual = true;
+    this->state.bodyBudget.limit = UPLOADS * SENT_BYTES + 4'000;
+    for (std::size_t index = 0; index < UPLOADS; ++index) {
+        this->connect().send(unfinishedUpload("/upload", SENT_BYTES));
+    }
+    EXPECT_TRUE(this->runUntil([&] {
+        return this->state.bodyBudget.held >= UPLOADS * SENT_BYTES;
+    }));
+    const auto now = Core::Clock::now() + STEP;
+    this->state.relieveMemory = [this, now] {
+        const auto before = this->state.counters.callersCut;
+        this->frontend->checkConnections(now);
+        return this->state.counters.callersCut > before;
+    };
+    Core::ByteHold other(this->state.bodyBudget);
+    EXPECT_TRUE(takeMemory(this->state, other, SENT_BYTES));
+    EXPECT_EQ(this->state.counters.callersCut, 1U);
+}
+
 // Callers that read a few bytes at a time delayed others, or were disconnected.
 TEST_F(CallerFrontendTest, thousandSlowCallersDoNotDelayOthers)
 {
