LibGateway: Drop only a half-read request where earlier ones are unanswered

A shortage of memory closed the connection of a stalled upload, and with it the requests that were read before it: a request already sent to a target lost its response. Now the upload alone is dropped. The earlier requests are answered, and the last response closes the connection. A connection whose reading has ended is no longer chosen for its body, so that making room goes on to the next.

shortageDropsStalledUploadAndKeepsEarlierRequest failed before: no response, one connection closed.

--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -338,6 +338,12 @@
 
 void CallerConnection::cut(std::string_view reason, Core::TimePoint now)
 {
+    if (this->canDropHalfReadRequest()) {
+        // The earlier requests may have been sent to a target, and their responses are still wanted.
+        this->freeReadingMemory();
+        this->endReading();
+        return;
+    }
     ++this->state.counters.callersCut;
     this->state.log.write(Log::Importance::Notable,
                           "caller_cut",
@@ -357,16 +363,27 @@
     std::ranges::for_each(this->exchanges, [](const auto &entry) {
         entry.second->result.hold.reset();
     });
+    this->freeReadingMemory();
+    this->abandonAll();
+}
+
+void CallerConnection::freeReadingMemory()
+{
     this->readingHold = Core::ByteHold(this->state.bodyBudget);
     this->readingBytes = 0;
-    this->abandonAll();
+}
+
+bool CallerConnection::canDropHalfReadRequest() const
+{
+    return this->phase == ReadPhase::Body && !this->isReadingOver && !this->isWriting && !this->pipeline.requests.empty();
 }
 
 Callers::ConnectionProgress CallerConnection::progress() const
 {
-    return {.heldBytes = Callers::bytesFreedByClosing(this->pipeline) + this->readingBytes,
+    const auto answerBytes = this->canDropHalfReadRequest() ? 0 : Callers::bytesFreedByClosing(this->pipeline);
+    return {.heldBytes = answerBytes + this->readingBytes,
             .lastProgress = this->lastProgress,
-            .isWaitingForCaller = !this->isCut && (this->isWriting || this->phase == ReadPhase::Body)};
+            .isWaitingForCaller = !this->isCut && (this->isWriting || (this->phase == ReadPhase::Body && !this->isReadingOver))};
 }
 
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -46,7 +46,7 @@
     static boost::asio::awaitable<void> serveKeepingAlive(std::shared_ptr<CallerConnection> self);
     /// Detects a caller that has gone or makes no progress, and a planned stop. Called several times a second.
     void check(Core::TimePoint now);
-    /// Closes the connection and gives back the memory of its responses.
+    /// Gives back memory: drops a half-read request behind unanswered ones, or closes the connection if there is none.
     void cut(std::string_view reason, Core::TimePoint now);
     /// Closes the connection. Its running requests end as if the caller had gone.
     void close();
@@ -104,6 +104,9 @@
     void abandonAll();
     /// A request did not arrive whole in time, or nothing arrived.
     void endReading();
+    /// A request is half read, earlier ones are unanswered, and no response is being written.
+    bool canDropHalfReadRequest() const;
+    void freeReadingMemory();
     bool mayRead() const;
     Callers::PipelineBounds bounds() const;
     void enter(ReadPhase next);
--- a/Tests/LibGateway/TestSlowCallers.cpp
+++ b/Tests/LibGateway/TestSlowCallers.cpp
@@ -106,6 +106,31 @@
     EXPECT_EQ(this->state.counters.callersCut, 1U);
 }
 
+// A stalled upload behind a request that was sent to a target cost the caller the response to that request.
+TEST_F(CallerFrontendTest, shortageDropsStalledUploadAndKeepsEarlierRequest)
+{
+    constexpr std::size_t SENT_BYTES = 60'000;
+    this->isVirtual = true;
+    this->react = [](const auto &) {
+        return Reaction{.delay = 500ms};
+    };
+    this->state.bodyBudget.limit = SENT_BYTES + 4'000;
+    auto &caller = this->connect();
+    caller.startReading();
+    caller.send(request("/a") + unfinishedUpload("/upload", SENT_BYTES));
+    EXPECT_TRUE(this->runUntil([&] {
+        return this->hasArrived("/a") && this->state.bodyBudget.held >= SENT_BYTES;
+    }));
+    this->frontend->checkConnections(Core::Clock::now() + STEP);
+    EXPECT_LT(this->state.bodyBudget.held, SENT_BYTES) << "the upload is dropped at once";
+    EXPECT_TRUE(this->runUntil([&] {
+        return caller.isEnded();
+    }));
+    EXPECT_TRUE(caller.hasInOrder({"200", "Connection: close", "body of /a"})) << caller.text();
+    EXPECT_EQ(this->state.counters.callersCut, 0U);
+    EXPECT_FALSE(this->hasArrived("/upload"));
+}
+
 // Callers that read a few bytes at a time delayed others, or were disconnected.
 TEST_F(CallerFrontendTest, thousandSlowCallersDoNotDelayOthers)
 {
