LibGateway: Keep the progress of reading and of writing apart

One time of last progress served both directions. A caller that took none of its response was kept for as long as it sent bytes of another request. The time was also set before a read instead of after one that brought bytes, so that a caller whose bytes had just arrived could count as stalled. Writes and acknowledgements now have a time of their own, which decides while a response is being written.

sendingDoesNotCountAsTakingResponse failed before: the connection was not closed. The time set before a read has no test of its own.

--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -43,6 +43,7 @@
     , changed(this->socket.get_executor())
     , phaseSince(Core::Clock::now())
     , lastProgress(this->phaseSince)
+    , lastTaken(this->phaseSince)
     , readingHold(gatewayState.bodyBudget)
 {
 }
@@ -188,7 +189,7 @@
         const bool closes = self->pipeline.requests.front().closesConnection;
         self->exchanges.erase(self->pipeline.requests.front().id);
         Callers::removeFirst(self->pipeline);
-        self->phaseSince = std::max(self->phaseSince, self->lastProgress);
+        self->phaseSince = std::max(self->phaseSince, self->lastTaken);
         if (closes) {
             self->isReadingOver = true;
             self->abandonAll();
@@ -207,11 +208,11 @@
 {
     Http::response_serializer<Http::string_body> serializer(response);
     boost::system::error_code error;
-    this->lastProgress = Core::Clock::now();
+    this->lastTaken = Core::Clock::now();
     while (!error && !serializer.is_done()) {
         const auto length = co_await Http::async_write_some(this->socket, serializer, Asio::redirect_error(Asio::use_awaitable, error));
         this->writtenBytes += length;
-        this->lastProgress = Core::Clock::now();
+        this->lastTaken = Core::Clock::now();
     }
     co_return !error && !this->isCut;
 }
@@ -307,7 +308,7 @@
     const auto acknowledged = this->writtenBytes - unacknowledged;
     if (acknowledged > this->acknowledgedBytes) {
         this->acknowledgedBytes = acknowledged;
-        this->lastProgress = now;
+        this->lastTaken = now;
     }
 }
 
@@ -319,7 +320,7 @@
     if (this->isWriting) {
         this->noteAcknowledged(now);
     }
-    if (this->isWriting && now - this->lastProgress >= WRITE_STALL_TIMEOUT) {
+    if (this->isWriting && now - this->lastTaken >= WRITE_STALL_TIMEOUT) {
         this->cut("no_progress", now);
         return;
     }
@@ -345,11 +346,12 @@
         return;
     }
     ++this->state.counters.callersCut;
-    this->state.log.write(Log::Importance::Notable,
-                          "caller_cut",
-                          {{"reason", reason},
-                           {"held_bytes", this->progress().heldBytes},
-                           {"stalled_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - this->lastProgress).count()}});
+    this->state.log.write(
+        Log::Importance::Notable,
+        "caller_cut",
+        {{"reason", reason},
+         {"held_bytes", this->progress().heldBytes},
+         {"stalled_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - this->progress().lastProgress).count()}});
     this->close();
 }
 
@@ -382,7 +384,7 @@
 {
     const auto answerBytes = this->canDropHalfReadRequest() ? 0 : Callers::bytesFreedByClosing(this->pipeline);
     return {.heldBytes = answerBytes + this->readingBytes,
-            .lastProgress = this->lastProgress,
+            .lastProgress = this->isWriting ? this->lastTaken : this->lastProgress,
             .isWaitingForCaller = !this->isCut && (this->isWriting || (this->phase == ReadPhase::Body && !this->isReadingOver))};
 }
 
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -122,7 +122,10 @@
     std::map<Callers::RequestId, std::shared_ptr<Exchange>> exchanges;
     ReadPhase phase{ReadPhase::Idle};
     Core::TimePoint phaseSince;
+    /// Last time that a read brought bytes of a request.
     Core::TimePoint lastProgress;
+    /// Last time that the caller took bytes of a response, or that one was begun.
+    Core::TimePoint lastTaken;
     /// Memory of the request that is being read.
     Core::ByteHold readingHold;
     std::uint64_t readingBytes{0};
--- a/Libraries/LibGateway/CallerConnectionReading.cpp
+++ b/Libraries/LibGateway/CallerConnectionReading.cpp
@@ -96,13 +96,17 @@
     parser.body_limit(limits.bodyBytes);
     this->enter(ReadPhase::Header);
     co_await Http::async_read_header(this->socket, this->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+    this->lastProgress = Core::Clock::now();
     if (!error && !parser.is_done() && Relay::expectsContinue(parser.get().base())) {
         co_await this->sendContinue();
     }
     while (!error && !parser.is_done() && !this->isReadingOver) {
         this->enter(ReadPhase::Body);
-        this->lastProgress = this->phaseSince;
-        co_await Http::async_read_some(this->socket, this->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        const auto length
+            = co_await Http::async_read_some(this->socket, this->buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        if (length > 0) {
+            this->lastProgress = Core::Clock::now();
+        }
         if (this->isReadingOver) {
             co_return error;
         }
--- a/Tests/LibGateway/TestSlowCallers.cpp
+++ b/Tests/LibGateway/TestSlowCallers.cpp
@@ -131,6 +131,35 @@
     EXPECT_FALSE(this->hasArrived("/upload"));
 }
 
+// A caller that took none of its response was kept as long as it sent bytes of another request.
+TEST_F(CallerFrontendTest, sendingDoesNotCountAsTakingResponse)
+{
+    constexpr std::size_t SENT_BYTES = 60'000;
+    this->isVirtual = true;
+    this->react = [](const auto &) {
+        return Reaction{.delay = 100ms, .paddingBytes = LONG_BODY_BYTES};
+    };
+    this->state.bodyBudget.limit = 2 * LONG_BODY_BYTES;
+    auto &caller = this->connect();
+    caller.send(request("/slow") + unfinishedUpload("/upload", SENT_BYTES));
+    const auto sendMore = [&](std::size_t expectedBytes) {
+        caller.send(std::string(SENT_BYTES / 4, 'x'));
+        EXPECT_TRUE(this->runUntil([&] {
+            return this->state.bodyBudget.held >= LONG_BODY_BYTES + expectedBytes;
+        }));
+    };
+    EXPECT_TRUE(this->runUntil([&] {
+        return this->state.counters.answered == 1;
+    }));
+    sendMore(SENT_BYTES * 5 / 4);
+    this->frontend->checkConnections(Core::Clock::now());
+    const auto stalled = Core::Clock::now();
+    sendMore(SENT_BYTES * 3 / 2);
+    EXPECT_EQ(this->state.counters.callersCut, 0U);
+    this->frontend->checkConnections(stalled + 15s);
+    EXPECT_EQ(this->state.counters.callersCut, 1U);
+}
+
 // Callers that read a few bytes at a time delayed others, or were disconnected.
 TEST_F(CallerFrontendTest, thousandSlowCallersDoNotDelayOthers)
 {
