Tests/LibGateway: Hold responses in the test of a thousand slow callers

The responses of a few kilobytes fitted into the kernel's buffers, so that nothing was held for the slow callers. The kernel sizes the sender's buffer by the segment size, 64 KiB on the loopback interface. The slow callers now have receive buffers of 4 KiB and segments of 1 KiB, and responses of 200 KB, each with a further request behind it. The test asserts that the budget holds all of these responses and that all requests are in flight, before and after the requests of the normal caller, and that these are answered within 500 ms.

--- a/Tests/LibGateway/CallerFrontendTest.h
+++ b/Tests/LibGateway/CallerFrontendTest.h
@@ -10,6 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
 
 namespace Briarbend::Gateway
 {
@@ -18,12 +19,17 @@
 class FakeCaller
 {
 public:
-    FakeCaller(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &endpoint)
+    FakeCaller(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &endpoint, bool hasSmallBuffers = false)
         : socket(std::make_shared<boost::asio::ip::tcp::socket>(context))
     {
         // Keeps the kernel from taking a long response for a caller that does not read.
         this->socket->open(endpoint.protocol());
-        this->socket->set_option(boost::asio::socket_base::receive_buffer_size(64 * 1024));
+        this->socket->set_option(boost::asio::socket_base::receive_buffer_size(hasSmallBuffers ? 4 * 1024 : 64 * 1024));
+        if (hasSmallBuffers) {
+            // The kernel sizes the sender's buffer by the segment size, which is 64 KiB on the loopback interface.
+            using SegmentSize = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>;
+            this->socket->set_option(SegmentSize(1024));
+        }
         this->socket->connect(endpoint);
     }
 
@@ -143,9 +149,9 @@
         this->state.routes["once"];
     }
 
-    FakeCaller &connect()
+    FakeCaller &connect(bool hasSmallBuffers = false)
     {
-        return *this->callers.emplace_back(std::make_unique<FakeCaller>(this->context, this->frontend->localEndpoint()));
+        return *this->callers.emplace_back(std::make_unique<FakeCaller>(this->context, this->frontend->localEndpoint(), hasSmallBuffers));
     }
 
     static std::string request(const std::string &path, const std::string &fields = "")
--- a/Tests/LibGateway/TestSlowCallers.cpp
+++ b/Tests/LibGateway/TestSlowCallers.cpp
@@ -160,14 +160,19 @@
     EXPECT_EQ(this->state.counters.callersCut, 1U);
 }
 
-// Callers that read a few bytes at a time delayed others, or were disconnected.
+// Callers that read a few bytes at a time, and for which responses are held, delayed others or were disconnected.
 TEST_F(CallerFrontendTest, thousandSlowCallersDoNotDelayOthers)
 {
     constexpr std::size_t SLOW_CALLERS = 1000;
     constexpr std::size_t FIRST_BYTES = 16;
-    const std::string longPath = "/" + std::string(8000, 'x');
+    // Several times what the kernel buffers for a caller with small buffers.
+    constexpr std::size_t BODY_BYTES = 200'000;
+    this->state.bodyBudget.limit = 2 * SLOW_CALLERS * BODY_BYTES;
+    this->react = [](const auto &request) {
+        return Reaction{.paddingBytes = request.target() == "/slow" ? BODY_BYTES : 0};
+    };
     for (std::size_t index = 0; index < SLOW_CALLERS; ++index) {
-        this->connect().send(requests({longPath, longPath}));
+        this->connect(true).send(requests({"/slow", "/next"}));
         this->context.restart();
         this->context.poll();
     }
@@ -175,15 +180,24 @@
         const auto &counters = this->state.counters;
         return counters.answered + counters.refused + counters.failed == 2 * SLOW_CALLERS;
     }));
+    EXPECT_EQ(this->state.counters.answered, 2 * SLOW_CALLERS);
     std::ranges::for_each(this->callers, [this](const auto &caller) {
         EXPECT_TRUE(this->letRead(*caller, FIRST_BYTES));
     });
+    const auto expectHeld = [this] {
+        EXPECT_GE(this->state.bodyBudget.held, SLOW_CALLERS * BODY_BYTES);
+        EXPECT_GE(this->state.requestsInFlight, 2 * SLOW_CALLERS);
+    };
+    expectHeld();
     auto &normal = this->connect();
     normal.startReading();
+    const auto sent = Core::Clock::now();
     normal.send(requests({"/a", "/b", "/c"}));
     EXPECT_TRUE(this->runUntil([&] {
         return normal.hasInOrder({"body of /a", "body of /b", "body of /c"});
     })) << normal.text();
+    EXPECT_LE(Core::Clock::now() - sent, 500ms);
+    expectHeld();
     EXPECT_EQ(this->state.counters.callersCut, 0U);
     EXPECT_EQ(this->state.callerConnections, SLOW_CALLERS + 1);
 }
