--- a/Tests/LibCallers/TestPipeline.cpp
+++ b/Tests/LibCallers/TestPipeline.cpp
@@ -30,18 +30,6 @@
 }
 
 } // namespace
-TEST(Pipeline, closingFreesNothingOfRunningRequests)
-{
-    Pipeline pipeline;
-    for (const auto stage : {RequestStage::Ready, RequestStage::Running, RequestStage::Waiting}) {
-        const auto id = append(pipeline, {.bytes = 10});
-        find(pipeline, id)->stage = stage;
-    }
-    EXPECT_EQ(heldBytes(pipeline), 30U);
-    EXPECT_EQ(bytesFreedByClosing(pipeline), 20U);
-}
-
-// namespace
 
 // A request that runs at most once ran beside an earlier one, whose failure the caller could not have seen.
 TEST(Pipeline, atMostOnceRequestRunsAlone)
@@ -133,4 +121,16 @@
     }
 }
 
+// A connection was closed for memory that its running requests kept.
+TEST(Pipeline, closingFreesNothingOfRunningRequests)
+{
+    Pipeline pipeline;
+    for (const auto stage : {RequestStage::Ready, RequestStage::Running, RequestStage::Waiting}) {
+        const auto id = append(pipeline, {.bytes = 10});
+        find(pipeline, id)->stage = stage;
+    }
+    EXPECT_EQ(heldBytes(pipeline), 30U);
+    EXPECT_EQ(bytesFreedByClosing(pipeline), 20U);
+}
+
 } // namespace Briarbend::Callers
