--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -43,6 +43,8 @@
     , changed(this->socket.get_executor())
     , phaseSince(Core::Clock::now())
     , lastProgress(this->phaseSince)
+    , lastTaken(this->phaseSince)
+    , readingHold(gatewayState.bodyBudget)
 {
 }
 
@@ -187,7 +189,7 @@
         const bool closes = self->pipeline.requests.front().closesConnection;
         self->exchanges.erase(self->pipeline.requests.front().id);
         Callers::removeFirst(self->pipeline);
-        self->phaseSince = std::max(self->phaseSince, self->lastProgress);
+        self->phaseSince = std::max(self->phaseSince, self->lastTaken);
         if (closes) {
             self->isReadingOver = true;
             self->abandonAll();
@@ -206,11 +208,11 @@
 {
     Http::response_serializer<Http::string_body> serializer(response);
     boost::system::error_code error;
-    this->lastProgress = Core::Clock::now();
+    this->lastTaken = Core::Clock::now();
     while (!error && !serializer.is_done()) {
         const auto length = co_await Http::async_write_some(this->socket, serializer, Asio::redirect_error(Asio::use_awaitable, error));
         this->writtenBytes += length;
-        this->lastProgress = Core::Clock::now();
+        this->lastTaken = Core::Clock::now();
     }
     co_return !error && !this->isCut;
 }
@@ -306,7 +308,7 @@
     const auto acknowledged = this->writtenBytes - unacknowledged;
     if (acknowledged > this->acknowledgedBytes) {
         this->acknowledgedBytes = acknowledged;
-        this->lastProgress = now;
+        this->lastTaken = now;
     }
 }
 
@@ -318,7 +320,7 @@
     if (this->isWriting) {
         this->noteAcknowledged(now);
     }
-    if (this->isWriting && now - this->lastProgress >= WRITE_STALL_TIMEOUT) {
+    if (this->isWriting && now - this->lastTaken >= WRITE_STALL_TIMEOUT) {
         this->cut("no_progress", now);
         return;
     }
@@ -337,12 +339,19 @@
 
 void CallerConnection::cut(std::string_view reason, Core::TimePoint now)
 {
+    if (this->canDropHalfReadRequest()) {
+        // The earlier requests may have been sent to a target, and their responses are still wanted.
+        this->freeReadingMemory();
+        this->endReading();
+        return;
+    }
     ++this->state.counters.callersCut;
-    this->state.log.write(Log::Importance::Notable,
-                          "caller_cut",
-                          {{"reason", reason},
-                           {"held_bytes", this->progress().heldBytes},
-                           {"stalled_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - this->lastProgress).count()}});
+    this->state.log.write(
+        Log::Importance::Notable,
+        "caller_cut",
+        {{"reason", reason},
+         {"held_bytes", this->progress().heldBytes},
+         {"stalled_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - this->progress().lastProgress).count()}});
     this->close();
 }
 
@@ -356,14 +365,27 @@
     std::ranges::for_each(this->exchanges, [](const auto &entry) {
         entry.second->result.hold.reset();
     });
+    this->freeReadingMemory();
     this->abandonAll();
 }
 
+void CallerConnection::freeReadingMemory()
+{
+    this->readingHold = Core::ByteHold(this->state.bodyBudget);
+    this->readingBytes = 0;
+}
+
+bool CallerConnection::canDropHalfReadRequest() const
+{
+    return this->phase == ReadPhase::Body && !this->isReadingOver && !this->isWriting && !this->pipeline.requests.empty();
+}
+
 Callers::ConnectionProgress CallerConnection::progress() const
 {
-    return {.heldBytes = Callers::heldBytes(this->pipeline) + this->readingBytes,
-            .lastProgress = this->lastProgress,
-            .isWaitingForCaller = !this->isCut && (this->isWriting || this->phase == ReadPhase::Body)};
+    const auto answerBytes = this->canDropHalfReadRequest() ? 0 : Callers::bytesFreedByClosing(this->pipeline);
+    return {.heldBytes = answerBytes + this->readingBytes,
+            .lastProgress = this->isWriting ? this->lastTaken : this->lastProgress,
+            .isWaitingForCaller = !this->isCut && (this->isWriting || (this->phase == ReadPhase::Body && !this->isReadingOver))};
 }
 
 } // namespace Briarbend::Gateway
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -46,7 +46,7 @@
     static boost::asio::awaitable<void> serveKeepingAlive(std::shared_ptr<CallerConnection> self);
     /// Detects a caller that has gone or makes no progress, and a planned stop. Called several times a second.
     void check(Core::TimePoint now);
-    /// Closes the connection and gives back the memory of its responses.
+    /// Gives back memory: drops a half-read request behind unanswered ones, or closes the connection if there is none.
     void cut(std::string_view reason, Core::TimePoint now);
     /// Closes the connection. Its running requests end as if the caller had gone.
     void close();
@@ -81,7 +81,7 @@
     boost::asio::awaitable<bool> waitForRequest();
     /// Reads one request whose first byte has arrived. Returns whether another may follow.
     boost::asio::awaitable<bool> readRequest();
-    boost::asio::awaitable<boost::system::error_code> readMessage(RequestParser &parser, Core::ByteHold &hold);
+    boost::asio::awaitable<boost::system::error_code> readMessage(RequestParser &parser);
     /// Sends 100 (Continue) once all earlier requests are answered, unless the request is no longer wanted.
     boost::asio::awaitable<void> sendContinue();
     boost::asio::awaitable<void> waitUntilAnswered();
@@ -104,6 +104,9 @@
     void abandonAll();
     /// A request did not arrive whole in time, or nothing arrived.
     void endReading();
+    /// A request is half read, earlier ones are unanswered, and no response is being written.
+    bool canDropHalfReadRequest() const;
+    void freeReadingMemory();
     bool mayRead() const;
     Callers::PipelineBounds bounds() const;
     void enter(ReadPhase next);
@@ -119,8 +122,12 @@
     std::map<Callers::RequestId, std::shared_ptr<Exchange>> exchanges;
     ReadPhase phase{ReadPhase::Idle};
     Core::TimePoint phaseSince;
+    /// Last time that a read brought bytes of a request.
     Core::TimePoint lastProgress;
+    /// Last time that the caller took bytes of a response, or that one was begun.
+    Core::TimePoint lastTaken;
     /// Memory of the request that is being read.
+    Core::ByteHold readingHold;
     std::uint64_t readingBytes{0};
     std::uint64_t writtenBytes{0};
     std::uint64_t acknowledgedBytes{0};
