LibTenants, LibGateway: One rule for the names of tenants

A configuration could name a tenant that collectors of usage refuse (longer than 128 bytes), and with it all counts of an instance. The decoder of configurations and that of usage messages use the same function now.

--- a/Libraries/LibGateway/UsageMessage.cpp
+++ b/Libraries/LibGateway/UsageMessage.cpp
@@ -1,6 +1,8 @@
 #include <LibCore/BoundedJson.h>
 #include <LibGateway/UsageMessage.h>
 
+#include <LibTenants/TenantTable.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -19,7 +21,6 @@
     Holder,
 };
 
-constexpr std::size_t MAXIMUM_TENANT_LENGTH = 128;
 /// Far above what an instance can count in a window. Keeps the sum over all instances from overflowing.
 constexpr std::uint64_t MAXIMUM_COUNT = 1'000'000'000;
 /// Leaves room for the steps to greater tokens.
@@ -45,11 +46,8 @@
 std::string decodeTenant(const Json &value)
 {
     auto name = value.get<std::string>();
-    const bool isPrintable = std::ranges::all_of(name, [](char character) {
-        return character >= ' ' && character <= '~';
-    });
-    if (name.empty() || name.size() > MAXIMUM_TENANT_LENGTH || !isPrintable) {
-        throw std::invalid_argument("invalid name of a tenant");
+    if (!Tenants::isValidName(name)) {
+        throw std::invalid_argument("not a tenant's name");
     }
     return name;
 }
--- a/Libraries/LibTenants/TenantTable.cpp
+++ b/Libraries/LibTenants/TenantTable.cpp
@@ -50,7 +50,7 @@
     const bool isPrintable = std::ranges::all_of(name, [](char character) {
         return character >= ' ' && character <= '~';
     });
-    return isPrintable && !name.empty() && name.front() != ' ' && name.back() != ' ';
+    return isPrintable && !name.empty() && name.size() <= MAXIMUM_NAME_LENGTH && name.front() != ' ' && name.back() != ' ';
 }
 
 Authentication authenticate(const TenantTable &table, bool isPublic, std::string_view key)
--- a/Libraries/LibTenants/TenantTable.h
+++ b/Libraries/LibTenants/TenantTable.h
@@ -50,7 +50,10 @@
 /// are ordered by name.
 TenantTable makeTable(std::vector<TenantKeys> definitions);
 
-/// Whether the name is not empty and can stand in a header field: printable ASCII without spaces at its ends.
+/// Longest name of a tenant, in bytes. Names travel in header fields and in messages between instances.
+constexpr std::size_t MAXIMUM_NAME_LENGTH = 128;
+
+/// Whether the name is neither empty nor too long and can stand in a header field: printable ASCII without spaces at its ends.
 bool isValidName(std::string_view name);
 
 enum class Verdict {
