Review case 7: machines in touch keep an old configuration while the store refuses the readers

Cause: a member that hears heartbeats of its data centre's watchers never reads the store itself, even if all of them say that the store refuses them.

The script lets the store answer 503 to the six of 19 machines that read it, for 9 s, and changes a route meanwhile. All 13 other machines, which the store would serve, send the route's requests to the old service until the refusal ends: rule CONFIG.

--- a/review/stand-ins-2/world.py
+++ b/review/stand-ins-2/world.py
@@ -110,10 +110,18 @@
         # The kind that each waiting watch is of, by connection.
         self.waiting = {}
         self.port = 0
+        # Machines that are refused with 503 while the others are served, and the last time at which each machine called.
+        self.refused = set()
+        self.called_at = {}
+        self.on_call = None
 
     async def start(self):
-        server = await asyncio.start_server(self.serve, HOST, 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self.port = await self.listen("")
+
+    async def listen(self, machine):
+        """Opens a port for one machine, so that its calls can be told from those of others. All ports lead to the same store."""
+        server = await asyncio.start_server(lambda reader, writer: self.serve(reader, writer, machine), HOST, 0)
+        return server.sockets[0].getsockname()[1]
 
     def put(self, kind, name, spec=None, status=None):
         self.revision += 1
@@ -128,6 +136,13 @@
         self.note(kind, entry, False)
         return entry
 
+    def refuse(self, machine):
+        """Refuses a machine from now on. Its waiting watches are answered likewise."""
+        self.record.line("store", "refuses", machine)
+        self.refused.add(machine)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def remove(self, kind, name):
         entry = self.objects.get(kind, {}).pop(name, None)
         if entry:
@@ -153,12 +168,19 @@
             return None
         return [event for _, number, of, event in self.history if of == kind and number > revision]
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, machine):
         try:
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head[1])
                 method, target, _ = head[0].split(" ", 2)
                 self.calls += 1
+                self.called_at[machine] = time.monotonic()
+                if self.on_call:
+                    self.on_call(machine)
+                if machine in self.refused:
+                    await asyncio.sleep(ANSWER_DELAY_S)
+                    writer.write(message("HTTP/1.1 503 X", {}))
+                    continue
                 if self.trouble == "silent":
                     await self.back.wait()
                 if self.trouble == "busy":
@@ -166,7 +188,7 @@
                 else:
                     if "watch=" in target:
                         self.waiting[writer] = target.split("?")[0].split("/")[3]
-                    status, answer = await self.answer(method, target, body)
+                    status, answer = await self.answer(method, target, body, machine)
                     self.waiting.pop(writer, None)
                 await asyncio.sleep(ANSWER_DELAY_S)
                 text = json.dumps(answer, separators=(",", ":")).encode()
@@ -187,7 +209,7 @@
                 writer.transport.abort()
                 return
 
-    async def answer(self, method, target, body):
+    async def answer(self, method, target, body, machine):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
         parts = [urllib.parse.unquote(part) for part in url.path.split("/")[3:]]
@@ -209,6 +231,8 @@
                     pass
                 if self.trouble == "silent":
                     await self.back.wait()
+                if machine in self.refused:
+                    return 503, {}
         if method == "GET" and len(parts) == 1:
             names = sorted(name for name in objects if name > query.get("after", ""))
             return 200, {"items": [objects[name] for name in names[:500]], "more": len(names) > 500, "storeRevision": self.revision}
@@ -309,7 +333,8 @@
         self.zone = zone
         self.front, self.ready, self.control, self.metrics = free_ports(4)
         self.process = None
-        self.ends = []
+        # A port of the store for this machine alone; zero for the common one.
+        self.store_port = 0
 
     def settings(self, seeds):
         return f"""[instance]
@@ -323,7 +348,7 @@
 link_megabits = 1000.0
 contracts = ["base","drain","config","cost","retry","recover","health","places","rollout","platform"]
 [store]
-endpoint = "{HOST}:{self.world.store_address()}"
+endpoint = "{HOST}:{self.store_port or self.world.store.port}"
 history = {HISTORY_S}
 [peers]
 seeds = [{",".join(f'"{seed}"' for seed in seeds)}]
@@ -427,14 +452,11 @@
     def __init__(self, folder_of_case):
         self.record = Record(os.path.join(folder_of_case, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="review-2-")
+        # The servers that ran each attempt.
         self.runs = {}
         self.store = Store(self.record)
         self.servers = []
         self.gateways = []
-        self.proxy_port = None
-
-    def store_address(self):
-        return self.proxy_port or self.store.port
 
     def configuration(self, version, routes, services, idle_routes=8):
         table = {
@@ -456,8 +478,10 @@
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
         }
 
-    def start_gateways(self, count, zones):
+    async def start_gateways(self, count, zones, own_store_ports=False):
         self.gateways = [Gateway(self, f"front-{zones[n % len(zones)]}-{n}", zones[n % len(zones)]) for n in range(count)]
+        for gateway in self.gateways:
+            gateway.store_port = await self.store.listen(gateway.name) if own_store_ports else 0
         seeds = [f"{HOST}:{gateway.control}" for gateway in self.gateways[:3]]
         for gateway in self.gateways:
             gateway.start(seeds)
