--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,7 +5,7 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "stand-ins-2"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "6"))
 from world import Client, Server, main  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -49,6 +49,7 @@
     await asyncio.sleep(CHANGE_AFTER_S)
     write_configuration(11, "hall")
     acknowledged = time.monotonic()
+    world.record.line("store", "has acknowledged version 11; the rule binds all but", sorted(store.refused))
 
     stale = []
 
