LibNetwork: A closed connection lives until its operations have ended

An instance that woke from a freeze ended by SIGSEGV or SIGABRT, and all its callers' connections were cut, also those of requests at which a target was at work.

Cause: HttpClient::close() destroyed the stream while a coroutine was reading from it; StoreClient::dropConnections() closes the clients of calls in progress after a freeze and when the store responds again. A step of the read that was already queued then used the freed stream. Besides, the call's end closed whatever connection the client had by then.

HttpClient.closesItsConnectionDuringAnExchangeAndOpensAnother failed on the code before ("the connection was closed", then the test hung).

Change: the client and each operation share ownership of the connection. Closing cancels the operations, which report operation_aborted and leave a newer connection alone.

--- a/Libraries/LibNetwork/HttpClient.h
+++ b/Libraries/LibNetwork/HttpClient.h
@@ -6,7 +6,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <optional>
+#include <memory>
 
 namespace Briarbend::Network
 {
@@ -26,17 +26,32 @@
     boost::asio::awaitable<void> connect(Core::Duration timeout);
     /// True where the connection is open and the server has neither closed it nor sent anything unasked. Only between exchanges.
     bool isConnected();
-    /// Closes the connection; a pending exchange fails with operation_aborted.
+    /// Closes the connection; a pending exchange fails with operation_aborted, and a new one may begin at once.
     void close();
     const Endpoint &endpoint() const;
 
 private:
-    boost::asio::awaitable<Response> exchangeOnce(Request &request);
+    /// What the operations of one connection use. They share its ownership, since they end only after the connection was closed.
+    struct Connection {
+        explicit Connection(const boost::asio::any_io_executor &executor)
+            : stream(executor)
+        {
+        }
+
+        boost::beast::tcp_stream stream;
+        boost::beast::flat_buffer buffer{MAXIMUM_UNREAD_BYTES};
+    };
+
+    using ConnectionPointer = std::shared_ptr<Connection>;
+
+    static boost::asio::awaitable<Response> exchangeOnce(ConnectionPointer used, Request &request);
+    /// Closes a connection on which an operation failed. Throws operation_aborted if the operation failed because it had been closed.
+    void closeAfterFailure(const ConnectionPointer &failed);
 
     boost::asio::any_io_executor executor;
     Endpoint remote;
-    std::optional<boost::beast::tcp_stream> stream;
-    boost::beast::flat_buffer buffer{MAXIMUM_UNREAD_BYTES};
+    /// Null where there is no connection.
+    ConnectionPointer connection;
 };
 
 } // namespace Briarbend::Network
--- a/Tests/LibNetwork/TestHttp.cpp
+++ b/Tests/LibNetwork/TestHttp.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -107,6 +109,57 @@
     EXPECT_TRUE(isDone);
 }
 
+// Guards against review/6: closing a connection whose exchange was in progress destroyed the stream that the exchange went on to use, and
+// the end of that exchange closed the connection of the next one.
+TEST(HttpClient, closesItsConnectionDuringAnExchangeAndOpensAnother)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    HttpClient client(context.get_executor(), {"127.0.0.1", acceptor.local_endpoint().port()});
+    const auto exchange = [&client] {
+        return client.exchange(makeRequest(Http::verb::get, "/", "test"), std::chrono::seconds(5));
+    };
+    std::size_t aborted = 0;
+    std::size_t served = 0;
+    const auto runInterrupted = [&]() -> boost::asio::awaitable<void> {
+        try {
+            co_await exchange();
+            ADD_FAILURE() << "the connection was closed";
+        } catch (const boost::system::system_error &error) {
+            EXPECT_EQ(error.code(), boost::asio::error::operation_aborted);
+            ++aborted;
+        }
+    };
+    constexpr std::size_t ROUNDS = 20;
+    const auto run = [&]() -> boost::asio::awaitable<void> {
+        for (std::size_t round = 0; round < ROUNDS; ++round) {
+            boost::asio::co_spawn(context, runInterrupted(), boost::asio::detached);
+            auto interrupted = co_await acceptor.async_accept(boost::asio::use_awaitable);
+            // Some bytes of a response are there to be read when the connection is closed.
+            co_await boost::asio::async_write(interrupted, boost::asio::buffer(std::string_view("HTTP/1.1 2")), boost::asio::use_awaitable);
+            boost::asio::co_spawn(
+                context,
+                [&]() -> boost::asio::awaitable<void> {
+                    client.close();
+                    served += (co_await exchange()).result_int() == 204 ? 1 : 0;
+                    client.close();
+                },
+                boost::asio::detached);
+            auto next = co_await acceptor.async_accept(boost::asio::use_awaitable);
+            co_await boost::asio::async_write(
+                next, boost::asio::buffer(std::string_view("HTTP/1.1 204 X\r\n\r\n")), boost::asio::use_awaitable);
+            std::string rest;
+            boost::system::error_code ignored;
+            co_await boost::asio::async_read(
+                next, boost::asio::dynamic_buffer(rest), boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        }
+    };
+    boost::asio::co_spawn(context, run(), boost::asio::detached);
+    context.run_for(std::chrono::seconds(10));
+    EXPECT_EQ(aborted, ROUNDS);
+    EXPECT_EQ(served, ROUNDS);
+}
+
 TEST(QueryParameter, findsAParameterByItsWholeName)
 {
     EXPECT_EQ(queryParameter("/objects?prefix=a&wait=20", "wait"), "20");
