--- a/Libraries/LibGateway/ChangeDisseminator.cpp
+++ b/Libraries/LibGateway/ChangeDisseminator.cpp
@@ -164,9 +164,9 @@
 void ChangeDisseminator::recordStoreAvailability(bool isAvailable)
 {
     const auto now = this->timers.now();
-    const bool wasReading = this->reads(now);
+    const bool wasReading = this->readsForDataCentre(now);
     (isAvailable ? recordOwnResponse : recordOwnFailure)(this->election, now);
-    const bool isReading = this->reads(now);
+    const bool isReading = this->readsForDataCentre(now);
     // The others wait for this instance only as long as they know that the store responds to it.
     if (wasReading != isReading || (isReading && now - this->lastHeartbeatAt >= MINIMUM_HEARTBEAT_GAP)) {
         this->sendHeartbeat(now);
@@ -189,7 +189,7 @@
     return isReader(this->election, this->timers.now());
 }
 
-bool ChangeDisseminator::reads(Core::TimePoint now) const
+bool ChangeDisseminator::readsForDataCentre(Core::TimePoint now) const
 {
     return isReader(this->election, now) && isReading(this->election, now);
 }
@@ -334,7 +334,7 @@
 void ChangeDisseminator::sendHeartbeat(Core::TimePoint now)
 {
     this->lastHeartbeatAt = now;
-    const bool isReading = this->reads(now);
+    const bool isReading = this->readsForDataCentre(now);
     if (isReading) {
         this->storeLastRespondedAt = std::max(this->storeLastRespondedAt, this->election.own->lastResponseAt);
     }
--- a/Libraries/LibGateway/ChangeDisseminator.h
+++ b/Libraries/LibGateway/ChangeDisseminator.h
@@ -69,7 +69,7 @@
     void handleHeartbeat(const WatcherHeartbeat &heartbeat);
     void recordReader(const WatcherHeartbeat &heartbeat, Core::TimePoint respondedAt, Core::TimePoint now);
     /// Whether this instance is a reader of its data centre to which the store responds.
-    bool reads(Core::TimePoint now) const;
+    bool readsForDataCentre(Core::TimePoint now) const;
     void respond(const SnapshotRequest &request);
     void requestMissingKinds();
     void requestSnapshots(const std::string &peer, std::vector<ObjectKind> kinds);
