LibGateway: A refusal to HEAD ends with its head

After a refused HEAD on a kept connection, the next response began with the refusal's JSON body.

Cause: makeRefusal sets a body for every method, and CallerFrontend::answer wrote it; only responses of targets were treated apart.

Evidence: CallerFrontendTest.refusalToHeadEndsWithItsHead failed on the code before; its text shows the body of the 404 in front of the next response.

Change: CallerFrontend::answer, which every response passes, removes the body of what answers HEAD and leaves the fields (RFC 9110, 9.3.2).

--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -288,6 +288,10 @@
     if (context->forwardedBy.empty()) {
         result.response.erase(OWN_ANSWER_FIELD);
     }
+    if (context->head.method() == Network::Http::verb::head) {
+        // The fields describe the body that a GET would get (RFC 9110, 9.3.2).
+        result.response.body().clear();
+    }
     countResult(this->state, result);
     if (context->route != nullptr && !result.isCallerGone) {
         this->state.routes[context->route->name].latency.add(context->elapsed());
--- a/Tests/LibGateway/TestCallerPipelining.cpp
+++ b/Tests/LibGateway/TestCallerPipelining.cpp
@@ -37,6 +37,21 @@
     }));
 }
 
+// Guards against review/3: a refusal to HEAD had a body, which the caller took for the beginning of its next response (RFC 9110, 9.3.2).
+TEST_F(CallerFrontendTest, refusalToHeadEndsWithItsHead)
+{
+    auto &caller = this->connect();
+    caller.startReading();
+    const std::string unknownHost = " / HTTP/1.1\r\nHost: unknown.example\r\nAttempt-Id: refused\r\n\r\n";
+    caller.send("HEAD" + unknownHost + request("/next") + "GET" + unknownHost);
+    EXPECT_TRUE(this->runUntil([&] {
+        return caller.hasInOrder({"HTTP/1.1 404", "\r\n\r\nHTTP/1.1 200", "body of /next", "HTTP/1.1 404", "no-route"});
+    })) << caller.text();
+    const auto bodyOfGet = caller.text().substr(caller.text().rfind("\r\n\r\n") + 4);
+    EXPECT_TRUE(caller.hasInOrder({"Content-Length: " + std::to_string(bodyOfGet.size()), "\r\n\r\nHTTP/1.1 200"}))
+        << "as a GET would be told: " << caller.text();
+}
+
 // A request that runs at most once was sent before the caller could know how the one before it ended.
 TEST_F(CallerFrontendTest, atMostOnceRequestRunsAlone)
 {
