--- a/Libraries/LibGateway/ChangeDisseminator.cpp
+++ b/Libraries/LibGateway/ChangeDisseminator.cpp
@@ -56,6 +56,7 @@
     return readers;
 }
 
+/// The watchers of a data centre, of its candidates in order of preference.
 auto watchersAmong(const auto &candidates)
 {
     return candidates | std::views::take(WATCHERS_PER_DATA_CENTRE);
@@ -284,8 +285,9 @@
     const bool isNew = news.changes.revision > this->latest[indexOf(news.kind)];
     this->recordLatestRevision(news.kind, news.changes.revision);
     if (news.sourceDataCentre == this->ownDataCentre()) {
-        // Large changes delay the heartbeats that are sent after them.
-        recordReportedResponse(this->election, {}, this->timers.now(), this->timers.now());
+        // Large changes delay the heartbeats that are sent after them. They do not say who sent them.
+        const auto now = this->timers.now();
+        recordReportedResponse(this->election, std::string{}, now, now);
     }
     this->callbacks.onChanges(news.kind, news.previous, news.changes, peer);
     const bool hasContentToForward = news.kind == ObjectKind::RoutingConfiguration || !news.changes.changes.empty();
--- a/Libraries/LibGateway/ReaderElection.h
+++ b/Libraries/LibGateway/ReaderElection.h
@@ -36,7 +36,7 @@
     std::size_t rank{0};
     std::optional<Reading> own;
     std::optional<Core::TimePoint> ownFailureAt;
-    /// Readings that others report, by peer address.
+    /// Readings that others report, by peer address; under an empty address those of whom no address is known.
     std::map<std::string, Reading> reported;
     /// From when on nobody is known to read, unless another response is reported.
     Core::TimePoint unreadSince;
