--- a/review/12/play.py
+++ b/review/12/play.py
@@ -52,7 +52,7 @@
         async def one():
             instance = random.choice([instance for instance in world.instances if instance.alive])
             attempt = world3.attempt_id()
-            result = await world3.request("127.0.0.1", instance.front, "GET", f"/p/{attempt}",
+            result = await world3.request(world3.ADDRESS, instance.front, "GET", f"/p/{attempt}",
                                           {"Host": HOST, "Attempt-Id": attempt, "Deadline-Remaining": "4000"}, timeout=4.0)
             results.append((attempt, instance.name, result))
 
--- a/review/world3.py
+++ b/review/world3.py
@@ -19,14 +19,17 @@
 REASONS = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict", 410: "Gone", 421: "Misdirected Request", 500: "Internal Server Error",
            503: "Service Unavailable"}
 
+# A loopback address of this run: ports that are free there stay free, as outgoing connections take theirs at 127.0.0.1.
+ADDRESS = f"127.{random.randrange(16, 250)}.{random.randrange(1, 250)}.{random.randrange(1, 250)}"
+
 _reserved = []
 
 
-def free_port(address="127.0.0.1"):
+def free_port():
     """A port that nothing listens on. It stays bound until release_ports, so that two calls never give the same one."""
     holder = socket.socket()
     holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    holder.bind((address, 0))
+    holder.bind((ADDRESS, 0))
     _reserved.append(holder)
     return holder.getsockname()[1]
 
@@ -82,11 +85,11 @@
         self.calls = 0
 
     async def start(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, limit=1 << 22)
+        self.server = await asyncio.start_server(self._serve, ADDRESS, self.port, limit=1 << 22)
 
     @property
     def address(self):
-        return f"127.0.0.1:{self.port}"
+        return f"{ADDRESS}:{self.port}"
 
     def _note(self, kind, item, removed):
         self.history.append((self.revision, kind, {"object": json.loads(json.dumps(item)), "removed": removed}))
@@ -204,12 +207,12 @@
         self.born = int(time.time() * 1000)
         self.running = self.waiting = 0
         self.free = asyncio.Semaphore(self.slots)
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self._serve, ADDRESS, self.port)
         self.register()
 
     def register(self):
         self.store.put("servers", self.name, {
-            "address": f"127.0.0.1:{self.port}", "born": self.born,
+            "address": f"{ADDRESS}:{self.port}", "born": self.born,
             "info": {"service": self.service, "zone": self.zone, "version": self.version, "slots": self.slots},
             "status": {"state": self.state, "seq": 1, "coldLeftS": 0}})
 
@@ -280,15 +283,15 @@
         self.started = 0.0
 
     def write_settings(self):
-        seeds = ",".join(f'"127.0.0.1:{seed.control}"' for seed in self.seeds)
+        seeds = ",".join(f'"{ADDRESS}:{seed.control}"' for seed in self.seeds)
         with open(self.settings, "w", encoding="utf-8") as text:
             text.write(f'''[instance]
 name = "{self.name}"
 data_centre = "{self.zone}"
-caller_address = "127.0.0.1:{self.front}"
-ready_address = "127.0.0.1:{self.ready}"
-peer_address = "127.0.0.1:{self.control}"
-metrics_address = "127.0.0.1:{self.metrics}"
+caller_address = "{ADDRESS}:{self.front}"
+ready_address = "{ADDRESS}:{self.ready}"
+peer_address = "{ADDRESS}:{self.control}"
+metrics_address = "{ADDRESS}:{self.metrics}"
 maximum_descriptors = 4100
 link_megabits = 1000.0
 contracts = ["base","drain","config","cost","retry","recover","health","places","rollout","platform"]
@@ -331,7 +334,7 @@
         return self.process is not None and self.process.poll() is None
 
     async def is_ready(self):
-        result = await request("127.0.0.1", self.ready, "GET", "/health/ready", {"Host": "ready"}, timeout=1)
+        result = await request(ADDRESS, self.ready, "GET", "/health/ready", {"Host": "ready"}, timeout=1)
         return result["status"] == 200
 
 
