--- a/review/14/play.py
+++ b/review/14/play.py
@@ -34,17 +34,12 @@
     waiting = set()
     incarnations = iter(range(1000))
 
-    async def bring_back(server):
-        await asyncio.sleep(BACK_S)
-        world.store.remove("servers", server.name)
-        server.name = f"i-{server.zone}-{next(incarnations)}"
-        await server.start()
-
     def work(server, run):
         if run["path"].endswith("/poison"):
             crashes.append(run)
             world.note(f"run {run['attempt']} crashes {server.name}")
-            task = asyncio.create_task(bring_back(server))
+            name = f"i-{server.zone}-{next(incarnations)}"
+            task = asyncio.create_task(world3.replace_crashed(world, server, name, BACK_S))
             waiting.add(task)
             task.add_done_callback(waiting.discard)
             return "crash"
@@ -118,12 +113,17 @@
     if third is not None:
         counted = sorted({run["attempt"] for run in crashes
                           if sent[run["attempt"]][0] > third + STABLE_WINDOW_S and sent[run["attempt"]][2]})
+    for attempt in counted:
+        run = next(run for run in crashes if run["attempt"] == attempt)
+        world.note(f"COUNTED {attempt} sent {sent[attempt][0] - third:.3f} s after the third crash through {sent[attempt][1]}, which was in touch, "
+                   f"run at {run['server']}")
     ok = sum(result["status"] == 200 for result in answered.values())
     world.note(f"{len(sent)} requests, {ok} answered with success; {len(crashes)} servers crashed; later than {STABLE_WINDOW_S} s after the "
                f"third crash {len(counted)} retries reached servers ({RETRIES} allowed)")
     for attempt, (at, instance, _) in sent.items():
         result = answered.get(attempt, {"status": None, "failure": "no result"})
-        world.lines.append(f"{at - world.begin:9.3f} sent {attempt} to {instance}: {result['status']} {result['failure']}")
+        world.lines.append(f"{at - world.begin:9.3f} sent {attempt} to {instance}: {result['status']} {result['failure']}"
+                           f" at {(result.get('end') or 0) - world.begin:.3f}")
     for server in world.servers:
         for run in server.runs:
             world.lines.append(f"{run['begin'] - world.begin:9.3f} run {run['attempt']} at {run['server']} {run['path']}")
