LibGateway: records that instances share in the store have one interface

Cause: the store keeps one record of the instances' own, that of the duty of usage reports, and its client in platform/ knew what stands in it.

Change: RecordStore reads a record and writes it conditionally, as JSON text; platform/ only names the objects. The fields of the duty's record moved to LibGateway/DutyRecordStore. What is on the wire is the same: kind, name and fields. The tests of the duty ask the same of DutyRecordStore on top of the client; none of their checks is less strict.

Ruled out: one pair of calls for each record. platform/ would have to know the fields of all of them.

--- a/Libraries/LibGateway/PlatformStore.h
+++ b/Libraries/LibGateway/PlatformStore.h
@@ -2,7 +2,7 @@
 
 #include <LibFleet/Directory.h>
 #include <LibFleet/RoutingConfiguration.h>
-#include <LibGateway/Revision.h>
+#include <LibGateway/RecordStore.h>
 
 #include <array>
 #include <boost/asio/awaitable.hpp>
@@ -142,19 +142,10 @@
 struct HistoryGone {
 };
 
-/// No usable response. A write may have been applied nevertheless.
-struct StoreFailure {
-    std::string reason;
-};
-
 /// The object's revision differs from the one given, or the store was restored meanwhile.
 struct RevisionConflict {
 };
 
-struct Written {
-    Revision revision{};
-};
-
 enum class Freshness {
     /// Reflects every change that was acknowledged before the call.
     Linearizable,
@@ -167,11 +158,9 @@
 using WriteResult = std::variant<Written, RevisionConflict, StoreFailure>;
 
 /// Interface to the platform's store. Failures are returned as results.
-class PlatformStore
+class PlatformStore : public RecordStore
 {
 public:
-    virtual ~PlatformStore() = default;
-
     virtual boost::asio::awaitable<ListResult> list(ObjectKind kind, Freshness freshness) = 0;
     /// Returns as soon as there is a change after the revision, at the latest after the wait.
     virtual boost::asio::awaitable<WatchResult> watch(ObjectKind kind, Revision after, std::chrono::milliseconds wait, Freshness freshness)
--- a/Tests/platform/TestUsageClient.cpp
+++ b/Tests/platform/TestUsageClient.cpp
@@ -1,7 +1,9 @@
+#include <LibCore/BoundedJson.h>
+#include <LibGateway/DutyRecordStore.h>
 #include <LibNetwork/HttpServer.h>
-#include <platform/DutyCodec.h>
 #include <platform/StoreClient.h>
 #include <platform/UsageClient.h>
+#include <platform/UsageCodec.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
@@ -58,6 +60,7 @@
                                    return this->handle(std::move(received));
                                }};
     StoreClient store{this->context.get_executor(), this->server.endpoint()};
+    Gateway::DutyRecordStore duties{this->store};
     UsageClient usage{this->context.get_executor(), this->server.endpoint()};
 };
 
@@ -65,15 +68,15 @@
 TEST_F(DutyClientTest, ReadReturnsRecordOrItsAbsence)
 {
     this->body = STORED;
-    const auto stored = std::get<Duties::StoredRecord>(this->wait(this->store.readDuty()));
+    const auto stored = std::get<Duties::StoredRecord>(this->wait(this->duties.readDuty()));
     EXPECT_EQ(this->request.target(), "/v1/objects/briarbend-duties/usage");
     const Duties::DutyRecord expected{.token = 3, .holder = "b", .process = "b-1", .window = 70, .counts = {{"t", 5}}};
     EXPECT_EQ(stored.record, expected);
     EXPECT_EQ(stored.version, (Duties::RecordVersion{.era = 2, .number = 8}));
     this->body = "{}";
-    EXPECT_TRUE(std::holds_alternative<Duties::NoResponse>(this->wait(this->store.readDuty())));
+    EXPECT_TRUE(std::holds_alternative<Duties::NoResponse>(this->wait(this->duties.readDuty())));
     this->code = status::not_found;
-    EXPECT_TRUE(std::holds_alternative<Duties::RecordAbsent>(this->wait(this->store.readDuty())));
+    EXPECT_TRUE(std::holds_alternative<Duties::RecordAbsent>(this->wait(this->duties.readDuty())));
 }
 
 /// Guards against an unconditional write, which would overwrite the record of another holder.
@@ -81,14 +84,14 @@
 {
     this->body = STORED;
     const Duties::DutyRecord record{.token = 4, .holder = "a", .process = "a-1", .window = 71, .counts = {}};
-    const auto written = this->wait(this->store.writeDuty({.expected = {{.era = 2, .number = 7}}, .record = record}));
+    const auto written = this->wait(this->duties.writeDuty({.expected = {{.era = 2, .number = 7}}, .record = record}));
     EXPECT_EQ(std::get<Duties::RecordWritten>(written).version, (Duties::RecordVersion{.era = 2, .number = 8}));
     EXPECT_EQ(this->request.method(), Network::Http::verb::put);
     EXPECT_NE(this->request.body().find(R"("revision":7)"), std::string::npos);
-    EXPECT_EQ(decodeDuty(this->request.body(), 2).record, record);
+    EXPECT_EQ(Gateway::decodeDutyRecord(Core::findMember(this->request.body(), "spec").value()), record);
 
     this->code = status::conflict;
-    const auto conflict = std::get<Duties::RecordConflict>(this->wait(this->store.writeDuty({.expected = {}, .record = record})));
+    const auto conflict = std::get<Duties::RecordConflict>(this->wait(this->duties.writeDuty({.expected = {}, .record = record})));
     EXPECT_EQ(this->request.method(), Network::Http::verb::post);
     EXPECT_EQ(this->request.target(), "/v1/objects/briarbend-duties");
     ASSERT_TRUE(conflict.current);
@@ -113,8 +116,7 @@
 TEST(DutyCodecTest, BytesThatAreNotUtf8AreReplaced)
 {
     const Duties::Counts counts{{"t\xff", 1}};
-    EXPECT_NO_THROW(encodeDuty(
-        "usage", {.expected = std::nullopt, .record = {.token = 1, .holder = "a", .process = "a-1", .window = 7, .counts = counts}}));
+    EXPECT_NO_THROW(Gateway::encodeDutyRecord({.token = 1, .holder = "a", .process = "a-1", .window = 7, .counts = counts}));
     EXPECT_EQ(encodeUsageReport({.token = 1, .window = 7, .counts = counts}), "{\"counts\":{\"t\xEF\xBF\xBD\":1},\"window\":7}");
 }
 
