LibRollout, LibGateway: a rollout is judged by whoever is alive, not by a majority of all that were

Good versions were rolled back as well.

Cause: both verdicts of a trial, and the confirmation before `completed`, needed Membership::isAmongMajority, in which members that failed count for ten minutes. Shown by the logs of the case: two of the three survivors evaluate for 15 s, 211 evaluations, answers_judged 0.

Change: a fault is judged by what an instance knows. Evaluators use the evidence of those that they reach; every other instance its own, at a significance divided by the number of instances, so that a version is also rolled back while both evaluators are lost and not yet noticed. Approval needs the answers of all that are alive: a majority, or the larger part of those that show in a record of the store whom they reach (Membership::Presence), which tells an ended member from one that cannot be reached. allowedExposure counts members that may be alive elsewhere. rollout_scope logs by whose answers an instance judges.

Why it works: the store's conditional write makes one of two verdicts win, and reaches all that are alive. Two parts never both approve.

Open: instances that restart within a cut, hundreds lost with both evaluators.

--- a/Libraries/LibGateway/RecordStore.h
+++ b/Libraries/LibGateway/RecordStore.h
@@ -14,6 +14,8 @@
 enum class RecordName {
     /// Who reports usage, and what was last reported.
     UsageDuty,
+    /// Which members the parts of a divided fleet reach.
+    FleetPresence,
 };
 
 /// No usable response. A write may have been applied nevertheless, or may still be, seconds later.
--- a/Libraries/LibGateway/RolloutDriver.cpp
+++ b/Libraries/LibGateway/RolloutDriver.cpp
@@ -77,6 +77,7 @@
     : state(gatewayState)
     , store(platformStore)
     , peers(peerLink)
+    , presence(gatewayState, timers, platformStore, peerLink)
 {
     this->peers.onMessage(Channel::Rollout, [this](const std::string &, std::string_view bytes) {
         this->receive(bytes);
@@ -205,7 +206,9 @@
     const std::chrono::duration<double> span = std::max<Core::Duration>(MINIMUM_RATE_WINDOW, Core::Clock::now() - seen.front());
     const std::chrono::duration<double> ramp = rollout.order.ramp;
     // One more than seen, since the mean of the reciprocals of small counts is too large.
-    const auto expected = static_cast<double>(seen.size() + 1) / span.count() * ramp.count() * static_cast<double>(this->state.instances);
+    // Members that are missing may send requests elsewhere.
+    const auto instances = std::max(this->state.instances, Membership::countExpected(this->peers.state().members));
+    const auto expected = static_cast<double>(seen.size() + 1) / span.count() * ramp.count() * static_cast<double>(instances);
     return std::min(MAXIMUM_EXPOSURE, settings.exposedShare + settings.exposedRequests / expected);
 }
 
@@ -222,19 +225,50 @@
         Importance::Notable, "rollout_evaluator", {{"service", rollout.order.service.value}, {"is_evaluator", isEvaluator}});
 }
 
-bool RolloutDriver::hasEvidence(const TrackedRollout &rollout, Core::TimePoint now) const
+Rollout::EvidenceCoverage RolloutDriver::evidenceCoverage(const TrackedRollout &rollout, Core::TimePoint now) const
 {
     const auto evidenceDelay = evidenceInterval(this->state.instances) * MISSING_EVIDENCE_INTERVALS;
-    return rollout.evaluatorSince && now - *rollout.evaluatorSince >= evidenceDelay
-        && Membership::isAmongMajority(this->peers.state().members);
+    if (!rollout.evaluatorSince || now - *rollout.evaluatorSince < evidenceDelay) {
+        return {.scope = Rollout::EvidenceScope::Own, .judges = this->state.instances};
+    }
+    return {.scope = this->presence.mayDecideForAll(now) ? Rollout::EvidenceScope::All : Rollout::EvidenceScope::Reached};
+}
+
+void RolloutDriver::logScope(TrackedRollout &rollout, Rollout::EvidenceScope scope, Core::TimePoint now) const
+{
+    if (std::exchange(rollout.scope, scope) == scope) {
+        return;
+    }
+    const auto &members = this->peers.state().members;
+    this->state.log.write(Importance::Notable,
+                          "rollout_scope",
+                          {{"service", rollout.order.service.value},
+                           {"scope", Rollout::nameOf(scope)},
+                           {"alive", Membership::countAlive(members)},
+                           {"expected", Membership::countExpected(members)},
+                           {"shown_elsewhere", this->presence.countShownElsewhere(now)}});
+}
+
+std::optional<std::size_t> RolloutDriver::bestWriteRank() const
+{
+    std::optional<std::size_t> best;
+    for (const auto &[service, rollout] : this->rollouts) {
+        const auto rank = this->writeRank(rollout);
+        if (rollout.state && rank < rollout.roles.writers.size()) {
+            best = std::min(best.value_or(rank), rank);
+        }
+    }
+    return best;
 }
 
 void RolloutDriver::judgeTrial(TrackedRollout &rollout, Core::TimePoint now)
 {
-    if (const auto status = Rollout::judgeTrial(*rollout.state, this->clock.now(), this->hasEvidence(rollout, now))) {
+    const auto coverage = this->evidenceCoverage(rollout, now);
+    this->logScope(rollout, coverage.scope, now);
+    if (const auto status = Rollout::judgeTrial(*rollout.state, this->clock.now(), coverage)) {
         this->logStatus(rollout, *status);
         // The finish of an unproven rollout is the same to all instances: it needs no message of each to all others.
-        if (rollout.evaluatorSince) {
+        if (rollout.evaluatorSince || status->fault != Rollout::Fault::Unproven) {
             this->broadcastStatus(*status);
         }
     }
@@ -294,6 +328,7 @@
 
 void RolloutDriver::tick(Core::TimePoint now)
 {
+    this->presence.advance(this->bestWriteRank(), now);
     for (auto &[service, rollout] : this->rollouts) {
         if (!isFinal(rollout.order.progress.state)) {
             Coordination::updateRoles(rollout.roles, this->peers.state().members, rollout.order.service);
--- a/Libraries/LibGateway/RolloutDriver.h
+++ b/Libraries/LibGateway/RolloutDriver.h
@@ -3,6 +3,7 @@
 #include <LibCoordination/PeerLink.h>
 #include <LibCoordination/RolloutMessage.h>
 #include <LibCoordination/RolloutRoles.h>
+#include <LibGateway/FleetPresence.h>
 #include <LibGateway/GatewayState.h>
 #include <LibNetwork/WallClock.h>
 #include <LibRollout/Rollout.h>
@@ -43,6 +44,8 @@
         Coordination::RolloutRoles roles;
         /// Since when this instance has been one of the evaluators.
         std::optional<Core::TimePoint> evaluatorSince;
+        /// As last logged.
+        Rollout::EvidenceScope scope{Rollout::EvidenceScope::Own};
         /// When this instance next sends its evidence or its confirmation.
         Core::TimePoint nextReportAt;
         /// Members that have confirmed that they no longer send requests to the old version.
@@ -59,8 +62,11 @@
     /// Fraction of the requests between order and deadline that a bad version may receive.
     double allowedExposure(const TrackedRollout &rollout) const;
     void updateEvaluatorSince(TrackedRollout &rollout, Core::TimePoint now) const;
-    /// Whether this instance has the evidence of the others.
-    bool hasEvidence(const TrackedRollout &rollout, Core::TimePoint now) const;
+    /// Whose evidence this instance has.
+    Rollout::EvidenceCoverage evidenceCoverage(const TrackedRollout &rollout, Core::TimePoint now) const;
+    void logScope(TrackedRollout &rollout, Rollout::EvidenceScope scope, Core::TimePoint now) const;
+    /// Best place of this instance among those that write the state of a rollout that has not ended; nothing if there is none.
+    std::optional<std::size_t> bestWriteRank() const;
     void judgeTrial(TrackedRollout &rollout, Core::TimePoint now);
     void logStatus(const TrackedRollout &rollout, const Rollout::Status &status) const;
     void broadcastStatus(const Rollout::Status &status);
@@ -78,8 +84,8 @@
     /// Whether the store has lost progress of the order.
     static bool isLost(const TrackedRollout &rollout);
     /// The state to write to the store; nothing if the store is up to date.
-    std::optional<RolloutState> stateToWrite(const TrackedRollout &rollout) const;
-    bool isConfirmedByAll(const TrackedRollout &rollout) const;
+    std::optional<RolloutState> stateToWrite(const TrackedRollout &rollout, Core::TimePoint now) const;
+    bool isConfirmedByAll(const TrackedRollout &rollout, Core::TimePoint now) const;
     void writeWhenDue(const std::string &service, TrackedRollout &rollout, Core::TimePoint now);
     boost::asio::awaitable<void> write(std::string service, RolloutProgress progress);
     std::size_t writeRank(const TrackedRollout &rollout) const;
@@ -89,6 +95,7 @@
     PlatformStore &store;
     Coordination::PeerLink &peers;
     Network::SteadyWallClock clock;
+    FleetPresence presence;
     std::map<std::string, TrackedRollout> rollouts;
     std::vector<std::unique_ptr<Core::TimerSubscription>> subscriptions;
     std::size_t nextTurn{0};
--- a/Libraries/LibGateway/RolloutPersistence.cpp
+++ b/Libraries/LibGateway/RolloutPersistence.cpp
@@ -1,6 +1,5 @@
 #include <LibGateway/RolloutDriver.h>
 
-#include <LibMembership/Majority.h>
 #include <LibNetwork/WallClock.h>
 
 #include <algorithm>
@@ -26,7 +25,7 @@
     return rollout.revision.isKnown() && isBehind(rollout.stored, rollout.order.progress);
 }
 
-std::optional<RolloutState> RolloutDriver::stateToWrite(const TrackedRollout &rollout) const
+std::optional<RolloutState> RolloutDriver::stateToWrite(const TrackedRollout &rollout, Core::TimePoint now) const
 {
     const auto known = rollout.order.progress.state;
     if (isLost(rollout)) {
@@ -41,15 +40,14 @@
     if (rollout.state && rollout.state->status.phase == Rollout::Phase::RolledBack) {
         return RolloutState::RolledBack;
     }
-    const bool isDone = rollout.state && rollout.state->status.phase == Rollout::Phase::Done && this->isConfirmedByAll(rollout);
+    const bool isDone = rollout.state && rollout.state->status.phase == Rollout::Phase::Done && this->isConfirmedByAll(rollout, now);
     return isDone ? std::optional(RolloutState::Completed) : std::nullopt;
 }
 
-bool RolloutDriver::isConfirmedByAll(const TrackedRollout &rollout) const
+bool RolloutDriver::isConfirmedByAll(const TrackedRollout &rollout, Core::TimePoint now) const
 {
-    const auto &members = this->peers.state().members;
-    const auto alive = Membership::aliveMembers(members);
-    return Membership::isAmongMajority(members) && std::ranges::all_of(alive, [&rollout](const Core::InstanceId &member) {
+    const auto alive = Membership::aliveMembers(this->peers.state().members);
+    return this->presence.mayDecideForAll(now) && std::ranges::all_of(alive, [&rollout](const Core::InstanceId &member) {
                return rollout.confirmed.contains(member);
            });
 }
@@ -62,7 +60,7 @@
 
 void RolloutDriver::writeWhenDue(const std::string &service, TrackedRollout &rollout, Core::TimePoint now)
 {
-    const auto wanted = this->stateToWrite(rollout);
+    const auto wanted = this->stateToWrite(rollout, now);
     if (!wanted || rollout.isWriting || !rollout.revision.isKnown()) {
         rollout.writeDueSince = wanted ? rollout.writeDueSince : std::nullopt;
         return;
--- a/Libraries/LibMembership/Majority.cpp
+++ b/Libraries/LibMembership/Majority.cpp
@@ -7,12 +7,16 @@
 namespace Briarbend::Membership
 {
 
-bool isAmongMajority(const State &state)
+std::size_t countExpected(const State &state)
 {
-    const auto known = std::ranges::count_if(state.members, [](const auto &entry) {
+    return static_cast<std::size_t>(std::ranges::count_if(state.members, [](const auto &entry) {
         return entry.second.update.state != MemberState::Leaving && !entry.second.isReplaced;
-    });
-    return 2 * countAlive(state) > static_cast<std::size_t>(known);
+    }));
+}
+
+bool isAmongMajority(const State &state)
+{
+    return 2 * countAlive(state) > countExpected(state);
 }
 
 } // namespace Briarbend::Membership
--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -299,20 +299,23 @@
     }
 }
 
-Verdict verdictOf(RolloutState &state, Core::WallTime now)
+Verdict verdictOf(RolloutState &state, Core::WallTime now, EvidenceScope scope)
 {
     countMatureAnswers(state, now);
     auto sum = state.ownEvidence.answers;
     addPending(sum, state, now);
     for (const auto &[member, evidence] : state.peerEvidence) {
-        add(sum, evidence.answers);
+        if (scope != EvidenceScope::Own) {
+            add(sum, evidence.answers);
+        }
     }
-    return judge(sum, state.settings.verdict);
+    // Links of a few instances may be at fault where a target never answers well; those of all instances are not.
+    return judge(sum, state.settings.verdict, scope == EvidenceScope::All ? SilentTargets::Counted : SilentTargets::LeftOut);
 }
 
 } // namespace
 
-std::optional<Status> judgeTrial(RolloutState &state, Core::WallTime now, bool hasEvidence)
+std::optional<Status> judgeTrial(RolloutState &state, Core::WallTime now, const EvidenceCoverage &coverage)
 {
     if (!isJudged(state) || state.status.isProven) {
         return std::nullopt;
@@ -320,19 +323,24 @@
     if (now >= state.rollout.finishBy) {
         return rollBack(state, Fault::Unproven, now);
     }
-    if (!hasEvidence || now < state.nextVerdictAt) {
+    if (now < state.nextVerdictAt) {
         return std::nullopt;
     }
-    state.nextVerdictAt = now + state.settings.verdictInterval;
-    state.verdict = verdictOf(state, now);
+    const bool isOwn = coverage.scope == EvidenceScope::Own;
+    state.nextVerdictAt = now + (isOwn ? state.settings.ownVerdictInterval : state.settings.verdictInterval);
+    state.verdict = verdictOf(state, now, coverage.scope);
     const auto &verdict = state.verdict;
     const auto &settings = state.settings.verdict;
     const auto elapsed = elapsedFraction(state, now);
     const bool isFinal = elapsed >= state.settings.finalVerdictFraction;
-    if (verdict.significance < (isFinal ? settings.finalSignificance : settings.immediateSignificance)) {
+    const auto significance = isFinal ? settings.finalSignificance : settings.immediateSignificance;
+    if (verdict.significance < significance / static_cast<double>(std::max<std::size_t>(1, coverage.judges))) {
         state.status.faultRoute = verdict.route;
         return rollBack(state, verdict.fault, now);
     }
+    if (coverage.scope != EvidenceScope::All) {
+        return std::nullopt;
+    }
     if (isFinal && !verdict.isSufficient) {
         return rollBack(state, Fault::Unproven, now);
     }
--- a/Libraries/LibRollout/Rollout.h
+++ b/Libraries/LibRollout/Rollout.h
@@ -80,6 +80,8 @@
     bool requiresProof{false};
     VerdictSettings verdict;
     std::chrono::milliseconds verdictInterval{250};
+    /// The same for an instance that judges by its own evidence.
+    std::chrono::milliseconds ownVerdictInterval{1000};
     /// Age from which a request counts, answered or not. A slow version would otherwise show its fast answers first.
     std::chrono::milliseconds maturity{1000};
     /// Fraction of the time between start and finish after which a trial is not extended any more.
@@ -132,6 +134,37 @@
     LatencyBucket bucket{0};
 };
 
+/// Whose answers an instance knows when it judges a trial. A fault shows in the answers of a few instances as it does in all; that there is
+/// none shows only in those of all.
+enum class EvidenceScope {
+    /// Its own alone.
+    Own,
+    /// Those of the instances that it reaches. Others may be alive.
+    Reached,
+    /// Those of all instances that are alive.
+    All,
+};
+
+/// The name in logs.
+constexpr const char *nameOf(EvidenceScope scope)
+{
+    switch (scope) {
+    case EvidenceScope::Own:
+        return "own";
+    case EvidenceScope::Reached:
+        return "reached";
+    case EvidenceScope::All:
+        return "all";
+    }
+    return "";
+}
+
+struct EvidenceCoverage {
+    EvidenceScope scope{EvidenceScope::Own};
+    /// Instances that judge by evidence of this scope, each of which may be wrong by chance.
+    std::size_t judges{1};
+};
+
 /// State of one rollout at one instance.
 struct RolloutState {
     RolloutState(Configuration::Rollout configuredRollout, Core::InstanceId instance, Settings rolloutSettings);
@@ -214,11 +247,10 @@
 /// Sum of the responses of both versions over all segments, as of the last call of advanceRollout.
 ResponseCounts totalResponses(const RolloutState &state);
 
-/// Judges the new version by the answers of all instances, if a verdict is due: rolls it back as soon as it is worse, and finds it proven
-/// from the end of the trial on, or rolls it back when the trial can't be extended any more. Without a proof by the rollout's finish every
-/// instance rolls it back. Call regularly; `hasEvidence` tells whether this instance has the other instances' evidence. Returns the status
-/// to push to all peers, if it changed.
-std::optional<Status> judgeTrial(RolloutState &state, Core::WallTime now, bool hasEvidence);
+/// Judges the new version by the answers that are known, if a verdict is due: rolls it back as soon as it is worse. With the answers of all
+/// instances it also finds it proven from the end of the trial on, or rolls it back when the trial can't be extended any more. Without a
+/// proof by the rollout's finish every instance rolls it back. Call regularly. Returns the status to push to all peers, if it changed.
+std::optional<Status> judgeTrial(RolloutState &state, Core::WallTime now, const EvidenceCoverage &coverage);
 
 /// Takes over from a peer's status of the same rollout that the version was rolled back or is proven. Its phase and step follow from the
 /// time. Returns true where this instance's status changed.
--- a/Libraries/LibRollout/Verdict.cpp
+++ b/Libraries/LibRollout/Verdict.cpp
@@ -67,6 +67,11 @@
     return {.events = counts.failures, .trials = counts.answers};
 }
 
+Sample failuresOfAnsweringTarget(const RelativeCounts &counts)
+{
+    return counts.failures < counts.answers ? failuresOf(counts) : Sample{};
+}
+
 /// Answers of warm targets above the bucket.
 Sample slowOnesOf(const RelativeCounts &counts, std::size_t bucket)
 {
@@ -118,10 +123,12 @@
     }
 }
 
-void compareSeries(Verdict &verdict, const Series &series, const std::string &route, const VerdictSettings &settings)
+void compareSeries(
+    Verdict &verdict, const Series &series, const std::string &route, const VerdictSettings &settings, SilentTargets silentTargets)
 {
+    const auto sampleOf = silentTargets == SilentTargets::Counted ? failuresOf : failuresOfAnsweringTarget;
     record(verdict,
-           significanceOf(failuresOf(series.oldVersion), sumWithoutFaultyTargets(series, settings, failuresOf)),
+           significanceOf(failuresOf(series.oldVersion), sumWithoutFaultyTargets(series, settings, sampleOf)),
            Fault::Failures,
            route);
     for (std::size_t bucket = 0; bucket + settings.toleratedBuckets < LATENCY_BUCKETS; ++bucket) {
@@ -172,7 +179,7 @@
     return std::min(1.0, sum);
 }
 
-Verdict judge(const std::map<AnswerGroup, AnswerCounts> &answers, const VerdictSettings &settings)
+Verdict judge(const std::map<AnswerGroup, AnswerCounts> &answers, const VerdictSettings &settings, SilentTargets silentTargets)
 {
     std::map<std::string, LatencyBucket> oldMedians;
     for (const auto &[group, counts] : answers) {
@@ -190,10 +197,10 @@
     }
     Verdict verdict;
     verdict.answers = warmAnswersOf(all);
-    compareSeries(verdict, all, {}, settings);
+    compareSeries(verdict, all, {}, settings, silentTargets);
     if (routes.size() > 1) {
         for (const auto &[route, series] : routes) {
-            compareSeries(verdict, series, route, settings);
+            compareSeries(verdict, series, route, settings, silentTargets);
         }
     }
     const auto relevant = settings.relevantTrafficFraction * static_cast<double>(all.oldVersion.answers);
--- a/Libraries/LibRollout/Verdict.h
+++ b/Libraries/LibRollout/Verdict.h
@@ -28,6 +28,12 @@
     double finalSignificance{0.02};
 };
 
+/// Whether failures of targets that have not answered any request well count.
+enum class SilentTargets {
+    Counted,
+    LeftOut,
+};
+
 /// What the answers of a trial say about the new version.
 struct Verdict {
     /// Answers of warm targets of the new version.
@@ -44,7 +50,9 @@
 /// Compares failures and latencies of both versions exactly (Fisher, "The Logic of Inductive Inference", 1935): over all routes together
 /// and route by route, and latencies at each threshold above the old version's median. A few targets of which most requests go wrong are
 /// left out, since they may be faulty by themselves.
-Verdict judge(const std::map<AnswerGroup, AnswerCounts> &answers, const VerdictSettings &settings);
+Verdict judge(const std::map<AnswerGroup, AnswerCounts> &answers,
+              const VerdictSettings &settings,
+              SilentTargets silentTargets = SilentTargets::Counted);
 
 /// Probability that at least `events` of `sampled` draws without replacement are events, where `totalEvents` of `total` are.
 double tailProbability(std::uint64_t events, std::uint64_t sampled, std::uint64_t totalEvents, std::uint64_t total);
--- a/Meta/check-platform.sh
+++ b/Meta/check-platform.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 names='Attempt-Id|Deadline-Remaining|Expect-Instance|Response-Stamp|Not-Executed|Server-Load|Instance-Id|Cold-Remaining-Ms|Server-Leaving|Server-Limit'
-names+='|trafficSplit|coldLeftS|targetLatencyS|maxAttempts|coldPerS|storeRevision|rampS|v1/objects|BRIARBEND_NODE_FILE|apiKeys|Briarbend-Forwarded-Key|Duty-Holder|Fence-Token|briarbend-duties'
+names+='|trafficSplit|coldLeftS|targetLatencyS|maxAttempts|coldPerS|storeRevision|rampS|v1/objects|BRIARBEND_NODE_FILE|apiKeys|Briarbend-Forwarded-Key|Duty-Holder|Fence-Token|briarbend-duties|briarbend-records'
 most_lines=1500
 
 status=0
--- a/Tests/LibRollout/DeadlineSimulation.cpp
+++ b/Tests/LibRollout/DeadlineSimulation.cpp
@@ -14,7 +14,6 @@
 using namespace std::chrono_literals;
 
 constexpr Core::WallTime START{std::chrono::hours{490'000}};
-constexpr std::size_t INSTANCES = 19;
 constexpr std::size_t EVALUATORS = 2;
 constexpr std::uint32_t SLOTS = 6;
 constexpr double REQUESTS_PER_TARGET = 4.6;
@@ -30,6 +29,11 @@
 /// Evaluators count on the others' evidence from then on.
 constexpr std::int64_t EVIDENCE_DELAY_MILLISECONDS = 1200;
 constexpr std::int64_t RESTART_MILLISECONDS = 1500;
+/// Time until silent members are gone, and from then until their absence from the store counts.
+constexpr std::int64_t DETECTION_MILLISECONDS = 6500;
+constexpr std::int64_t PRESENCE_MILLISECONDS = 4500;
+/// Time until a verdict in the store is known to all.
+constexpr std::int64_t STORE_MILLISECONDS = 500;
 constexpr std::int64_t LATE_FAULT_MILLISECONDS = 4000;
 constexpr std::int64_t ROLLBACK_BOUND_MILLISECONDS = 5000;
 constexpr std::size_t ALLOWED_REQUESTS = 50;
@@ -66,6 +70,12 @@
         this->oldTargets.begin(), static_cast<std::size_t>(this->scenario.slowOldShare * static_cast<double>(targets)), [](Target &target) {
             target.isSlow = true;
         });
+    this->isInFirstPart.resize(this->scenario.instances, !this->scenario.division);
+    for (auto left = this->scenario.division ? this->scenario.division->remaining : 0; left > 0;) {
+        const auto drawn = this->random.below(this->scenario.instances);
+        left -= this->isInFirstPart[drawn] ? 0 : 1;
+        this->isInFirstPart[drawn] = true;
+    }
 }
 
 Core::WallTime DeadlineSimulation::wallNow() const
@@ -82,7 +92,7 @@
     settings.exposure = ExposureSettings{.allowed = allowed};
     ++this->generation;
     this->states.clear();
-    for (std::size_t index = 0; index < INSTANCES; ++index) {
+    for (std::size_t index = 0; index < this->scenario.instances; ++index) {
         const Configuration::Rollout rollout{
             .service = {"pattern"}, .from = {"previous"}, .to = {"v2"}, .start = START, .finishBy = START + finish, .trialShare = allowed};
         this->states.emplace_back(rollout, Core::InstanceId{std::to_string(index)}, settings);
@@ -95,6 +105,81 @@
     return this->now < restart || this->now >= restart + RESTART_MILLISECONDS;
 }
 
+bool DeadlineSimulation::isDivided() const
+{
+    return this->scenario.division && this->now >= this->scenario.division->at.count();
+}
+
+bool DeadlineSimulation::isLost(std::size_t instance) const
+{
+    return this->isDivided() && !this->scenario.division->isPartition && !this->isInFirstPart[instance];
+}
+
+bool DeadlineSimulation::isReached(std::size_t from, std::size_t to) const
+{
+    return !this->isDivided() || this->isInFirstPart[from] == this->isInFirstPart[to];
+}
+
+std::vector<std::size_t> DeadlineSimulation::knownAlive(std::size_t instance) const
+{
+    const bool isNoticed = this->isDivided() && this->now >= this->scenario.division->at.count() + DETECTION_MILLISECONDS;
+    std::vector<std::size_t> alive;
+    for (std::size_t index = 0; index < this->scenario.instances; ++index) {
+        if (!isNoticed || this->isReached(instance, index)) {
+            alive.push_back(index);
+        }
+    }
+    return alive;
+}
+
+std::vector<std::size_t> DeadlineSimulation::evaluatorsKnownTo(std::size_t instance) const
+{
+    auto evaluators = this->knownAlive(instance);
+    evaluators.resize(std::min(evaluators.size(), EVALUATORS));
+    return evaluators;
+}
+
+EvidenceCoverage DeadlineSimulation::coverageOf(std::size_t instance) const
+{
+    const auto alive = this->knownAlive(instance);
+    const auto evaluators = this->evaluatorsKnownTo(instance);
+    const auto noticedAt = this->scenario.division ? this->scenario.division->at.count() + DETECTION_MILLISECONDS : 0;
+    const auto restartedAt
+        = this->scenario.restartAt && this->generation > 1 ? this->scenario.restartAt->count() + RESTART_MILLISECONDS : 0;
+    const auto evaluatorSince = instance < EVALUATORS ? restartedAt : noticedAt;
+    const bool isEvaluator = std::ranges::count(evaluators, instance) > 0;
+    if (!isEvaluator || this->now - evaluatorSince < EVIDENCE_DELAY_MILLISECONDS) {
+        return {.scope = EvidenceScope::Own, .judges = alive.size()};
+    }
+    const auto elsewhere = this->scenario.division && this->scenario.division->isPartition ? this->scenario.instances - alive.size() : 0;
+    const bool isPresenceKnown = this->now >= noticedAt + PRESENCE_MILLISECONDS;
+    const bool mayDecide = 2 * alive.size() > this->scenario.instances || (isPresenceKnown && alive.size() > elsewhere);
+    return {.scope = mayDecide ? EvidenceScope::All : EvidenceScope::Reached};
+}
+
+void DeadlineSimulation::spread(const Status &decision, std::size_t from)
+{
+    for (std::size_t index = 0; index < this->states.size(); ++index) {
+        if (this->isReached(from, index)) {
+            adoptDecision(this->states[index], decision);
+        }
+    }
+    if (decision.phase == Phase::RolledBack && !this->rolledBackAt) {
+        this->rolledBackAt = this->now;
+    }
+}
+
+void DeadlineSimulation::applyStored()
+{
+    const bool isReachable = !this->scenario.division || this->scenario.division->isStoreReachable;
+    if (!isReachable || !this->rolledBackAt || this->now < *this->rolledBackAt + STORE_MILLISECONDS) {
+        return;
+    }
+    std::ranges::for_each(this->states, [this](RolloutState &state) {
+        rollBack(state, Fault::Unproven, this->wallNow());
+    });
+}
+
 bool DeadlineSimulation::isNoisy(Target &target)
 {
     if (this->now >= target.noiseEndsAt) {
@@ -152,7 +237,10 @@
 
 void DeadlineSimulation::sendRequest()
 {
-    const auto instance = this->random.below(INSTANCES);
+    auto instance = this->random.below(this->scenario.instances);
+    while (this->isLost(instance)) {
+        instance = this->random.below(this->scenario.instances);
+    }
     auto &state = this->states[instance];
     const TrafficSegment segment{.route = this->random.unit() < 0.6 ? "/a/" : "/b/", .level = LoadLevel::Low};
     const auto role = chooseVersion(state, segment, this->wallNow(), this->random);
@@ -200,7 +288,7 @@
         if (ended.isBad) {
             this->badAnswers.push_back(this->now);
         }
-        if (ended.generation == this->generation) {
+        if (ended.generation == this->generation && !this->isLost(ended.instance)) {
             observe(this->states[ended.instance], ended.observation, this->wallNow());
         }
     }
@@ -218,35 +306,33 @@
             newNames.push_back(targetName(VersionRole::New, index));
         }
     }
-    const auto runningSince
-        = this->scenario.restartAt && this->generation > 1 ? this->scenario.restartAt->count() + RESTART_MILLISECONDS : 0;
     const bool isEvidenceDue = (this->now / TICK_MILLISECONDS) % EVIDENCE_TICKS == 0;
-    std::vector<Status> decisions;
-    for (std::size_t index = 0; index < INSTANCES; ++index) {
+    for (std::size_t index = 0; index < this->states.size(); ++index) {
+        if (this->isLost(index)) {
+            continue;
+        }
         auto &state = this->states[index];
         state.loadingShare = loadingShareOf(SLOTS, running);
         setTargets(state, oldNames, newNames, this->wallNow());
+        const auto evaluators = this->evaluatorsKnownTo(index);
         if (isEvidenceDue) {
             const auto evidence = nextEvidence(state, this->wallNow());
-            for (std::size_t evaluator = 0; evaluator < EVALUATORS; ++evaluator) {
-                mergeEvidence(this->states[evaluator], state.self, evidence);
+            for (const auto evaluator : evaluators) {
+                if (this->isReached(index, evaluator)) {
+                    mergeEvidence(this->states[evaluator], state.self, evidence);
+                }
             }
         }
-        const bool isEvaluator = index < EVALUATORS;
+        const bool isEvaluator = std::ranges::count(evaluators, index) > 0;
         const auto advanced = isEvaluator || isEvidenceDue ? advanceRollout(state, this->wallNow()) : std::nullopt;
         if (advanced && advanced->phase == Phase::RolledBack) {
-            decisions.push_back(*advanced);
+            this->spread(*advanced, index);
         }
-        const auto decided = judgeTrial(state, this->wallNow(), isEvaluator && this->now - runningSince >= EVIDENCE_DELAY_MILLISECONDS);
-        if (decided) {
-            decisions.push_back(*decided);
+        if (const auto decided = judgeTrial(state, this->wallNow(), this->coverageOf(index))) {
+            this->spread(*decided, index);
         }
     }
-    for (const auto &decision : decisions) {
-        std::ranges::for_each(this->states, [&decision](RolloutState &state) {
-            adoptDecision(state, decision);
-        });
-    }
+    this->applyStored();
 }
 
 DeadlineOutcome DeadlineSimulation::run()
@@ -275,8 +361,10 @@
                 0, static_cast<std::int64_t>(std::llround(-std::log(std::max(1e-12, this->random.unit())) * 1000 / rate)));
         }
     }
-    this->outcome.status = this->states.front().status;
-    this->outcome.answersJudged = this->states.front().verdict.answers;
+    const auto first = std::ranges::find(this->isInFirstPart, true) - this->isInFirstPart.begin();
+    const auto &state = this->states.at(static_cast<std::size_t>(first));
+    this->outcome.status = state.status;
+    this->outcome.answersJudged = state.verdict.answers;
     return this->outcome;
 }
 
--- a/Tests/LibRollout/DeadlineSimulation.h
+++ b/Tests/LibRollout/DeadlineSimulation.h
@@ -21,6 +21,17 @@
 
 const char *nameOf(BadKind kind);
 
+/// From some time on only some instances go on, or two parts of them do without reaching each other.
+struct Division {
+    std::chrono::milliseconds at{0};
+    /// Size of the first part.
+    std::size_t remaining{0};
+    /// The others go on as well.
+    bool isPartition{false};
+    /// A verdict that one part has written to the store reaches the other.
+    bool isStoreReachable{true};
+};
+
 struct DeadlineScenario {
     BadKind kind{BadKind::None};
     /// Portion of the requests that go wrong.
@@ -35,10 +46,12 @@
     std::optional<std::chrono::milliseconds> burstAt{};
     /// Share of the old version's targets that take five times as long.
     double slowOldShare{0};
+    std::size_t instances{19};
+    std::optional<Division> division{};
 };
 
 struct DeadlineOutcome {
-    /// Of the first instance at the deadline.
+    /// Of the first instance that is left at the deadline.
     Status status;
     std::size_t requests{0};
     std::size_t requestsToNew{0};
@@ -51,7 +64,7 @@
 /// More than a tenth of the requests and fifty reached the new version, or any that was sent too late.
 bool isExposed(const DeadlineOutcome &outcome);
 
-/// Simulates nineteen instances that roll out a version by a deadline: as many targets as the traffic needs, of which a quarter is five
+/// Simulates instances that roll out a version by a deadline: as many targets as the traffic needs, of which a quarter is five
 /// times slower for 150 ms at a time; the new ones are cold for three seconds.
 class DeadlineSimulation
 {
@@ -92,6 +105,16 @@
     bool isAffected(const Observation &observation, const Target &target);
     double workMilliseconds();
     bool areInstancesUp() const;
+    bool isDivided() const;
+    /// Whether messages of one instance reach another.
+    bool isReached(std::size_t from, std::size_t to) const;
+    bool isLost(std::size_t instance) const;
+    /// The instances that one takes for alive.
+    std::vector<std::size_t> knownAlive(std::size_t instance) const;
+    std::vector<std::size_t> evaluatorsKnownTo(std::size_t instance) const;
+    EvidenceCoverage coverageOf(std::size_t instance) const;
+    void spread(const Status &decision, std::size_t from);
+    void applyStored();
 
     DeadlineScenario scenario;
     Core::Random random;
@@ -99,6 +122,10 @@
     std::int64_t now{0};
     std::size_t generation{0};
     std::vector<RolloutState> states;
+    /// Whether each instance belongs to the first part.
+    std::vector<bool> isInFirstPart;
+    /// When a verdict was written to the store.
+    std::optional<std::int64_t> rolledBackAt;
     std::vector<Target> oldTargets;
     std::vector<Target> newTargets;
     std::priority_queue<InFlight, std::vector<InFlight>, std::greater<>> inFlight;
--- a/Tests/LibRollout/TestDeadlineRollout.cpp
+++ b/Tests/LibRollout/TestDeadlineRollout.cpp
@@ -12,11 +12,14 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint64_t RUNS = 20;
+/// For each of many scenarios.
+constexpr std::uint64_t RUNS_OF_MANY = 4;
 
-std::size_t countRuns(const DeadlineScenario &scenario, const std::function<bool(const DeadlineOutcome &)> &isCounted)
+std::size_t
+countRuns(const DeadlineScenario &scenario, const std::function<bool(const DeadlineOutcome &)> &isCounted, std::uint64_t runs = RUNS)
 {
     std::size_t count = 0;
-    for (std::uint64_t seed = 0; seed < RUNS; ++seed) {
+    for (std::uint64_t seed = 0; seed < runs; ++seed) {
         count += isCounted(DeadlineSimulation{scenario, seed}.run()) ? 1 : 0;
     }
     return count;
@@ -72,6 +75,74 @@
     }
 }
 
+// Guards against a bad version that nobody takes back once most instances are lost for good: whoever is left waited for the judgement of a
+// majority of all.
+TEST(DeadlineRollout, badVersionIsTakenBackByWhoeverIsLeftAfterMostInstancesAreLost)
+{
+    for (const std::size_t instances : {13U, 19U}) {
+        for (const std::size_t remaining : {1U, 2U, 3U, 6U}) {
+            for (const auto at : {-20s, 1s, 4s, 6s, 8s, 10s}) {
+                for (const auto kind : {BadKind::Errors, BadKind::Slow}) {
+                    const DeadlineScenario scenario{.kind = kind,
+                                                    .portion = 0.4,
+                                                    .timesSlower = 4,
+                                                    .requestsPerSecond = 200,
+                                                    .instances = instances,
+                                                    .division = Division{.at = at, .remaining = remaining}};
+                    EXPECT_EQ(countRuns(scenario, isExposed, RUNS_OF_MANY), 0U)
+                        << nameOf(kind) << ", " << remaining << " of " << instances << " left after " << at.count() << " s";
+                    EXPECT_EQ(countRuns(scenario, isRolledBack, RUNS_OF_MANY), RUNS_OF_MANY)
+                        << nameOf(kind) << ", " << remaining << " of " << instances << " left after " << at.count() << " s";
+                }
+            }
+        }
+    }
+}
+
+// Guards against a good version that can't be completed, and is taken back, because most instances are lost for good.
+TEST(DeadlineRollout, goodVersionIsCompletedByWhoeverIsLeftAfterMostInstancesAreLost)
+{
+    for (const std::size_t instances : {13U, 19U}) {
+        for (const std::size_t remaining : {1U, 2U, 3U, 6U}) {
+            const DeadlineScenario scenario{
+                .requestsPerSecond = 200, .instances = instances, .division = Division{.at = -20s, .remaining = remaining}};
+            EXPECT_GE(countRuns(scenario, isDone), RUNS - 1) << remaining << " of " << instances << " left";
+        }
+    }
+}
+
+// Guards against two parts of a partitioned fleet that together send a bad version more than all may, where either decides alone.
+TEST(DeadlineRollout, partsOfAPartitionedFleetKeepTheExposureTogether)
+{
+    for (const std::size_t smaller : {1U, 6U, 9U}) {
+        for (const auto at : {-20s, 2s, 6s, 9s}) {
+            for (const auto kind : {BadKind::Errors, BadKind::Slow}) {
+                const DeadlineScenario scenario{.kind = kind,
+                                                .portion = 0.4,
+                                                .timesSlower = 4,
+                                                .requestsPerSecond = 200,
+                                                .division = Division{.at = at, .remaining = smaller, .isPartition = true}};
+                EXPECT_EQ(countRuns(scenario, isExposed, RUNS_OF_MANY), 0U)
+                    << nameOf(kind) << ", " << smaller << " cut off after " << at.count() << " s";
+            }
+        }
+    }
+}
+
+// Guards against a verdict of a few instances by their own bad links: targets that they can't reach are no fault of the version.
+TEST(DeadlineRollout, targetsThatNeverAnswerAreNoFaultInTheEvidenceOfAPart)
+{
+    std::map<AnswerGroup, AnswerCounts> answers;
+    answers[{.route = "/a", .role = VersionRole::Old, .target = {}}] = {.failures = 0, .coldSuccesses = 0, .successes = {{20, 100}}};
+    for (int target = 0; target < 6; ++target) {
+        auto &counts = answers[{.route = "/a", .role = VersionRole::New, .target = {std::to_string(target)}}];
+        (target < 3 ? counts.failures : counts.successes[20]) = 5;
+    }
+    const VerdictSettings settings;
+    EXPECT_LT(judge(answers, settings, SilentTargets::Counted).significance, settings.immediateSignificance);
+    EXPECT_GT(judge(answers, settings, SilentTargets::LeftOut).significance, settings.provenSignificance);
+}
+
 // Guards against counting the fast answers of a slow version before its slow ones can have arrived.
 TEST(DeadlineRollout, slowVersionIsNotCompletedInAShortRollout)
 {
@@ -94,7 +165,7 @@
     for (auto passed = 0ms; passed <= 13s; passed += 100ms) {
         advanceRollout(state, state.rollout.start + passed);
         EXPECT_NE(state.status.phase, Phase::Ramping);
-        judgeTrial(state, state.rollout.start + passed, false);
+        judgeTrial(state, state.rollout.start + passed, {.scope = EvidenceScope::Own});
     }
     EXPECT_EQ(state.status.phase, Phase::RolledBack);
     EXPECT_EQ(state.status.fault, Fault::Unproven);
