LibQuarantine, LibGateway: what is known of crashing requests outlives the processes

Cause: the quarantine was kept in the memory of the instances alone.

Change: confirmed evidence that no wider failure explains is kept in a record of the store from half a second of age on, also that of a single crash. Each instance reads the record when it starts, before it is ready, and merges it as a peer's report; three instances write it, in turn and conditionally; after a restore of the store it is read and written again. Whether a wider failure explains evidence is decided early where more targets were lost than any other request explains, since the writers ask for all suspicions.

Why it works: reports merge in any order, so the record needs no owner; a conflict shows what to merge.

Ruled out: evidence in the status of config/main, which all instances read anyway. Its revision would change with each crash, and an operator's conditional write would fail. Provisional evidence: a data centre that fails loses hundreds of connections at once.

--- a/Libraries/LibCoordination/QuarantineLink.cpp
+++ b/Libraries/LibCoordination/QuarantineLink.cpp
@@ -140,6 +140,12 @@
     return this->state;
 }
 
+void QuarantineLink::mergeStored(const Quarantine::Reports &reports)
+{
+    Quarantine::merge(this->state, reports, this->timers.now());
+    Quarantine::expire(this->state, this->timers.now());
+}
+
 Asio::awaitable<void> QuarantineLink::broadcastAndWait(Content content)
 {
     const auto missing = this->livePeers().size();
--- a/Libraries/LibCoordination/QuarantineLink.h
+++ b/Libraries/LibCoordination/QuarantineLink.h
@@ -32,6 +32,8 @@
     void recordTargetExit(const Core::TargetId &target) override;
 
     const Quarantine::QuarantineState &quarantine() const;
+    /// Takes over reports of earlier processes. Peers learn of them as of this instance's own.
+    void mergeStored(const Quarantine::Reports &reports);
 
 private:
     /// A broadcast that waits for acknowledgements.
--- a/Libraries/LibGateway/Instance.cpp
+++ b/Libraries/LibGateway/Instance.cpp
@@ -78,6 +78,7 @@
     });
     this->quarantine = std::make_unique<Coordination::QuarantineLink>(ioContext, this->timers, *this->peers, TOLERATED_BREAKS);
     this->state.guard = this->quarantine.get();
+    this->quarantineKeeper = std::make_unique<QuarantineKeeper>(this->state, this->timers, this->store, *this->peers, *this->quarantine);
     this->rollouts = std::make_unique<RolloutDriver>(this->state, this->timers, this->store, *this->peers);
     this->peerFinder = std::make_unique<PeerFinder>(this->state, this->timers, *this->peers);
     this->state.findPeer = [this](std::vector<std::string> excludedAddresses) {
@@ -385,8 +386,8 @@
 {
     const bool isCurrent = std::ranges::all_of(this->followers, &Reflector::isCurrent, &std::unique_ptr<Reflector>::operator*);
     const bool isFreezeDelayOver = this->timers.now() - this->lastFreezeEnd >= POST_FREEZE_DELAY;
-    return !this->state.isStopping && !this->isIsolated() && this->state.routingConfiguration && this->state.directory.isKnown
-        && (isCurrent || isFreezeDelayOver);
+    return !this->state.isStopping && !this->isIsolated() && this->quarantineKeeper->hasTriedToRead() && this->state.routingConfiguration
+        && this->state.directory.isKnown && (isCurrent || isFreezeDelayOver);
 }
 
 bool Instance::isIsolated() const
--- a/Libraries/LibGateway/Instance.h
+++ b/Libraries/LibGateway/Instance.h
@@ -5,6 +5,7 @@
 #include <LibGateway/ChangeDisseminator.h>
 #include <LibGateway/DeferredChanges.h>
 #include <LibGateway/PeerFinder.h>
+#include <LibGateway/QuarantineKeeper.h>
 #include <LibGateway/Reflector.h>
 #include <LibGateway/RolloutDriver.h>
 #include <LibGateway/TargetDisseminator.h>
@@ -100,6 +101,7 @@
     std::unique_ptr<Peers::Transport> transport;
     std::unique_ptr<Coordination::PeerLink> peers;
     std::unique_ptr<Coordination::QuarantineLink> quarantine;
+    std::unique_ptr<QuarantineKeeper> quarantineKeeper;
     std::unique_ptr<ChangeDisseminator> news;
     std::unique_ptr<TargetDisseminator> targetNews;
     std::unique_ptr<TenantShareDisseminator> tenantShares;
--- a/Libraries/LibGateway/InstanceObjects.cpp
+++ b/Libraries/LibGateway/InstanceObjects.cpp
@@ -62,6 +62,7 @@
                            {"peer", batch.peer}});
     if (kind == ObjectKind::Targets) {
         Fleet::recordStoreRestored(this->state.directory, this->timers.now());
+        this->quarantineKeeper->onStoreRestored();
     }
     if (batch.source != ChangeSource::Listing) {
         this->news->recordLatestRevision(kind, revision);
--- a/Libraries/LibGateway/RecordStore.h
+++ b/Libraries/LibGateway/RecordStore.h
@@ -16,6 +16,8 @@
     UsageDuty,
     /// Which members the parts of a divided fleet reach.
     FleetPresence,
+    /// Evidence against requests that crash targets.
+    Quarantine,
 };
 
 /// No usable response. A write may have been applied nevertheless, or may still be, seconds later.
--- a/Libraries/LibQuarantine/QuarantineState.cpp
+++ b/Libraries/LibQuarantine/QuarantineState.cpp
@@ -57,6 +57,10 @@
     if (unexplained.size() < state.settings.unexplainedLossLimit) {
         return false;
     }
+    if (unexplained.size() >= state.settings.unexplainedLossLimit + QUARANTINE_THRESHOLD) {
+        // No other request explains as many.
+        return true;
+    }
     return unexplained.size() - explainedByAnother(state, unexplained) >= state.settings.unexplainedLossLimit;
 }
 
--- a/Tests/LibQuarantine/QuarantineSimulation.cpp
+++ b/Tests/LibQuarantine/QuarantineSimulation.cpp
@@ -17,7 +17,10 @@
 constexpr auto EXECUTION_TIME = 4ms;
 constexpr auto RESTART_TIME = 500ms;
 constexpr auto LOSS_DETECTION_TIME = 30ms;
+constexpr auto INSTANCE_START_TIME = 500ms;
+constexpr auto RECORD_INTERVAL = 250ms;
 constexpr Core::TimePoint START{1h};
+constexpr Core::WallTime WALL_START{std::chrono::hours{490'000}};
 
 } // namespace
 
@@ -31,6 +34,78 @@
     for (std::size_t index = 0; index < INSTANCES; ++index) {
         this->names.push_back({"instance-" + std::to_string(100 + index)});
     }
+    this->schedule(RECORD_INTERVAL, [this] {
+        this->keepRecord();
+    });
+}
+
+Core::WallTime QuarantineSimulation::wallNow() const
+{
+    return WALL_START + std::chrono::duration_cast<std::chrono::milliseconds>(this->now - START);
+}
+
+bool QuarantineSimulation::isStoreAway() const
+{
+    return this->now < this->storeAwayUntil;
+}
+
+void QuarantineSimulation::keepRecord()
+{
+    auto &keeper = this->states.front();
+    if (this->frozenUntil.front() <= this->now && !this->isStoreAway()) {
+        merge(keeper, reportsOf(this->stored, this->wallNow()), this->now);
+        const auto wanted = recordOf(keeper, this->now, this->wallNow());
+        if (compare(this->stored, wanted) != RecordDifference::None) {
+            this->stored = decodeRecord(encodeRecord(wanted));
+        }
+    }
+    this->schedule(RECORD_INTERVAL, [this] {
+        this->keepRecord();
+    });
+}
+
+void QuarantineSimulation::readRecord(std::size_t instance, std::size_t ofGeneration)
+{
+    if (ofGeneration != this->generation) {
+        return;
+    }
+    if (this->isStoreAway()) {
+        this->schedule(RECORD_INTERVAL, [this, instance, ofGeneration] {
+            this->readRecord(instance, ofGeneration);
+        });
+        return;
+    }
+    merge(this->states[instance], reportsOf(this->stored, this->wallNow()), this->now);
+}
+
+void QuarantineSimulation::replaceAllAt(std::chrono::milliseconds time)
+{
+    this->schedule(time, [this] {
+        ++this->generation;
+        std::ranges::fill(this->states, QuarantineState{});
+        std::ranges::fill(this->frozenUntil, this->now + INSTANCE_START_TIME);
+        this->schedule(INSTANCE_START_TIME, [this, started = this->generation] {
+            for (std::size_t instance = 0; instance < INSTANCES; ++instance) {
+                this->readRecord(instance, started);
+            }
+        });
+    });
+}
+
+void QuarantineSimulation::takeStoreAwayAt(std::chrono::milliseconds time, std::chrono::milliseconds duration)
+{
+    this->schedule(time, [this, duration] {
+        this->storeAwayUntil = this->now + duration;
+    });
+}
+
+bool QuarantineSimulation::endStale(const Submission &submission)
+{
+    if (submission.generation == this->generation) {
+        return false;
+    }
+    this->schedule(1ms, submission.done);
+    return true;
 }
 
 void QuarantineSimulation::schedule(Core::Duration delay, Action action)
@@ -107,11 +182,18 @@
         });
         return;
     }
-    this->attempt({.request = request, .instance = instance, .deadline = this->now + DEADLINE, .done = std::move(done)});
+    this->attempt({.request = request,
+                   .instance = instance,
+                   .generation = this->generation,
+                   .deadline = this->now + DEADLINE,
+                   .done = std::move(done)});
 }
 
 void QuarantineSimulation::attempt(const Submission &submission)
 {
+    if (this->endStale(submission)) {
+        return;
+    }
     const auto decision = admit(this->states[submission.instance], fingerprintOfNumber(submission.request), this->now);
     switch (this->isProtected ? decision.admission : Admission::Allow) {
     case Admission::Allow:
@@ -153,6 +235,9 @@
         onTrialAnnouncement(peer, message, this->now);
     };
     this->broadcast(submission.instance, deliver, [this, submission, fingerprint, target, start] {
+        if (this->endStale(submission)) {
+            return;
+        }
         const auto isMine = confirmTrial(this->states[submission.instance], fingerprint, this->names[submission.instance], this->now);
         if (isMine && this->startOf(target) == start) {
             this->send(submission, target, true);
@@ -173,8 +258,10 @@
         }
         const auto frozen = std::max(Core::Duration{0}, Core::Duration{this->frozenUntil[peer] - this->now});
         const auto arrival = messageDelay(from, peer) + frozen;
-        this->schedule(arrival, [this, peer, deliver] {
-            deliver(this->states[peer]);
+        this->schedule(arrival, [this, peer, deliver, sent = this->generation] {
+            if (sent == this->generation) {
+                deliver(this->states[peer]);
+            }
         });
         longest = std::max(longest, arrival + messageDelay(peer, from));
     }
@@ -205,6 +292,9 @@
             return;
         }
         this->targets[target].crashHandlers.erase(run);
+        if (this->endStale(submission)) {
+            return;
+        }
         const auto fingerprint = fingerprintOfNumber(submission.request);
         const auto reports = onCompleted(this->states[submission.instance], fingerprint, sentAt, this->now);
         if (!reports.isEmpty() || isTrial) {
@@ -217,9 +307,15 @@
 
 void QuarantineSimulation::onLost(const Submission &submission, std::size_t target, const Core::TargetStartId &start, bool isTrial)
 {
+    if (this->endStale(submission)) {
+        return;
+    }
     const auto fingerprint = fingerprintOfNumber(submission.request);
     const auto reports = onConnectionLost(this->states[submission.instance], fingerprint, start, isTrial, this->now);
-    this->schedule(LOSS_DETECTION_TIME, [this, instance = submission.instance, start, target] {
+    this->schedule(LOSS_DETECTION_TIME, [this, instance = submission.instance, lost = this->generation, start, target] {
+        if (lost != this->generation) {
+            return;
+        }
         if (this->startOf(target) != start || !this->targets[target].isUp) {
             this->detectLostStart(instance, start);
         }
@@ -272,8 +368,10 @@
         this->targets[target].isUp = true;
     });
     // An idle connection of some instance detects the loss as well.
-    this->schedule(LOSS_DETECTION_TIME, [this, start, instance = this->random.below(INSTANCES)] {
-        this->detectLostStart(instance, start);
+    this->schedule(LOSS_DETECTION_TIME, [this, start, crashed = this->generation, instance = this->random.below(INSTANCES)] {
+        if (crashed == this->generation) {
+            this->detectLostStart(instance, start);
+        }
     });
     for (const auto &[run, notify] : crashHandlers) {
         notify();
--- a/Tests/LibQuarantine/QuarantineSimulation.h
+++ b/Tests/LibQuarantine/QuarantineSimulation.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Random.h>
 #include <LibQuarantine/Quarantine.h>
+#include <LibQuarantine/Record.h>
 
 #include <functional>
 #include <map>
@@ -24,6 +25,10 @@
     void crashTargetsAt(std::chrono::milliseconds time, const std::vector<std::size_t> &crashing);
     /// Stops an instance from responding to peers for a span of time.
     void freezeAt(std::chrono::milliseconds time, std::size_t instance, std::chrono::milliseconds duration);
+    /// Ends all instances at the given time. The new ones know what the store shows them.
+    void replaceAllAt(std::chrono::milliseconds time);
+    /// The store does not respond for a span of time.
+    void takeStoreAwayAt(std::chrono::milliseconds time, std::chrono::milliseconds duration);
     void runUntil(std::chrono::milliseconds time);
 
     std::size_t crashesCausedBy(std::uint64_t request) const;
@@ -40,6 +45,7 @@
     struct Submission {
         std::uint64_t request;
         std::size_t instance;
+        std::size_t generation;
         Core::TimePoint deadline;
         std::function<void()> done;
     };
@@ -55,6 +61,13 @@
     Core::TargetStartId startOf(std::size_t target) const;
     static Fingerprint fingerprintOfNumber(std::uint64_t request);
 
+    /// Ends a submission whose instance has ended: its caller sends the request again.
+    bool endStale(const Submission &submission);
+    Core::WallTime wallNow() const;
+    bool isStoreAway() const;
+    void keepRecord();
+    void readRecord(std::size_t instance, std::size_t ofGeneration);
+
     void submit(std::uint64_t request, std::size_t instance, std::function<void()> done);
     void attempt(const Submission &submission);
     void announce(const Submission &submission);
@@ -72,6 +85,10 @@
     Core::TimePoint now{std::chrono::hours{1}};
     std::multimap<Core::TimePoint, Action> events;
     std::vector<QuarantineState> states;
+    /// How often all instances were replaced.
+    std::size_t generation{0};
+    Record stored;
+    Core::TimePoint storeAwayUntil;
     std::vector<Core::InstanceId> names;
     std::vector<Core::TimePoint> frozenUntil;
     std::vector<Target> targets;
