LibGateway: a target that lost a connection with a request on it is asked at once

Six retries reach targets later than 3 s after the third crash, three are allowed.

Cause: a lost connection counts for ten seconds unless the start of the target is found to be gone, and only searches for a target found that. Where few requests come, nobody asks.

Change: an instance asks the target at once, one check at a time for each target. A start is also gone where its entry is removed from the platform's list within the ten seconds, as after the loss of a host that refuses no connection. The list names the starts of targets that were never asked; it never shows that one is alive.

Why it works: the verdict no longer depends on the traffic of others.

--- a/Libraries/LibCoordination/QuarantineLink.cpp
+++ b/Libraries/LibCoordination/QuarantineLink.cpp
@@ -91,7 +91,7 @@
 {
     const auto start = this->startOf(target);
     this->peers.logMessage("lost the connection to target start " + start.value + " with a request in flight");
-    this->unverifiedStarts.insert(start);
+    this->unverifiedStarts[start] = this->timers.now();
     auto reports = Quarantine::onConnectionLost(this->state, fingerprint, start, isTrial, this->timers.now());
     if (!reports.isEmpty()) {
         co_await this->broadcastAndWait(std::move(reports));
@@ -135,6 +135,21 @@
     this->broadcastReports(Quarantine::onStartLost(this->state, lost, this->timers.now()));
 }
 
+void QuarantineLink::recordListedStart(const Core::TargetId &target, const Core::TargetStartId &start)
+{
+    this->starts.try_emplace(target, Core::TargetStartId{target.value + "/" + start.value});
+}
+
+void QuarantineLink::recordRemoval(const Core::TargetId &target)
+{
+    if (this->unverifiedStarts.contains(this->startOf(target))) {
+        this->recordTargetExit(target);
+    } else {
+        // It may have left as planned, and its address may be given to another target.
+        this->starts.erase(target);
+    }
+}
+
 const Quarantine::QuarantineState &QuarantineLink::quarantine() const
 {
     return this->state;
@@ -204,6 +219,9 @@
 void QuarantineLink::tick(Core::TimePoint now)
 {
     Quarantine::expire(this->state, now);
+    std::erase_if(this->unverifiedStarts, [this, now](const auto &entry) {
+        return now - entry.second > this->state.settings.provisionalLifetime;
+    });
     const auto reports = Quarantine::recentReports(this->state, MAX_REPAIR_REPORTS, now);
     if (reports.isEmpty()) {
         return;
--- a/Libraries/LibCoordination/QuarantineLink.h
+++ b/Libraries/LibCoordination/QuarantineLink.h
@@ -8,8 +8,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
-#include <set>
 #include <unordered_map>
 
 namespace Briarbend::Coordination
@@ -31,6 +31,11 @@
     void recordTargetStart(const Core::TargetId &target, const Core::TargetStartId &start) override;
     void recordTargetExit(const Core::TargetId &target) override;
 
+    /// The platform's list shows this start of the target. It lags, so that it does not show that the start is alive.
+    void recordListedStart(const Core::TargetId &target, const Core::TargetStartId &start);
+    /// The target is gone from the platform's list. Soon after a connection to it was lost that means that its process ended.
+    void recordRemoval(const Core::TargetId &target);
+
     const Quarantine::QuarantineState &quarantine() const;
     /// Takes over reports of earlier processes. Peers learn of them as of this instance's own.
     void mergeStored(const Quarantine::Reports &reports);
@@ -64,8 +69,8 @@
     std::size_t toleratedCrashes;
     Quarantine::QuarantineState state;
     std::unordered_map<Core::TargetId, Core::TargetStartId> starts;
-    /// Starts to which a connection was lost and that are not yet known to be alive or gone.
-    std::set<Core::TargetStartId> unverifiedStarts;
+    /// Starts to which a connection was lost and that are not yet known to be alive or gone, with the time of the latest loss.
+    std::map<Core::TargetStartId, Core::TimePoint> unverifiedStarts;
     std::unordered_map<std::uint64_t, std::shared_ptr<PendingBroadcast>> broadcasts;
     std::uint64_t nextId{1};
     std::size_t nextTurn{0};
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -201,6 +201,8 @@
         // The result is published only after the peers know: the flow would send again at once.
         const auto known = std::exchange(this->result, AttemptResult::Pending);
         co_await guard.recordConnectionLoss(this->context->fingerprint, this->address, isTrial);
+        // Few other requests may come that would show whether the target is alive.
+        verifyTarget(this->context->state, this->service, this->name);
         this->result = known;
     } else if (this->result == AttemptResult::Answered) {
         guard.recordCompletion(this->context->fingerprint, this->sentAt);
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace Briarbend::Gateway
 {
@@ -158,6 +159,8 @@
     std::function<std::function<void()>(const std::string &tenant)> countRequest;
     /// Losses of requests that count against a target's version only once any target has been heard after them.
     std::vector<AttemptObservation> unconfirmedLosses;
+    /// Names of targets that are being asked whether they have ended.
+    std::set<std::string> targetsInVerification;
     /// Additional round-trip time to a target in another data centre, compared with one in the same data centre.
     std::chrono::microseconds distance{2000};
     /// Cost of transferring one kibibyte of response between data centres, expressed as time that a caller waits.
--- a/Libraries/LibGateway/HealthCheck.cpp
+++ b/Libraries/LibGateway/HealthCheck.cpp
@@ -113,8 +113,7 @@
         return false;
     }
     if (state.guard != nullptr) {
-        const auto &record = target.record;
-        state.guard->recordTargetStart(record.address, {record.name + "/" + std::to_string(record.startedAtMilliseconds)});
+        state.guard->recordTargetStart(target.record.address, startIdOf(target.record));
     }
     recordTargetReport(state, service, target.record.name, target.record.startedAtMilliseconds, ReportSource::HealthCheck, metadata);
     if (metadata.load) {
--- a/Libraries/LibGateway/InstanceObjects.cpp
+++ b/Libraries/LibGateway/InstanceObjects.cpp
@@ -1,4 +1,5 @@
 #include <LibGateway/Instance.h>
+#include <LibGateway/TargetContact.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -141,6 +142,9 @@
         // The configuration stays in force, since no other source defines the routes.
         break;
     case ObjectKind::Targets:
+        if (const auto known = this->state.directory.entries.find(object.name); known != this->state.directory.entries.end()) {
+            this->quarantine->recordRemoval(known->second.record.address);
+        }
         Fleet::applyRemoval(this->state.directory, object.name, this->timers.now());
         break;
     case ObjectKind::Rollouts:
@@ -172,6 +176,7 @@
 void Instance::applyContent(const Fleet::TargetRecord &record, const ChangeBatch &batch, const StoredObject &object)
 {
     Fleet::applyRecord(this->state.directory, record);
+    this->quarantine->recordListedStart(record.address, startIdOf(record));
     this->state.log.write(Importance::Routine,
                           "target",
                           {{"target", record.name},
--- a/Libraries/LibGateway/TargetContact.cpp
+++ b/Libraries/LibGateway/TargetContact.cpp
@@ -23,8 +23,21 @@
     }
 }
 
+boost::asio::awaitable<void> verify(GatewayState &state, std::shared_ptr<Fleet::ServiceState> service, std::string target)
+{
+    const std::shared_ptr<void> end(nullptr, [&state, target](void *) {
+        state.targetsInVerification.erase(target);
+    });
+    co_await probe(state, std::move(service), target);
+}
+
 } // namespace
 
+Core::TargetStartId startIdOf(const Fleet::TargetRecord &record)
+{
+    return {record.name + "/" + std::to_string(record.startedAtMilliseconds)};
+}
+
 void recordTargetHeard(GatewayState &state)
 {
     const auto now = Core::Clock::now();
@@ -60,6 +73,14 @@
                      {"since_ms", std::chrono::duration_cast<std::chrono::milliseconds>(since).count()}});
 }
 
+void verifyTarget(GatewayState &state, const std::shared_ptr<Fleet::ServiceState> &service, const std::string &target)
+{
+    // A target that ends loses many requests at once.
+    if (state.targetsInVerification.insert(target).second) {
+        spawn(state, "verification", verify(state, service, target));
+    }
+}
+
 void probeWhileCutOff(GatewayState &state)
 {
     std::vector<std::shared_ptr<Fleet::ServiceState>> services;
--- a/Tests/LibGateway/FakeTarget.cpp
+++ b/Tests/LibGateway/FakeTarget.cpp
@@ -52,6 +52,11 @@
     return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
 }
 
+void FakeTarget::stopListening()
+{
+    this->acceptor.close();
+}
+
 const std::vector<std::string> &FakeTarget::runs() const
 {
     return this->startedAttempts;
--- a/Tests/LibGateway/FakeTarget.h
+++ b/Tests/LibGateway/FakeTarget.h
@@ -50,6 +50,8 @@
     FakeTarget(boost::asio::io_context &context, std::string targetName, React react);
 
     std::string address() const;
+    /// Refuses connections from now on.
+    void stopListening();
     /// Attempts that the target started to work on, in order.
     const std::vector<std::string> &runs() const;
     /// Requests and health checks that arrived.
--- a/Tests/LibGateway/TestQuarantineKeeper.cpp
+++ b/Tests/LibGateway/TestQuarantineKeeper.cpp
@@ -58,16 +58,29 @@
     {
     }
 
-    /// The request is lost with a target, which is found to be gone.
-    void loseTarget(const std::string &target)
+    void loseConnection(const std::string &target)
     {
-        this->quarantine.recordTargetStart({target}, {"1"});
         boost::asio::co_spawn(this->context, this->quarantine.recordConnectionLoss(POISON, {target}, false), boost::asio::detached);
         this->context.restart();
         this->context.poll();
+    }
+
+    /// The request is lost with a target, which is found to be gone.
+    void loseTarget(const std::string &target)
+    {
+        this->quarantine.recordTargetStart({target}, {"1"});
+        this->loseConnection(target);
         this->quarantine.recordTargetExit({target});
     }
 
+    std::size_t confirmedCrashes() const
+    {
+        const auto found = this->quarantine.quarantine().suspicions.find(POISON);
+        return found == this->quarantine.quarantine().suspicions.end()
+            ? 0
+            : Quarantine::assess(this->quarantine.quarantine(), found->second, this->timers.now()).confirmed;
+    }
+
     boost::asio::io_context &context;
     ManualTimers &timers;
     GatewayState state;
@@ -173,6 +186,25 @@
     EXPECT_FALSE(this->start("three")->quarantine.isUnsuspected(POISON));
 }
 
+// Guards against crashes of silent hosts that nobody notices: they refuse no connection, but soon disappear from the platform's list.
+TEST_F(QuarantineKeeperTest, removalFromTheListSoonAfterALossConfirmsTheCrash)
+{
+    const auto process = this->start("one");
+    process->quarantine.recordListedStart({"a"}, {"1"});
+    process->loseConnection("a");
+    EXPECT_EQ(process->confirmedCrashes(), 0U);
+    process->quarantine.recordListedStart({"a"}, {"1"});
+    EXPECT_EQ(process->confirmedCrashes(), 0U);
+    this->runFor(4s);
+    process->quarantine.recordRemoval({"a"});
+    EXPECT_EQ(process->confirmedCrashes(), 1U);
+    process->quarantine.recordListedStart({"b"}, {"1"});
+    process->loseConnection("b");
+    this->runFor(20s);
+    process->quarantine.recordRemoval({"b"});
+    EXPECT_EQ(process->confirmedCrashes(), 1U) << "a removal much later is no sign of a crash";
+}
+
 // Calls to the store are limited and priced.
 TEST_F(QuarantineKeeperTest, nothingIsWrittenWithoutEvidenceAndOneRecordForManyRequests)
 {
--- a/Tests/LibGateway/TestRequestFlow.cpp
+++ b/Tests/LibGateway/TestRequestFlow.cpp
@@ -68,6 +68,36 @@
     std::function<void()> onWait;
 };
 
+/// Suspects no request, and records which targets were found to have ended.
+class RecordingGuard final : public RefusingGuard
+{
+public:
+    bool isUnsuspected(const Quarantine::Fingerprint &) const override
+    {
+        return true;
+    }
+
+    boost::asio::awaitable<void> recordConnectionLoss(Quarantine::Fingerprint, Core::TargetId target, bool) override
+    {
+        this->lost.push_back(target);
+        co_return;
+    }
+
+    void recordTargetExit(const Core::TargetId &target) override
+    {
+        this->ended.push_back(target);
+    }
+
+    void recordTargetStart(const Core::TargetId &target, const Core::TargetStartId &) override
+    {
+        this->seen.push_back(target);
+    }
+
+    std::vector<Core::TargetId> lost;
+    std::vector<Core::TargetId> ended;
+    std::vector<Core::TargetId> seen;
+};
+
 Reaction always(Reaction reaction)
 {
     return reaction;
@@ -331,6 +361,43 @@
     EXPECT_EQ(this->runsOf("a1"), 1U);
 }
 
+// Guards against a crash that nobody notices in a quiet hour: no other request came that would have shown that the target was gone, the
+// evidence expired, and the request crashed a target each time it came.
+TEST_F(RequestFlowTest, targetThatLostAConnectionWithARequestIsAskedAtOnceWhetherItHasEnded)
+{
+    FakeTarget *crashing = nullptr;
+    crashing = &this->addTarget("one", [&crashing](const auto &) {
+        crashing->stopListening();
+        return Reaction{.status = std::nullopt};
+    });
+    this->configureRoute(RouteKind::Once);
+    RecordingGuard guard;
+    this->state.guard = &guard;
+    const Core::TargetId address{crashing->address()};
+    this->run("a1");
+    this->context.restart();
+    this->context.run_for(300ms);
+    EXPECT_EQ(guard.lost, std::vector{address});
+    EXPECT_EQ(guard.ended, std::vector{address});
+}
+
+TEST_F(RequestFlowTest, targetThatOnlyClosedItsConnectionIsFoundToBeAlive)
+{
+    this->addTarget("one", [](const auto &) {
+        return Reaction{.status = std::nullopt};
+    });
+    this->configureRoute(RouteKind::Once);
+    RecordingGuard guard;
+    this->state.guard = &guard;
+    this->run("a1");
+    const auto seenBefore = guard.seen.size();
+    this->context.restart();
+    this->context.run_for(300ms);
+    EXPECT_EQ(guard.lost.size(), 1U);
+    EXPECT_TRUE(guard.ended.empty());
+    EXPECT_EQ(guard.seen.size(), seenBefore + 1);
+}
+
 TEST_F(RequestFlowTest, addressOfAnotherTargetReceivesNoRequest)
 {
     auto &target = this->addTarget("one", [](const auto &) {
