LibPeers: a link between instances ends once its bytes stay unacknowledged for three seconds

Cause: links between instances had no bound on unacknowledged bytes. Gossip is short and fits into the kernel's buffer, so the time-out on queued bytes never began, and a gone member was asked again over the silent connection.

Change: TCP_USER_TIMEOUT of 3 s on the links that an instance opens. No keep-alive probes: links carry messages often enough.

--- a/Libraries/LibNetwork/SilenceDetection.cpp
+++ b/Libraries/LibNetwork/SilenceDetection.cpp
@@ -34,4 +34,10 @@
     socket.set_option(UserTimeout(UNACKNOWLEDGED_MS), ignored);
 }
 
+void limitUnacknowledged(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds limit)
+{
+    boost::system::error_code ignored;
+    socket.set_option(UserTimeout(static_cast<int>(limit.count())), ignored);
+}
+
 } // namespace Briarbend::Network
--- a/Libraries/LibPeers/WebSocketLinks.cpp
+++ b/Libraries/LibPeers/WebSocketLinks.cpp
@@ -1,5 +1,7 @@
 #include <LibPeers/WebSocketLinks.h>
 
+#include <LibNetwork/SilenceDetection.h>
+
 #include <stdexcept>
 
 namespace Briarbend::Peers
@@ -18,6 +20,9 @@
 constexpr std::chrono::seconds INCOMING_IDLE_TIMEOUT{300};
 /// A connection whose queued bytes do not decrease for this long is closed, because the peer is frozen or unreachable.
 constexpr std::chrono::seconds STALL_TIMEOUT{10};
+/// Time for which sent bytes may stay unacknowledged: as long as the failure detector bears the silence of a member. A connection may go
+/// silent for good while new ones work, and everything that is sent on it is lost.
+constexpr std::chrono::milliseconds UNACKNOWLEDGED_LIMIT{3000};
 constexpr std::size_t MAX_INCOMING_CONNECTIONS = 4096;
 /// Longer than every timeout of websocketpp's connect, handshake and close operations.
 constexpr std::chrono::seconds RETIREMENT_PERIOD{4};
@@ -166,6 +171,7 @@
     auto &link = found->second;
     link.isOpen = true;
     disableNagle(link.connection);
+    Network::limitUnacknowledged(link.connection->get_raw_socket(), UNACKNOWLEDGED_LIMIT);
     for (const auto &bytes : std::exchange(link.waiting, {})) {
         this->write(link, bytes);
     }
--- a/Tests/LibPeers/TestTransport.cpp
+++ b/Tests/LibPeers/TestTransport.cpp
@@ -138,6 +138,45 @@
     })) << "the handshake times out";
 }
 
+// Guards against a connection that goes silent for good and still counts as sound: members that are alive were taken for gone, since they
+// were asked again over the same connection. A peer that stops to read stands for the silence.
+TEST_F(TransportTest, connectionWhoseBytesAreNotTakenIsReplacedAfterAFewSeconds)
+{
+    net::io_context stopped;
+    const auto silent = makeWebSocketTransport(stopped);
+    std::size_t received = 0;
+    silent->onMessage([&received](const std::string &, std::string_view) {
+        ++received;
+    });
+    const auto address = "127.0.0.1:" + std::to_string(silent->listen("127.0.0.1", 0));
+    auto &first = this->start("first");
+    first.transport->send(address, "before");
+    ASSERT_TRUE(this->runUntil([&] {
+        stopped.poll();
+        return received == 1;
+    }));
+    const std::string bytes(MAX_MESSAGE_BYTES / 2, 'x');
+    net::steady_timer pause{this->context};
+    std::function<void()> sendMore = [&] {
+        first.transport->send(address, bytes);
+        pause.expires_after(std::chrono::milliseconds{5});
+        pause.async_wait([&](const auto &error) {
+            if (!error) {
+                sendMore();
+            }
+        });
+    };
+    sendMore();
+    // The limit, and the time between two attempts of the kernel.
+    constexpr seconds LONGEST_SILENCE{8};
+    EXPECT_TRUE(this->runUntil(
+        [&] {
+            return first.closed == std::vector<std::string>{address};
+        },
+        LONGEST_SILENCE));
+    pause.cancel();
+}
+
 TEST_F(TransportTest, malformedInputClosesOnlyItsOwnConnection)
 {
     auto &first = this->start("first");
