Tests/LibQuarantine: a size without a widening multiplication

Cause: the linter refuses the product of two ints that becomes a std::size_t.

The bound is the same, 262,144 bytes. TestLibQuarantine is not changed otherwise.

--- a/Tests/LibQuarantine/TestRecord.cpp
+++ b/Tests/LibQuarantine/TestRecord.cpp
@@ -152,7 +152,7 @@
         crash(state, POISON, start, NOW);
     }
     const auto record = recordOf(state, NOW + 1s, WALL_NOW);
-    constexpr std::size_t MAXIMUM_BYTES = 256 * 1024;
+    constexpr std::size_t MAXIMUM_BYTES{262'144};
     EXPECT_LT(encodeRecord(record).size(), MAXIMUM_BYTES);
     ASSERT_GE(record.evidence.size(), 4U);
     EXPECT_EQ(record.evidence.front().fingerprint, POISON);
