Soak: all instances are killed at once in some runs, and the store keeps their records

Its store answered calls for records of the instances with lists, so that what is written there was never tried under faults.

The store reads, creates and conditionally replaces records; a restore takes them back with everything else.

Not in the soak: requests that crash targets.

--- a/Tests/Soak/SoakStore.cpp
+++ b/Tests/Soak/SoakStore.cpp
@@ -14,6 +14,7 @@
 namespace Asio = boost::asio;
 using nlohmann::json;
 
+constexpr std::string_view RECORDS_PATH{"/v1/objects/briarbend-records"};
 constexpr std::chrono::milliseconds SLOW_ANSWER{250};
 /// How soon a watch tells of a change.
 constexpr std::chrono::milliseconds WATCH_POLL{10};
@@ -79,11 +80,38 @@
 
 Network::Response SoakStore::ok(const json &body) const
 {
-    auto response = Network::makeResponse(Network::Http::status::ok, "application/json", body.dump());
+    return this->reply(Network::Http::status::ok, body);
+}
+
+Network::Response SoakStore::reply(Network::Http::status status, const json &body) const
+{
+    auto response = Network::makeResponse(status, "application/json", body.dump());
     response.set("Store-Era", std::to_string(this->era));
     return response;
 }
 
+Network::Response SoakStore::answerRecord(const Network::Request &request, const std::string &path)
+{
+    using Network::Http::status;
+    auto &records = this->content.objects[path.substr(RECORDS_PATH.rfind('/') + 1, RECORDS_PATH.size() - RECORDS_PATH.rfind('/') - 1)];
+    const bool isRead = request.method() == Network::Http::verb::get;
+    const auto written = isRead ? json::object() : json::parse(request.body());
+    const auto name = isRead ? path.substr(path.rfind('/') + 1) : written.at("metadata").at("name").get<std::string>();
+    const auto known = records.find(name);
+    if (isRead) {
+        return known == records.end() ? this->reply(status::not_found, json::object()) : this->ok(known->second);
+    }
+    const bool isNew = request.method() == Network::Http::verb::post;
+    if (!isNew && known == records.end()) {
+        return this->reply(status::not_found, json::object());
+    }
+    if (known != records.end() && (isNew || written.at("metadata").at("revision") != known->second.at("metadata").at("revision"))) {
+        return this->reply(status::conflict, known->second);
+    }
+    records[name] = {{"metadata", {{"name", name}, {"revision", ++this->content.revision}}}, {"spec", written.at("spec")}};
+    return this->ok(records[name]);
+}
+
 json SoakStore::list(const std::string &kind) const
 {
     auto items = json::array();
@@ -123,6 +151,9 @@
     const std::string target(request.target());
     const auto path = target.substr(0, target.find('?'));
     const auto kind = path.substr(path.rfind('/') + 1);
+    if (path.starts_with(RECORDS_PATH)) {
+        co_return this->answerRecord(request, path);
+    }
     if (request.method() != Network::Http::verb::get) {
         throw Network::HttpError(Network::Http::status::not_found, "nothing to write here");
     }
--- a/Tests/Soak/SoakStore.h
+++ b/Tests/Soak/SoakStore.h
@@ -19,7 +19,7 @@
     Slow,
 };
 
-/// The platform's store as far as gateways read it: objects of a kind, in lists and watches.
+/// The platform's store as far as gateways use it: objects of a kind, in lists and watches, and records that the gateways write.
 class SoakStore
 {
 public:
@@ -45,6 +45,8 @@
     };
 
     boost::asio::awaitable<Network::Response> answer(Network::Request request);
+    /// Reads, creates or replaces the record of a path below RECORDS_PATH.
+    Network::Response answerRecord(const Network::Request &request, const std::string &path);
     nlohmann::json list(const std::string &kind) const;
     nlohmann::json eventsAfter(const std::string &kind, std::uint64_t revision) const;
     void note(const std::string &kind, const nlohmann::json &object, bool isRemoved);
@@ -56,6 +58,7 @@
         std::uint64_t revision{1};
     };
 
+    Network::Response reply(Network::Http::status status, const nlohmann::json &body) const;
     Network::Response ok(const nlohmann::json &body) const;
 
     boost::asio::io_context &context;
--- a/Tests/Soak/Timeline.h
+++ b/Tests/Soak/Timeline.h
@@ -32,9 +32,10 @@
     TargetSaysItLeaves,
     TargetStatesRate,
     StoreRestored,
+    AllInstancesKilled,
 };
 
-constexpr std::size_t FAULT_KINDS = static_cast<std::size_t>(FaultKind::StoreRestored) + 1;
+constexpr std::size_t FAULT_KINDS = static_cast<std::size_t>(FaultKind::AllInstancesKilled) + 1;
 
 struct Fault {
     FaultKind kind{FaultKind::InstanceFrozen};
--- a/Tests/Soak/World.cpp
+++ b/Tests/Soak/World.cpp
@@ -215,6 +215,8 @@
     case FaultKind::InstanceStopped:
     case FaultKind::InstanceReloaded:
         co_return co_await this->harmInstance(fault);
+    case FaultKind::AllInstancesKilled:
+        co_return co_await this->killAllInstances();
     case FaultKind::StoreRefuses:
     case FaultKind::StoreCloses:
     case FaultKind::StoreSilent:
@@ -283,6 +285,24 @@
     instance.isTaken = false;
 }
 
+Asio::awaitable<void> World::killAllInstances()
+{
+    const auto disturbance = this->ledger.begin({.instance = {}, .begin = Core::Clock::now(), .end = {}});
+    std::vector<EntryInstance *> killed;
+    for (auto &instance : this->instances) {
+        if (!std::exchange(instance.isTaken, true)) {
+            instance.process->kill();
+            killed.push_back(&instance);
+        }
+    }
+    co_await this->pause(RESTART_DELAY);
+    for (auto *instance : killed) {
+        this->startInstance(*instance);
+        instance->isTaken = false;
+    }
+    this->ledger.end(disturbance, Core::Clock::now());
+}
+
 Asio::awaitable<void> World::harmStore(Fault fault)
 {
     const auto disturbance = this->ledger.begin({.instance = {}, .begin = Core::Clock::now(), .end = {}});
--- a/Tests/Soak/World.h
+++ b/Tests/Soak/World.h
@@ -63,6 +63,8 @@
     void putConfiguration();
     boost::asio::awaitable<void> inject(Fault fault);
     boost::asio::awaitable<void> harmInstance(Fault fault);
+    /// Ends all instances that no other fault has in its hands, at once.
+    boost::asio::awaitable<void> killAllInstances();
     boost::asio::awaitable<void> harmStore(Fault fault);
     /// The store loses what was written for some time, and is gone shortly. What was lost is written again.
     boost::asio::awaitable<void> restoreStore(Fault fault);
