LibGateway: starting instances read the record of the quarantine from any replica, its writers as it is

Change: an instance that starts reads the record relaxed, at a tenth of the price; what it shows may be seconds old. The three instances that write the record read it as it is a second later, when they know who they are, and tell all others what it holds.

Ruled out: leaving the read to the writers. Between the start and their word each instance would admit what crashed targets before.

Before: one linearizable call a start. After: one relaxed call a start and three linearizable ones for the fleet, by nothingIsWrittenWithoutEvidenceAndOneRecordForManyRequests and evidenceThatAReplicaLacksIsReadByTheWritersAndToldToTheOthers, which pass with the rest of QuarantineKeeperTest.

--- a/Libraries/LibCoordination/QuarantineLink.cpp
+++ b/Libraries/LibCoordination/QuarantineLink.cpp
@@ -161,6 +161,11 @@
     Quarantine::expire(this->state, this->timers.now());
 }
 
+void QuarantineLink::broadcastStored(const Quarantine::Reports &reports)
+{
+    this->broadcastReports(reports);
+}
+
 Asio::awaitable<void> QuarantineLink::broadcastAndWait(Content content)
 {
     const auto missing = this->livePeers().size();
--- a/Libraries/LibCoordination/QuarantineLink.h
+++ b/Libraries/LibCoordination/QuarantineLink.h
@@ -37,8 +37,10 @@
     void recordRemoval(const Core::TargetId &target);
 
     const Quarantine::QuarantineState &quarantine() const;
-    /// Takes over reports of earlier processes. Peers learn of them as of this instance's own.
+    /// Takes over reports of earlier processes.
     void mergeStored(const Quarantine::Reports &reports);
+    /// Sends such reports to all live peers.
+    void broadcastStored(const Quarantine::Reports &reports);
 
 private:
     /// A broadcast that waits for acknowledgements.
--- a/Libraries/LibGateway/DutyRecordStore.cpp
+++ b/Libraries/LibGateway/DutyRecordStore.cpp
@@ -57,7 +57,7 @@
 
 boost::asio::awaitable<Duties::ReadResult> DutyRecordStore::readDuty()
 {
-    const auto result = co_await this->records.readRecord(RecordName::UsageDuty);
+    const auto result = co_await this->records.readRecord(RecordName::UsageDuty, Freshness::Linearizable);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         co_return Duties::NoResponse{failure->reason};
     }
--- a/Libraries/LibGateway/FleetPresence.cpp
+++ b/Libraries/LibGateway/FleetPresence.cpp
@@ -68,7 +68,7 @@
         this->isRenewing = false;
     });
     if (!this->isRevisionKnown) {
-        const auto read = co_await this->records.readRecord(RecordName::FleetPresence);
+        const auto read = co_await this->records.readRecord(RecordName::FleetPresence, Freshness::Linearizable);
         if (const auto *shared = std::get_if<SharedRecord>(&read)) {
             this->applyShown(*shared);
         }
--- a/Libraries/LibGateway/PlatformStore.h
+++ b/Libraries/LibGateway/PlatformStore.h
@@ -146,13 +146,6 @@
 struct RevisionConflict {
 };
 
-enum class Freshness {
-    /// Reflects every change that was acknowledged before the call.
-    Linearizable,
-    /// May be some seconds stale; cheaper and not rate-limited.
-    Relaxed,
-};
-
 using ListResult = std::variant<Listing, StoreFailure>;
 using WatchResult = std::variant<Changes, HistoryGone, StoreFailure>;
 using WriteResult = std::variant<Written, RevisionConflict, StoreFailure>;
--- a/Libraries/LibGateway/QuarantineKeeper.cpp
+++ b/Libraries/LibGateway/QuarantineKeeper.cpp
@@ -21,6 +21,9 @@
 /// The same for the removal of evidence that is no longer valid, which is less urgent.
 constexpr std::chrono::milliseconds REMOVAL_DELAY{2000};
 constexpr std::chrono::milliseconds REMOVAL_STAGGER{10'000};
+/// Time after its start at which a writer reads the record as it is. By then an instance knows most others, and so whether it is one of the
+/// writers.
+constexpr std::chrono::milliseconds CURRENT_READ_DELAY{1000};
 /// Pause after a failed call, doubled with each further one.
 constexpr std::chrono::milliseconds FIRST_PAUSE{500};
 constexpr std::uint32_t MAXIMUM_DOUBLINGS = 4;
@@ -37,11 +40,12 @@
     , records(recordStore)
     , peers(peerLink)
     , quarantine(quarantineLink)
+    , startedAt(timerService.now())
 {
     this->ticking = this->timers.every(TICK_INTERVAL, [this](Core::TimePoint now) {
         this->tick(now);
     });
-    this->startCall(this->read());
+    this->startCall(this->read(Freshness::Relaxed));
 }
 
 bool QuarantineKeeper::hasTriedToRead() const
@@ -54,6 +58,7 @@
     this->updateRank();
     if (this->isKeeper()) {
         this->stored.reset();
+        this->isCurrent = false;
     }
 }
 
@@ -83,16 +88,20 @@
     if (this->isCalling) {
         return;
     }
+    this->updateRank();
     if (!this->stored) {
         if (now >= this->nextRead) {
-            this->startCall(this->read());
+            this->startCall(this->read(this->isKeeper() ? Freshness::Linearizable : Freshness::Relaxed));
         }
         return;
     }
+    if (!this->isCurrent && this->isKeeper() && now - this->startedAt >= CURRENT_READ_DELAY) {
+        this->startCall(this->read(Freshness::Linearizable));
+        return;
+    }
     if (this->quarantine.quarantine().suspicions.empty() && this->stored->evidence.empty()) {
         return;
     }
-    this->updateRank();
     if (this->isKeeper() && this->isWriteDue(Quarantine::compare(*this->stored, this->wantedRecord()), now)) {
         this->startCall(this->write());
     }
@@ -144,22 +153,31 @@
 {
     // A write that failed may still be carried out: the record is read before the next one.
     this->stored.reset();
+    this->isCurrent = false;
     this->nextRead = this->timers.now() + FIRST_PAUSE * (1U << std::min(this->failuresInRow, MAXIMUM_DOUBLINGS));
     ++this->failuresInRow;
     this->state.log.write(Importance::Notable, "quarantine_call_failed", {{"reason", reason}});
 }
 
-boost::asio::awaitable<void> QuarantineKeeper::read()
+boost::asio::awaitable<void> QuarantineKeeper::read(Freshness freshness)
 {
-    const auto result = co_await this->records.readRecord(RecordName::Quarantine);
+    const auto result = co_await this->records.readRecord(RecordName::Quarantine, freshness);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         this->recordFailure(failure->reason);
-    } else if (const auto *shared = std::get_if<SharedRecord>(&result)) {
-        this->applyShown(*shared);
-    } else {
+        co_return;
+    }
+    this->isCurrent = freshness == Freshness::Linearizable;
+    const auto *shared = std::get_if<SharedRecord>(&result);
+    if (shared == nullptr) {
         this->stored = Quarantine::Record{};
         this->revision.reset();
         this->failuresInRow = 0;
+        co_return;
+    }
+    this->applyShown(*shared);
+    if (this->isCurrent) {
+        // What others read when they started may have been older.
+        this->quarantine.broadcastStored(Quarantine::reportsOf(*this->stored, this->clock.now()));
     }
 }
 
@@ -173,6 +191,7 @@
             "quarantine_written",
             {{"evidence", wanted.evidence.size()}, {"era", written->revision.era}, {"revision", written->revision.number}});
         this->stored = std::move(wanted);
+        this->isCurrent = true;
         this->revision = written->revision;
         this->failuresInRow = 0;
         co_return;
@@ -181,6 +200,7 @@
     if (conflict != nullptr && conflict->current) {
         // What both know is merged. The next tick writes what is still missing.
         this->applyShown(*conflict->current);
+        this->isCurrent = true;
     } else {
         this->recordFailure(conflict != nullptr ? "a conflict without the record" : std::get<StoreFailure>(result).reason);
     }
--- a/Libraries/LibGateway/QuarantineKeeper.h
+++ b/Libraries/LibGateway/QuarantineKeeper.h
@@ -9,7 +9,8 @@
 {
 
 /// Keeps the evidence against requests that crash targets among the records in the store, so that it outlives the processes. A few
-/// instances write it in turn, and only where there is something to keep; each instance reads it once when it starts.
+/// instances write it in turn, and only where there is something to keep. Each instance reads it once when it starts, cheaply, as the store
+/// may show it some seconds ago; those that write it read it as it is soon after, and tell the others.
 class QuarantineKeeper
 {
 public:
@@ -32,7 +33,7 @@
     /// Whether this instance's turn to write has come.
     bool isWriteDue(Quarantine::RecordDifference difference, Core::TimePoint now);
     Quarantine::Record wantedRecord() const;
-    boost::asio::awaitable<void> read();
+    boost::asio::awaitable<void> read(Freshness freshness);
     boost::asio::awaitable<void> write();
     void applyShown(const SharedRecord &record);
     void recordFailure(const std::string &reason);
@@ -50,9 +51,12 @@
     /// Nothing if there is no record.
     std::optional<Revision> revision;
     bool hasTried{false};
+    /// The record was read as it is, or written, since it last had to be read.
+    bool isCurrent{false};
     bool isCalling{false};
     std::uint32_t failuresInRow{0};
     Core::TimePoint nextRead;
+    Core::TimePoint startedAt;
     /// Since when the stored record differs from what is to be kept.
     std::optional<Core::TimePoint> differsSince;
     std::optional<std::size_t> membersFingerprint;
--- a/Libraries/LibGateway/RecordStore.h
+++ b/Libraries/LibGateway/RecordStore.h
@@ -10,6 +10,13 @@
 namespace Briarbend::Gateway
 {
 
+enum class Freshness {
+    /// Reflects every change that was acknowledged before the call.
+    Linearizable,
+    /// May be some seconds stale; cheaper and not rate-limited.
+    Relaxed,
+};
+
 /// Records that instances keep in the store for each other, one object each.
 enum class RecordName {
     /// Who reports usage, and what was last reported.
@@ -55,8 +62,7 @@
 public:
     virtual ~RecordStore() = default;
 
-    /// Reflects every write that was acknowledged before the call.
-    virtual boost::asio::awaitable<RecordReadResult> readRecord(RecordName name) = 0;
+    virtual boost::asio::awaitable<RecordReadResult> readRecord(RecordName name, Freshness freshness) = 0;
     /// Replaces the record if it still has the expected revision; creates it if none is expected.
     virtual boost::asio::awaitable<RecordWriteResult> writeRecord(RecordName name, std::optional<Revision> expected, std::string content)
         = 0;
--- a/Tests/LibGateway/FakeRecords.h
+++ b/Tests/LibGateway/FakeRecords.h
@@ -3,6 +3,7 @@
 #include <LibGateway/RecordStore.h>
 
 #include <map>
+#include <optional>
 
 namespace Briarbend::Gateway
 {
@@ -11,14 +12,15 @@
 class FakeRecords
 {
 public:
-    boost::asio::awaitable<RecordReadResult> read(RecordName name)
+    boost::asio::awaitable<RecordReadResult> read(RecordName name, Freshness freshness = Freshness::Linearizable)
     {
-        ++this->calls;
+        ++(freshness == Freshness::Linearizable ? this->calls : this->relaxedCalls);
         if (this->isAway) {
             co_return StoreFailure{"away"};
         }
-        const auto found = this->records.find(name);
-        if (found == this->records.end()) {
+        const auto &shown = freshness == Freshness::Relaxed && this->replica ? *this->replica : this->records;
+        const auto found = shown.find(name);
+        if (found == shown.end()) {
             co_return RecordAbsent{};
         }
         co_return found->second;
@@ -46,6 +48,12 @@
         this->records[name] = {.content = std::move(content), .revision = {.era = 0, .number = ++this->revision}};
     }
 
+    /// Relaxed reads show what there is now and nothing that is written later.
+    void holdReplica()
+    {
+        this->replica = this->records;
+    }
+
     std::string content(RecordName name) const
     {
         const auto found = this->records.find(name);
@@ -53,11 +61,13 @@
     }
 
     bool isAway{false};
+    std::size_t relaxedCalls{0};
     std::size_t calls{0};
     std::size_t writes{0};
 
 private:
     std::map<RecordName, SharedRecord> records;
+    std::optional<std::map<RecordName, SharedRecord>> replica;
     std::uint64_t revision{0};
 };
 
--- a/Tests/LibGateway/MockPlatformStore.h
+++ b/Tests/LibGateway/MockPlatformStore.h
@@ -20,7 +20,7 @@
                 (std::string service, Revision revision, RolloutProgress progress),
                 (override));
     MOCK_METHOD(void, dropConnections, (), (override));
-    MOCK_METHOD(boost::asio::awaitable<RecordReadResult>, readRecord, (RecordName name), (override));
+    MOCK_METHOD(boost::asio::awaitable<RecordReadResult>, readRecord, (RecordName name, Freshness freshness), (override));
     MOCK_METHOD(boost::asio::awaitable<RecordWriteResult>,
                 writeRecord,
                 (RecordName name, std::optional<Revision> expected, std::string content),
--- a/Tests/LibGateway/TestQuarantineKeeper.cpp
+++ b/Tests/LibGateway/TestQuarantineKeeper.cpp
@@ -27,9 +27,9 @@
     {
     }
 
-    boost::asio::awaitable<RecordReadResult> readRecord(RecordName name) override
+    boost::asio::awaitable<RecordReadResult> readRecord(RecordName name, Freshness freshness) override
     {
-        return this->records.read(name);
+        return this->records.read(name, freshness);
     }
 
     boost::asio::awaitable<RecordWriteResult> writeRecord(RecordName name, std::optional<Revision> expected, std::string content) override
@@ -42,8 +42,12 @@
 
 /// One process.
 struct Process {
-    Process(
-        boost::asio::io_context &ioContext, ManualTimers &timerService, FakeNetwork &network, FakeRecords &records, const std::string &name)
+    Process(boost::asio::io_context &ioContext,
+            ManualTimers &timerService,
+            FakeNetwork &network,
+            FakeRecords &records,
+            const std::string &name,
+            std::set<Membership::PeerAddress> seeds = {})
         : context(ioContext)
         , timers(timerService)
         , state(ioContext.get_executor(), {}, Platform::wireDialect(), 7)
@@ -51,7 +55,7 @@
         , transport(network.makeTransport(name))
         , link(timers,
                *this->transport,
-               Gossip::makeState({.id = {name}, .address = {name}, .dataCentre = {"a"}}, {}, timers.now()),
+               Gossip::makeState({.id = {name}, .address = {name}, .dataCentre = {"a"}}, std::move(seeds), timers.now()),
                this->state.random)
         , quarantine(context, timers, this->link, TOLERATED_CRASHES)
         , keeper(this->state, timers, this->store, this->link, this->quarantine)
@@ -205,12 +209,33 @@
     EXPECT_EQ(process->confirmedCrashes(), 1U) << "a removal much later is no sign of a crash";
 }
 
+// Guards against evidence that a lagging replica of the store hides from all instances that start.
+TEST_F(QuarantineKeeperTest, evidenceThatAReplicaLacksIsReadByTheWritersAndToldToTheOthers)
+{
+    this->records.holdReplica();
+    auto process = this->start("one");
+    process->loseTarget("a");
+    process->loseTarget("b");
+    this->runFor(2s);
+    process.reset();
+    std::vector<std::unique_ptr<Process>> started;
+    for (const auto *name : {"two", "three", "four", "five", "six"}) {
+        started.push_back(std::make_unique<Process>(
+            this->context, this->timers, this->network, this->records, name, std::set<Membership::PeerAddress>{{"two"}}));
+    }
+    this->runFor(3s);
+    for (const auto &each : started) {
+        EXPECT_FALSE(each->quarantine.isUnsuspected(POISON)) << each->link.state().members.self.value;
+    }
+}
+
 // Calls to the store are limited and priced.
 TEST_F(QuarantineKeeperTest, nothingIsWrittenWithoutEvidenceAndOneRecordForManyRequests)
 {
     auto process = this->start("one");
     this->runFor(60s);
-    EXPECT_EQ(this->records.calls, 1U) << "the record is read at the start";
+    EXPECT_EQ(this->records.relaxedCalls, 1U) << "the record is read at the start";
+    EXPECT_EQ(this->records.calls, 1U) << "and once as it is, by those that may write it";
     process->loseTarget("a");
     process->loseTarget("b");
     this->runFor(30s);
--- a/Tests/LibGateway/TestRolloutAfterLoss.cpp
+++ b/Tests/LibGateway/TestRolloutAfterLoss.cpp
@@ -35,7 +35,7 @@
 protected:
     RolloutAfterLossTest()
     {
-        ON_CALL(this->store, readRecord(_)).WillByDefault([this](RecordName name) {
+        ON_CALL(this->store, readRecord(_, _)).WillByDefault([this](RecordName name, Freshness) {
             return this->records.read(name);
         });
         ON_CALL(this->store, writeRecord(_, _, _))
