LibGateway: writers of the quarantine's record read it once they know all members

Change: the read waits for hasJoined, and members are ranked then and where there is evidence. An instance that is none of the writers needs no more.

Ruled out: a longer fixed delay; how long it takes to know all members depends on their number.

--- a/Libraries/LibGateway/QuarantineKeeper.cpp
+++ b/Libraries/LibGateway/QuarantineKeeper.cpp
@@ -21,9 +21,6 @@
 /// The same for the removal of evidence that is no longer valid, which is less urgent.
 constexpr std::chrono::milliseconds REMOVAL_DELAY{2000};
 constexpr std::chrono::milliseconds REMOVAL_STAGGER{10'000};
-/// Time after its start at which a writer reads the record as it is. By then an instance knows most others, and so whether it is one of the
-/// writers.
-constexpr std::chrono::milliseconds CURRENT_READ_DELAY{1000};
 /// Pause after a failed call, doubled with each further one.
 constexpr std::chrono::milliseconds FIRST_PAUSE{500};
 constexpr std::uint32_t MAXIMUM_DOUBLINGS = 4;
@@ -40,7 +37,6 @@
     , records(recordStore)
     , peers(peerLink)
     , quarantine(quarantineLink)
-    , startedAt(timerService.now())
 {
     this->ticking = this->timers.every(TICK_INTERVAL, [this](Core::TimePoint now) {
         this->tick(now);
@@ -88,20 +84,24 @@
     if (this->isCalling) {
         return;
     }
-    this->updateRank();
     if (!this->stored) {
         if (now >= this->nextRead) {
-            this->startCall(this->read(this->isKeeper() ? Freshness::Linearizable : Freshness::Relaxed));
+            this->startCall(this->read(Freshness::Relaxed));
         }
         return;
     }
-    if (!this->isCurrent && this->isKeeper() && now - this->startedAt >= CURRENT_READ_DELAY) {
-        this->startCall(this->read(Freshness::Linearizable));
-        return;
+    if (!this->isCurrent && Membership::hasJoined(this->peers.state().members, now)) {
+        this->updateRank();
+        this->isCurrent = !this->isKeeper();
+        if (this->isKeeper()) {
+            this->startCall(this->read(Freshness::Linearizable));
+            return;
+        }
     }
     if (this->quarantine.quarantine().suspicions.empty() && this->stored->evidence.empty()) {
         return;
     }
+    this->updateRank();
     if (this->isKeeper() && this->isWriteDue(Quarantine::compare(*this->stored, this->wantedRecord()), now)) {
         this->startCall(this->write());
     }
--- a/Libraries/LibGateway/QuarantineKeeper.h
+++ b/Libraries/LibGateway/QuarantineKeeper.h
@@ -10,7 +10,7 @@
 
 /// Keeps the evidence against requests that crash targets among the records in the store, so that it outlives the processes. A few
 /// instances write it in turn, and only where there is something to keep. Each instance reads it once when it starts, cheaply, as the store
-/// may show it some seconds ago; those that write it read it as it is soon after, and tell the others.
+/// may show it some seconds ago; those that write it read it as it is once they know all members, and tell the others.
 class QuarantineKeeper
 {
 public:
@@ -51,12 +51,11 @@
     /// Nothing if there is no record.
     std::optional<Revision> revision;
     bool hasTried{false};
-    /// The record was read as it is, or written, since it last had to be read.
+    /// The record was read as it is or written since it last had to be, or this instance is none of the writers.
     bool isCurrent{false};
     bool isCalling{false};
     std::uint32_t failuresInRow{0};
     Core::TimePoint nextRead;
-    Core::TimePoint startedAt;
     /// Since when the stored record differs from what is to be kept.
     std::optional<Core::TimePoint> differsSince;
     std::optional<std::size_t> membersFingerprint;
